Lay the workspace, the kernel and the interfaces between packages

Cause: the repository was empty, and several parts are to be built side by side.

Conclusion: the parts can now be written against fixed interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3
+BIN := .venv/bin
+PACKAGES := $(wildcard packages/*)
+EDITABLE := $(foreach p,$(PACKAGES),-e $(p))
+
+.PHONY: setup demo test lint format bench slopes fuzz
+
+setup: .venv/installed
+
+.venv/installed: requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install -q -c constraints.txt -r requirements.txt
+	$(BIN)/pip install -q --no-deps --no-build-isolation $(EDITABLE)
+	touch $@
+
+lint: setup
+	$(BIN)/ruff format --check packages conftest.py
+	$(BIN)/ruff check packages conftest.py
+	$(BIN)/flake8 packages conftest.py
+
+format: setup
+	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages
+
+test: setup
+	$(BIN)/pytest
+
+demo: setup
+	bash scripts/demo.sh
+
+bench: setup
+	$(BIN)/python -m anvilwell_bench all
+
+slopes: setup
+	$(BIN)/python -m anvilwell_bench slopes
+
+fuzz: setup
+	HYPOTHESIS_PROFILE=fuzz $(BIN)/pytest -m fuzz
--- /dev/null
+++ b/packages/bench/anvilwell_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Auditor, load tool, virtual-time measurements and slopes."""
--- /dev/null
+++ b/packages/client/anvilwell_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators client anvilwell."""
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon anvilwelld, with its entry and agent roles."""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no input or output, no wall clock."""
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Named services, lifecycle, settings, messages and telemetry."""
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the system's processes, and their codec."""
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/messages/codec.py
@@ -0,0 +1,58 @@
+"""CBOR frames with one typed message each."""
+
+import cbor2
+import pydantic
+
+from anvilwell_kernel import exceptions
+
+MAX_FRAME_BYTES = 1 << 20
+
+
+class Codec:
+    """Turns typed messages into CBOR frames and back.
+
+    A frame is an array: the kind's name, then the message's fields in
+    their declared order. Fields added later need defaults, so that an
+    older peer's frames still decode.
+
+    Parameters
+    ----------
+    kinds : iterable of type
+        ``NamedTuple`` classes; the class name is the kind's name.
+    """
+
+    def __init__(self, kinds):
+        self._adapters_by_name = {
+            kind.__name__: pydantic.TypeAdapter(kind) for kind in kinds
+        }
+
+    def encode(self, message):
+        """Return `message` as bytes."""
+        return cbor2.dumps([type(message).__name__, *message])
+
+    def decode(self, frame):
+        """Return the typed message in `frame`.
+
+        Raises
+        ------
+        exceptions.MalformedMessage
+            If the frame is too large, not CBOR, of an unknown kind, or
+            a field has the wrong type.
+        """
+        if len(frame) > MAX_FRAME_BYTES:
+            raise exceptions.MalformedMessage(
+                f"frame of {len(frame)} bytes, limit {MAX_FRAME_BYTES}"
+            )
+        try:
+            name, *fields = cbor2.loads(frame)
+            adapter = self._adapters_by_name[name]
+        except (cbor2.CBORError, ValueError, TypeError, KeyError) as error:
+            raise exceptions.MalformedMessage(
+                f"frame is not a known message: {error!r}"
+            ) from error
+        try:
+            return adapter.validate_python(fields)
+        except pydantic.ValidationError as error:
+            raise exceptions.MalformedMessage(
+                f"{name} has wrong fields: {error}"
+            ) from error
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/services.py
@@ -0,0 +1,107 @@
+"""The micro-kernel: named services that find each other by name."""
+
+import abc
+import itertools
+
+from anvilwell_kernel import exceptions
+
+
+class Service(abc.ABC):
+    """A part of a process with a name and a lifecycle.
+
+    All methods run on the process's event loop. ``start`` may look up
+    other services by name; those it needs are in ``needs`` and have
+    been started before it.
+    """
+
+    name = None
+    needs = ()
+
+    async def start(self, kernel):
+        """Start; `kernel` finds the services this one needs."""
+
+    async def drain(self):
+        """Take no new work and wait for work in flight to end."""
+
+    async def stop(self):
+        """Release everything; never fails on a half-started service."""
+
+    def is_ready(self):
+        """Return whether the service can do its work now."""
+        return True
+
+
+class Kernel:
+    """Holds the services of one process and runs their lifecycle."""
+
+    def __init__(self, services=()):
+        self._services_by_name = {}
+        self._started = []
+        for service in services:
+            self.add(service)
+
+    def add(self, service):
+        """Register `service`; its name must be free."""
+        if service.name in self._services_by_name:
+            raise exceptions.Conflict(
+                f"two services are named {service.name!r}"
+            )
+        self._services_by_name[service.name] = service
+
+    def get(self, name):
+        """Return the service called `name`.
+
+        Raises
+        ------
+        exceptions.NotFound
+            If no service has that name.
+        """
+        try:
+            return self._services_by_name[name]
+        except KeyError:
+            raise exceptions.NotFound(f"no service {name!r}") from None
+
+    def has(self, name):
+        """Return whether a service called `name` is registered."""
+        return name in self._services_by_name
+
+    async def start(self):
+        """Start every service after those it needs."""
+        for service in self._in_order():
+            self._started.append(service)
+            await service.start(self)
+
+    async def drain(self):
+        """Drain the services, the last started first."""
+        for service in reversed(self._started):
+            await service.drain()
+
+    async def stop(self):
+        """Stop the services, the last started first."""
+        while self._started:
+            await self._started.pop().stop()
+
+    def unready(self):
+        """Return the names of the services that are not ready."""
+        return sorted(
+            service.name
+            for service in self._services_by_name.values()
+            if not service.is_ready()
+        )
+
+    def _in_order(self):
+        ordered = {}
+        for name in self._services_by_name:
+            self._visit(name, ordered, ())
+        return list(ordered.values())
+
+    def _visit(self, name, ordered, path):
+        if name in ordered:
+            return
+        if name in path:
+            cycle = " -> ".join(itertools.chain(path, [name]))
+            raise exceptions.Conflict(f"services need each other: {cycle}")
+        service = self.get(name)
+        for needed in service.needs:
+            self._visit(needed, ordered, (*path, name))
+        ordered[name] = service
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics of a process."""
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/telemetry/logs.py
@@ -0,0 +1,43 @@
+"""Structured logs by eliot; one causal tree for each request."""
+
+import eliot
+
+
+class Logger:
+    """Writes messages and actions of one module.
+
+    Parameters
+    ----------
+    name : str
+        The module's name; the prefix of its message types.
+    """
+
+    def __init__(self, name):
+        self._name = name
+
+    def log(self, event, **fields):
+        """Write one message of type ``module:event``."""
+        eliot.log_message(message_type=f"{self._name}:{event}", **fields)
+
+    def action(self, event, **fields):
+        """Return a context that holds what happens inside it."""
+        return eliot.start_action(
+            action_type=f"{self._name}:{event}", **fields
+        )
+
+    def resume(self, task_id, event, **fields):
+        """Return a context that goes on with another process's task."""
+        return eliot.Action.continue_task(
+            task_id=task_id, action_type=f"{self._name}:{event}", **fields
+        )
+
+
+def get_logger(name):
+    """Return the logger of the module called `name`."""
+    return Logger(name)
+
+
+def current_task_id():
+    """Return the current action's task id, "" outside any action."""
+    action = eliot.current_action()
+    return action.serialize_task_id().decode() if action else ""
--- /dev/null
+++ b/packages/platform/anvilwell_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to the outside systems and their adapters."""
--- /dev/null
+++ b/packages/platform/anvilwell_platform/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Abstract base classes, one for each outside system."""
--- /dev/null
+++ b/packages/platform/anvilwell_platform/ports/keyvalue.py
@@ -0,0 +1,98 @@
+"""The platform's key-value service, the only place for agreement."""
+
+import abc
+import enum
+import typing
+
+
+class Purpose(enum.StrEnum):
+    """What a call is for; every call is metered by purpose."""
+
+    CONFIGURATION = "configuration"
+    MEMBERSHIP = "membership"
+    LEASE = "lease"
+    LEDGER = "ledger"
+    CLAIM = "claim"
+    ROLLOUT = "rollout"
+    OPERATOR = "operator"
+
+
+class Entry(typing.NamedTuple):
+    """A key's value; ``revision`` is its last change, ``lease`` 0 if none."""
+
+    key: str
+    value: bytes
+    revision: int
+    lease: int = 0
+
+
+class Snapshot(typing.NamedTuple):
+    """Entries read at one revision of the store."""
+
+    entries_by_key: dict
+    revision: int
+
+
+class Swap(typing.NamedTuple):
+    """A conditional write of one key.
+
+    ``expected`` is the key's last known revision; 0 means the key must
+    not exist. A ``value`` of None deletes the key.
+    """
+
+    key: str
+    expected: int
+    value: bytes | None
+    lease: int = 0
+
+
+class SwapResult(typing.NamedTuple):
+    """Whether all swaps landed, and the entries there are if not."""
+
+    landed: bool
+    revision: int
+    entries_by_key: dict
+
+
+class Change(typing.NamedTuple):
+    """One change seen by a watch; ``value`` is None for a deletion."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class KeyValue(abc.ABC):
+    """Linearizable store; every call blocks and takes a timeout.
+
+    Every method raises ``exceptions.KeyValueUnavailable``; its verdict
+    is ``NOT_RUN`` only if the call certainly never reached the store.
+    """
+
+    @abc.abstractmethod
+    def get(self, key, *, purpose, timeout_s):
+        """Return the `Entry` of `key`, or None."""
+
+    @abc.abstractmethod
+    def get_prefix(self, prefix, *, purpose, timeout_s):
+        """Return the `Snapshot` of all keys with `prefix`."""
+
+    @abc.abstractmethod
+    def swap(self, swaps, *, purpose, timeout_s):
+        """Apply all `swaps` or none, and return a `SwapResult`."""
+
+    @abc.abstractmethod
+    def grant(self, ttl_s, *, purpose, timeout_s):
+        """Return the id of a new lease of `ttl_s` seconds."""
+
+    @abc.abstractmethod
+    def keep_alive(self, lease, *, purpose, timeout_s):
+        """Renew `lease`; return seconds granted, 0 if it has lapsed."""
+
+    @abc.abstractmethod
+    def revoke(self, lease, *, purpose, timeout_s):
+        """End `lease` and delete its keys."""
+
+    @abc.abstractmethod
+    def watch(self, prefix, from_revision, *, purpose, timeout_s):
+        """Yield each `Change` under `prefix`; ends on `timeout_s` idle."""
--- /dev/null
+++ b/packages/standins/anvilwell_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and the demo."""
