Declare settings and service documents as typed schemas

Cause: every part needs typed settings and documents, and operators need all that is wrong at once. Secrets never show their value. Conclusion: other parts can parse documents and read settings.

--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and documents in INI with a declared, typed schema."""
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/config/loader.py
@@ -0,0 +1,233 @@
+"""Reads INI text against a schema and reports all problems at once."""
+
+import configparser
+import inspect
+import pathlib
+import typing
+
+import pydantic
+
+from anvilwell_kernel.config import options
+from anvilwell_kernel.config import problem as problems
+from anvilwell_kernel import exceptions
+
+MAX_TEXT_BYTES = 256 << 10
+_SHOWN_CHARS = 60
+_NO_DEFAULT_SECTION = "\0"
+
+
+class SectionSpec(typing.NamedTuple):
+    """A section of a schema; ``kind`` is its type without ``None``."""
+
+    name: str
+    kind: type
+    is_optional: bool
+    hints_by_key: dict
+
+    @property
+    def is_open(self):
+        """Whether the section takes any key (a ``dict`` type)."""
+        return not self.hints_by_key
+
+
+def load(path, schema, checks=()):
+    """Return the typed settings in the file at `path`.
+
+    Takes and raises what `loads` does, and also reports a file that
+    can't be read as a problem.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        unread = problems.Problem(
+            str(path),
+            "",
+            "",
+            f"can't be read: {error}",
+            "give a readable UTF-8 file",
+        )
+        raise exceptions.ConfigurationError([unread]) from error
+    return loads(text, schema, str(path), checks)
+
+
+def loads(text, schema, source, checks=()):
+    """Return the typed settings in `text`.
+
+    Parameters
+    ----------
+    text : str
+        INI text; ``;`` begins a comment, keys are case-sensitive.
+    schema : type
+        ``NamedTuple`` whose fields are sections: ``NamedTuple`` types
+        with typed options, or ``dict`` types with any key.
+    source : str
+        Where the text is from; the first part of each problem.
+    checks : iterable of callable
+        Each takes ``sections_by_name`` (only the sections that are
+        valid) and yields a `problem.Problem` for each contradiction.
+
+    Raises
+    ------
+    exceptions.ConfigurationError
+        With every problem found.
+    """
+    specs_by_name = describe(schema)
+    raw, found = _parse(text)
+    found += _unknown_sections(raw, specs_by_name)
+    sections_by_name = {}
+    for spec in specs_by_name.values():
+        _read_section(spec, raw, sections_by_name, found)
+    for check in checks:
+        found += check(sections_by_name)
+    if found:
+        raise exceptions.ConfigurationError(
+            one._replace(source=source) for one in found
+        )
+    return schema(**sections_by_name)
+
+
+def describe(schema):
+    """Return the `SectionSpec` of each section as specs_by_name."""
+    hints = typing.get_type_hints(schema, include_extras=True)
+    return {
+        name: _describe_section(name, hint) for name, hint in hints.items()
+    }
+
+
+def _describe_section(name, hint):
+    parts = [part for part in typing.get_args(hint) if part is not type(None)]
+    is_optional = type(None) in typing.get_args(hint)
+    kind = parts[0] if is_optional else hint
+    is_closed = inspect.isclass(kind) and hasattr(kind, "_fields")
+    hints = (
+        typing.get_type_hints(kind, include_extras=True) if is_closed else {}
+    )
+    return SectionSpec(name, kind, is_optional, hints)
+
+
+def _parse(text):
+    if len(text.encode()) > MAX_TEXT_BYTES:
+        what = f"text is longer than {MAX_TEXT_BYTES} bytes"
+        return {}, [problems.Problem("", "", "", what, "shorten it")]
+    # The strict reading stops at the first duplicate; the other doesn't.
+    _, strict_problems = _read(text, strict=True)
+    raw, lax_problems = _read(text, strict=False)
+    return raw, list(dict.fromkeys(strict_problems + lax_problems))
+
+
+def _read(text, strict):
+    parser = configparser.ConfigParser(
+        strict=strict,
+        interpolation=None,
+        delimiters=("=",),
+        comment_prefixes=("#", ";"),
+        inline_comment_prefixes=(";",),
+        default_section=_NO_DEFAULT_SECTION,
+        empty_lines_in_values=False,
+    )
+    parser.optionxform = str
+    found = []
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        found = _syntax_problems(error)
+    return {name: dict(parser[name]) for name in parser.sections()}, found
+
+
+def _syntax_problems(error):
+    # The text of a line is not repeated: it may hold a secret.
+    if isinstance(error, configparser.DuplicateOptionError):
+        what = f"line {error.lineno}: key is given twice"
+        return [_syntax(what, "keep one", error.section, error.option)]
+    if isinstance(error, configparser.DuplicateSectionError):
+        what = f"line {error.lineno}: section is given twice"
+        return [_syntax(what, "join the two", error.section)]
+    if isinstance(error, configparser.MissingSectionHeaderError):
+        what = f"line {error.lineno}: stands before any section"
+        return [_syntax(what, "begin with a [section] line")]
+    numbers = [number for number, _ in getattr(error, "errors", [])]
+    return [
+        _syntax(f"line {number}: is not 'key = value'", "correct the line")
+        for number in numbers or [1]
+    ]
+
+
+def _syntax(what, mend, section="", key=""):
+    return problems.Problem("", section, key, what, mend)
+
+
+def _unknown_sections(raw, specs_by_name):
+    return [
+        problems.Problem(
+            "",
+            name,
+            "",
+            "unknown section",
+            problems.nearest_hint(name, specs_by_name),
+        )
+        for name in raw
+        if name not in specs_by_name
+    ]
+
+
+def _read_section(spec, raw, sections_by_name, found):
+    if spec.is_optional and spec.name not in raw:
+        sections_by_name[spec.name] = None
+        return
+    values = raw.get(spec.name, {})
+    try:
+        section = pydantic.TypeAdapter(spec.kind).validate_python(values)
+    except pydantic.ValidationError as error:
+        details = error.errors(include_url=False, include_input=False)
+        found += [_value_problem(spec, values, one) for one in details]
+    else:
+        sections_by_name[spec.name] = section
+
+
+def _value_problem(spec, values, detail):
+    key = str(detail["loc"][0])
+    if detail["type"] == "missing":
+        what, mend = "missing", f"add {key} = ..."
+        return problems.Problem("", spec.name, key, what, mend)
+    if not spec.is_open and key not in spec.hints_by_key:
+        mend = problems.nearest_hint(key, spec.hints_by_key)
+        return problems.Problem("", spec.name, key, "unknown key", mend)
+    hint = _hint_of(spec, detail["loc"])
+    shown = "value" if is_secret(hint) else repr(values[key][:_SHOWN_CHARS])
+    what = f"{shown} is wrong: {detail['msg']}"
+    mend = mend_of(hint) or "correct the value"
+    return problems.Problem("", spec.name, key, what, mend)
+
+
+def _hint_of(spec, location):
+    if not spec.is_open:
+        return spec.hints_by_key[location[0]]
+    key_hint, value_hint = typing.get_args(spec.kind)
+    return key_hint if "[key]" in location else value_hint
+
+
+def is_secret(hint):
+    """Return whether an option of type `hint` must not be shown."""
+    return any(part is pydantic.SecretStr for part in _parts(hint))
+
+
+def mend_of(hint):
+    """Return the text of the first `options.Mend` in `hint`, or ""."""
+    texts = (
+        part.text for part in _parts(hint) if isinstance(part, options.Mend)
+    )
+    return next(texts, "") or _choices_of(hint)
+
+
+def _choices_of(hint):
+    names = [part for part in _parts(hint) if isinstance(part, str)]
+    return f"give one of: {', '.join(names)}" if names else ""
+
+
+def _parts(hint):
+    """Yield `hint` and all that it is made of, outermost first."""
+    yield hint
+    for part in getattr(hint, "__metadata__", ()):
+        yield part
+    for part in typing.get_args(hint):
+        yield from _parts(part)
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/config/options.py
@@ -0,0 +1,117 @@
+"""Types of options; each validates itself and carries its mend."""
+
+import ipaddress
+import pathlib
+import typing
+from urllib import parse
+
+import pydantic
+
+_DIGITS = r"[0-9]+"
+_NAME = r"^[A-Za-z0-9]([A-Za-z0-9_.-]{0,61}[A-Za-z0-9])?$"
+
+
+class Mend(typing.NamedTuple):
+    """What to do if a value of this type is wrong."""
+
+    text: str
+
+
+class Address(typing.NamedTuple):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self):
+        """Return ``ip:port``, with brackets around IPv6."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+def parse_address(text):
+    """Return the `Address` that `text` (``ip:port``) names.
+
+    Raises
+    ------
+    ValueError
+        If the host is not an IP number or the port is not a number
+        from 0 to 65535.
+    """
+    if isinstance(text, Address):
+        return text
+    parts = parse.urlsplit(f"//{text.strip()}")
+    if parts.port is None or parts.netloc != text.strip():
+        raise ValueError("no port, or more than ip:port")
+    if "@" in parts.netloc:
+        raise ValueError("more than ip:port")
+    return Address(str(ipaddress.ip_address(parts.hostname)), parts.port)
+
+
+def split_list(text):
+    """Return the trimmed parts of a comma-separated `text`."""
+    if not isinstance(text, str):
+        return text
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
+AddressOption = typing.Annotated[
+    Address,
+    pydantic.BeforeValidator(parse_address),
+    Mend("give an IP number and a port, such as 10.0.0.7:7300"),
+]
+AddressList = typing.Annotated[
+    tuple[AddressOption, ...],
+    pydantic.BeforeValidator(split_list),
+    Mend("give ip:port, ip:port, ..."),
+]
+TextList = typing.Annotated[
+    tuple[str, ...],
+    pydantic.BeforeValidator(split_list),
+    Mend("give values with commas between them"),
+]
+Share = typing.Annotated[
+    float,
+    pydantic.Field(ge=0, le=1, allow_inf_nan=False),
+    Mend("give a share from 0 to 1, such as 0.5"),
+]
+Duration = typing.Annotated[
+    float,
+    pydantic.Field(gt=0, le=86400, allow_inf_nan=False),
+    Mend("give seconds above 0 and up to 86400, such as 2.5"),
+]
+Rate = typing.Annotated[
+    float,
+    pydantic.Field(gt=0, allow_inf_nan=False),
+    Mend("give a number above 0, such as 1.0"),
+]
+Count = typing.Annotated[
+    int,
+    pydantic.Field(ge=1, le=1 << 40),
+    Mend("give a whole number from 1 up"),
+]
+CountOrZero = typing.Annotated[
+    int,
+    pydantic.Field(ge=0, le=1 << 40),
+    Mend("give a whole number from 0 up"),
+]
+Name = typing.Annotated[
+    str,
+    pydantic.StringConstraints(pattern=_NAME),
+    Mend(
+        "use up to 63 letters, digits, '-', '_' and '.', with a letter "
+        "or digit at both ends"
+    ),
+]
+Version = typing.Annotated[
+    str,
+    pydantic.StringConstraints(pattern=rf"^{_DIGITS}$", max_length=18),
+    Mend("give the version's number, such as 7"),
+]
+Flag = typing.Annotated[bool, Mend("give true or false")]
+Path = typing.Annotated[pathlib.Path, Mend("give a path")]
+Secret = typing.Annotated[
+    pydantic.SecretStr,
+    pydantic.Field(min_length=1),
+    Mend("give the secret; its value is never shown"),
+]
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/documents/calls.py
@@ -0,0 +1,67 @@
+"""Which calls of a plain service are not idempotent."""
+
+import fnmatch
+import posixpath
+import typing
+from urllib import parse
+
+import pydantic
+
+from anvilwell_kernel.config import options
+
+_METHODS = frozenset(
+    ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "*")
+)
+
+
+class Call(typing.NamedTuple):
+    """A method and a path pattern; ``*`` stands for any text."""
+
+    method: str
+    path: str
+
+    def __str__(self):
+        """Return the call as it is written in a document."""
+        return f"{self.method} {self.path}"
+
+    def matches(self, method, path):
+        """Return whether a call of `path` by `method` is meant.
+
+        Other spellings of a path (``//notices/``, ``/%6eotices?x=1``)
+        match too: a backend server may take them for the same call.
+        """
+        if self.method not in ("*", method.upper()):
+            return False
+        return fnmatch.fnmatchcase(normal_path(path), normal_path(self.path))
+
+
+def normal_path(path):
+    """Return `path` decoded, without query, and with single slashes."""
+    bare = parse.unquote(path.partition("?")[0].partition("#")[0])
+    return posixpath.normpath("/" + bare.lstrip("/")).lower()
+
+
+def parse_call(text):
+    """Return the `Call` that `text`, such as ``POST /notices``, names.
+
+    Raises
+    ------
+    ValueError
+        If it is not a known method and a path that begins with ``/``.
+    """
+    if isinstance(text, Call):
+        return text
+    method, _, path = text.partition(" ")
+    if method not in _METHODS:
+        raise ValueError(f"{method!r} is no HTTP method")
+    if not path.strip().startswith("/"):
+        raise ValueError(f"path {path.strip()!r} does not begin with '/'")
+    return Call(method, path.strip())
+
+
+CallOption = typing.Annotated[Call, pydantic.BeforeValidator(parse_call)]
+CallList = typing.Annotated[
+    tuple[CallOption, ...],
+    pydantic.BeforeValidator(options.split_list),
+    options.Mend("give calls such as: POST /notices, PUT /changes/*"),
+]
