--- a/packages/kernel/anvilwell_kernel/config/loader.py
+++ b/packages/kernel/anvilwell_kernel/config/loader.py
@@ -187,7 +187,8 @@
 def _value_problem(spec, values, detail):
     key = str(detail["loc"][0])
     if detail["type"] == "missing":
-        what, mend = "missing", f"add {key} = ..."
+        mend = f"add {key} = ... ({mend_of(spec.hints_by_key[key])})"
+        what = "missing"
         return problems.Problem("", spec.name, key, what, mend)
     if not spec.is_open and key not in spec.hints_by_key:
         mend = problems.nearest_hint(key, spec.hints_by_key)
