--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,9 @@
 	touch $@
 
 lint: setup
-	$(BIN)/ruff format --check packages conftest.py
-	$(BIN)/ruff check packages conftest.py
-	$(BIN)/flake8 packages conftest.py
+	$(BIN)/ruff format --check packages tools conftest.py
+	$(BIN)/ruff check packages tools conftest.py
+	$(BIN)/flake8 packages tools conftest.py
 
 format: setup
 	$(BIN)/ruff check --fix packages
--- /dev/null
+++ b/packages/bench/anvilwell_bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the cost of each recurring act as a line in its size."""
--- /dev/null
+++ b/packages/bench/anvilwell_bench/slopes/acts/__init__.py
@@ -0,0 +1,1 @@
+"""The recurring acts of each role, one module a role."""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity worked out from measured slopes."""
