--- a/packages/daemon/anvilwell_daemon/config/__init__.py
+++ b/packages/daemon/anvilwell_daemon/config/__init__.py
@@ -1,7 +1,7 @@
 """The settings of the daemon."""
 
-from anvilwell_daemon.config.settings import load
-from anvilwell_daemon.config.settings import loads
-from anvilwell_daemon.config.settings import Settings
+from anvilwell_daemon.config import settings
 
-__all__ = ("Settings", "load", "loads")
+Settings = settings.Settings
+load = settings.load
+loads = settings.loads
--- a/packages/kernel/anvilwell_kernel/documents/__init__.py
+++ b/packages/kernel/anvilwell_kernel/documents/__init__.py
@@ -1,8 +1,9 @@
 """The document in which a team describes its service."""
 
-from anvilwell_kernel.documents.document import Document
-from anvilwell_kernel.documents.parser import digest
-from anvilwell_kernel.documents.parser import parse
-from anvilwell_kernel.documents.parser import render
+from anvilwell_kernel.documents import document
+from anvilwell_kernel.documents import parser
 
-__all__ = ("Document", "digest", "parse", "render")
+Document = document.Document
+digest = parser.digest
+parse = parser.parse
+render = parser.render
--- a/packages/kernel/anvilwell_kernel/services.py
+++ b/packages/kernel/anvilwell_kernel/services.py
@@ -37,6 +37,7 @@
     def __init__(self, services=()):
         self._services_by_name = {}
         self._started = []
+        self.is_draining = False
         for service in services:
             self.add(service)
 
@@ -73,6 +74,7 @@
 
     async def drain(self):
         """Drain the services, the last started first."""
+        self.is_draining = True
         for service in reversed(self._started):
             await service.drain()
 
--- a/packages/kernel/anvilwell_kernel/telemetry/logs.py
+++ b/packages/kernel/anvilwell_kernel/telemetry/logs.py
@@ -1,5 +1,7 @@
 """Structured logs by eliot; one causal tree for each request."""
 
+import sys
+
 import eliot
 
 
@@ -41,3 +43,27 @@
     """Return the current action's task id, "" outside any action."""
     action = eliot.current_action()
     return action.serialize_task_id().decode() if action else ""
+
+
+def start(path=None, **fields):
+    """Write the log as JSON lines, and return what stops it.
+
+    Parameters
+    ----------
+    path : pathlib.Path, optional
+        File to append to; stdout if omitted.
+    **fields
+        Fields of every message, such as the VM's id.
+    """
+    # A line at a time: nothing is lost if the process is killed.
+    stream = path.open("a", buffering=1) if path else sys.stdout
+    destination = eliot.FileDestination(file=stream)
+    eliot.add_global_fields(**fields)
+    eliot.add_destinations(destination)
+
+    def stop():
+        eliot.remove_destination(destination)
+        if path:
+            stream.close()
+
+    return stop
--- a/packages/kernel/anvilwell_kernel/web.py
+++ b/packages/kernel/anvilwell_kernel/web.py
@@ -1,30 +1,42 @@
 """An HTTP server: cheroot in front of werkzeug's routing."""
 
+import asyncio
+import http
 import json
 import math
 import threading
+import time
+import uuid
 
-from cheroot import wsgi
 import werkzeug
 from werkzeug import exceptions as http_errors
 from werkzeug import routing
+from werkzeug import wsgi
 
+from anvilwell_kernel import bodies
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 from anvilwell_kernel import services
+from anvilwell_kernel import strict_http
 from anvilwell_kernel.telemetry import counters
+from anvilwell_kernel.telemetry import logs
 from anvilwell_kernel import verdict as verdicts
 
 MAX_BODY_BYTES = 1 << 20
 MAX_HEADER_BYTES = 16 << 10
+READ_LIMIT_S = 30.0
 STOP_TIMEOUT_S = 1.0
+DRAIN_RETRY_S = 1.0
 
 REQUEST_ID = "Anvilwell-Request-Id"
 VERDICT = "Anvilwell-Verdict"
 REASON = "Anvilwell-Reason"
 
+_LOG = logs.get_logger(__name__)
+_REQUEST_ID_KEY = "anvilwell.request_id"
 _REASONS_BY_STATUS = {
     404: reasons.Refusal.UNKNOWN_SERVICE,
+    408: reasons.Refusal.DEADLINE,
     413: reasons.Refusal.BODY_TOO_LARGE,
 }
 
@@ -75,12 +87,20 @@
         raise exceptions.BadRequest(f"body is not valid: {error}") from error
 
 
+def request_id(request):
+    """Return the id that the server gave to `request`.
+
+    A caller's own id is never taken: two callers could choose the same.
+    """
+    return request.environ[_REQUEST_ID_KEY]
+
+
 class WebServer(services.Service):
     """Serves HTTP on one address; handlers run on worker threads.
 
     A handler takes the werkzeug request and the rule's parameters and
     returns a werkzeug response. An ``AnvilwellError`` becomes an error
-    response with its verdict.
+    response with its verdict; every answer carries a request id.
 
     Parameters
     ----------
@@ -92,20 +112,44 @@
         Requests served at a time.
     queue : int
         Connections that may wait for a thread.
+    max_body_bytes, max_header_bytes : int
+        Sizes of a request's body and head above which it is refused.
+    read_limit_s : float
+        Longest time that a client may take to send a request.
+    needs : iterable of str
+        Services that must be started before.
     """
 
-    def __init__(self, host, port, *, name="web", threads=32, queue=128):
+    def __init__(
+        self,
+        host,
+        port,
+        *,
+        name="web",
+        threads=32,
+        queue=128,
+        max_body_bytes=MAX_BODY_BYTES,
+        max_header_bytes=MAX_HEADER_BYTES,
+        read_limit_s=READ_LIMIT_S,
+        needs=(),
+    ):
         self.name = name
+        self.needs = needs
+        self._max_body_bytes = max_body_bytes
         self._rules = routing.Map()
         self._handlers_by_endpoint = {}
-        self._server = wsgi.Server(
+        self._while_draining = set()
+        self._in_flight = _InFlight()
+        self._server = strict_http.Server(
             (host, port),
             self._application,
+            refuse=_refusal,
+            read_limit_s=read_limit_s,
             numthreads=threads,
             request_queue_size=queue,
         )
-        self._server.max_request_header_size = MAX_HEADER_BYTES
-        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.max_request_header_size = max_header_bytes
+        self._server.max_request_body_size = max_body_bytes
         self._server.shutdown_timeout = STOP_TIMEOUT_S
         self._thread = None
 
@@ -114,11 +158,16 @@
         """The ``(host, port)`` that it listens on, once started."""
         return self._server.bind_addr[:2]
 
-    def route(self, rule, handler, methods=("GET",)):
-        """Serve `rule` (werkzeug syntax) by `handler`."""
+    def route(self, rule, handler, methods=("GET",), *, while_draining=False):
+        """Serve `rule` (werkzeug syntax) by `handler`.
+
+        A rule with `while_draining` is served during the drain too.
+        """
         endpoint = f"{','.join(methods or ['ANY'])} {rule}"
         self._handlers_by_endpoint[endpoint] = handler
         self._rules.add(routing.Rule(rule, endpoint=endpoint, methods=methods))
+        if while_draining:
+            self._while_draining.add(endpoint)
 
     async def start(self, kernel):
         """Bind the address and begin to serve."""
@@ -132,6 +181,10 @@
         )
         self._thread.start()
 
+    async def drain(self):
+        """Refuse new requests and wait until those in flight have ended."""
+        await self._in_flight.drain()
+
     async def stop(self):
         """Close the listener and the worker threads."""
         self.close()
@@ -143,30 +196,102 @@
             self._thread.join()
 
     def _application(self, environ, start_response):
+        begun = time.monotonic()
+        environ[_REQUEST_ID_KEY] = uuid.uuid4().hex
+        environ["wsgi.input"] = bodies.WholeBody(environ["wsgi.input"])
         request = werkzeug.Request(environ)
-        request.max_content_length = MAX_BODY_BYTES
-        response = self._respond(request)
-        return response(environ, start_response)
+        request.max_content_length = self._max_body_bytes
+        self._in_flight.enter()
+        endpoint, response = self._respond(request)
+        response.headers.setdefault(REQUEST_ID, request_id(request))
+        chunks = response(environ, start_response)
+        duration_s = time.monotonic() - begun
+        counters.record_answer(endpoint, response.status_code, duration_s)
+        return wsgi.ClosingIterator(chunks, self._in_flight.leave)
 
     def _respond(self, request):
+        endpoint = ""
         try:
             adapter = self._rules.bind_to_environ(request.environ)
             endpoint, params = adapter.match()
-            return self._handlers_by_endpoint[endpoint](request, **params)
+            self._check_draining(endpoint)
+            handler = self._handlers_by_endpoint[endpoint]
+            return endpoint, handler(request, **params)
         except exceptions.AnvilwellError as error:
-            counters.count_refusal(error.reason)
-            return error_response(error)
+            refusal = error
         except http_errors.HTTPException as error:
-            return self._http_error(error)
-
-    def _http_error(self, error):
-        code = error.code or 400
-        reason = _REASONS_BY_STATUS.get(code, reasons.Refusal.BAD_REQUEST)
-        refusal = exceptions.BadRequest(
-            error.description or error.name,
-            reason=reason,
-            verdict=verdicts.Verdict.NOT_RUN,
-        )
-        refusal.status = code
-        counters.count_refusal(reason)
-        return error_response(refusal)
+            refusal = _from_status(error.code or 400, _text_of(error))
+        except Exception as error:
+            refusal = _from_fault(error)
+        counters.count_refusal(refusal.reason)
+        return endpoint, error_response(refusal, request_id(request))
+
+    def _check_draining(self, endpoint):
+        is_exempt = endpoint in self._while_draining
+        if self._in_flight.is_draining and not is_exempt:
+            raise exceptions.Refused(
+                "this entry is shutting down; ask another",
+                reason=reasons.Refusal.DRAINING,
+                retry_after=DRAIN_RETRY_S,
+            )
+
+
+class _InFlight:
+    """Counts the requests in flight, from many threads."""
+
+    def __init__(self):
+        self.is_draining = False
+        self._lock = threading.Lock()
+        self._count = 0
+        self._on_empty = None
+
+    def enter(self):
+        with self._lock:
+            self._count += 1
+
+    def leave(self):
+        with self._lock:
+            self._count -= 1
+            self._tell_if_empty()
+
+    async def drain(self):
+        loop = asyncio.get_running_loop()
+        empty = asyncio.Event()
+        with self._lock:
+            self.is_draining = True
+            self._on_empty = lambda: loop.call_soon_threadsafe(empty.set)
+            self._tell_if_empty()
+        await empty.wait()
+
+    def _tell_if_empty(self):
+        if self._on_empty and not self._count:
+            self._on_empty()
+            self._on_empty = None
+
+
+def _text_of(error):
+    return error.description or error.name
+
+
+def _from_status(code, message):
+    reason = _REASONS_BY_STATUS.get(code, reasons.Refusal.BAD_REQUEST)
+    refusal = exceptions.BadRequest(message, reason=reason)
+    refusal.status = code
+    return refusal
+
+
+def _from_fault(error):
+    _LOG.log("fault", error=repr(error))
+    return exceptions.AnvilwellError(
+        "internal fault; the log says more",
+        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _refusal(code, message):
+    status = http.HTTPStatus(code)
+    refusal = _from_status(code, message or status.phrase)
+    counters.count_refusal(refusal.reason)
+    response = error_response(refusal, uuid.uuid4().hex)
+    line = f"{code} {status.phrase}".encode()
+    return line, response.headers.items(), response.get_data()
--- /dev/null
+++ b/packages/kernel/tests/test_strict_http.py
@@ -0,0 +1,182 @@
+"""Requests that two servers could read differently are refused."""
+
+import json
+
+import pytest
+import werkzeug
+
+from anvilwell_kernel import web
+
+HOST = b"Host: x\r\n"
+MISLEADING = {
+    "length and chunks": (
+        b"POST /echo HTTP/1.1\r\n" + HOST + b"Content-Length: 5\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /echo"
+    ),
+    "chunks and length": (
+        b"POST /echo HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n"
+        b"Content-Length: 5\r\n\r\n0\r\n\r\n"
+    ),
+    "two lengths": (
+        b"POST /echo HTTP/1.1\r\n" + HOST + b"Content-Length: 5\r\n"
+        b"Content-Length: 6\r\n\r\nhello!"
+    ),
+    "negative length": (
+        b"POST /echo HTTP/1.1\r\n" + HOST + b"Content-Length: -5\r\n\r\n"
+    ),
+    "odd length": (
+        b"POST /echo HTTP/1.1\r\n" + HOST + b"Content-Length: 1_0\r\n\r\n"
+    ),
+    "space before colon": (
+        b"POST /echo HTTP/1.1\r\n" + HOST + b"Content-Length : 5\r\n\r\nhello"
+    ),
+    "folded line": b"GET /echo HTTP/1.1\r\n" + HOST + b"X: a\r\n b\r\n\r\n",
+    "bare return": b"GET /echo HTTP/1.1\r\n" + HOST + b"X: a\rY: b\r\n\r\n",
+    "bare newline": b"GET /echo HTTP/1.1\r\n" + HOST + b"X: a\nY: b\r\n\r\n",
+    "null": b"GET /echo HTTP/1.1\r\n" + HOST + b"X: a\0b\r\n\r\n",
+    "two keys": (
+        b"POST /echo HTTP/1.1\r\n" + HOST + b"Idempotency-Key: a\r\n"
+        b"Idempotency-Key: b\r\n\r\n"
+    ),
+    "unknown encoding": (
+        b"POST /echo HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: x\r\n\r\n"
+    ),
+    "chunked twice": (
+        b"POST /echo HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    ),
+    "chunks in HTTP/1.0": (
+        b"POST /echo HTTP/1.0\r\n" + HOST + b"Connection: Keep-Alive\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    ),
+    "no protocol": b"GET /echo\r\n\r\n",
+    "not HTTP": b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n",
+}
+
+
+@pytest.fixture
+def seen():
+    return []
+
+
+@pytest.fixture
+def server(serve, seen):
+    def echo(request):
+        seen.append(request.get_data())
+        return werkzeug.Response(seen[-1])
+
+    started = serve(read_limit_s=20.0)
+    started.route("/echo", echo, None)
+    return started
+
+
+def body_of(answer):
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return head, json.loads(body)["error"]
+
+
+@pytest.mark.parametrize("name", MISLEADING)
+def test_misleading_request_is_refused(name, server, connect, seen):
+    answer = connect(server).send(MISLEADING[name]).read_all()
+
+    head, error = body_of(answer)
+    assert head.startswith(b"HTTP/1.1 400 ")
+    assert b"Anvilwell-Verdict: not-run" in head
+    assert b"Anvilwell-Request-Id: " in head
+    assert error["verdict"] == "not-run"
+    assert error["reason"] == "bad-request"
+    assert seen == []
+
+
+def test_nothing_after_chunks_is_taken_for_a_request(server, connect, seen):
+    smuggled = b"GET /echo HTTP/1.1\r\n" + HOST + b"\r\n"
+    request = (
+        b"POST /echo HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n"
+        b"\r\n5\r\nhello\r\n0\r\nX: y\r\n\r\n" + smuggled
+    )
+
+    answer = connect(server).send(request).read_all()
+
+    assert answer.count(b"HTTP/1.1 200") == 1
+    assert seen == [b"hello"]
+
+
+@pytest.mark.parametrize(
+    "body", [b"zz\r\nhello\r\n0\r\n\r\n", b"5\r\nhelloXX0\r\n\r\n"]
+)
+def test_malformed_chunks_are_refused(body, server, connect):
+    request = (
+        b"POST /echo HTTP/1.1\r\n"
+        + HOST
+        + b"Transfer-Encoding: chunked\r\n\r\n"
+        + body
+    )
+
+    head, error = body_of(connect(server).send(request).read_all())
+
+    assert head.startswith(b"HTTP/1.1 400 ")
+    assert error["verdict"] == "not-run"
+
+
+def test_oversized_header_is_refused(server, connect, seen):
+    line = b"X: " + b"x" * (2 * web.MAX_HEADER_BYTES) + b"\r\n"
+
+    answer = connect(server).send(b"GET /echo HTTP/1.1\r\n" + line).read_all()
+
+    assert answer == b"" or b" 413 " in answer
+    assert seen == []
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 2000000\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\n1e8480\r\n",
+    ],
+)
+def test_oversized_body_is_refused(framing, server, connect, seen):
+    request = b"POST /echo HTTP/1.1\r\n" + HOST + framing
+
+    head, error = body_of(connect(server).send(request).read_all())
+
+    assert head.startswith(b"HTTP/1.1 413 ")
+    assert error["reason"] == "body-too-large"
+    assert error["verdict"] == "not-run"
+    assert seen == []
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"GET /echo HTT",
+        b"GET /echo HTTP/1.1\r\nHost",
+        b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhell",
+    ],
+)
+def test_slow_client_is_cut_off(part, serve, connect, seen):
+    def echo(request):
+        seen.append(request.get_data())
+        return werkzeug.Response(b"")
+
+    slow = serve(read_limit_s=0.2)
+    slow.route("/echo", echo, None)
+
+    head, error = body_of(connect(slow).send(part).read_all())
+
+    assert head.startswith((b"HTTP/1.1 408 ", b"HTTP/1.1 400 "))
+    assert error["verdict"] == "not-run"
+    assert seen == []
+
+
+def test_underscores_are_not_taken_for_dashes(serve, connect):
+    def key(request):
+        return werkzeug.Response(str(request.headers.get("Idempotency-Key")))
+
+    server = serve()
+    server.route("/key", key)
+    request = b"GET /key HTTP/1.1\r\nConnection: close\r\n" + HOST
+    line = b"Idempotency_Key: forged\r\n\r\n"
+
+    answer = connect(server).send(request + line).read_all()
+
+    assert answer.endswith(b"\r\n\r\nNone")
--- /dev/null
+++ b/packages/kernel/tests/test_web.py
@@ -0,0 +1,174 @@
+"""The HTTP server: verdicts, request ids and the drain."""
+
+import asyncio
+import threading
+
+import pydantic
+import pytest
+import urllib3
+import werkzeug
+
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+from anvilwell_kernel import web
+
+TIMEOUT_S = 20.0
+
+
+def ask(server, path, method="GET", **options):
+    host, port = server.address
+    return urllib3.request(
+        method,
+        f"http://{host}:{port}{path}",
+        retries=False,
+        timeout=TIMEOUT_S,
+        **options,
+    )
+
+
+def test_answer_carries_a_request_id(serve):
+    server = serve()
+    server.route(
+        "/id", lambda request: web.json_response(web.request_id(request))
+    )
+
+    answers = [
+        ask(server, "/id", headers={web.REQUEST_ID: "mine"}) for _ in range(2)
+    ]
+
+    ids = [answer.headers[web.REQUEST_ID] for answer in answers]
+    assert ids == [answer.json() for answer in answers]
+    assert len({*ids, "mine"}) == 3
+
+
+def test_error_becomes_its_verdict(serve):
+    def refuse(request):
+        raise exceptions.LinkLost("link lost", retry_after=1.2)
+
+    server = serve()
+    server.route("/lost", refuse)
+
+    answer = ask(server, "/lost")
+
+    assert answer.status == 502
+    assert answer.headers[web.VERDICT] == "may-have-run"
+    assert answer.headers[web.REASON] == "link-lost"
+    assert answer.headers["Retry-After"] == "2"
+    assert answer.json()["error"] == {
+        "verdict": "may-have-run",
+        "reason": "link-lost",
+        "message": "link lost",
+        "request_id": answer.headers[web.REQUEST_ID],
+        "retry_after_s": 1.2,
+    }
+
+
+def test_fault_may_have_run_and_does_not_leak(serve):
+    def fail(request):
+        raise RuntimeError("hunter2")
+
+    server = serve()
+    server.route("/fault", fail)
+
+    answer = ask(server, "/fault")
+
+    assert answer.status == 500
+    assert answer.headers[web.VERDICT] == "may-have-run"
+    assert answer.headers[web.REASON] == "internal"
+    assert b"hunter2" not in answer.data
+
+
+def test_header_injection_by_a_handler_does_not_pass(serve):
+    def inject(request):
+        response = werkzeug.Response(b"")
+        response.headers["X-Echo"] = request.args["value"]
+        return response
+
+    server = serve()
+    server.route("/echo", inject)
+
+    answer = ask(server, "/echo?value=a%0d%0aX-Forged:%20yes")
+
+    assert "X-Forged" not in answer.headers
+    assert answer.headers[web.VERDICT]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [("GET", "/absent", 404), ("DELETE", "/known", 405)],
+)
+def test_unknown_path_or_method_was_not_run(serve, method, path, status):
+    server = serve()
+    server.route("/known", lambda request: web.json_response({}))
+
+    answer = ask(server, path, method)
+
+    assert answer.status == status
+    assert answer.headers[web.VERDICT] == "not-run"
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b'{"a": "x"}', b"\xff", b"[]"])
+def test_malformed_json_is_refused(serve, body):
+    adapter = pydantic.TypeAdapter(dict[str, int])
+    server = serve()
+    server.route(
+        "/json",
+        lambda request: web.json_response(web.json_body(request, adapter)),
+        ("POST",),
+    )
+
+    answer = ask(server, "/json", "POST", body=body)
+
+    assert answer.status == 400
+    assert answer.headers[web.REASON] == "bad-request"
+
+
+def test_drain_refuses_new_and_finishes_old_requests(serve):
+    begun = threading.Event()
+    release = threading.Event()
+
+    def slow(request):
+        def chunks():
+            yield b"first,"
+            begun.set()
+            release.wait(TIMEOUT_S)
+            yield b"last"
+
+        return werkzeug.Response(chunks())
+
+    server = serve()
+    server.route("/slow", slow)
+    server.route(
+        "/alive", lambda request: web.json_response({}), while_draining=True
+    )
+    answers = []
+    caller = threading.Thread(
+        target=lambda: answers.append(ask(server, "/slow"))
+    )
+    caller.start()
+    assert begun.wait(TIMEOUT_S)
+
+    async def drain():
+        drained = asyncio.create_task(server.drain())
+        await asyncio.sleep(0)
+        refused = await asyncio.to_thread(ask, server, "/slow")
+        alive = await asyncio.to_thread(ask, server, "/alive")
+        early = drained.done()
+        release.set()
+        await asyncio.wait_for(drained, TIMEOUT_S)
+        return refused, alive, early
+
+    refused, alive, early = asyncio.run(drain())
+    caller.join(TIMEOUT_S)
+
+    assert refused.headers[web.REASON] == reasons.Refusal.DRAINING
+    assert refused.headers["Retry-After"] == "1"
+    assert alive.status == 200
+    assert not early
+    assert answers[0].data == b"first,last"
+
+
+def test_drain_of_an_idle_server_ends(serve):
+    server = serve()
+
+    asyncio.run(asyncio.wait_for(server.drain(), TIMEOUT_S))
