--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Control links between daemons, and the listener they arrive on."""
