--- /dev/null
+++ b/packages/bench/anvilwell_bench/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the pure decisions in seeded virtual time."""
