--- /dev/null
+++ b/packages/bench/anvilwell_bench/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Checks the nine promises from what each party recorded."""
--- /dev/null
+++ b/packages/bench/anvilwell_bench/load/__init__.py
@@ -0,0 +1,1 @@
+"""Live callers and probes that record what they saw."""
