--- /dev/null
+++ b/packages/bench/anvilwell_bench/audit/promises/configuration.py
@@ -0,0 +1,127 @@
+"""An accepted configuration is in force everywhere and stays so."""
+
+import itertools
+
+from anvilwell_bench.audit import promise
+from anvilwell_bench.audit import reader
+
+ORDER_LIMIT_S = 5.0
+_IN_FORCE = "in-force"
+_ORDERS_OF_VERSION = ("load", "activate")
+
+
+class ConfigurationInForce(promise.Promise):
+    """Compares accepted documents with what daemons and engines do."""
+
+    name = "configuration"
+
+    def check(self, records):
+        """Return breaches seen by probes and in the engines' orders."""
+        return [
+            *self._check_late(records),
+            *self._check_reverts(records),
+            *self._check_unseen(records),
+            *self._check_orders(records),
+        ]
+
+    def evidence(self, records):
+        """Return how many probes came after an accepted document."""
+        return sum(
+            probe["at"] > apply["at"] and probe["service"] == apply["service"]
+            for apply in _accepted(records)
+            for probe in records.of("probe")
+        )
+
+    def _check_late(self, records):
+        return [
+            self.breach(
+                f"{probe['daemon']} has generation {probe['generation']} of "
+                f"{probe['service']} after {apply['generation']} was in "
+                "force",
+                apply["change_id"],
+            )
+            for apply in _accepted(records)
+            for probe in records.of("probe")
+            if probe["service"] == apply["service"]
+            and probe["at"] > apply["at"]
+            and probe["generation"] < apply["generation"]
+        ]
+
+    def _check_reverts(self, records):
+        probes = reader.group_by(records.of("probe"), "daemon", "service")
+        for (daemon, service), seen in probes.items():
+            for earlier, later in itertools.pairwise(seen):
+                if later["generation"] < earlier["generation"]:
+                    yield self.breach(
+                        f"{daemon} went back from generation "
+                        f"{earlier['generation']} to "
+                        f"{later['generation']} of {service}",
+                        daemon,
+                    )
+
+    def _check_unseen(self, records):
+        daemons = {line["daemon"] for line in records.of("probe")}
+        ended_at = _ends_by_daemon(records)
+        for apply, daemon in itertools.product(_accepted(records), daemons):
+            seen = any(
+                probe["at"] > apply["at"]
+                and probe["daemon"] == daemon
+                and probe["service"] == apply["service"]
+                for probe in records.of("probe")
+            )
+            if not seen and daemon not in ended_at:
+                yield self.breach(
+                    f"no probe of {daemon} after generation "
+                    f"{apply['generation']} of {apply['service']}",
+                    apply["change_id"],
+                )
+
+    def _check_orders(self, records):
+        orders = [
+            line
+            for line in records.of("order")
+            if line["order"] in _ORDERS_OF_VERSION
+        ]
+        for line in orders:
+            wanted = _wanted_versions(records, line["at"])
+            if wanted and line["argument"] not in wanted:
+                yield self.breach(
+                    f"{line['who']} was ordered to {line['order']} version "
+                    f"{line['argument']}, documents said {sorted(wanted)}",
+                    line["who"],
+                )
+
+
+def _accepted(records):
+    return [
+        line for line in records.of("apply") if line["outcome"] == _IN_FORCE
+    ]
+
+
+def _ends_by_daemon(records):
+    return {
+        **{line["daemon"]: line["at"] for line in records.of("stop")},
+        **{line["process"]: line["at"] for line in records.of("kill")},
+    }
+
+
+def _wanted_versions(records, at):
+    """Return the versions that an order may name at a time.
+
+    Those are the version of the last document in force, of any that it
+    replaced less than ORDER_LIMIT_S ago, and of any accepted later: an
+    order may precede the operator's answer.
+    """
+    applies = [line for line in _accepted(records) if line["version"]]
+    if not any(line["at"] < at for line in applies):
+        return set()
+    replaced = {
+        earlier["generation"]
+        for earlier, later in itertools.pairwise(applies)
+        if later["at"] + ORDER_LIMIT_S < at
+    }
+    return {
+        line["version"]
+        for line in applies
+        if line["generation"] not in replaced
+    }
--- a/packages/bench/anvilwell_bench/audit/records.py
+++ b/packages/bench/anvilwell_bench/audit/records.py
@@ -8,41 +8,47 @@
 import typing
 
 import pydantic
+import typing_extensions
 
 
-class _Line(typing.TypedDict):
+class _Line(typing_extensions.TypedDict):
     at: float
     who: str
 
 
 class EngineStart(_Line):
-    """An engine took an attempt."""
+    """An engine took an attempt; `prompt` is its digest."""
 
     kind: typing.Literal["start"]
     request_id: str
     prompt: str
     seed: int
-    version: str
+    index: int
+    first: int
 
 
 class EngineToken(_Line):
-    """An engine made `count` tokens of an attempt with one version."""
+    """An engine made `count` tokens from place `first` on."""
 
     kind: typing.Literal["token"]
     request_id: str
+    first: int
     count: int
     version: str
 
 
 class EngineFinish(_Line):
-    """An engine ended an attempt to the end."""
+    """An attempt ended; `tokens` counts those before `first` too."""
 
     kind: typing.Literal["finish"]
     request_id: str
+    reason: typing.Literal["stop", "length", "cut", "cancelled"]
+    first: int
+    tokens: int
 
 
 class EngineCancel(_Line):
-    """An engine gave an attempt up."""
+    """An engine was told to give an attempt up."""
 
     kind: typing.Literal["cancel"]
     request_id: str
@@ -55,6 +61,7 @@
     order: str
     argument: str
     fencing: int
+    outcome: str
 
 
 class EngineSwap(_Line):
@@ -65,17 +72,30 @@
 
 
 class PlainRun(_Line):
-    """A plain service ran a call."""
+    """A plain service ran a non-idempotent call."""
 
     kind: typing.Literal["run"]
     request_id: str
     key: str
-    method: str
     path: str
-    body: str
+    digest: str
+
+
+class PlainLookup(_Line):
+    """A plain service answered an idempotent call."""
+
+    kind: typing.Literal["lookup"]
+    request_id: str
+    path: str
+
+
+class ScriptedFaults(_Line):
+    """A stand-in was told to fail."""
 
+    kind: typing.Literal["faults"]
 
-class SubmittedGroup(typing.TypedDict):
+
+class SubmittedGroup(typing_extensions.TypedDict):
     """One group of a submitted step."""
 
     group: str
@@ -104,7 +124,7 @@
     version: str
 
 
-class CollectedSample(typing.TypedDict):
+class CollectedSample(typing_extensions.TypedDict):
     """A sample as the trainer received it."""
 
     position: int
@@ -202,13 +222,19 @@
     code: int
 
 
-class OperatorCrash(_Line):
+class OperatorKill(_Line):
     """A process was killed on purpose."""
 
-    kind: typing.Literal["crash"]
+    kind: typing.Literal["kill"]
     process: str
 
 
+class EngineCrash(_Line):
+    """An engine lost all it had."""
+
+    kind: typing.Literal["crash"]
+
+
 class Probe(_Line):
     """What one daemon has in force for a service."""
 
@@ -226,6 +252,8 @@
     | EngineOrder
     | EngineSwap
     | PlainRun
+    | PlainLookup
+    | ScriptedFaults
     | TrainerSubmit
     | TrainerVersion
     | TrainerCollect
@@ -236,7 +264,8 @@
     | OperatorLeave
     | OperatorStop
     | OperatorStopped
-    | OperatorCrash
+    | OperatorKill
+    | EngineCrash
     | Probe,
     pydantic.Field(discriminator="kind"),
 ]
--- /dev/null
+++ b/packages/bench/tests/conftest.py
@@ -0,0 +1,6 @@
+"""Lets the tests import the helpers beside them."""
+
+import pathlib
+import sys
+
+sys.path.append(str(pathlib.Path(__file__).parent / "audit"))
