--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside a backend server: admission and execution."""
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/agent/backends/__init__.py
@@ -0,0 +1,1 @@
+"""The backend servers that an agent can stand beside."""
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/agent/backends/model.py
@@ -0,0 +1,68 @@
+"""A model engine as backend server."""
+
+import json
+
+from anvilwell_daemon.agent.backends import base
+from anvilwell_daemon.agent import outflow
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+
+CANCEL_TIMEOUT_S = 2.0
+LOAD_TIMEOUT_S = 2.0
+
+
+class ModelBackend(base.Backend):
+    """Streams completions from an engine.
+
+    Parameters
+    ----------
+    engine : ports.engine.Engine
+        The engine's adapter.
+    """
+
+    def __init__(self, engine):
+        self._engine = engine
+
+    def run(self, start, timeout_s):
+        """Yield the head, the generated pieces and the finish."""
+        body = _body(start)
+        tokens = self._engine.generate(
+            attempt_id(start), body, timeout_s=timeout_s
+        )
+        first = next(tokens, None)
+        yield outflow.Head(200, [])
+        while first is not None:
+            yield _event(first)
+            first = next(tokens, None)
+
+    def cancel(self, start):
+        """Give up the attempt at the engine."""
+        self._engine.cancel(attempt_id(start), timeout_s=CANCEL_TIMEOUT_S)
+
+    def version(self):
+        """Return the version that the engine reports."""
+        return self._engine.load(timeout_s=LOAD_TIMEOUT_S).version
+
+
+def attempt_id(start):
+    """Return the id that the engine knows the attempt by."""
+    return f"{start.request_id}.{start.attempt}"
+
+
+def _body(start):
+    try:
+        body = json.loads(start.body)
+    except ValueError as error:
+        raise exceptions.BadRequest(f"body is not JSON: {error}") from error
+    if not isinstance(body, dict):
+        raise exceptions.BadRequest("body is not a JSON object")
+    body = {**body, "stream": True}
+    if start.resume_tokens:
+        body["resume"] = {"tokens": start.resume_tokens}
+    return body
+
+
+def _event(event):
+    if hasattr(event, "text"):
+        return outflow.Piece(event.text.encode(), event.count, event.version)
+    return outflow.Finish(event.reason or reasons.Refusal.INTERNAL)
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/links/__init__.py
@@ -0,0 +1,1 @@
+"""Multiplexed websocket links between entries and agents."""
--- a/packages/kernel/anvilwell_kernel/messages/codec.py
+++ b/packages/kernel/anvilwell_kernel/messages/codec.py
@@ -5,7 +5,7 @@
 
 from anvilwell_kernel import exceptions
 
-MAX_FRAME_BYTES = 1 << 20
+MAX_FRAME_BYTES = 4 << 20
 
 
 class Codec:
@@ -30,6 +30,12 @@
         """Return `message` as bytes."""
         return cbor2.dumps([type(message).__name__, *message])
 
+    def encode_all(self, messages):
+        """Return `messages` as one frame; their order is kept."""
+        return cbor2.dumps(
+            [[type(message).__name__, *message] for message in messages]
+        )
+
     def decode(self, frame):
         """Return the typed message in `frame`.
 
@@ -39,14 +45,26 @@
             If the frame is too large, not CBOR, of an unknown kind, or
             a field has the wrong type.
         """
-        if len(frame) > MAX_FRAME_BYTES:
-            raise exceptions.MalformedMessage(
-                f"frame of {len(frame)} bytes, limit {MAX_FRAME_BYTES}"
-            )
+        return self._message(_load(frame))
+
+    def decode_all(self, frame):
+        """Return the list of typed messages in `frame`.
+
+        Raises
+        ------
+        exceptions.MalformedMessage
+            If any of them is malformed; then none is returned.
+        """
+        items = _load(frame)
+        if not isinstance(items, list):
+            raise exceptions.MalformedMessage("frame is not an array")
+        return [self._message(item) for item in items]
+
+    def _message(self, item):
         try:
-            name, *fields = cbor2.loads(frame)
+            name, *fields = item
             adapter = self._adapters_by_name[name]
-        except (cbor2.CBORError, ValueError, TypeError, KeyError) as error:
+        except (ValueError, TypeError, KeyError) as error:
             raise exceptions.MalformedMessage(
                 f"frame is not a known message: {error!r}"
             ) from error
@@ -56,3 +74,16 @@
             raise exceptions.MalformedMessage(
                 f"{name} has wrong fields: {error}"
             ) from error
+
+
+def _load(frame):
+    if len(frame) > MAX_FRAME_BYTES:
+        raise exceptions.MalformedMessage(
+            f"frame of {len(frame)} bytes, limit {MAX_FRAME_BYTES}"
+        )
+    try:
+        return cbor2.loads(frame)
+    except (cbor2.CBORError, ValueError, TypeError) as error:
+        raise exceptions.MalformedMessage(
+            f"frame is not CBOR: {error!r}"
+        ) from error
--- a/packages/kernel/anvilwell_kernel/messages/requests.py
+++ b/packages/kernel/anvilwell_kernel/messages/requests.py
@@ -7,7 +7,9 @@
     """Starts one attempt of a request on a stream.
 
     ``deadline_s`` is the time left when the frame was sent, in
-    seconds: clocks of two VMs are never compared.
+    seconds: clocks of two VMs are never compared. A stream that goes
+    on where an earlier attempt was cut names the tokens it has and the
+    weight version that made them.
     """
 
     stream_id: int
@@ -25,6 +27,8 @@
     generation: int
     credit: int
     key: str = ""
+    resume_tokens: int = 0
+    version: str = ""
 
 
 class RequestCancel(typing.NamedTuple):
@@ -52,11 +56,17 @@
 
 
 class ResponseData(typing.NamedTuple):
-    """One piece of the answer; ``sequence`` counts from 0."""
+    """One piece of the answer; ``sequence`` counts from 0.
+
+    A model's piece is UTF-8 text of `tokens` tokens, all made by weight
+    version `version`; a plain service's piece is bytes of its body.
+    """
 
     stream_id: int
     sequence: int
     data: bytes
+    tokens: int = 0
+    version: str = ""
 
 
 class ResponseEnd(typing.NamedTuple):
@@ -66,6 +76,7 @@
     request_id: str
     attempt: int
     frames: int
+    finish: str = ""
 
 
 class ResponseError(typing.NamedTuple):
