--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/samples/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the samples of training runs."""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/samples/chunks.py
@@ -0,0 +1,111 @@
+"""The log of a run, written in chunks by group commit.
+
+Each chunk is one key that must not exist before. Two processes that
+both believe they hold the ledger therefore race for the same number,
+and only one wins, whatever their leases say.
+"""
+
+import enum
+
+from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import records
+
+COMMIT_INTERVAL_S = 0.5
+CHUNK_ENTRIES = 512
+RETRY_S = 1.0
+
+
+class Landing(enum.Enum):
+    """What is known of a chunk's write."""
+
+    MINE = "mine"
+    OTHER = "other"
+
+
+class ChunkLog:
+    """Collects entries and writes them one chunk at a time.
+
+    Parameters
+    ----------
+    number : int
+        Number of the first chunk to write.
+    interval_s : float
+        How long an entry may wait for others.
+    """
+
+    def __init__(self, number=0, interval_s=COMMIT_INTERVAL_S):
+        self.number = number
+        self._interval_s = interval_s
+        self._waiting = []
+        self._since = 0.0
+        self._flying = ()
+        self._retry_at = None
+
+    @property
+    def held(self):
+        """Entries that are not known to be written."""
+        return len(self._waiting) + len(self._flying)
+
+    def append(self, entry, now):
+        """Add `entry` to the next chunk."""
+        if not self._waiting:
+            self._since = now
+        self._waiting.append(entry)
+
+    def due_at(self):
+        """Return when `write` has something to do; None if never."""
+        if self._flying:
+            return self._retry_at
+        if not self._waiting:
+            return None
+        return self._since + self._interval_s
+
+    def write(self, now, *, at_once=False):
+        """Return the ``WriteChunk`` that is due, in a list."""
+        if self._flying:
+            return self._write_again(now)
+        full = len(self._waiting) >= CHUNK_ENTRIES
+        due = self._waiting and now >= self._since + self._interval_s
+        if not (full or due or (at_once and self._waiting)):
+            return []
+        self._flying = tuple(self._waiting[:CHUNK_ENTRIES])
+        del self._waiting[:CHUNK_ENTRIES]
+        self._since = now
+        return [actions.WriteChunk(self.number, self._flying)]
+
+    def _write_again(self, now):
+        if self._retry_at is None or now < self._retry_at:
+            return []
+        self._retry_at = None
+        return [actions.WriteChunk(self.number, self._flying)]
+
+    def unknown(self, now, retry_s=RETRY_S):
+        """Note that the write gave no answer; it is tried again."""
+        if self._flying:
+            self._retry_at = now + retry_s
+
+    def landed(self, number):
+        """Return the entries of chunk `number`, now written."""
+        if number != self.number or not self._flying:
+            return ()
+        entries = self._flying
+        self._flying = ()
+        self._retry_at = None
+        self.number += 1
+        return entries
+
+    def compare(self, number, entries):
+        """Say whose chunk `number` is, given the `entries` there."""
+        if number != self.number or tuple(entries) == self._flying:
+            return Landing.MINE
+        return Landing.OTHER
+
+
+def last_holder(entries):
+    """Return the holder named last among `entries`, "" if none is."""
+    holders = [
+        entry.holder
+        for entry in entries
+        if isinstance(entry, records.Takeover)
+    ]
+    return holders[-1] if holders else ""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -0,0 +1,207 @@
+"""Positions of a run's samples, and what a cursor may collect."""
+
+import enum
+import typing
+
+from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import records
+from anvilwell_decisions.samples import staleness
+from anvilwell_kernel import exceptions
+
+
+class Bytes(enum.Enum):
+    """Whether the holder of the ledger has a sample's bytes."""
+
+    HERE = "here"
+    FETCHING = "fetching"
+    LOST = "lost"
+
+
+class Batch(typing.NamedTuple):
+    """What one collect answers.
+
+    ``voids`` are positions to give up. ``at_once`` says that waiting for
+    more would not help: the trainer has to ask again.
+    """
+
+    choices: tuple
+    next_cursor: int
+    steps_whole: tuple[int, ...]
+    voids: tuple = ()
+    at_once: bool = False
+    actions: tuple = ()
+
+
+class _Slot:
+    """One position."""
+
+    __slots__ = ("bytes", "choice", "voided", "voiding")
+
+    def __init__(self, choice, where):
+        self.choice = choice
+        self.bytes = where
+        self.voiding = False
+        self.voided = False
+
+
+class Delivery:
+    """Decides what a trainer gets at its cursor.
+
+    A position's bytes never change. A position that can't be delivered
+    (too old for the trainer, or its bytes are lost) is given up and its
+    sample redone, but only when the trainer surely lacks it: it was
+    never sent, or the trainer asked for it again after it was held back
+    once. A single delayed request therefore gives nothing up.
+    """
+
+    def __init__(self, bound):
+        self.bound = bound
+        self.trainer_version = 0
+        self.acknowledged = 0
+        self._first = 0
+        self._slots = []
+        self._sent_end = 0
+        self._held_back = None
+        self._missing_by_step = {}
+        self._last_by_step = {}
+
+    @property
+    def end(self):
+        """The first position that is not recorded."""
+        return self._first + len(self._slots)
+
+    def start_at(self, position):
+        """Begin at `position`; all before are acknowledged and gone."""
+        self._first = position
+        self.acknowledged = position
+
+    def expect(self, step, samples):
+        """Note that `step` has `samples` samples to come."""
+        self._missing_by_step[step] = samples
+
+    def recorded(self, choice, where=Bytes.HERE):
+        """Give `choice` the next position and return it."""
+        position = self.end
+        self._slots.append(_Slot(choice, where))
+        step = choice.sample.step
+        self._missing_by_step[step] -= 1
+        self._last_by_step[step] = position
+        return position
+
+    def recovered(self, choice):
+        """Give a `choice` of an earlier holder its position."""
+        position = self.recorded(choice, Bytes.FETCHING)
+        self._sent_end = self.end
+        return position
+
+    def voided(self, position):
+        """Give up `position` for good and return its choice."""
+        slot = self._slot(position)
+        if not slot.voided:
+            slot.voided = True
+            self._missing_by_step[slot.choice.sample.step] += 1
+        return slot.choice
+
+    def fetches(self):
+        """Return a ``Fetch`` for each position whose bytes are away."""
+        return [
+            actions.Fetch(position, slot.choice)
+            for position, slot in enumerate(self._slots, self._first)
+            if slot.bytes is Bytes.FETCHING and not slot.voided
+        ]
+
+    def bytes_found(self, position):
+        """Note that the bytes of `position` are here."""
+        self._slot(position).bytes = Bytes.HERE
+
+    def bytes_lost(self, position):
+        """Note that the bytes of `position` are nowhere."""
+        self._slot(position).bytes = Bytes.LOST
+
+    def overdue(self):
+        """Return voids of positions never sent that grew too old."""
+        start = max(self._sent_end, self._first)
+        return tuple(
+            self._give_up(position)
+            for position in range(start, self.end)
+            if self._is_over_age(position)
+        )
+
+    def collect(self, cursor, limit):
+        """Return the `Batch` at `cursor`; it acknowledges all before."""
+        self._check_cursor(cursor)
+        if self._held_back and self._held_back[0] != cursor:
+            self._held_back = None
+        self.acknowledged = cursor
+        position, choices = cursor, []
+        while position < self.end and len(choices) < limit:
+            slot = self._slot(position)
+            if not slot.voided:
+                if self._is_blocked(position):
+                    break
+                choices.append(slot.choice)
+            position += 1
+        self._sent_end = max(self._sent_end, position)
+        voids, at_once = self._hold_back(cursor, position, limit, choices)
+        return Batch(
+            tuple(choices), position, self._whole(position), voids, at_once
+        )
+
+    def _check_cursor(self, cursor):
+        if not self._first <= cursor <= self.end:
+            raise exceptions.BadRequest(
+                f"cursor {cursor} is outside the kept positions "
+                f"{self._first} to {self.end}; use a next_cursor that "
+                "this run answered"
+            )
+
+    def _is_blocked(self, position):
+        slot = self._slot(position)
+        away = slot.bytes is not Bytes.HERE
+        return slot.voiding or away or self._is_over_age(position)
+
+    def _hold_back(self, cursor, position, limit, choices):
+        blocked = position < self.end and len(choices) < limit
+        if not blocked or not self._is_undeliverable(position):
+            return (), False
+        surely_lacked = position >= self._sent_end
+        asked_again = self._held_back == (cursor, position)
+        if not (surely_lacked or (asked_again and position == cursor)):
+            self._held_back = (cursor, position)
+            return (), True
+        self._held_back = None
+        return tuple(
+            self._give_up(other)
+            for other in range(position, self.end)
+            if self._is_undeliverable(other)
+        ), False
+
+    def _is_undeliverable(self, position):
+        slot = self._slot(position)
+        if slot.voiding or slot.voided:
+            return False
+        return slot.bytes is Bytes.LOST or self._is_over_age(position)
+
+    def _give_up(self, position):
+        slot = self._slot(position)
+        slot.voiding = True
+        lost = slot.bytes is Bytes.LOST
+        return records.Void(position, "lost" if lost else "over-age")
+
+    def _is_over_age(self, position):
+        slot = self._slot(position)
+        if slot.voiding or slot.voided:
+            return False
+        return staleness.is_over_age(
+            slot.choice.versions, self.trainer_version, self.bound
+        )
+
+    def _slot(self, position):
+        return self._slots[position - self._first]
+
+    def _whole(self, end):
+        return tuple(
+            step
+            for step, missing in sorted(self._missing_by_step.items())
+            if missing == 0 and self._last_by_step[step] < end
+        )
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/samples/ledger.py
@@ -0,0 +1,395 @@
+"""The ledger of one run: each sample exactly once, at one position.
+
+The log of chunks is the truth. A ledger takes events and `now` and
+returns actions; it believes nothing recorded before the log says so.
+"""
+
+import enum
+import typing
+
+from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import chunks
+from anvilwell_decisions.samples import delivery
+from anvilwell_decisions.samples import identity
+from anvilwell_decisions.samples import records
+from anvilwell_decisions.samples import staleness
+from anvilwell_decisions.samples import versions
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+
+RETRY_S = 1.0
+MAX_RETRY_S = 30.0
+
+
+class Phase(enum.Enum):
+    """How far a sample is."""
+
+    WANTED = "wanted"
+    SCORING = "scoring"
+    COPYING = "copying"
+    WRITING = "writing"
+    RECORDED = "recorded"
+
+
+class Result(typing.NamedTuple):
+    """The whole outcome of one attempt."""
+
+    digest: str
+    tokens: int
+    versions: tuple[str, ...]
+
+
+class _Sample:
+    """What the ledger knows of one sample."""
+
+    __slots__ = ("failures", "phase", "position", "result", "retry", "score")
+
+    def __init__(self):
+        self.phase = Phase.WANTED
+        self.result = None
+        self.score = None
+        self.position = None
+        self.retry = None
+        self.failures = 0
+
+
+class Ledger:
+    """Decides which attempt's result becomes each sample of a run.
+
+    Parameters
+    ----------
+    run : str
+        The run's name.
+    holder : str
+        VM id of this process.
+    fencing : int
+        Fencing number of the lease under which it holds the ledger.
+    bound : int
+        Staleness bound in versions.
+    scored : bool
+        Whether candidates are scored before they are recorded.
+    """
+
+    def __init__(self, run, holder, fencing, *, bound, scored=False):
+        self.run = run
+        self.holder = holder
+        self.fencing = fencing
+        self.bound = bound
+        self.active = False
+        self.stopped = False
+        self._scored = scored
+        self._log = chunks.ChunkLog()
+        self._samples_by_id = {}
+        self._steps_by_number = {}
+        self._writing_steps = {}
+        self._retries = {}
+        self.delivery = delivery.Delivery(bound)
+
+    @property
+    def held(self):
+        """Entries not yet known to be written."""
+        return self._log.held
+
+    def recover(self, chunks_by_number, now):
+        """Take over what earlier holders wrote, and fence them.
+
+        Parameters
+        ----------
+        chunks_by_number : dict of int to tuple
+            Every chunk that is kept, as entries.
+        """
+        for number in sorted(chunks_by_number):
+            for entry in chunks_by_number[number]:
+                self._replay(entry)
+            self._log.number = number + 1
+        self._log.append(records.Takeover(self.holder, self.fencing), now)
+        return self._log.write(now, at_once=True)
+
+    def _unfinished(self):
+        wanted = [
+            actions.Generate(sample_id)
+            for sample_id, sample in self._samples_by_id.items()
+            if sample.phase is Phase.WANTED
+        ]
+        return [*wanted, *self.delivery.fetches()]
+
+    def _replay(self, entry):
+        match entry:
+            case records.Base():
+                self.delivery.start_at(entry.position)
+                self._steps_by_number.update(dict.fromkeys(entry.steps))
+            case records.StepAccepted():
+                self._add_step(entry.step)
+            case records.Choice():
+                sample = self._samples_by_id[entry.sample]
+                sample.phase = Phase.RECORDED
+                sample.position = self.delivery.recovered(entry)
+            case records.Void():
+                self._void(entry)
+            case records.TrainerVersion():
+                self._take_version(entry.version)
+
+    def submit(self, step, now):
+        """Take a step from the trainer.
+
+        Returns
+        -------
+        list
+            ``Accepted`` if it is recorded already, else what records it.
+
+        Raises
+        ------
+        exceptions.Conflict
+            If the step was submitted before with other content.
+        """
+        self._check_active()
+        identity.check_step(step)
+        if step.step in self._steps_by_number:
+            _check_same(self._steps_by_number[step.step], step)
+            return [actions.Accepted(step.step)]
+        if step.step in self._writing_steps:
+            _check_same(self._writing_steps[step.step], step)
+            return []
+        self._writing_steps[step.step] = step
+        self._log.append(records.StepAccepted(step), now)
+        return self._log.write(now, at_once=True)
+
+    def wants(self, sample_id):
+        """Return whether `sample_id` still needs an attempt."""
+        sample = self._samples_by_id.get(sample_id)
+        return sample is not None and sample.phase is Phase.WANTED
+
+    def result(self, sample_id, result, now):
+        """Take an attempt's whole result; the first fitting one counts."""
+        sample = self._samples_by_id.get(sample_id)
+        if self.stopped or sample is None:
+            return [_dropped(sample_id, result, reasons.Refusal.FENCED)]
+        if sample.phase is not Phase.WANTED:
+            duplicate = reasons.Refusal.DUPLICATE_SAMPLE
+            return [_dropped(sample_id, result, duplicate)]
+        if self._is_over_age(result):
+            return [
+                _dropped(sample_id, result, reasons.Retry.STALE_VERSION),
+                actions.Generate(sample_id),
+            ]
+        sample.result = result
+        sample.score = None
+        sample.failures = 0
+        settled = actions.Settled(sample_id)
+        return [settled, *self._ask(sample_id, sample, self._first_phase())]
+
+    def scored(self, sample_id, digest, score, now):
+        """Take a score; a second answer changes nothing."""
+        sample = self._candidate(sample_id, digest, Phase.SCORING)
+        if sample is None:
+            return []
+        sample.score = score
+        sample.failures = 0
+        return self._ask(sample_id, sample, Phase.COPYING)
+
+    def replicated(self, sample_id, digest, holders, now):
+        """Note that `holders` have the bytes; the choice can be written."""
+        sample = self._candidate(sample_id, digest, Phase.COPYING)
+        if sample is None:
+            return []
+        if self._is_over_age(sample.result):
+            return self._redo(sample_id, sample)
+        sample.phase = Phase.WRITING
+        choice = records.Choice(
+            sample_id,
+            digest,
+            sample.result.tokens,
+            sample.result.versions,
+            sample.score,
+            tuple(holders),
+        )
+        self._log.append(choice, now)
+        return self._log.write(now)
+
+    def not_done(self, sample_id, digest, now):
+        """Note that scoring or copying failed; it is tried again."""
+        sample = self._candidate(sample_id, digest)
+        if sample is None or sample_id in self._retries:
+            return []
+        delay = min(MAX_RETRY_S, RETRY_S * 2**sample.failures)
+        sample.failures += 1
+        self._retries[sample_id] = now + delay
+        return []
+
+    def tick(self, now):
+        """Return what is due: chunks to write, failed asks to repeat."""
+        if self.stopped:
+            return []
+        due = [i for i, at in self._retries.items() if at <= now]
+        asks = []
+        for sample_id in due:
+            del self._retries[sample_id]
+            sample = self._samples_by_id[sample_id]
+            asks.extend(self._ask(sample_id, sample, sample.phase))
+        return [*asks, *self._log.write(now)]
+
+    def next_due(self):
+        """Return when `tick` has something to do; None if never."""
+        times = [*self._retries.values(), self._log.due_at()]
+        return min((at for at in times if at is not None), default=None)
+
+    def written(self, number, now):
+        """Note that chunk `number` was written."""
+        found = [
+            action
+            for entry in self._log.landed(number)
+            for action in self._recorded(entry)
+        ]
+        return [*found, *self._log.write(now)]
+
+    def write_unknown(self, now):
+        """Note that a write gave no answer; it may have landed."""
+        self._log.unknown(now)
+        return []
+
+    def write_conflict(self, number, entries, now):
+        """Take the `entries` that chunk `number` holds instead."""
+        if self._log.compare(number, entries) is chunks.Landing.MINE:
+            return self.written(number, now)
+        self.active = False
+        self.stopped = True
+        return [actions.StepDown(chunks.last_holder(entries))]
+
+    def trainer_version(self, version, now):
+        """Note the version that the trainer has; redo what is too old."""
+        self._check_active()
+        self._take_version(version)
+        self._log.append(records.TrainerVersion(version), now)
+        stale = [
+            (sample_id, sample)
+            for sample_id, sample in self._samples_by_id.items()
+            if sample.phase in (Phase.SCORING, Phase.COPYING)
+            and self._is_over_age(sample.result)
+        ]
+        redone = [a for i, s in stale for a in self._redo(i, s)]
+        voids = self.delivery.overdue()
+        for void in voids:
+            self._log.append(void, now)
+        return [*redone, *self._log.write(now, at_once=True)]
+
+    def collect(self, cursor, limit, now):
+        """Return the batch at `cursor`, which acknowledges all before.
+
+        Returns
+        -------
+        delivery.Batch
+            What to send; ``actions`` holds what to do besides.
+        """
+        self._check_active()
+        batch = self.delivery.collect(cursor, limit)
+        written = self._write_voids(batch.voids, now)
+        return batch._replace(actions=tuple(written))
+
+    def bytes_found(self, position):
+        """Note that the bytes of `position` are here."""
+        self.delivery.bytes_found(position)
+        return [actions.Deliverable(self.delivery.end)]
+
+    def bytes_lost(self, position):
+        """Note that no holder has the bytes of `position` any more."""
+        self.delivery.bytes_lost(position)
+        return [actions.Deliverable(self.delivery.end)]
+
+    def _write_voids(self, voids, now):
+        for void in voids:
+            self._log.append(void, now)
+        return self._log.write(now, at_once=True) if voids else []
+
+    def _take_version(self, version):
+        self.delivery.trainer_version = versions.ordinal(version)
+
+    def _recorded(self, entry):
+        match entry:
+            case records.StepAccepted():
+                del self._writing_steps[entry.step.step]
+                ids = self._add_step(entry.step)
+                accepted = actions.Accepted(entry.step.step)
+                return [accepted, *map(actions.Generate, ids)]
+            case records.Choice():
+                sample = self._samples_by_id[entry.sample]
+                sample.phase = Phase.RECORDED
+                sample.position = self.delivery.recorded(entry)
+                return [actions.Deliverable(self.delivery.end)]
+            case records.Void():
+                end = actions.Deliverable(self.delivery.end)
+                return [*self._void(entry), end]
+            case records.TrainerVersion():
+                return [actions.VersionTaken(entry.version)]
+        self.active = True
+        return self._unfinished()
+
+    def _void(self, void):
+        choice = self.delivery.voided(void.position)
+        sample = self._samples_by_id[choice.sample]
+        discard = actions.Discard(choice.sample, choice.digest)
+        sample.phase = Phase.WANTED
+        sample.position = None
+        sample.result = None
+        return [discard, actions.Generate(choice.sample)]
+
+    def _add_step(self, step):
+        self._steps_by_number[step.step] = step
+        ids = step.sample_ids()
+        self._samples_by_id.update((i, _Sample()) for i in ids)
+        self.delivery.expect(step.step, len(ids))
+        return ids
+
+    def _first_phase(self):
+        return Phase.SCORING if self._scored else Phase.COPYING
+
+    def _ask(self, sample_id, sample, phase):
+        sample.phase = phase
+        kinds = {
+            Phase.SCORING: actions.Score,
+            Phase.COPYING: actions.Replicate,
+        }
+        return [kinds[phase](sample_id, sample.result.digest)]
+
+    def _candidate(self, sample_id, digest, phase=None):
+        sample = self._samples_by_id.get(sample_id)
+        if self.stopped or sample is None or sample.result is None:
+            return None
+        phases = (phase,) if phase else (Phase.SCORING, Phase.COPYING)
+        fits = sample.phase in phases and sample.result.digest == digest
+        return sample if fits else None
+
+    def _redo(self, sample_id, sample):
+        result = sample.result
+        sample.phase = Phase.WANTED
+        sample.result = None
+        self._retries.pop(sample_id, None)
+        return [
+            _dropped(sample_id, result, reasons.Retry.STALE_VERSION),
+            actions.Discard(sample_id, result.digest),
+            actions.Generate(sample_id),
+        ]
+
+    def _is_over_age(self, result):
+        return staleness.is_over_age(
+            result.versions, self.delivery.trainer_version, self.bound
+        )
+
+    def _check_active(self):
+        if not self.active:
+            raise exceptions.Refused(
+                f"run {self.run} is not held here; ask again",
+                reason=reasons.Refusal.NOT_LEADER,
+                retry_after=RETRY_S,
+            )
+
+
+def _check_same(accepted, step):
+    if accepted is not None and accepted != step:
+        raise exceptions.Conflict(
+            f"step {step.step} of run {step.run} was submitted with other "
+            "content; a step never changes, so submit a new number"
+        )
+
+
+def _dropped(sample_id, result, reason):
+    return actions.Dropped(sample_id, str(reason), result.tokens)
