Schedule samples by need, fair share, length and prefix

Change: queues, fair queueing between runs, free slots by load, length prediction, cancelling of over-age work, and a coordinator that joins the runs' ledgers with the schedule.

--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/samples/coordinator.py
@@ -0,0 +1,185 @@
+"""Joins the ledgers of a service's runs with its schedule."""
+
+import typing
+
+from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import ledger as ledgers
+from anvilwell_decisions.samples import schedule as schedules
+
+
+class Addressed(typing.NamedTuple):
+    """An action for one run."""
+
+    run: str
+    action: typing.NamedTuple
+
+
+class Coordinator:
+    """Takes a service's events and returns addressed actions.
+
+    Parameters
+    ----------
+    holder : str
+        VM id of this process.
+    fencing : int
+        Fencing number of the lease on the service's runs.
+    bound : int
+        Staleness bound in versions.
+    policy : schedule.Policy
+        Which mechanisms of scheduling are on.
+    scored : bool
+        Whether samples are scored.
+    """
+
+    def __init__(self, holder, fencing, *, bound, policy=None, scored=False):
+        self._holder = holder
+        self._fencing = fencing
+        self._bound = bound
+        self._scored = scored
+        self._groups_by_id = {}
+        self.schedule = schedules.Schedule(bound, policy)
+        self.ledgers_by_run = {}
+
+    def open_run(self, run, weight, chunks_by_number, now):
+        """Take over a run with what its log holds."""
+        ledger = ledgers.Ledger(
+            run,
+            self._holder,
+            self._fencing,
+            bound=self._bound,
+            scored=self._scored,
+        )
+        self.ledgers_by_run[run] = ledger
+        self.schedule.add_run(run, weight)
+        found = ledger.recover(chunks_by_number, now)
+        for step in ledger.open_steps():
+            self._learn(step)
+        return self._address(run, found)
+
+    def submit(self, step, now):
+        """Take a step; see ``Ledger.submit``."""
+        ledger = self.ledgers_by_run[step.run]
+        found = ledger.submit(step, now)
+        self._learn(step)
+        return self._address(step.run, found)
+
+    def result(self, attempt, result, now):
+        """Take the whole result of an attempt."""
+        running = self.schedule.running_by_attempt.get(attempt)
+        if running is None:
+            return []
+        sample = running.pending.sample
+        self.schedule.ended(attempt, result.tokens)
+        ledger = self.ledgers_by_run[sample.run]
+        found = ledger.result(sample, result, now)
+        return self._address(sample.run, found)
+
+    def failed(self, attempt, now):
+        """Note that an attempt ended without a whole result."""
+        running = self.schedule.running_by_attempt.get(attempt)
+        if running is None:
+            return []
+        self.schedule.ended(attempt)
+        return self._again([running.pending.sample])
+
+    def replica_lost(self, replica_id, now):
+        """Note that a replica is gone with all it was running."""
+        return self._again(self.schedule.remove_replica(replica_id))
+
+    def replica(self, replica_id, slots, version):
+        """Note a replica's slots and version."""
+        self.schedule.replicas.set(replica_id, slots, version)
+        return self._starts()
+
+    def published(self, version):
+        """Note the latest version; cancel what will be too old."""
+        self.schedule.latest = version
+        return self._cancel_doomed()
+
+    def trainer_version(self, run, version, now):
+        """Note the version that a trainer has."""
+        found = self.ledgers_by_run[run].trainer_version(version, now)
+        self._tell_needs(run, waiting=False)
+        return [*self._address(run, found), *self._cancel_doomed()]
+
+    def collect(self, run, cursor, limit, now, *, waiting=False):
+        """Return the batch at `cursor`; its actions are addressed."""
+        batch = self.ledgers_by_run[run].collect(cursor, limit, now)
+        self._tell_needs(run, waiting=waiting)
+        return batch._replace(actions=tuple(self._address(run, batch.actions)))
+
+    def tick(self, now):
+        """Return what is due in any run."""
+        return [
+            addressed
+            for run, ledger in self.ledgers_by_run.items()
+            for addressed in self._address(run, ledger.tick(now))
+        ]
+
+    def next_due(self):
+        """Return when `tick` has something to do; None if never."""
+        times = [led.next_due() for led in self.ledgers_by_run.values()]
+        return min((at for at in times if at is not None), default=None)
+
+    def on_ledger(self, run, event, *args):
+        """Pass another event to the ledger of `run`."""
+        found = getattr(self.ledgers_by_run[run], event.__name__)(*args)
+        return self._address(run, found)
+
+    def _learn(self, step):
+        self._groups_by_id.update(
+            ((step.run, step.step, group.group), group)
+            for group in step.groups
+        )
+        self.schedule.expect_step(step.run, step.step, len(step.sample_ids()))
+
+    def _again(self, samples):
+        for sample in samples:
+            if self.ledgers_by_run[sample.run].wants(sample):
+                self._add(sample)
+        return self._starts()
+
+    def _add(self, sample):
+        group = self._groups_by_id[sample.run, sample.step, sample.group]
+        self.schedule.add(sample, group)
+
+    def _tell_needs(self, run, *, waiting):
+        ledger = self.ledgers_by_run[run]
+        self.schedule.need(
+            run,
+            ledger.needed_step(),
+            ledger.delivery.trainer_version,
+            waiting=waiting,
+        )
+
+    def _cancel_doomed(self):
+        cancels = self.schedule.doomed()
+        for cancel in cancels:
+            self.schedule.ended(cancel.attempt)
+        again = self._again([cancel.sample for cancel in cancels])
+        return [*(Addressed(c.sample.run, c) for c in cancels), *again]
+
+    def _address(self, run, found):
+        kept = []
+        for action in found:
+            match action:
+                case actions.Generate():
+                    self._add(action.sample)
+                case actions.Settled():
+                    kept.extend(self._settle(action.sample))
+                case _:
+                    kept.append(action)
+        self._tell_needs(run, waiting=self.schedule.trainer_waits(run))
+        return [*(Addressed(run, a) for a in kept), *self._starts()]
+
+    def _settle(self, sample):
+        cancels = self.schedule.settle(sample)
+        for cancel in cancels:
+            self.schedule.ended(cancel.attempt)
+        return cancels
+
+    def _starts(self):
+        return [
+            Addressed(start.sample.run, start)
+            for start in self.schedule.assign()
+        ]
--- a/packages/decisions/anvilwell_decisions/samples/delivery.py
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -3,6 +3,8 @@
 import enum
 import typing
 
+import sortedcontainers
+
 from anvilwell_decisions.samples import actions
 from anvilwell_decisions.samples import records
 from anvilwell_decisions.samples import staleness
@@ -63,6 +65,7 @@
         self._sent_end = 0
         self._held_back = None
         self._missing_by_step = {}
+        self._open_steps = sortedcontainers.SortedSet()
         self._last_by_step = {}
 
     @property
@@ -70,6 +73,12 @@
         """The first position that is not recorded."""
         return self._first + len(self._slots)
 
+    def first_open_step(self):
+        """Return the first step with samples missing, or the next one."""
+        if self._open_steps:
+            return self._open_steps[0]
+        return max(self._missing_by_step, default=0)
+
     def start_at(self, position):
         """Begin at `position`; all before are acknowledged and gone."""
         self._first = position
@@ -78,6 +87,7 @@
     def expect(self, step, samples):
         """Note that `step` has `samples` samples to come."""
         self._missing_by_step[step] = samples
+        self._open_steps.add(step)
 
     def recorded(self, choice, where=Bytes.HERE):
         """Give `choice` the next position and return it."""
@@ -85,6 +95,8 @@
         self._slots.append(_Slot(choice, where))
         step = choice.sample.step
         self._missing_by_step[step] -= 1
+        if not self._missing_by_step[step]:
+            self._open_steps.discard(step)
         self._last_by_step[step] = position
         return position
 
@@ -100,6 +112,7 @@
         if not slot.voided:
             slot.voided = True
             self._missing_by_step[slot.choice.sample.step] += 1
+            self._open_steps.add(slot.choice.sample.step)
         return slot.choice
 
     def fetches(self):
--- a/packages/decisions/anvilwell_decisions/samples/ledger.py
+++ b/packages/decisions/anvilwell_decisions/samples/ledger.py
@@ -129,6 +129,14 @@
             case records.TrainerVersion():
                 self._take_version(entry.version)
 
+    def open_steps(self):
+        """Return the steps whose content is kept."""
+        return [s for s in self._steps_by_number.values() if s is not None]
+
+    def needed_step(self):
+        """Return the first step that is not whole; 0 before any."""
+        return self.delivery.first_open_step()
+
     def submit(self, step, now):
         """Take a step from the trainer.
 
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/samples/queues.py
@@ -0,0 +1,127 @@
+"""Samples of one run that wait for an engine."""
+
+import collections
+import typing
+
+import sortedcontainers
+
+from anvilwell_decisions.samples import identity
+from anvilwell_decisions.samples import lengths
+
+
+class Pending(typing.NamedTuple):
+    """A sample that waits, with what is predicted of it."""
+
+    sample: identity.SampleId
+    prompt: str
+    max_tokens: int
+    predicted: int
+
+
+class _Group:
+    """Waiting samples of one group; ``home`` has its prefix cached."""
+
+    __slots__ = ("home", "key", "max_tokens", "prompt", "waiting")
+
+    def __init__(self, prompt, max_tokens):
+        self.prompt = prompt
+        self.max_tokens = max_tokens
+        self.waiting = collections.deque()
+        self.home = None
+        self.key = None
+
+
+class RunQueue:
+    """Orders a run's groups: earliest step, then longest predicted.
+
+    Parameters
+    ----------
+    longest_first : bool
+        False keeps the order of arrival; for comparison.
+    """
+
+    def __init__(self, *, longest_first=True):
+        self.needed_step = 0
+        self.trainer_version = 0
+        self.trainer_waits = False
+        self.lengths = lengths.Lengths()
+        self._longest_first = longest_first
+        self._groups_by_id = {}
+        self._order = sortedcontainers.SortedList()
+        self._arrivals = 0
+        self.waiting = 0
+
+    def add(self, sample, prompt, max_tokens):
+        """Let `sample` wait."""
+        group_id = (sample.step, sample.group)
+        group = self._groups_by_id.get(group_id)
+        if group is None:
+            group = _Group(prompt, max_tokens)
+            self._groups_by_id[group_id] = group
+        group.waiting.append(sample)
+        self.waiting += 1
+        if group.key is None:
+            self._file(group_id, group)
+
+    def head_step(self):
+        """Return the step of the first waiting sample."""
+        return self._order[0][0]
+
+    def is_early(self):
+        """Return whether the trainer does not need the first sample yet."""
+        return self.head_step() > self.needed_step
+
+    def home(self):
+        """Return the replica that has the first group's prefix."""
+        return self._groups_by_id[self._order[0][-1]].home
+
+    def take(self, replica):
+        """Return the first `Pending` and give it to `replica`."""
+        group_id = self._order[0][-1]
+        group = self._groups_by_id[group_id]
+        sample = group.waiting.popleft()
+        group.home = replica
+        self.waiting -= 1
+        predicted = self.lengths.predict(group.prompt, group.max_tokens)
+        if not group.waiting:
+            self._order.remove(group.key)
+            group.key = None
+        return Pending(sample, group.prompt, group.max_tokens, predicted)
+
+    def remove(self, sample):
+        """Let `sample` wait no longer; no error if it doesn't."""
+        group = self._groups_by_id.get((sample.step, sample.group))
+        if group is None or sample not in group.waiting:
+            return
+        group.waiting.remove(sample)
+        self.waiting -= 1
+        if not group.waiting:
+            self._order.remove(group.key)
+            group.key = None
+
+    def observe(self, sample, tokens):
+        """Take the length of a finished sample and order anew."""
+        group_id = (sample.step, sample.group)
+        group = self._groups_by_id.get(group_id)
+        if group is None:
+            return
+        self.lengths.observe(group.prompt, tokens)
+        if group.key is not None:
+            self._order.remove(group.key)
+            self._file(group_id, group)
+
+    def forget_step(self, step):
+        """Drop what is kept of a whole step."""
+        gone = [i for i in self._groups_by_id if i[0] == step]
+        for group_id in gone:
+            group = self._groups_by_id.pop(group_id)
+            if group.key is not None:
+                self._order.remove(group.key)
+                self.waiting -= len(group.waiting)
+
+    def _file(self, group_id, group):
+        self._arrivals += 1
+        predicted = self.lengths.predict(group.prompt, group.max_tokens)
+        rank = -predicted if self._longest_first else 0
+        group.key = (group_id[0], rank, self._arrivals, group_id)
+        self._order.add(group.key)
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/samples/replicas.py
@@ -0,0 +1,75 @@
+"""The replicas of one service and their free slots."""
+
+import sortedcontainers
+
+
+class _Replica:
+    """A replica's slots, the attempts in them and its weight version."""
+
+    __slots__ = ("attempts", "key", "slots", "version")
+
+    def __init__(self):
+        self.slots = 0
+        self.version = 0
+        self.attempts = set()
+        self.key = None
+
+
+class Replicas:
+    """Finds the least loaded replica in O(log n)."""
+
+    def __init__(self):
+        self._by_id = {}
+        self._free = sortedcontainers.SortedList()
+
+    @property
+    def free(self):
+        """Whether any replica has a free slot."""
+        return bool(self._free)
+
+    def set(self, replica_id, slots, version):
+        """Add a replica, or change its slots or version."""
+        replica = self._by_id.setdefault(replica_id, _Replica())
+        replica.slots = slots
+        replica.version = version
+        self._refile(replica_id, replica)
+
+    def remove(self, replica_id):
+        """Forget a replica; return its attempts."""
+        replica = self._by_id.pop(replica_id, None)
+        if replica is None:
+            return []
+        self._unfile(replica)
+        return sorted(replica.attempts)
+
+    def choose(self, preferred=None):
+        """Return `preferred` if it has a free slot, else the least loaded."""
+        replica = self._by_id.get(preferred)
+        if replica is not None and replica.key is not None:
+            return preferred
+        return self._free[0][1]
+
+    def take(self, replica_id, attempt):
+        """Put `attempt` into a slot; return the replica's version."""
+        replica = self._by_id[replica_id]
+        replica.attempts.add(attempt)
+        self._refile(replica_id, replica)
+        return replica.version
+
+    def release(self, replica_id, attempt):
+        """Free the slot of `attempt`."""
+        replica = self._by_id[replica_id]
+        replica.attempts.discard(attempt)
+        self._refile(replica_id, replica)
+
+    def _unfile(self, replica):
+        if replica.key is not None:
+            self._free.remove(replica.key)
+            replica.key = None
+
+    def _refile(self, replica_id, replica):
+        self._unfile(replica)
+        used = len(replica.attempts)
+        if used < replica.slots:
+            replica.key = (used / replica.slots, replica_id)
+            self._free.add(replica.key)
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/samples/schedule.py
@@ -0,0 +1,226 @@
+"""Which sample starts next, and on which replica."""
+
+import typing
+
+from anvilwell_decisions.samples import fairness
+from anvilwell_decisions.samples import identity
+from anvilwell_decisions.samples import queues
+from anvilwell_decisions.samples import replicas
+from anvilwell_decisions.samples import staleness
+
+
+class Policy(typing.NamedTuple):
+    """Which mechanisms are on.
+
+    ``early_share`` is the share of a step's samples that may start
+    before the trainer needs that step, 0 to 1.
+    """
+
+    longest_first: bool = True
+    affinity: bool = True
+    cancel_doomed: bool = True
+    early_share: float = 1.0
+
+
+class Start(typing.NamedTuple):
+    """Start an attempt of `sample` on `replica`."""
+
+    sample: identity.SampleId
+    replica: str
+    attempt: int
+    predicted: int
+
+
+class Cancel(typing.NamedTuple):
+    """Give up an attempt."""
+
+    sample: identity.SampleId
+    replica: str
+    attempt: int
+    reason: str
+
+
+class Running(typing.NamedTuple):
+    """An attempt under way; ``oldest`` is its first token's version."""
+
+    pending: queues.Pending
+    replica: str
+    oldest: int
+    early: bool
+
+
+class Schedule:
+    """Shares the replicas of one service between its runs.
+
+    Each decision costs O(log n) of the replicas, runs and groups; a new
+    version costs O(n) of the attempts under way.
+
+    Parameters
+    ----------
+    bound : int
+        Staleness bound in versions.
+    policy : Policy
+        Which mechanisms are on.
+    """
+
+    def __init__(self, bound, policy=None):
+        self.bound = bound
+        self.latest = 0
+        self.replicas = replicas.Replicas()
+        self._policy = policy or Policy()
+        self._fairness = fairness.Fairness()
+        self._queues_by_run = {}
+        self._running_by_attempt = {}
+        self._attempts_by_sample = {}
+        self._early_by_step = {}
+        self._sizes_by_step = {}
+        self._attempts = 0
+
+    @property
+    def running_by_attempt(self):
+        """Attempts under way."""
+        return self._running_by_attempt
+
+    @property
+    def waiting(self):
+        """How many samples wait."""
+        return sum(q.waiting for q in self._queues_by_run.values())
+
+    def remove_replica(self, replica_id):
+        """Forget a replica; return the samples it was running."""
+        lost = self.replicas.remove(replica_id)
+        return [self._forget(attempt).pending.sample for attempt in lost]
+
+    def add_run(self, run, weight):
+        """Add a run, or change its share."""
+        if run not in self._queues_by_run:
+            self._queues_by_run[run] = queues.RunQueue(
+                longest_first=self._policy.longest_first
+            )
+        self._fairness.set_weight(run, weight)
+
+    def need(self, run, step, trainer_version, *, waiting):
+        """Note which step the trainer needs, and the version it has.
+
+        ``waiting`` says that the trainer waits for the step now, so that
+        its version stays until it has it.
+        """
+        queue = self._queues_by_run[run]
+        queue.needed_step = step
+        queue.trainer_version = trainer_version
+        queue.trainer_waits = waiting
+        self._refile(run)
+
+    def trainer_waits(self, run):
+        """Return whether the trainer of `run` was last seen waiting."""
+        return self._queues_by_run[run].trainer_waits
+
+    def expect_step(self, run, step, samples):
+        """Note how many samples `step` has."""
+        self._sizes_by_step[run, step] = samples
+        self._early_by_step.setdefault((run, step), 0)
+
+    def add(self, sample, group):
+        """Let `sample` of `group` wait (again)."""
+        queue = self._queues_by_run[sample.run]
+        queue.add(sample, group.prompt, group.max_tokens)
+        self._refile(sample.run)
+
+    def remove_step(self, run, step):
+        """Forget a whole step."""
+        self._queues_by_run[run].forget_step(step)
+        self._sizes_by_step.pop((run, step), None)
+        self._early_by_step.pop((run, step), None)
+        self._refile(run)
+
+    def assign(self):
+        """Return a `Start` for each sample that can run now."""
+        starts = []
+        while self.replicas.free:
+            run = self._fairness.first()
+            if run is None:
+                break
+            starts.append(self._start(run))
+        return starts
+
+    def ended(self, attempt, tokens=None):
+        """Free the slot of `attempt`; `tokens` if its stream was whole."""
+        running = self._running_by_attempt.get(attempt)
+        if running is None:
+            return
+        self.replicas.release(running.replica, attempt)
+        self._forget(attempt)
+        if tokens is None:
+            return
+        sample = running.pending.sample
+        charged = tokens - running.pending.predicted
+        self._fairness.charge(sample.run, charged)
+        self._queues_by_run[sample.run].observe(sample, tokens)
+
+    def settle(self, sample):
+        """Return a `Cancel` for each attempt of a settled sample."""
+        self._queues_by_run[sample.run].remove(sample)
+        self._refile(sample.run)
+        attempts = self._attempts_by_sample.get(sample, ())
+        return [self._cancel(a, "settled") for a in sorted(attempts)]
+
+    def doomed(self):
+        """Return a `Cancel` for each attempt that will be too old."""
+        if not self._policy.cancel_doomed:
+            return []
+        return [
+            self._cancel(attempt, "over-age")
+            for attempt, running in self._running_by_attempt.items()
+            if staleness.is_doomed(
+                running.oldest, self._expected(running), self.bound
+            )
+        ]
+
+    def _expected(self, running):
+        sample = running.pending.sample
+        queue = self._queues_by_run[sample.run]
+        settled = queue.trainer_waits and sample.step == queue.needed_step
+        if settled:
+            return queue.trainer_version
+        return max(self.latest, queue.trainer_version)
+
+    def _cancel(self, attempt, reason):
+        running = self._running_by_attempt[attempt]
+        return Cancel(running.pending.sample, running.replica, attempt, reason)
+
+    def _refile(self, run):
+        queue = self._queues_by_run[run]
+        ready = queue.waiting and self._may_begin(run, queue)
+        self._fairness.file(run, ready, early=ready and queue.is_early())
+
+    def _may_begin(self, run, queue):
+        if not queue.is_early():
+            return True
+        step = (run, queue.head_step())
+        allowed = self._policy.early_share * self._sizes_by_step[step]
+        return self._early_by_step[step] < allowed
+
+    def _start(self, run):
+        queue = self._queues_by_run[run]
+        early = queue.is_early()
+        home = queue.home() if self._policy.affinity else None
+        replica_id = self.replicas.choose(home)
+        pending = queue.take(replica_id)
+        self._attempts += 1
+        oldest = self.replicas.take(replica_id, self._attempts)
+        running = Running(pending, replica_id, oldest, early)
+        self._running_by_attempt[self._attempts] = running
+        sample = pending.sample
+        self._attempts_by_sample.setdefault(sample, set()).add(self._attempts)
+        self._early_by_step[run, sample.step] += early
+        self._fairness.charge(run, pending.predicted)
+        self._refile(run)
+        return Start(sample, replica_id, self._attempts, pending.predicted)
+
+    def _forget(self, attempt):
+        running = self._running_by_attempt.pop(attempt)
+        attempts = self._attempts_by_sample[running.pending.sample]
+        attempts.discard(attempt)
+        if not attempts:
+            del self._attempts_by_sample[running.pending.sample]
+        return running
--- a/packages/decisions/anvilwell_decisions/samples/staleness.py
+++ b/packages/decisions/anvilwell_decisions/samples/staleness.py
@@ -1,17 +1,8 @@
 """How old a sample is, and when work has become too old to finish."""
 
-import typing
-
 from anvilwell_decisions.samples import versions
 
 
-class Doomed(typing.NamedTuple):
-    """An attempt that would be too old when it could be delivered."""
-
-    sample: object
-    oldest: int
-
-
 def age(sample_versions, trainer_version):
     """Return how many versions the oldest token is behind the trainer."""
     oldest = min(map(versions.ordinal, sample_versions))
@@ -28,18 +19,14 @@
     return trainer_version - engine_version <= bound
 
 
-def doomed(oldest_by_sample, expected_version, bound):
-    """Return the attempts to cancel now, so that they can be redone.
+def is_doomed(oldest, expected_version, bound):
+    """Return whether work will be too old when it can be delivered.
 
     Parameters
     ----------
-    oldest_by_sample : dict
-        Oldest version in each running attempt, by sample.
+    oldest : int
+        The oldest version in the work so far.
     expected_version : int
         The version that the trainer will have at delivery.
     """
-    return [
-        Doomed(sample, oldest)
-        for sample, oldest in oldest_by_sample.items()
-        if expected_version - oldest > bound
-    ]
+    return expected_version - oldest > bound
--- /dev/null
+++ b/packages/decisions/tests/samples/test_schedule.py
@@ -0,0 +1,128 @@
+"""The schedule: order, fairness, affinity, early work and ageing."""
+
+import collections
+
+from anvilwell_decisions.samples import identity
+from anvilwell_decisions.samples import schedule as schedules
+
+GROUP = identity.Group("g", "p", 4, 100)
+
+
+def samples(run="r", step=1, group="g", count=4):
+    return [identity.SampleId(run, step, group, i) for i in range(count)]
+
+
+def make(policy=None, bound=1, replicas=(("a", 2), ("b", 2)), runs=("r",)):
+    schedule = schedules.Schedule(bound, policy)
+    for replica_id, slots in replicas:
+        schedule.replicas.set(replica_id, slots, 7)
+    for run in runs:
+        schedule.add_run(run, 1.0)
+        schedule.need(run, 1, 7, waiting=True)
+    return schedule
+
+
+def add(schedule, run="r", step=1, group=GROUP, count=4):
+    schedule.expect_step(run, step, count)
+    for sample in samples(run, step, group.group, count):
+        schedule.add(sample, group)
+
+
+def test_group_stays_together_and_then_splits():
+    schedule = make()
+    add(schedule, count=3)
+    starts = schedule.assign()
+    assert [start.replica for start in starts] == ["a", "a", "b"]
+
+
+def test_without_affinity_the_least_loaded_is_chosen():
+    schedule = make(schedules.Policy(affinity=False))
+    add(schedule, count=2)
+    assert [s.replica for s in schedule.assign()] == ["a", "b"]
+
+
+def test_longest_predicted_group_goes_first():
+    schedule = make(replicas=[("a", 2)])
+    short = identity.Group("s", "short", 1, 100)
+    long = identity.Group("l", "long", 1, 100)
+    add(schedule, group=short, count=1)
+    add(schedule, group=long, count=1)
+    for start in schedule.assign():
+        tokens = {"s": 10, "l": 90}[start.sample.group]
+        schedule.ended(start.attempt, tokens)
+    add(schedule, step=2, group=short, count=1)
+    add(schedule, step=2, group=long, count=1)
+    schedule.need("r", 2, 7, waiting=True)
+    assert [s.sample.group for s in schedule.assign()] == ["l", "s"]
+
+
+def test_two_runs_share_by_weight_and_neither_starves():
+    schedule = make(replicas=[("a", 1)], runs=("x", "y"))
+    schedule.add_run("x", 3.0)
+    for run in ("x", "y"):
+        add(schedule, run=run, count=400)
+    served = collections.Counter()
+    for _ in range(200):
+        (start,) = schedule.assign()
+        served[start.sample.run] += 1
+        schedule.ended(start.attempt, 100)
+    assert served["x"] == 150
+    assert served["y"] == 50
+
+
+def test_a_run_that_was_idle_does_not_catch_up():
+    schedule = make(replicas=[("a", 1)], runs=("x", "y"))
+    add(schedule, run="x", count=100)
+    for _ in range(50):
+        (start,) = schedule.assign()
+        schedule.ended(start.attempt, 100)
+    add(schedule, run="y", count=50)
+    served = collections.Counter()
+    for _ in range(20):
+        (start,) = schedule.assign()
+        served[start.sample.run] += 1
+        schedule.ended(start.attempt, 100)
+    assert served == {"x": 10, "y": 10}
+
+
+def test_needed_work_goes_before_early_work_of_other_runs():
+    schedule = make(replicas=[("a", 1)], runs=("x", "y"))
+    add(schedule, run="x", step=2)
+    add(schedule, run="y", step=1)
+    assert [s.sample.run for s in schedule.assign()] == ["y"]
+
+
+def test_early_share_bounds_early_work():
+    schedule = make(schedules.Policy(early_share=0.5))
+    add(schedule, step=2, count=4)
+    assert len(schedule.assign()) == 2
+    schedule.need("r", 2, 7, waiting=True)
+    assert len(schedule.assign()) == 2
+
+
+def test_lost_replica_gives_its_samples_back():
+    schedule = make(replicas=[("a", 4)])
+    add(schedule)
+    schedule.assign()
+    assert schedule.remove_replica("a") == samples()
+    assert not schedule.running_by_attempt
+
+
+def test_work_that_will_be_too_old_is_cancelled():
+    schedule = make(bound=1)
+    add(schedule, step=1, count=1)
+    add(schedule, step=2, count=1)
+    schedule.assign()
+    schedule.latest = 9
+    (cancel,) = schedule.doomed()
+    assert cancel.sample.step == 2
+    schedule.need("r", 1, 9, waiting=True)
+    assert len(schedule.doomed()) == 2
+
+
+def test_settled_sample_cancels_its_attempts():
+    schedule = make()
+    add(schedule, count=2)
+    first, _ = schedule.assign()
+    (cancel,) = schedule.settle(first.sample)
+    assert cancel.attempt == first.attempt
