--- a/packages/daemon/anvilwell_daemon/links/data_link.py
+++ b/packages/daemon/anvilwell_daemon/links/data_link.py
@@ -166,9 +166,7 @@
         elif kind in _ANSWER_KINDS:
             self._receive_answer(message)
         else:
-            raise exceptions.MalformedMessage(
-                f"{kind.__name__} from an agent"
-            )
+            raise exceptions.MalformedMessage(f"{kind.__name__} from an agent")
 
     def _receive_answer(self, message):
         stream = self._streams_by_id.get(message.stream_id)
