Add the operators' client

Cause: operators drive the system by editing documents and must be told the truth, also when an answer is lost. Conclusion: unknown is said only when repeating and history both fail.

--- /dev/null
+++ b/packages/client/anvilwell_client/change.py
@@ -0,0 +1,144 @@
+"""Applies a document and finds out whether it is in force."""
+
+import time
+import typing
+
+import pydantic
+
+from anvilwell_client import connection as connections
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.messages import operators
+from anvilwell_kernel import reasons
+from anvilwell_kernel import verdict as verdicts
+
+_APPLIED = pydantic.TypeAdapter(operators.Applied)
+_DOCUMENT = pydantic.TypeAdapter(operators.ServiceDocument)
+_HISTORY = pydantic.TypeAdapter(operators.History)
+# Waits after each attempt, in seconds.
+PAUSES_S = (0.2, 1.0, 3.0)
+
+
+class Change(typing.NamedTuple):
+    """A document to be put in force under an id of its own."""
+
+    change_id: str
+    service: str
+    text: str
+    expected_generation: int
+
+
+def current(connection, service):
+    """Return the `operators.ServiceDocument` in force."""
+    return connection.get(connections.path("services", service), _DOCUMENT)
+
+
+def history(connection, service):
+    """Return the service's `operators.Change`s, oldest first."""
+    path = connections.path("services", service, "history")
+    return connection.get(path, _HISTORY)["changes"]
+
+
+class Applier:
+    """Applies one change and tells the truth about it.
+
+    Repeating a change with the same id is harmless: an entry that
+    finds the id in the history answers as the first time.
+
+    Parameters
+    ----------
+    connection : connection.Connection
+        Calls the entries.
+    change : Change
+        What to put in force.
+    may_have_run : bool
+        Whether it was sent before, with an unknown outcome.
+    pause : callable
+        Takes seconds to wait before the change is repeated.
+    """
+
+    def __init__(
+        self, connection, change, *, may_have_run=False, pause=time.sleep
+    ):
+        self._connection = connection
+        self._change = change
+        self._may_have_run = may_have_run
+        self._pause = pause
+
+    def apply(self):
+        """Return the `operators.Applied` of the change.
+
+        The outcome is ``unknown`` only if neither repeating it nor the
+        history could settle it.
+
+        Raises
+        ------
+        exceptions.AnvilwellError
+            If no entry took the change: it is certainly not in force.
+        """
+        for wait_s in PAUSES_S:
+            applied = self._attempt()
+            if applied and self._is_final(applied):
+                return applied
+            settled = self._from_history()
+            if settled:
+                return settled
+            self._pause(wait_s)
+        return self._answer(operators.Outcome.UNKNOWN, 0)
+
+    def _attempt(self):
+        path = connections.path("services", self._change.service)
+        query = {
+            "change_id": self._change.change_id,
+            "expected_generation": self._change.expected_generation,
+        }
+        body = self._change.text.encode()
+        try:
+            return self._connection.send(
+                "PUT", path, _APPLIED, query=query, body=body
+            )
+        except exceptions.AnvilwellError as error:
+            if error.verdict is not verdicts.Verdict.NOT_RUN:
+                self._may_have_run = True
+            if not self._may_have_run:
+                raise
+            return None
+
+    def _is_final(self, applied):
+        if applied["outcome"] is operators.Outcome.UNKNOWN:
+            self._may_have_run = True
+        if applied["outcome"] is operators.Outcome.REFUSED:
+            # It says nothing of an earlier attempt that was lost.
+            return not self._may_have_run
+        return applied["outcome"] is operators.Outcome.IN_FORCE
+
+    def _from_history(self):
+        try:
+            changes = history(self._connection, self._change.service)
+        except exceptions.AnvilwellError:
+            return None
+        for change in changes:
+            if change["change_id"] == self._change.change_id:
+                return self._answer(
+                    operators.Outcome.IN_FORCE, change["generation"]
+                )
+        return self._overtaken(changes)
+
+    def _overtaken(self, changes):
+        """Return a refusal if another change took its generation."""
+        wanted = self._change.expected_generation + 1
+        if any(change["generation"] == wanted for change in changes):
+            newest = max(change["generation"] for change in changes)
+            return self._answer(
+                operators.Outcome.REFUSED, newest, reasons.Refusal.CONFLICT
+            )
+        return None
+
+    def _answer(self, outcome, generation, reason=""):
+        return operators.Applied(
+            outcome=outcome,
+            generation=generation,
+            change_id=self._change.change_id,
+            problems=[],
+            missing=[],
+            reason=str(reason),
+        )
--- /dev/null
+++ b/packages/client/anvilwell_client/commands/apply.py
@@ -0,0 +1,69 @@
+"""``anvilwell apply``: puts a document in force everywhere or nowhere."""
+
+import os
+import uuid
+
+from anvilwell_client import change as changes
+from anvilwell_client import connection as connections
+from anvilwell_client import files
+from anvilwell_client import printer
+from anvilwell_kernel import commandline
+from anvilwell_kernel.messages import operators
+
+_EXIT_CODES_BY_OUTCOME = {
+    operators.Outcome.IN_FORCE: os.EX_OK,
+    operators.Outcome.REFUSED: os.EX_UNAVAILABLE,
+    operators.Outcome.UNKNOWN: os.EX_TEMPFAIL,
+}
+
+
+def apply(args, options):
+    """Apply the document in a file; return an exit code."""
+    (path,) = args
+    file = files.read(path)
+    connection = connections.Connection.from_options(options)
+    expected = options.expected_generation
+    if expected is None:
+        expected = changes.current(connection, file.service)["generation"]
+    change = changes.Change(
+        options.change_id or uuid.uuid4().hex,
+        file.service,
+        file.text,
+        expected,
+    )
+    applier = changes.Applier(
+        connection, change, may_have_run=bool(options.change_id)
+    )
+    applied = applier.apply()
+    _tell(applied, options, path, change)
+    return _EXIT_CODES_BY_OUTCOME[applied["outcome"]]
+
+
+def _tell(applied, options, path, change):
+    lines = [_verdict_line(applied)]
+    printer.show(options, applied, lines)
+    for text in [*applied["problems"], *_missing(applied)]:
+        commandline.tell(text)
+    if applied["outcome"] is operators.Outcome.REFUSED:
+        commandline.tell(
+            f"refused: {applied['reason'] or 'the document is wrong'};"
+            f" see anvilwell diff {path}, then apply again"
+        )
+    if applied["outcome"] is operators.Outcome.UNKNOWN:
+        commandline.tell(
+            "settle it when entries answer again: anvilwell apply"
+            f" --change_id={change.change_id}"
+            f" --expected_generation={change.expected_generation} {path}"
+        )
+
+
+def _missing(applied):
+    return [f"no answer from {vm_id}" for vm_id in applied["missing"]]
+
+
+def _verdict_line(applied):
+    if applied["outcome"] is operators.Outcome.IN_FORCE:
+        return f"in force everywhere, generation {applied['generation']}"
+    if applied["outcome"] is operators.Outcome.REFUSED:
+        return f"not in force anywhere, generation {applied['generation']}"
+    return "unknown: it may be in force"
--- a/packages/kernel/anvilwell_kernel/commandline.py
+++ b/packages/kernel/anvilwell_kernel/commandline.py
@@ -9,6 +9,13 @@
 from absl import flags
 
 from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+
+_EXIT_CODES_BY_REASON = {
+    reasons.Refusal.BAD_REQUEST: os.EX_DATAERR,
+    reasons.Refusal.FORBIDDEN: os.EX_NOPERM,
+    reasons.Refusal.INTERNAL: os.EX_SOFTWARE,
+}
 
 
 class Command(typing.NamedTuple):
@@ -91,7 +98,7 @@
         return os.EX_CONFIG
     except exceptions.AnvilwellError as error:
         tell(f"{program.name}: {error.message}")
-        return os.EX_UNAVAILABLE
+        return _EXIT_CODES_BY_REASON.get(error.reason, os.EX_UNAVAILABLE)
 
 
 def _choose(program, words):
