--- /dev/null
+++ b/packages/bench/anvilwell_bench/load/__main__.py
@@ -0,0 +1,99 @@
+"""Command line of the load tool."""
+
+import signal
+import sys
+
+from absl import app
+from absl import flags
+
+from anvilwell_bench.load import caller
+from anvilwell_bench.load import live as live_callers
+from anvilwell_bench.load import notes
+from anvilwell_bench.load import prober
+from anvilwell_bench.load import recorder as recorders
+from anvilwell_bench.load import summary as summaries
+
+_RECORD = flags.DEFINE_string("record", "", "File that gets the record.")
+_WHO = flags.DEFINE_string("who", "", "Name in the record.")
+_DAEMONS = flags.DEFINE_list(
+    "daemons", [], "Daemons as name=host:port, callers' or admin ports."
+)
+_MODEL = flags.DEFINE_string("model-service", "planner-lm", "Model service.")
+_PLAIN = flags.DEFINE_string("plain-service", "stops-app", "Plain service.")
+_CALLERS = flags.DEFINE_integer("callers", 4, "Callers at a time.")
+_PAUSE = flags.DEFINE_float("pause", 0.1, "Mean pause of a caller, seconds.")
+_TOKENS = flags.DEFINE_integer("max-tokens", 24, "Tokens of an answer.")
+_INTERVAL = flags.DEFINE_float("interval", 0.5, "Seconds between probes.")
+_SEED = flags.DEFINE_integer("seed", 0, "Seed of the callers' choices.")
+_VERSION = flags.DEFINE_string("version", "", "Weight version applied.")
+_METRICS = flags.DEFINE_string("metrics", "", "Folder of metrics pages.")
+
+
+def live(args):
+    """Ask as live callers until a signal."""
+    load = live_callers.Load(
+        _MODEL.value,
+        _PLAIN.value,
+        callers=_CALLERS.value,
+        pause_s=_PAUSE.value,
+        max_tokens=_TOKENS.value,
+    )
+    entries = [caller.Entry(*pair) for pair in _addresses()]
+    callers = live_callers.LiveCallers(load, entries, _recorder(), _SEED.value)
+    _stop_on_signal(callers)
+    callers.run()
+
+
+def probe(args):
+    """Probe the daemons until a signal."""
+    daemons = [prober.Probed(*pair) for pair in _addresses()]
+    services = [_MODEL.value, _PLAIN.value]
+    probing = prober.Prober(daemons, services, _recorder())
+    _stop_on_signal(probing)
+    probing.run(_INTERVAL.value)
+
+
+def note(args):
+    """Write one operator's line: KIND name=value..."""
+    notes.note(_recorder(), args[0], args[1:])
+
+
+def applied(args):
+    """Write an ``apply`` line of SERVICE from JSON on stdin."""
+    notes.note_applied(_recorder(), args[0], _VERSION.value)
+
+
+def summary(args):
+    """Print the summary of the records in FOLDER."""
+    print("\n".join(summaries.summarize(args[0], _METRICS.value)))
+
+
+_COMMANDS = {
+    command.__name__: command
+    for command in (live, probe, note, applied, summary)
+}
+
+
+def main(argv):
+    """Run the command that `argv` names."""
+    if len(argv) < 2 or argv[1] not in _COMMANDS:
+        raise app.UsageError(f"commands: {', '.join(_COMMANDS)}")
+    _COMMANDS[argv[1]](argv[2:])
+
+
+def _recorder():
+    return recorders.Recorder(_WHO.value, _RECORD.value)
+
+
+def _addresses():
+    pairs = (item.partition("=") for item in _DAEMONS.value)
+    return [(name, f"http://{address}") for name, _, address in pairs]
+
+
+def _stop_on_signal(stoppable):
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stoppable.stop())
+
+
+if __name__ == "__main__":
+    sys.exit(app.run(main))
