Add engine, plain and key-value stand-ins with their adapters

Cause: every part needs outside systems over real sockets, with faults, and adapters whose errors tell whether a call may have run. Change: stand-ins on the kernel's web server with a record and scripted faults; adapters over urllib3 for the engine, key-value and plain ports; the web server takes a larger body limit and a shorter poll.

--- a/packages/kernel/anvilwell_kernel/web.py
+++ b/packages/kernel/anvilwell_kernel/web.py
@@ -18,6 +18,7 @@
 MAX_BODY_BYTES = 1 << 20
 MAX_HEADER_BYTES = 16 << 10
 STOP_TIMEOUT_S = 1.0
+POLL_S = 0.5
 
 REQUEST_ID = "Anvilwell-Request-Id"
 VERDICT = "Anvilwell-Verdict"
@@ -92,10 +93,25 @@
         Requests served at a time.
     queue : int
         Connections that may wait for a thread.
+    max_body_bytes : int
+        Size of a request's body above which it is refused.
+    poll_s : float
+        Seconds after which `close` is noticed at the latest.
     """
 
-    def __init__(self, host, port, *, name="web", threads=32, queue=128):
+    def __init__(
+        self,
+        host,
+        port,
+        *,
+        name="web",
+        threads=32,
+        queue=128,
+        max_body_bytes=MAX_BODY_BYTES,
+        poll_s=POLL_S,
+    ):
         self.name = name
+        self._max_body_bytes = max_body_bytes
         self._rules = routing.Map()
         self._handlers_by_endpoint = {}
         self._server = wsgi.Server(
@@ -105,8 +121,9 @@
             request_queue_size=queue,
         )
         self._server.max_request_header_size = MAX_HEADER_BYTES
-        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.max_request_body_size = max_body_bytes
         self._server.shutdown_timeout = STOP_TIMEOUT_S
+        self._server.expiration_interval = poll_s
         self._thread = None
 
     @property
@@ -144,7 +161,7 @@
 
     def _application(self, environ, start_response):
         request = werkzeug.Request(environ)
-        request.max_content_length = MAX_BODY_BYTES
+        request.max_content_length = self._max_body_bytes
         response = self._respond(request)
         return response(environ, start_response)
 
--- /dev/null
+++ b/packages/platform/anvilwell_platform/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that speak each outside system's own protocol."""
--- /dev/null
+++ b/packages/platform/anvilwell_platform/adapters/etcd.py
@@ -0,0 +1,164 @@
+"""The key-value port over the etcd v3 JSON gateway."""
+
+from anvilwell_kernel import exceptions
+
+from anvilwell_platform.adapters import etcd_watch
+from anvilwell_platform.adapters import etcd_wire
+from anvilwell_platform.adapters import http_adapter
+from anvilwell_platform.adapters import http_client
+from anvilwell_platform.adapters import json_bodies
+from anvilwell_platform.adapters import meter as meters
+from anvilwell_platform.ports import keyvalue
+
+_READ = "read"
+_WRITE = "write"
+
+
+class Etcd(http_adapter.HttpAdapter, keyvalue.KeyValue):
+    """Calls the gateway; never repeats a call by itself.
+
+    Parameters
+    ----------
+    client : http_client.HttpClient
+        Connections to the gateway.
+    meter : meter.CallMeter, optional
+        Counts each call.
+    """
+
+    def __init__(self, client, meter=None):
+        super().__init__(client)
+        self.meter = meter or meters.CallMeter()
+
+    @classmethod
+    def from_config(cls, config, meter=None):
+        """Build it from the settings' section; needs ``address``."""
+        return cls(http_client.HttpClient(config.address), meter)
+
+    def get(self, key, *, purpose, timeout_s):
+        """Return the `Entry` of `key`, or None."""
+        body = {"key": etcd_wire.encode_key(key)}
+        answer = self._range(body, purpose, timeout_s)
+        return next(map(etcd_wire.entry, answer.get("kvs", [])), None)
+
+    def get_prefix(self, prefix, *, purpose, timeout_s):
+        """Return the `Snapshot` of all keys with `prefix`."""
+        body = etcd_wire.prefix_range(prefix)
+        answer = self._range(body, purpose, timeout_s)
+        entries = map(etcd_wire.entry, answer.get("kvs", []))
+        return keyvalue.Snapshot(
+            {entry.key: entry for entry in entries},
+            answer["header"].get("revision", 0),
+        )
+
+    def swap(self, swaps, *, purpose, timeout_s):
+        """Apply all `swaps` or none, and return a `SwapResult`."""
+        body = etcd_wire.swap_txn(swaps)
+        answer = self._call(
+            "kv/txn", body, etcd_wire.TXN, purpose, _WRITE, timeout_s
+        )
+        landed = answer.get("succeeded", False)
+        kvs = [
+            kv
+            for response in answer.get("responses", [])
+            for kv in response.get("response_range", {}).get("kvs", [])
+        ]
+        return keyvalue.SwapResult(
+            landed,
+            answer["header"].get("revision", 0),
+            {entry.key: entry for entry in map(etcd_wire.entry, kvs)},
+        )
+
+    def grant(self, ttl_s, *, purpose, timeout_s):
+        """Return the id of a new lease of `ttl_s` seconds."""
+        body = {"TTL": str(ttl_s)}
+        answer = self._call(
+            "lease/grant", body, etcd_wire.LEASE, purpose, _WRITE, timeout_s
+        )
+        return answer["ID"]
+
+    def keep_alive(self, lease, *, purpose, timeout_s):
+        """Renew `lease`; return seconds granted, 0 if it has lapsed."""
+        answer = self._call(
+            "lease/keepalive",
+            {"ID": str(lease)},
+            etcd_wire.KEEP_ALIVE,
+            purpose,
+            _WRITE,
+            timeout_s,
+        )
+        return answer["result"].get("TTL", 0)
+
+    def revoke(self, lease, *, purpose, timeout_s):
+        """End `lease` and delete its keys; harmless if it has lapsed."""
+        try:
+            self._call(
+                "lease/revoke",
+                {"ID": str(lease)},
+                etcd_wire.LEASE,
+                purpose,
+                _WRITE,
+                timeout_s,
+            )
+        except exceptions.NotFound:
+            return
+
+    def watch(self, prefix, from_revision, *, purpose, timeout_s):
+        """Return an `etcd_watch.Watch` from `from_revision` on."""
+        create = {
+            **etcd_wire.prefix_range(prefix),
+            "start_revision": str(from_revision),
+            "progress_notify": True,
+        }
+        self.meter.count(purpose, "watch")
+        try:
+            response = self._client.open(
+                "POST",
+                "/v3/watch",
+                body=json_bodies.encode({"create_request": create}),
+                headers=json_bodies.CONTENT_TYPE,
+                timeout_s=timeout_s,
+            )
+        except exceptions.AnvilwellError as error:
+            raise _unavailable(error) from error
+        if response.status != 200:
+            response.close()
+            raise exceptions.KeyValueUnavailable(
+                f"watch answered {response.status}"
+            )
+        self.meter.watching(purpose, 1)
+        return etcd_watch.Watch(
+            response,
+            self._client,
+            timeout_s,
+            lambda: self.meter.watching(purpose, -1),
+        )
+
+    def _range(self, body, purpose, timeout_s):
+        return self._call(
+            "kv/range", body, etcd_wire.RANGE, purpose, _READ, timeout_s
+        )
+
+    def _call(self, path, body, adapter, purpose, kind, timeout_s):
+        self.meter.count(purpose, kind)
+        try:
+            answer = self._client.call(
+                "POST",
+                f"/v3/{path}",
+                body=json_bodies.encode(body),
+                headers=json_bodies.CONTENT_TYPE,
+                timeout_s=timeout_s,
+            )
+            http_client.check_status(answer, path)
+            return json_bodies.decode(adapter, answer.body, path)
+        except (exceptions.BadRequest, exceptions.NotFound):
+            raise
+        except exceptions.AnvilwellError as error:
+            raise _unavailable(error) from error
+
+
+def _unavailable(error):
+    return exceptions.KeyValueUnavailable(
+        f"key-value service: {error.message}",
+        verdict=error.verdict,
+        retry_after=error.retry_after,
+    )
--- /dev/null
+++ b/packages/platform/anvilwell_platform/adapters/http_client.py
@@ -0,0 +1,194 @@
+"""HTTP calls with a verdict on every error and a bound on every body."""
+
+import time
+import typing
+
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+from anvilwell_kernel import verdict as verdicts
+import urllib3
+
+MAX_BODY_BYTES = 4 << 20
+CONNECTIONS = 64
+CONNECT_TIMEOUT_S = 1.0
+_READ_BYTES = 1 << 16
+
+Headers = urllib3.HTTPHeaderDict
+
+_NOT_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.LocationValueError,
+)
+
+
+class Answer(typing.NamedTuple):
+    """A whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class HttpClient:
+    """A pool of kept-alive connections to one address.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` with an IP number.
+    connections : int
+        Idle connections that are kept; more may be open at a time.
+
+    Notes
+    -----
+    It never repeats a call and follows no redirect. A call whose
+    connection could not be made has verdict ``NOT_RUN``; whatever
+    fails later, also on a kept-alive connection that the other side
+    had closed, has verdict ``MAY_HAVE_RUN``.
+    """
+
+    def __init__(self, address, connections=CONNECTIONS):
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=connections, retries=False
+        )
+
+    def close(self):
+        """Close the idle connections."""
+        self._pool.close()
+
+    def open(self, method, path, *, body=None, headers=None, timeout_s):
+        """Send a call and return urllib3's response, body unread.
+
+        Raises
+        ------
+        exceptions.BackendFailed, exceptions.Timeout
+            With the verdict of the failure.
+        """
+        timeout_s = max(timeout_s, 0.001)
+        timeout = urllib3.Timeout(
+            connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s
+        )
+        try:
+            return self._pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                redirect=False,
+                preload_content=False,
+                decode_content=False,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise self.failure(error) from error
+
+    def call(self, method, path, *, body=None, headers=None, timeout_s):
+        """Send a call and return its whole `Answer`.
+
+        Raises
+        ------
+        exceptions.BackendFailed, exceptions.Timeout
+            Also if the body is larger than `MAX_BODY_BYTES` or was not
+            whole by the deadline.
+        """
+        deadline = time.monotonic() + timeout_s
+        response = self.open(
+            method, path, body=body, headers=headers, timeout_s=timeout_s
+        )
+        data = b"".join(self.chunks(response, deadline, MAX_BODY_BYTES))
+        return Answer(response.status, response.headers, data)
+
+    def chunks(self, response, deadline, limit_bytes):
+        """Yield the body as it arrives, then free the connection.
+
+        Raises
+        ------
+        exceptions.BackendFailed, exceptions.Timeout
+            If it is cut, larger than `limit_bytes`, or late.
+        """
+        left = limit_bytes
+        whole = False
+        try:
+            while chunk := response.read1(_READ_BYTES):
+                left -= len(chunk)
+                self._check(left, limit_bytes, deadline)
+                yield chunk
+            whole = True
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise self.failure(error) from error
+        finally:
+            if not whole:
+                response.close()
+            response.release_conn()
+
+    def failure(self, error):
+        """Return our error for urllib3's, with its verdict."""
+        if isinstance(error, _NOT_SENT):
+            return exceptions.BackendFailed(
+                f"{self.address} can't be reached: {error}",
+                reason=reasons.Refusal.CONNECT_FAILED,
+                verdict=verdicts.Verdict.NOT_RUN,
+            )
+        if isinstance(error, urllib3.exceptions.TimeoutError):
+            return exceptions.Timeout(
+                f"{self.address} gave no answer in time: {error}"
+            )
+        return exceptions.BackendFailed(
+            f"{self.address} broke off: {error!r}",
+            reason=reasons.Refusal.ANSWER_CUT,
+        )
+
+    def _check(self, left, limit_bytes, deadline):
+        if left < 0:
+            raise exceptions.BackendFailed(
+                f"{self.address} sent more than {limit_bytes} bytes",
+                reason=reasons.Refusal.BODY_TOO_LARGE,
+            )
+        if time.monotonic() > deadline:
+            raise exceptions.Timeout(
+                f"{self.address} was still answering at the deadline"
+            )
+
+
+def retry_after_s(headers):
+    """Return the seconds of ``Retry-After``, or None."""
+    try:
+        return float(headers.get("Retry-After", ""))
+    except ValueError:
+        return None
+
+
+def check_status(answer, what):
+    """Return `answer` if its status is 2xx.
+
+    Raises
+    ------
+    exceptions.Refused
+        For 429, which promises that nothing was done.
+    exceptions.BadRequest, exceptions.NotFound, exceptions.Conflict
+        For 400, 404 and 409, with verdict ``NOT_RUN``.
+    exceptions.BackendFailed
+        For all else: a server error may come after the effect.
+    """
+    if 200 <= answer.status < 300:
+        return answer
+    text = answer.body[:200].decode(errors="replace")
+    message = f"{what} answered {answer.status}: {text}"
+    if answer.status == 429:
+        raise exceptions.Refused(
+            message,
+            reason=reasons.Refusal.RATE_LIMITED,
+            retry_after=retry_after_s(answer.headers),
+        )
+    kind = _ERRORS_BY_STATUS.get(answer.status, exceptions.BackendFailed)
+    raise kind(message)
+
+
+_ERRORS_BY_STATUS = {
+    400: exceptions.BadRequest,
+    404: exceptions.NotFound,
+    409: exceptions.Conflict,
+}
--- /dev/null
+++ b/packages/platform/anvilwell_platform/adapters/http_plain.py
@@ -0,0 +1,51 @@
+"""The port to plain services over HTTP."""
+
+import time
+
+from anvilwell_platform.adapters import http_adapter
+from anvilwell_platform.adapters import http_client
+from anvilwell_platform.ports import plain
+
+MAX_ANSWER_BYTES = 64 << 20
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_SET_HERE = frozenset(("host", "content-length"))
+
+
+class HttpPlain(http_adapter.HttpAdapter, plain.Plain):
+    """Calls one plain service."""
+
+    def call(self, request, *, timeout_s):
+        """Return the `Response` to `request`; close its chunks."""
+        deadline = time.monotonic() + timeout_s
+        dropped = _HOP_BY_HOP | _SET_HERE
+        response = self._client.open(
+            request.method,
+            request.path,
+            body=request.body or None,
+            headers=_without(dropped, request.headers),
+            timeout_s=timeout_s,
+        )
+        chunks = self._client.chunks(response, deadline, MAX_ANSWER_BYTES)
+        headers = _without(_HOP_BY_HOP, response.headers.items())
+        return plain.Response(response.status, list(headers.items()), chunks)
+
+
+def _without(names, headers):
+    kept = http_client.Headers()
+    for name, value in headers:
+        if name.lower() not in names:
+            kept.add(name, value)
+    return kept
--- /dev/null
+++ b/packages/platform/anvilwell_platform/adapters/sse_engine.py
@@ -0,0 +1,171 @@
+"""The engine port over OpenAI-compatible HTTP."""
+
+import time
+import typing
+
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+from prometheus_client import parser
+import pydantic
+import sseclient
+import typing_extensions
+
+from anvilwell_platform.adapters import http_adapter
+from anvilwell_platform.adapters import http_client
+from anvilwell_platform.adapters import json_bodies
+from anvilwell_platform.ports import engine
+
+MAX_STREAM_BYTES = 64 << 20
+DONE = "[DONE]"
+REQUEST_ID = "X-Request-Id"
+
+_MAPPING = pydantic.TypeAdapter(dict[str, typing.Any])
+
+
+class _Choice(typing_extensions.TypedDict, total=False):
+    text: str
+    finish_reason: str | None
+
+
+class _Event(typing_extensions.TypedDict, total=False):
+    choices: typing_extensions.Required[list[_Choice]]
+    version: str
+    tokens: int
+
+
+class _Events(typing_extensions.TypedDict):
+    events: list[engine.CacheEvent]
+
+
+_EVENT = pydantic.TypeAdapter(_Event)
+_EVENTS = pydantic.TypeAdapter(_Events)
+
+
+class SseEngine(http_adapter.HttpAdapter, engine.Engine):
+    """Calls one engine; generated streams are server-sent events."""
+
+    def load(self, *, timeout_s):
+        """Return the engine's `Load`."""
+        answer = self._call("GET", "/metrics", timeout_s=timeout_s)
+        try:
+            families = parser.text_string_to_metric_families(
+                answer.body.decode()
+            )
+            return _load({s.name: s for f in families for s in f.samples})
+        except (ValueError, KeyError) as error:
+            raise exceptions.BackendFailed(
+                f"the engine's metrics are not understood: {error!r}"
+            ) from error
+
+    def generate(self, attempt_id, body, *, timeout_s):
+        """Yield `Tokens`, then one `Finish`; cancel by closing it."""
+        deadline = time.monotonic() + timeout_s
+        response = self._client.open(
+            "POST",
+            "/v1/completions",
+            body=_streaming(body),
+            headers={**json_bodies.CONTENT_TYPE, REQUEST_ID: attempt_id},
+            timeout_s=timeout_s,
+        )
+        chunks = self._client.chunks(response, deadline, MAX_STREAM_BYTES)
+        if response.status != 200:
+            data = b"".join(chunks)
+            http_client.check_status(
+                http_client.Answer(response.status, response.headers, data),
+                "engine",
+            )
+        try:
+            yield from _parse(sseclient.SSEClient(chunks).events())
+        finally:
+            chunks.close()
+            response.close()
+
+    def cancel(self, attempt_id, *, timeout_s):
+        """Give up `attempt_id`; no error if it is not there."""
+        body = {"request_id": attempt_id}
+        self._call("POST", "/cancel", body=body, timeout_s=timeout_s)
+
+    def order(self, order, *, timeout_s):
+        """Carry out `order`; raise ``exceptions.Fenced`` if it is old."""
+        try:
+            self._call(
+                "POST", "/orders", body=order._asdict(), timeout_s=timeout_s
+            )
+        except exceptions.Conflict as error:
+            if str(reasons.Refusal.FENCED) not in error.message:
+                raise
+            raise exceptions.Fenced(error.message) from error
+
+    def export_cache(self, attempt_id, *, timeout_s):
+        """Return the attempt's KV cache as bytes."""
+        path = f"/cache/{attempt_id}"
+        return self._call("GET", path, timeout_s=timeout_s).body
+
+    def import_cache(self, attempt_id, data, *, timeout_s):
+        """Take a KV cache exported elsewhere."""
+        path = f"/cache/{attempt_id}"
+        self._call("PUT", path, data=data, timeout_s=timeout_s)
+
+    def events(self, since, *, timeout_s):
+        """Return cache events after number `since`, maybe with gaps."""
+        path = f"/events?since={since}"
+        answer = self._call("GET", path, timeout_s=timeout_s)
+        return json_bodies.decode(_EVENTS, answer.body, "events")["events"]
+
+    def _call(self, method, path, *, body=None, data=None, timeout_s):
+        encoded = data if body is None else json_bodies.encode(body)
+        answer = self._client.call(
+            method,
+            path,
+            body=encoded,
+            headers=json_bodies.CONTENT_TYPE,
+            timeout_s=timeout_s,
+        )
+        return http_client.check_status(answer, f"engine {path}")
+
+
+def _load(samples_by_name):
+    version = samples_by_name["engine_version_info"].labels["version"]
+    return engine.Load(
+        int(samples_by_name["engine_requests_running"].value),
+        int(samples_by_name["engine_requests_waiting"].value),
+        samples_by_name["engine_cache_share"].value,
+        version,
+    )
+
+
+def _streaming(body):
+    try:
+        mapping = _MAPPING.validate_json(body)
+    except ValueError as error:
+        raise exceptions.BadRequest(f"body is not valid: {error}") from error
+    return json_bodies.encode({**mapping, "stream": True})
+
+
+def _parse(events):
+    """Yield `Tokens` for each event with some, `Finish` at the end."""
+    count = 0
+    finish = None
+    for event in events:
+        if event.data == DONE:
+            if finish is None:
+                break
+            yield engine.Finish(finish, count)
+            return
+        body = json_bodies.decode(_EVENT, event.data, "engine")
+        tokens = _tokens(body)
+        count += tokens.count
+        if tokens.count:
+            yield tokens
+        finish = body["choices"][0].get("finish_reason") or finish
+    raise exceptions.BackendFailed(
+        f"the engine's stream was cut after {count} tokens",
+        reason=reasons.Refusal.ANSWER_CUT,
+    )
+
+
+def _tokens(body):
+    if not body["choices"]:
+        raise exceptions.BackendFailed("the engine sent an empty event")
+    text = body["choices"][0].get("text", "")
+    return engine.Tokens(text, body.get("tokens", 0), body.get("version", ""))
--- a/packages/platform/anvilwell_platform/ports/engine.py
+++ b/packages/platform/anvilwell_platform/ports/engine.py
@@ -28,6 +28,14 @@
     count: int
 
 
+class CacheEvent(typing.NamedTuple):
+    """A block of the prefix cache was ``stored`` or ``evicted``."""
+
+    number: int
+    kind: str
+    block: str
+
+
 class Order(typing.NamedTuple):
     """An order to an engine with its fencing number."""
 
@@ -47,6 +55,15 @@
     def generate(self, attempt_id, body, *, timeout_s):
         """Yield `Tokens`, then one `Finish`.
 
+        Parameters
+        ----------
+        attempt_id : str
+            Unique to this attempt.
+        body : bytes
+            The caller's JSON; ``stream`` is set in it.
+        timeout_s : float
+            Bound of the whole stream.
+
         Raises
         ------
         exceptions.BackendFailed
@@ -71,4 +88,4 @@
 
     @abc.abstractmethod
     def events(self, since, *, timeout_s):
-        """Return cache events after number `since`, maybe with gaps."""
+        """Return each `CacheEvent` after number `since`, with gaps."""
--- /dev/null
+++ b/packages/platform/tests/adapters/test_etcd.py
@@ -0,0 +1,199 @@
+"""The key-value adapter against the key-value stand-in."""
+
+import threading
+
+from anvilwell_kernel import clock
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import verdict
+from anvilwell_platform.adapters import etcd
+from anvilwell_platform.adapters import etcd_watch
+from anvilwell_platform.adapters import http_client
+from anvilwell_platform.ports import keyvalue as ports
+from anvilwell_standins.base import faults
+from anvilwell_standins.keyvalue import server
+import pytest
+
+ARGS = {"purpose": ports.Purpose.LEDGER, "timeout_s": 20.0}
+
+
+@pytest.fixture
+def manual():
+    return clock.ManualClock()
+
+
+@pytest.fixture
+def standin(manual):
+    with server.KeyValue(clock=manual) as started:
+        yield started
+
+
+@pytest.fixture
+def store(standin):
+    adapter = etcd.Etcd(http_client.HttpClient(standin.address))
+    yield adapter
+    adapter.close()
+
+
+def put(store, key, value, lease=0, expected=0):
+    return store.swap([ports.Swap(key, expected, value, lease)], **ARGS)
+
+
+def test_swap_lands_only_on_the_expected_revision(store):
+    first = put(store, "a", b"1")
+    assert first.landed
+    second = put(store, "a", b"2")
+    assert not second.landed
+    assert second.entries_by_key["a"].value == b"1"
+    third = put(store, "a", b"3", expected=first.revision)
+    assert third.landed
+    found = store.get("a", **ARGS)
+    assert found == ports.Entry("a", b"3", third.revision)
+
+
+def test_swaps_are_all_or_nothing(store):
+    put(store, "a", b"1")
+    swaps = [ports.Swap("b", 0, b"x"), ports.Swap("a", 0, b"x")]
+    assert not store.swap(swaps, **ARGS).landed
+    assert store.get("b", **ARGS) is None
+
+
+def test_prefix_reads_one_snapshot(store):
+    for key in ("p/1", "p/2", "q/1"):
+        last = put(store, key, key.encode())
+    snapshot = store.get_prefix("p/", **ARGS)
+    assert sorted(snapshot.entries_by_key) == ["p/1", "p/2"]
+    assert snapshot.revision == last.revision
+
+
+def test_none_deletes_the_key(store):
+    landed = put(store, "a", b"1")
+    put(store, "a", None, expected=landed.revision)
+    assert store.get("a", **ARGS) is None
+
+
+def test_lapsed_lease_takes_its_keys(store, manual):
+    lease = store.grant(10, **ARGS)
+    put(store, "a", b"1", lease=lease)
+    manual.advance(9)
+    assert store.keep_alive(lease, **ARGS) == 10
+    manual.advance(9)
+    assert store.get("a", **ARGS).lease == lease
+    manual.advance(2)
+    assert store.get("a", **ARGS) is None
+    assert store.keep_alive(lease, **ARGS) == 0
+    store.revoke(lease, **ARGS)
+
+
+def test_value_of_a_megabyte_fits(store):
+    value = bytes(1 << 20)
+    assert put(store, "a", value).landed
+    assert store.get("a", **ARGS).value == value
+
+
+def test_refused_connection_is_not_run(standin, store):
+    standin.close()
+    with pytest.raises(exceptions.KeyValueUnavailable) as caught:
+        put(store, "a", b"1")
+    assert caught.value.verdict == verdict.Verdict.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    ("kind", "landed"),
+    [("lost-before-effect", False), ("lost-after-effect", True)],
+)
+def test_lost_answer_may_have_run(standin, store, kind, landed):
+    standin.faults.add(faults.Fault(kind, match="kv/txn"))
+    with pytest.raises(exceptions.KeyValueUnavailable) as caught:
+        put(store, "a", b"1")
+    assert caught.value.verdict == verdict.Verdict.MAY_HAVE_RUN
+    assert (store.get("a", **ARGS) is not None) == landed
+
+
+def test_slow_store_times_out(standin, store):
+    standin.faults.add(faults.Fault("slow", match="kv/range", seconds=30))
+    with pytest.raises(exceptions.KeyValueUnavailable) as caught:
+        store.get("a", purpose=ports.Purpose.LEDGER, timeout_s=0.1)
+    assert caught.value.verdict == verdict.Verdict.MAY_HAVE_RUN
+
+
+def test_rate_limit_is_not_run(standin, store, manual):
+    standin.immediate_by_kind["rate-limit"](
+        faults.Fault("rate-limit", amount=0.5)
+    )
+    store.get("a", **ARGS)
+    with pytest.raises(exceptions.KeyValueUnavailable) as caught:
+        store.get("a", **ARGS)
+    assert caught.value.verdict == verdict.Verdict.NOT_RUN
+    assert caught.value.retry_after > 0
+
+
+def test_roll_back_shows_older_data(standin, store):
+    put(store, "a", b"1")
+    put(store, "b", b"2")
+    standin.immediate_by_kind["roll-back"](faults.Fault("", amount=1))
+    snapshot = store.get_prefix("", **ARGS)
+    assert list(snapshot.entries_by_key) == ["a"]
+    assert put(store, "c", b"3").landed
+
+
+def test_watch_sees_changes_from_a_revision_on(store):
+    first = put(store, "p/1", b"1")
+    put(store, "q/1", b"other")
+    second = put(store, "p/1", None, expected=first.revision)
+    watch = store.watch("p/", first.revision, **ARGS)
+    assert next(watch) == ports.Change("p/1", b"1", first.revision)
+    assert next(watch) == ports.Change("p/1", None, second.revision)
+    third = put(store, "p/2", b"3")
+    assert next(watch) == ports.Change("p/2", b"3", third.revision)
+    watch.close()
+    assert list(watch) == []
+
+
+def test_watch_closes_from_another_thread(store):
+    watch = store.watch("p/", 0, **ARGS)
+    seen = []
+    reader = threading.Thread(target=lambda: seen.extend(watch))
+    reader.start()
+    watch.close()
+    reader.join(timeout=20)
+    assert not reader.is_alive()
+    assert seen == []
+
+
+def test_idle_watch_ends(store):
+    watch = store.watch("p/", 0, purpose=ports.Purpose.LEASE, timeout_s=0.1)
+    assert list(watch) == []
+
+
+def test_watch_of_compacted_changes_says_so(standin, store):
+    put(store, "a", b"1")
+    standin.immediate_by_kind["compact"](faults.Fault("compact"))
+    with pytest.raises(etcd_watch.Compacted):
+        next(store.watch("a", 1, **ARGS))
+
+
+def test_outage_cuts_the_watch(standin, store):
+    watch = store.watch("p/", 0, **ARGS)
+    standin.go_down(30)
+    with pytest.raises(exceptions.KeyValueUnavailable):
+        next(watch)
+
+
+def test_calls_are_counted_by_purpose_and_kind(standin, store):
+    put(store, "a", b"1")
+    store.get("a", **ARGS)
+    watch = store.watch("a", 0, **ARGS)
+    assert store.meter.counts() == {
+        ("ledger", "write"): 1,
+        ("ledger", "read"): 1,
+        ("ledger", "watch"): 1,
+        ("ledger", "waiting"): 1,
+    }
+    assert standin.counts_by_call() == {
+        "kv/txn": 1,
+        "kv/range": 1,
+        "watch": 1,
+        "watches waiting": 1,
+    }
+    watch.close()
+    assert store.meter.counts()["ledger", "waiting"] == 0
--- /dev/null
+++ b/packages/standins/anvilwell_standins/base/__init__.py
@@ -0,0 +1,1 @@
+"""What all stand-ins share: record, faults, server and rate limit."""
--- /dev/null
+++ b/packages/standins/anvilwell_standins/base/record.py
@@ -0,0 +1,52 @@
+"""What a stand-in saw, in memory and as JSON lines in a file."""
+
+import collections
+import io
+import threading
+
+from anvilwell_kernel import clock
+import orjson
+
+MAX_LINES = 1 << 20
+
+
+class Record:
+    """Keeps one line for each event, for tests and the auditor.
+
+    Parameters
+    ----------
+    who : str
+        Name of the recorder; in each line.
+    path : str, optional
+        File to which each line is written and flushed as well.
+    """
+
+    def __init__(self, who, path=""):
+        self.who = who
+        self._lines = collections.deque(maxlen=MAX_LINES)
+        self._file = io.FileIO(path, "a") if path else None
+        self._lock = threading.Lock()
+        self._clock = clock.SystemClock()
+
+    def add(self, kind, **fields):
+        """Keep one line of `kind`."""
+        line = {
+            "at": round(self._clock.monotonic(), 6),
+            "who": self.who,
+            "kind": kind,
+            **fields,
+        }
+        with self._lock:
+            self._lines.append(line)
+            if self._file:
+                self._file.write(orjson.dumps(line) + b"\n")
+
+    def lines(self, kind=""):
+        """Return the lines so far, perhaps only those of `kind`."""
+        with self._lock:
+            lines = list(self._lines)
+        return [line for line in lines if kind in ("", line["kind"])]
+
+    def encode(self):
+        """Return the lines so far as JSON lines in bytes."""
+        return b"".join(orjson.dumps(line) + b"\n" for line in self.lines())
--- /dev/null
+++ b/packages/standins/anvilwell_standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""A model engine with continuous batching."""
