--- a/packages/bench/anvilwell_bench/load/__main__.py
+++ b/packages/bench/anvilwell_bench/load/__main__.py
@@ -68,9 +68,14 @@
     print("\n".join(summaries.summarize(args[0], _METRICS.value)))
 
 
+def whole_steps(args):
+    """Print how many steps in the records of FOLDER are whole."""
+    print(summaries.count_whole(args[0]))
+
+
 _COMMANDS = {
     command.__name__: command
-    for command in (live, probe, note, applied, summary)
+    for command in (live, probe, note, applied, summary, whole_steps)
 }
 
 
--- a/packages/bench/anvilwell_bench/load/summary.py
+++ b/packages/bench/anvilwell_bench/load/summary.py
@@ -40,6 +40,12 @@
     ]
 
 
+def count_whole(records_folder):
+    """Return how many steps in the records are whole."""
+    waits = step_waits(reader.read(records_folder))
+    return sum(wait.whole_at is not None for wait in waits)
+
+
 def idle_s(waits):
     """Return the seconds in which a trainer waited, over all runs."""
     whole = [wait for wait in waits if wait.whole_at is not None]
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,192 @@
+#!/usr/bin/env bash
+# Runs a small deployment of the Association on this machine: trains
+# while live callers ask, breaks things meanwhile, and audits the lot.
+#
+# ENGINES and PLAINS set how many replicas each service has, STEPS how
+# many steps are trained.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+BIN=.venv/bin
+PYTHON=$BIN/python
+RUN=run
+RECORDS=$RUN/records
+ENGINES=${ENGINES:-6}
+PLAINS=${PLAINS:-3}
+STEPS=${STEPS:-4}
+STEP_LIMIT_S=60
+LEFTOVERS=0
+FAILED=0
+CODE=0
+PORT_PLACE=0
+
+. scripts/lib/processes.sh
+. scripts/lib/fleet.sh
+
+rm -rf "$RUN"
+mkdir -p "$RUN"/{logs,pids,ports,settings,records,metrics}
+trap stop_all EXIT
+mapfile -t PORTS < <("$PYTHON" scripts/lib/ports.py 64)
+
+load() {
+    "$PYTHON" -m anvilwell_bench.load "$@"
+}
+
+# note KIND FIELD=VALUE...: one line in the operator's record.
+note() {
+    load --who=operator --record="$RECORDS/operator.jsonl" -- note "$@"
+}
+
+# operate COMMAND...: run the operators' client against the first entry.
+operate() {
+    "$BIN/anvilwell" --server "$(address_of entry-1-admin)" "$@"
+}
+
+# apply SERVICE VERSION: apply the rendered document and note the outcome.
+apply() {
+    local outcome=$RUN/logs/apply-$1-$2.json
+    if ! operate --output json apply "$RUN/settings/$1.ini" >"$outcome"; then
+        fail "apply of $1 failed: $(cat "$outcome")"
+    fi
+    load --who=operator --record="$RECORDS/operator.jsonl" \
+        --version="$2" applied "$1" <"$outcome"
+    say "$1 is in force: $(tr -d '\n' <"$outcome" | head -c 120)"
+}
+
+is_ready() {
+    curl -sf "http://$(address_of "$1")/readyz"
+}
+
+collected_steps() {
+    "$PYTHON" -m anvilwell_bench.load whole_steps "$RECORDS"
+}
+
+steps_whole() {
+    [ "$(collected_steps)" -ge "$1" ]
+}
+
+start_standins() {
+    local number fencing
+    standin keyvalue keyvalue
+    standin vmlist vmlist
+    standin weightstore weightstore
+    standin scorer scorer
+    wait_ports keyvalue vmlist weightstore scorer
+    for ((number = 1; number <= ENGINES; number++)); do
+        # Not every engine refuses an order with an old fencing number.
+        fencing=check
+        ((number % 2)) || fencing=ignore
+        standin engine "engine-$number" --model planner --version 1 \
+            --weight-store "$(address_of weightstore)" \
+            --fencing "$fencing" --token-ms 10 --swap-ms 50
+    done
+    for ((number = 1; number <= PLAINS; number++)); do
+        standin plain "plain-$number"
+    done
+    wait_ports $(seq -f engine-%.0f "$ENGINES") $(seq -f plain-%.0f "$PLAINS")
+}
+
+start_daemons() {
+    local number fencing first second
+    next_port
+    first=$PORT
+    next_port
+    second=$PORT
+    PLATFORM=(
+        "SEEDS=127.0.0.1:$first, 127.0.0.1:$second"
+        "KEYVALUE=$(address_of keyvalue)"
+        "VMLIST=$(address_of vmlist)"
+        "WEIGHTSTORE=$(address_of weightstore)"
+        "SCORER=$(address_of scorer)"
+    )
+    entry entry-1 "${DOMAINS[0]}" "$first"
+    entry entry-2 "${DOMAINS[1]}" "$second"
+    for ((number = 1; number <= ENGINES; number++)); do
+        fencing=yes
+        ((number % 2)) || fencing=no
+        agent "planner-agent-$number" planner-lm model "engine-$number" \
+            "${DOMAINS[number % 3]}" "$fencing"
+    done
+    for ((number = 1; number <= PLAINS; number++)); do
+        agent "stops-agent-$number" stops-app plain "plain-$number" \
+            "${DOMAINS[number % 3]}" no
+    done
+    wait_for 30 "readiness of entry-1" is_ready entry-1
+    wait_for 30 "readiness of entry-2" is_ready entry-2
+}
+
+start_callers() {
+    local callers admins
+    callers="entry-1=$(address_of entry-1),entry-2=$(address_of entry-2)"
+    admins="entry-1=$(address_of entry-1-admin)"
+    admins+=",entry-2=$(address_of entry-2-admin)"
+    start live "$PYTHON" -m anvilwell_bench.load --who=caller \
+        --record="$RECORDS/caller.jsonl" --daemons="$callers" live
+    start prober "$PYTHON" -m anvilwell_bench.load --who=prober \
+        --record="$RECORDS/prober.jsonl" --daemons="$admins" probe
+}
+
+save_metrics() {
+    curl -sf "http://$(address_of "$1-admin")/metrics" \
+        >"$RUN/metrics/$1.prom" || true
+}
+
+shut_down() {
+    local daemon=$1 server=${2:-}
+    save_metrics "$daemon"
+    note stop "daemon=$daemon" "server=$server"
+    stop "$daemon"
+    note stopped "daemon=$daemon" "code=$CODE"
+    say "$daemon was told to stop and ended with code $CODE"
+    [ "$CODE" -eq 0 ] || FAILED=1
+}
+
+say "starting stand-ins: $ENGINES engines, $PLAINS plain services"
+start_standins
+say "starting 2 entries and $((ENGINES + PLAINS)) agents"
+start_daemons
+render planner-lm.ini "$RUN/settings/planner-lm.ini" VERSION=1
+render stops-app.ini "$RUN/settings/stops-app.ini" QUEUE=64
+apply planner-lm 1
+apply stops-app ""
+start_callers
+say "live callers ask; the trainer begins $STEPS steps"
+start trainer "$PYTHON" -m anvilwell_standins trainer --name trainer \
+    --record "$RECORDS/trainer.jsonl" \
+    --entries "$(address_of entry-1),$(address_of entry-2)" \
+    --weight-store "$(address_of weightstore)" \
+    --service planner-lm --run autumn --steps "$STEPS"
+
+wait_for "$STEP_LIMIT_S" "step 1" steps_whole 1
+say "step 1 is whole; killing engine-3"
+note kill process=engine-3
+crash engine-3
+render stops-app.ini "$RUN/settings/stops-app.ini" QUEUE=48
+apply stops-app ""
+say "stopping entry-2 while callers stream"
+shut_down entry-2
+wait_for "$STEP_LIMIT_S" "step 2" steps_whole 2
+say "step 2 is whole; draining planner-agent-2"
+operate drain planner-agent-2 >"$RUN/logs/drain.out"
+note leave server=engine-2
+wait_for $((STEP_LIMIT_S * 2)) "the last step" steps_whole "$STEPS"
+say "all $STEPS steps are whole"
+
+stop live
+[ "$CODE" -eq 0 ] || FAILED=1
+stop prober
+stop trainer
+for name in entry-1 $(seq -f planner-agent-%.0f "$ENGINES") \
+    $(seq -f stops-agent-%.0f "$PLAINS"); do
+    save_metrics "$name"
+done
+shut_down entry-1
+stop_all
+
+say "summary"
+load --metrics="$RUN/metrics" summary "$RECORDS"
+"$PYTHON" -m anvilwell_bench.audit "$RECORDS" \
+    --parties="caller,trainer,operator,prober,engine-1,plain-1" || FAILED=1
+if ((FAILED || LEFTOVERS)); then
+    fail "failed: $LEFTOVERS leftovers; logs are in $RUN/logs"
+fi
