--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on one request: where, when, again, and at most once."""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/requests/retries.py
@@ -0,0 +1,150 @@
+"""Whether a failed attempt is made again, after how long, and where."""
+
+import enum
+import typing
+
+from anvilwell_kernel import reasons
+from anvilwell_kernel import verdict as verdicts
+
+
+class Action(enum.StrEnum):
+    """What follows a failed attempt."""
+
+    RETRY = "retry"
+    GIVE_UP = "give-up"
+
+
+class Failure(typing.NamedTuple):
+    """One failed attempt.
+
+    ``answered`` says whether the caller already has a part of an
+    answer. ``time_left_s`` is what is left of the deadline.
+    """
+
+    verdict: verdicts.Verdict
+    reason: reasons.Refusal
+    idempotent: bool
+    attempts: int
+    time_left_s: float
+    answered: bool = False
+    retry_after_s: float | None = None
+
+
+class Decision(typing.NamedTuple):
+    """What to do; ``reason`` is the counted `reasons.Retry`, if one."""
+
+    action: Action
+    delay_s: float = 0.0
+    reason: reasons.Retry | None = None
+
+
+class RetrySettings(typing.NamedTuple):
+    """Settings of retries.
+
+    ``share`` is how many retries and hedges each first attempt earns;
+    ``burst`` is how many may be saved up.
+    """
+
+    share: float = 0.1
+    burst: float = 10.0
+    most_attempts: int = 4
+    base_delay_s: float = 0.01
+    longest_delay_s: float = 1.0
+
+
+GIVE_UP = Decision(Action.GIVE_UP)
+
+MAY_RETRY = {
+    # (verdict, idempotent): whether it may be sent again at all.
+    (verdicts.Verdict.NOT_RUN, True): True,
+    (verdicts.Verdict.NOT_RUN, False): True,
+    (verdicts.Verdict.MAY_HAVE_RUN, True): True,
+    (verdicts.Verdict.MAY_HAVE_RUN, False): False,
+    (verdicts.Verdict.RAN, True): False,
+    (verdicts.Verdict.RAN, False): False,
+}
+
+_FINAL_REASONS = frozenset(
+    {
+        reasons.Refusal.BAD_REQUEST,
+        reasons.Refusal.BODY_TOO_LARGE,
+        reasons.Refusal.UNKNOWN_SERVICE,
+        reasons.Refusal.CONFLICT,
+        reasons.Refusal.RATE_LIMITED,
+        reasons.Refusal.CANCELLED,
+        reasons.Refusal.FORBIDDEN,
+    }
+)
+
+_RETRIES_BY_REASON = {
+    reasons.Refusal.CONNECT_FAILED: reasons.Retry.CONNECT_FAILED,
+    reasons.Refusal.LINK_LOST: reasons.Retry.LINK_LOST,
+    reasons.Refusal.BACKEND_FAILED: reasons.Retry.BACKEND_FAILED,
+    reasons.Refusal.ANSWER_CUT: reasons.Retry.BACKEND_FAILED,
+    reasons.Refusal.DRAINING: reasons.Retry.DRAINED,
+}
+
+
+class Budget:
+    """Retries as a share of the first attempts, with a small burst."""
+
+    def __init__(self, share, burst):
+        self._share = share
+        self._burst = burst
+        self._saved = burst
+
+    def earn(self):
+        """Count a first attempt."""
+        self._saved = min(self._burst, self._saved + self._share)
+
+    def spend(self):
+        """Take one retry; return False if there is none left."""
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
+
+
+class Retries:
+    """Decides on retries and hedges of one service at one entry."""
+
+    def __init__(self, rng, settings=None):
+        self._rng = rng
+        self._settings = settings or RetrySettings()
+        self._budget = Budget(self._settings.share, self._settings.burst)
+
+    def first_attempt(self):
+        """Count a first attempt; it earns a share of a retry."""
+        self._budget.earn()
+
+    def decide(self, failure):
+        """Return the `Decision` that follows a `Failure`."""
+        if not self._is_allowed(failure):
+            return GIVE_UP
+        delay_s = self._delay_s(failure)
+        if delay_s >= failure.time_left_s or not self._budget.spend():
+            return GIVE_UP
+        reason = _RETRIES_BY_REASON.get(
+            failure.reason, reasons.Retry.REFUSED_NOT_RUN
+        )
+        return Decision(Action.RETRY, delay_s, reason)
+
+    def may_hedge(self, idempotent, answered=False):
+        """Return whether a second attempt may run beside the first."""
+        return idempotent and not answered and self._budget.spend()
+
+    def _is_allowed(self, failure):
+        return (
+            MAY_RETRY[failure.verdict, failure.idempotent]
+            and failure.reason not in _FINAL_REASONS
+            and not failure.answered
+            and failure.attempts < self._settings.most_attempts
+        )
+
+    def _delay_s(self, failure):
+        """Return a delay drawn evenly below a growing bound."""
+        if failure.attempts <= 1:
+            return 0.0
+        settings = self._settings
+        bound_s = settings.base_delay_s * 2 ** (failure.attempts - 1)
+        return self._rng.uniform(0, min(bound_s, settings.longest_delay_s))
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/requests/routing.py
@@ -0,0 +1,225 @@
+"""Which replica takes a request; one base class, several policies."""
+
+import abc
+import bisect
+
+import sortedcontainers
+import xxhash
+
+from anvilwell_decisions.requests import loads
+from anvilwell_decisions.requests import pool
+
+_DRAWS = 8
+
+
+class Policy(abc.ABC):
+    """Chooses replicas of one service for one entry.
+
+    Not safe for threads: its owner calls it on one thread or under a
+    lock.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the policy's draws.
+    """
+
+    def __init__(self, rng):
+        self._rng = rng
+        self._pool = pool.Pool()
+        self._loads = loads.Loads()
+
+    def __len__(self):
+        return len(self._pool)
+
+    def replica_up(self, facts, now):
+        """Take in a replica, or new facts of one already known."""
+        self._pool.up(facts)
+
+    def replica_down(self, replica_id, now):
+        """Give the replica no new work; what it has goes on."""
+        self._pool.down(replica_id)
+        self._loads.forget(replica_id)
+
+    def report(self, report, now):
+        """Take a replica's late `facts.LoadReport`."""
+        if report.replica_id in self._pool.facts_by_id:
+            self._loads.report(report)
+
+    def started(self, replica_id, now):
+        """Count an attempt that was sent to a replica."""
+        self._loads.started(replica_id)
+
+    def ended(self, ended, now):
+        """Count the end of an attempt (a `facts.Ended`)."""
+        self._loads.ended(ended.replica_id)
+
+    @abc.abstractmethod
+    def choose(self, request, now):
+        """Return a replica's id for `facts.RequestFacts`, or None."""
+
+    def _draw(self, request):
+        """Return a random eligible replica, or None."""
+        eligible = self._pool.eligible(request)
+        if not eligible:
+            return None
+        for _ in range(_DRAWS):
+            replica_id = eligible.draw(self._rng)
+            if replica_id not in request.excluded:
+                return replica_id
+        allowed = (r for r in eligible if r not in request.excluded)
+        return next(allowed, None)
+
+
+class RoundRobin(Policy):
+    """Takes the replicas in turn."""
+
+    def __init__(self, rng):
+        super().__init__(rng)
+        self._turn = rng.randrange(1 << 16)
+
+    def choose(self, request, now):
+        """Return the next replica that may take `request`."""
+        eligible = self._pool.eligible(request)
+        for _ in range(min(len(eligible), len(request.excluded) + 1)):
+            self._turn += 1
+            replica_id = eligible.at(self._turn)
+            if replica_id not in request.excluded:
+                return replica_id
+        return None
+
+
+class LeastReported(Policy):
+    """Takes the replica whose last report showed the least load."""
+
+    def __init__(self, rng):
+        super().__init__(rng)
+        self._keys_by_id = {}
+        self._order = sortedcontainers.SortedList()
+
+    def replica_up(self, facts, now):
+        """Take in a replica."""
+        super().replica_up(facts, now)
+        self._place(facts.replica_id)
+
+    def replica_down(self, replica_id, now):
+        """Forget a replica."""
+        super().replica_down(replica_id, now)
+        self._unplace(replica_id)
+
+    def report(self, report, now):
+        """Move the replica to its new place in the order."""
+        super().report(report, now)
+        if report.replica_id in self._pool.facts_by_id:
+            self._place(report.replica_id)
+
+    def choose(self, request, now):
+        """Return the least loaded replica that may take `request`."""
+        if not self._pool.eligible(request):
+            return None
+        allowed = (
+            replica_id
+            for _, _, replica_id in self._order
+            if self._pool.is_eligible(replica_id, request)
+        )
+        return next(allowed, None)
+
+    def _place(self, replica_id):
+        self._unplace(replica_id)
+        load = self._loads.reported(replica_id)
+        key = (load, self._rng.random(), replica_id)
+        self._keys_by_id[replica_id] = key
+        self._order.add(key)
+
+    def _unplace(self, replica_id):
+        key = self._keys_by_id.pop(replica_id, None)
+        if key is not None:
+            self._order.remove(key)
+
+
+class PowerOfTwo(Policy):
+    """Takes the less loaded of two replicas drawn at random."""
+
+    def choose(self, request, now):
+        """Return the better of two draws."""
+        first = self._draw(request)
+        second = self._draw(request)
+        if first == second:
+            return first
+        return min(first, second, key=lambda r: self._cost(r, now))
+
+    def _cost(self, replica_id, now):
+        return self._loads.estimate(replica_id)
+
+
+class PrefixAffinity(PowerOfTwo):
+    """Keeps a prompt prefix on few replicas while they are not loaded.
+
+    A prefix hashes to a point on a ring of the replicas. The first of
+    the next few replicas whose load is within ``bound`` times the mean
+    takes the request; if none is, power of two choices does.
+
+    Parameters
+    ----------
+    bound : float
+        Load, as a multiple of the mean, up to which affinity holds.
+    candidates : int
+        Replicas that are tried on the ring.
+    """
+
+    POINTS_PER_REPLICA = 16
+
+    def __init__(self, rng, *, bound=1.25, candidates=3):
+        super().__init__(rng)
+        self._bound = bound
+        self._candidates = candidates
+        self._ring = []
+
+    def replica_up(self, facts, now):
+        """Put a replica's points on the ring."""
+        if facts.replica_id not in self._pool.facts_by_id:
+            for point in self._points(facts.replica_id):
+                bisect.insort(self._ring, point)
+        super().replica_up(facts, now)
+
+    def replica_down(self, replica_id, now):
+        """Take a replica's points off the ring."""
+        if replica_id in self._pool.facts_by_id:
+            for point in self._points(replica_id):
+                del self._ring[bisect.bisect_left(self._ring, point)]
+        super().replica_down(replica_id, now)
+
+    def choose(self, request, now):
+        """Return a replica that likely has the prefix cached."""
+        if request.prefix:
+            for replica_id in self._nearest(request):
+                if self._is_within_bound(replica_id, now):
+                    return replica_id
+        return super().choose(request, now)
+
+    def _is_within_bound(self, replica_id, now):
+        mean = (self._loads.total_own + 1) / max(1, len(self._pool))
+        return self._loads.own(replica_id) < self._bound * mean + 1
+
+    def _nearest(self, request):
+        """Return the next distinct eligible replicas on the ring."""
+        start = bisect.bisect_left(
+            self._ring, (xxhash.xxh3_64_intdigest(request.prefix), "")
+        )
+        found = []
+        steps = min(len(self._ring), 4 * self._candidates)
+        for step in range(steps):
+            _, replica_id = self._ring[(start + step) % len(self._ring)]
+            if replica_id in found:
+                continue
+            if self._pool.is_eligible(replica_id, request):
+                found.append(replica_id)
+            if len(found) == self._candidates:
+                break
+        return found
+
+    def _points(self, replica_id):
+        return [
+            (xxhash.xxh3_64_intdigest(replica_id, seed=number), replica_id)
+            for number in range(self.POINTS_PER_REPLICA)
+        ]
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/requests/verdicts.py
@@ -0,0 +1,206 @@
+"""What each event on a request's path says of its execution.
+
+The table is the one place where a verdict is decided; the data path
+reports events and looks their verdict up here.
+"""
+
+import enum
+import typing
+
+from anvilwell_kernel import reasons
+from anvilwell_kernel import verdict as verdicts
+
+
+class Hop(enum.StrEnum):
+    """Where on the path it happened."""
+
+    ENTRY = "entry"
+    ENTRY_TO_AGENT = "entry-to-agent"
+    AGENT = "agent"
+    AGENT_TO_BACKEND = "agent-to-backend"
+
+
+class Event(enum.StrEnum):
+    """What ended an attempt."""
+
+    REFUSED_BY_ENTRY = "refused-by-entry"
+    CONNECT_REFUSED = "connect-refused"
+    CONNECT_TIMED_OUT = "connect-timed-out"
+    LOST_BEFORE_SENT = "lost-before-sent"
+    LOST_PARTLY_SENT = "lost-partly-sent"
+    LOST_AFTER_SENT = "lost-after-sent"
+    REFUSED_BY_AGENT = "refused-by-agent"
+    CANCELLED_IN_QUEUE = "cancelled-in-queue"
+    TIMED_OUT_IN_QUEUE = "timed-out-in-queue"
+    IDLE_CONNECTION_CLOSED = "idle-connection-closed"
+    TIMED_OUT_AFTER_SENT = "timed-out-after-sent"
+    SERVER_ERROR = "server-error"
+    LOST_AFTER_HEADERS = "lost-after-headers"
+    LOST_IN_STREAM = "lost-in-stream"
+    WHOLE_ANSWER = "whole-answer"
+
+
+class Row(typing.NamedTuple):
+    """One row: an event at a hop, its verdict and reason, and why."""
+
+    hop: Hop
+    event: Event
+    verdict: verdicts.Verdict
+    reason: reasons.Refusal | None
+    why: str
+
+
+_NOT_RUN = verdicts.Verdict.NOT_RUN
+_MAY = verdicts.Verdict.MAY_HAVE_RUN
+_RAN = verdicts.Verdict.RAN
+
+TABLE = (
+    Row(
+        Hop.ENTRY,
+        Event.REFUSED_BY_ENTRY,
+        _NOT_RUN,
+        reasons.Refusal.OVERLOADED,
+        "the entry sent nothing",
+    ),
+    Row(
+        Hop.ENTRY_TO_AGENT,
+        Event.CONNECT_REFUSED,
+        _NOT_RUN,
+        reasons.Refusal.CONNECT_FAILED,
+        "no link, so no frame left the entry",
+    ),
+    Row(
+        Hop.ENTRY_TO_AGENT,
+        Event.CONNECT_TIMED_OUT,
+        _NOT_RUN,
+        reasons.Refusal.CONNECT_FAILED,
+        "the handshake did not end, so no frame left the entry",
+    ),
+    Row(
+        Hop.ENTRY_TO_AGENT,
+        Event.LOST_BEFORE_SENT,
+        _NOT_RUN,
+        reasons.Refusal.LINK_LOST,
+        "the start frame was never given to the link",
+    ),
+    Row(
+        Hop.ENTRY_TO_AGENT,
+        Event.LOST_PARTLY_SENT,
+        _MAY,
+        reasons.Refusal.LINK_LOST,
+        "what the kernel has taken may still arrive whole",
+    ),
+    Row(
+        Hop.ENTRY_TO_AGENT,
+        Event.LOST_AFTER_SENT,
+        _MAY,
+        reasons.Refusal.LINK_LOST,
+        "the agent may have forwarded it; its answer is lost",
+    ),
+    Row(
+        Hop.AGENT,
+        Event.REFUSED_BY_AGENT,
+        _NOT_RUN,
+        reasons.Refusal.OVERLOADED,
+        "the agent dropped it before it opened a connection",
+    ),
+    Row(
+        Hop.AGENT,
+        Event.CANCELLED_IN_QUEUE,
+        _NOT_RUN,
+        reasons.Refusal.CANCELLED,
+        "the agent confirms that it took it out of its queue",
+    ),
+    Row(
+        Hop.AGENT,
+        Event.TIMED_OUT_IN_QUEUE,
+        _NOT_RUN,
+        reasons.Refusal.DEADLINE,
+        "the agent took it out of its queue at the deadline",
+    ),
+    Row(
+        Hop.AGENT_TO_BACKEND,
+        Event.CONNECT_REFUSED,
+        _NOT_RUN,
+        reasons.Refusal.CONNECT_FAILED,
+        "no connection, so no byte left the agent",
+    ),
+    Row(
+        Hop.AGENT_TO_BACKEND,
+        Event.CONNECT_TIMED_OUT,
+        _NOT_RUN,
+        reasons.Refusal.CONNECT_FAILED,
+        "no connection, so no byte left the agent",
+    ),
+    Row(
+        Hop.AGENT_TO_BACKEND,
+        Event.IDLE_CONNECTION_CLOSED,
+        _MAY,
+        reasons.Refusal.BACKEND_FAILED,
+        "a kept connection closed as it was written to: the server may"
+        " have read the request before it closed",
+    ),
+    Row(
+        Hop.AGENT_TO_BACKEND,
+        Event.LOST_PARTLY_SENT,
+        _MAY,
+        reasons.Refusal.BACKEND_FAILED,
+        "a server may act before it has read the whole body",
+    ),
+    Row(
+        Hop.AGENT_TO_BACKEND,
+        Event.LOST_AFTER_SENT,
+        _MAY,
+        reasons.Refusal.BACKEND_FAILED,
+        "the server has the whole request",
+    ),
+    Row(
+        Hop.AGENT_TO_BACKEND,
+        Event.TIMED_OUT_AFTER_SENT,
+        _MAY,
+        reasons.Refusal.DEADLINE,
+        "the server may still be at work; a late answer is dropped",
+    ),
+    Row(
+        Hop.AGENT_TO_BACKEND,
+        Event.SERVER_ERROR,
+        _MAY,
+        reasons.Refusal.BACKEND_FAILED,
+        "a status of 500 or more may follow a change that was made",
+    ),
+    Row(
+        Hop.AGENT_TO_BACKEND,
+        Event.LOST_AFTER_HEADERS,
+        _MAY,
+        reasons.Refusal.ANSWER_CUT,
+        "the server began to answer and did not end",
+    ),
+    Row(
+        Hop.AGENT_TO_BACKEND,
+        Event.LOST_IN_STREAM,
+        _MAY,
+        reasons.Refusal.ANSWER_CUT,
+        "the caller has a part; the stream ends by an error event",
+    ),
+    Row(
+        Hop.AGENT_TO_BACKEND,
+        Event.WHOLE_ANSWER,
+        _RAN,
+        None,
+        "the server answered to the end",
+    ),
+)
+
+_ROWS_BY_CAUSE = {(row.hop, row.event): row for row in TABLE}
+
+
+def look_up(hop, event):
+    """Return the `Row` of an event at a hop.
+
+    An event that the table does not hold may have run: a verdict is
+    never better than what is known.
+    """
+    unknown = Row(
+        hop, event, _MAY, reasons.Refusal.INTERNAL, "not in the table"
+    )
+    return _ROWS_BY_CAUSE.get((hop, event), unknown)
