--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/runs/__init__.py
@@ -0,0 +1,1 @@
+"""The service ``runs``: trainers' steps and samples."""
--- a/packages/decisions/anvilwell_decisions/samples/coordinator.py
+++ b/packages/decisions/anvilwell_decisions/samples/coordinator.py
@@ -63,6 +63,15 @@
         self._learn(step)
         return self._address(step.run, found)
 
+    def group(self, sample):
+        """Return the group that `sample` belongs to."""
+        return self._groups_by_id[sample.run, sample.step, sample.group]
+
+    def sample_of(self, attempt):
+        """Return the sample of an attempt under way, else None."""
+        running = self.schedule.running_by_attempt.get(attempt)
+        return running.pending.sample if running else None
+
     def result(self, attempt, result, now):
         """Take the whole result of an attempt."""
         running = self.schedule.running_by_attempt.get(attempt)
@@ -140,8 +149,7 @@
         return self._starts()
 
     def _add(self, sample):
-        group = self._groups_by_id[sample.run, sample.step, sample.group]
-        self.schedule.add(sample, group)
+        self.schedule.add(sample, self.group(sample))
 
     def _tell_needs(self, run, *, waiting):
         ledger = self.ledgers_by_run[run]
--- a/packages/decisions/anvilwell_decisions/samples/delivery.py
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -26,6 +26,7 @@
     more would not help: the trainer has to ask again.
     """
 
+    positions: tuple[int, ...]
     choices: tuple
     next_cursor: int
     steps_whole: tuple[int, ...]
@@ -146,18 +147,24 @@
         if self._held_back and self._held_back[0] != cursor:
             self._held_back = None
         self.acknowledged = cursor
-        position, choices = cursor, []
+        position, positions, choices = cursor, [], []
         while position < self.end and len(choices) < limit:
             slot = self._slot(position)
             if not slot.voided:
                 if self._is_blocked(position):
                     break
+                positions.append(position)
                 choices.append(slot.choice)
             position += 1
         self._sent_end = max(self._sent_end, position)
         voids, at_once = self._hold_back(cursor, position, limit, choices)
         return Batch(
-            tuple(choices), position, self._whole(position), voids, at_once
+            tuple(positions),
+            tuple(choices),
+            position,
+            self._whole(position),
+            voids,
+            at_once,
         )
 
     def _check_cursor(self, cursor):
--- a/packages/decisions/anvilwell_decisions/samples/ledger.py
+++ b/packages/decisions/anvilwell_decisions/samples/ledger.py
@@ -32,7 +32,7 @@
 
 
 class Result(typing.NamedTuple):
-    """The whole outcome of one attempt."""
+    """The whole outcome of one attempt; no two share a digest."""
 
     digest: str
     tokens: int
@@ -77,6 +77,7 @@
         self.bound = bound
         self.active = False
         self.stopped = False
+        self.recorded_version = None
         self._scored = scored
         self._log = chunks.ChunkLog()
         self._samples_by_id = {}
@@ -128,11 +129,16 @@
                 self._void(entry)
             case records.TrainerVersion():
                 self._take_version(entry.version)
+                self.recorded_version = entry.version
 
     def open_steps(self):
         """Return the steps whose content is kept."""
         return [s for s in self._steps_by_number.values() if s is not None]
 
+    def has_step(self, number):
+        """Return whether a step is accepted."""
+        return number in self._steps_by_number
+
     def needed_step(self):
         """Return the first step that is not whole; 0 before any."""
         return self.delivery.first_open_step()
@@ -171,15 +177,13 @@
         """Take an attempt's whole result; the first fitting one counts."""
         sample = self._samples_by_id.get(sample_id)
         if self.stopped or sample is None:
-            return [_dropped(sample_id, result, reasons.Refusal.FENCED)]
+            return _drop(sample_id, result, reasons.Refusal.FENCED)
         if sample.phase is not Phase.WANTED:
-            duplicate = reasons.Refusal.DUPLICATE_SAMPLE
-            return [_dropped(sample_id, result, duplicate)]
+            return _drop(sample_id, result, reasons.Refusal.DUPLICATE_SAMPLE)
         if self._is_over_age(result):
-            return [
-                _dropped(sample_id, result, reasons.Retry.STALE_VERSION),
-                actions.Generate(sample_id),
-            ]
+            stale = reasons.Retry.STALE_VERSION
+            again = actions.Generate(sample_id)
+            return [*_drop(sample_id, result, stale), again]
         sample.result = result
         sample.score = None
         sample.failures = 0
@@ -327,6 +331,7 @@
                 end = actions.Deliverable(self.delivery.end)
                 return [*self._void(entry), end]
             case records.TrainerVersion():
+                self.recorded_version = entry.version
                 return [actions.VersionTaken(entry.version)]
         self.active = True
         return self._unfinished()
@@ -371,11 +376,9 @@
         sample.phase = Phase.WANTED
         sample.result = None
         self._retries.pop(sample_id, None)
-        return [
-            _dropped(sample_id, result, reasons.Retry.STALE_VERSION),
-            actions.Discard(sample_id, result.digest),
-            actions.Generate(sample_id),
-        ]
+        stale = reasons.Retry.STALE_VERSION
+        again = actions.Generate(sample_id)
+        return [*_drop(sample_id, result, stale), again]
 
     def _is_over_age(self, result):
         return staleness.is_over_age(
@@ -399,5 +402,8 @@
         )
 
 
-def _dropped(sample_id, result, reason):
-    return actions.Dropped(sample_id, str(reason), result.tokens)
+def _drop(sample_id, result, reason):
+    return [
+        actions.Dropped(sample_id, str(reason), result.tokens),
+        actions.Discard(sample_id, result.digest),
+    ]
--- a/packages/decisions/tests/samples/test_ledger.py
+++ b/packages/decisions/tests/samples/test_ledger.py
@@ -74,7 +74,7 @@
     run = Run()
     run.land(run.ledger.submit(STEP, 0.0))
     run.finish(FIRST, result("one"))
-    (dropped,) = run.ledger.result(FIRST, result("two"), 0.0)
+    dropped, _ = run.ledger.result(FIRST, result("two"), 0.0)
     assert dropped.reason == reasons.Refusal.DUPLICATE_SAMPLE
     assert [c.digest for c in run.collect(0).choices] == ["one"]
 
@@ -165,7 +165,11 @@
     run.land(run.ledger.submit(STEP, 0.0))
     run.land(run.ledger.trainer_version("9", 0.0))
     found = run.ledger.result(FIRST, result(versions=("7", "9")), 0.0)
-    assert kinds(found) == [actions.Dropped, actions.Generate]
+    assert kinds(found) == [
+        actions.Dropped,
+        actions.Discard,
+        actions.Generate,
+    ]
     assert found[0].reason == reasons.Retry.STALE_VERSION
 
 
@@ -185,7 +189,11 @@
     old.land(old.ledger.trainer_version("9", 0.0))
     new = Run(old.log, fencing=2)
     found = new.ledger.result(FIRST, result(), 0.0)
-    assert kinds(found) == [actions.Dropped, actions.Generate]
+    assert kinds(found) == [
+        actions.Dropped,
+        actions.Discard,
+        actions.Generate,
+    ]
 
 
 def test_scores_come_late_twice_and_after_failures():
