Decide who is there by heartbeats on an expander of hashed rings

850 daemons may not each hold a lease or read a list, and a leaving backend server must be known everywhere within 3 s.

Each daemon sends heartbeats to its successor on four hashed rings, asks others to probe before it suspects, and floods changes along the edges with acknowledgements and a rate limit. Records merge by (incarnation, state). A claim of death from another table is tried before it is believed, so a healed split buries nobody. A daemon that was paused or is cut off declares nobody dead.

--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: neighbour graph, failure detection, spread of news."""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/membership/news.py
@@ -0,0 +1,107 @@
+"""What each neighbour has not yet acknowledged of the latest changes."""
+
+import typing
+
+from anvilwell_kernel.messages import membership as messages
+
+MAX_MEMBERS = 16
+RATE_PER_S = 64.0
+BURST = 128.0
+RESEND_S = 1.0
+
+_URGENCY = {
+    messages.State.LEAVING: 0,
+    messages.State.DEAD: 1,
+    messages.State.LIVE: 2,
+    messages.State.SUSPECT: 3,
+}
+
+
+class _Sent(typing.NamedTuple):
+    number: int
+    members: list
+    at: float
+
+
+class News:
+    """Queues changed members for each neighbour until acknowledged.
+
+    Each change crosses each edge of the neighbour graph about once, so
+    its cost per daemon is the graph's degree. A token bucket bounds
+    the records sent a second whatever happens to the fleet; leaving
+    members go first.
+    """
+
+    def __init__(self):
+        self._waiting_by_neighbour = {}
+        self._sent_by_neighbour = {}
+        self._tokens = BURST
+        self._filled_at = None
+
+    def set_neighbours(self, vm_ids):
+        """Keep queues for `vm_ids` alone."""
+        waiting = self._waiting_by_neighbour
+        sent = self._sent_by_neighbour
+        self._waiting_by_neighbour = {v: waiting.get(v, {}) for v in vm_ids}
+        self._sent_by_neighbour = {v: sent[v] for v in vm_ids if v in sent}
+
+    def add(self, member, source=None):
+        """Queue `member` for all neighbours but the one it came from."""
+        for vm_id, waiting in self._waiting_by_neighbour.items():
+            if vm_id != source:
+                waiting[member.vm_id] = member
+
+    def heard(self, neighbour, member):
+        """Note that `neighbour` has a record of `member`."""
+        waiting = self._waiting_by_neighbour.get(neighbour, {})
+        queued = waiting.get(member.vm_id)
+        if queued and queued.rank <= member.rank:
+            del waiting[member.vm_id]
+
+    def urgent(self, now):
+        """Return the neighbours to tell before the next heartbeat."""
+        self._fill(now)
+        if self._tokens < 1.0:
+            return []
+        return [
+            vm_id
+            for vm_id, waiting in self._waiting_by_neighbour.items()
+            if not self._is_sending(vm_id, now) and _is_urgent(waiting)
+        ]
+
+    def take(self, neighbour, number, now):
+        """Return the members to send to `neighbour` in heartbeat `number`."""
+        self._fill(now)
+        if self._is_sending(neighbour, now):
+            return []
+        waiting = self._waiting_by_neighbour.get(neighbour, {})
+        room = min(MAX_MEMBERS, int(self._tokens))
+        ordered = sorted(waiting.values(), key=lambda m: _URGENCY[m.state])
+        chosen = ordered[:room]
+        self._tokens -= len(chosen)
+        if chosen:
+            self._sent_by_neighbour[neighbour] = _Sent(number, chosen, now)
+        return list(chosen)
+
+    def acknowledge(self, neighbour, number):
+        """Forget what `neighbour` got by heartbeat `number`."""
+        sent = self._sent_by_neighbour.get(neighbour)
+        if sent and sent.number == number:
+            del self._sent_by_neighbour[neighbour]
+            for member in sent.members:
+                self.heard(neighbour, member)
+
+    def _is_sending(self, neighbour, now):
+        sent = self._sent_by_neighbour.get(neighbour)
+        return sent is not None and now - sent.at < RESEND_S
+
+    def _fill(self, now):
+        if self._filled_at is not None:
+            gained = max(now - self._filled_at, 0.0) * RATE_PER_S
+            self._tokens = min(BURST, self._tokens + gained)
+        self._filled_at = now
+
+
+def _is_urgent(waiting):
+    suspect = messages.State.SUSPECT
+    return any(member.state is not suspect for member in waiting.values())
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/membership/node.py
@@ -0,0 +1,370 @@
+"""One daemon's view of the fleet, and what it sends to keep it true."""
+
+import itertools
+import typing
+
+from anvilwell_decisions.membership import detector
+from anvilwell_decisions.membership import news
+from anvilwell_decisions.membership import rings
+from anvilwell_decisions.membership import table
+from anvilwell_decisions.membership import watch
+from anvilwell_kernel.messages import membership as messages
+
+PROBERS = 3
+EXCHANGE_PERIOD_S = 10.0
+REUNITE_PERIOD_S = 5.0
+TOMBSTONE_S = 3600.0
+MAX_EXCHANGED = 200
+
+
+class Send(typing.NamedTuple):
+    """Send `message` to the daemon `vm_id` at `address`.
+
+    ``address`` is "" for a daemon whose record has not arrived yet.
+    """
+
+    vm_id: str
+    address: str
+    message: tuple
+
+
+class Changed(typing.NamedTuple):
+    """A member's record changed; ``before`` is None for a new one."""
+
+    before: messages.Member | None
+    after: messages.Member
+
+
+class Node:
+    """Decides all of membership for one daemon.
+
+    Methods take `now` in monotonic seconds and return a list of
+    actions, `Send` or `Changed`.
+
+    Parameters
+    ----------
+    member : messages.Member
+        This daemon; ``incarnation`` must not be lower than at an
+        earlier start (the daemon passes wall-clock seconds).
+    rng : random.Random
+        Source of jitter and choice.
+    """
+
+    def __init__(self, member, rng):
+        self.me = member
+        self._rng = rng
+        self._table = table.MemberTable()
+        self._rings = rings.Rings()
+        self._news = news.News()
+        self._watch = watch.Watch()
+        self._health = detector.LocalHealth()
+        self._numbers = itertools.count(1)
+        self._died_at_by_id = {}
+        self._exchange_at = None
+        self._reunite_at = None
+        self._actions = []
+        self._now = 0.0
+        self._take(member)
+
+    @property
+    def members_by_id(self):
+        """All known members by id, this daemon and the dead included."""
+        return self._table.members_by_id
+
+    @property
+    def is_isolated(self):
+        """Whether all neighbours are silent."""
+        return self._health.is_isolated
+
+    @property
+    def neighbours(self):
+        """Ids that heartbeats go to or come from."""
+        successors = self._rings.successors(self.me.vm_id)
+        predecessors = self._rings.predecessors(self.me.vm_id)
+        return list(dict.fromkeys([*successors, *predecessors]))
+
+    def tick(self, now):
+        """Send what is due; call about ten times a second."""
+        self._begin(now)
+        if self._health.tick(now):
+            self._watch.forgive()
+            self._exchange_at = now
+        for vm_id in self._watch.due(now, self._rng):
+            self._send_heartbeat(vm_id)
+        if self._health.may_find(now):
+            self._judge()
+        self._push()
+        self._exchange()
+        self._reunite()
+        self._bury()
+        return self._actions
+
+    def meet(self, now, vm_id):
+        """Exchange tables with a daemon found by seed or VM list."""
+        self._begin(now)
+        self._send(vm_id, self._digest())
+        return self._actions
+
+    def leave(self, now):
+        """Announce that this daemon takes no new work."""
+        self._begin(now)
+        if self.me.state is not messages.State.LEAVING:
+            self._restate(self.me.incarnation + 1, messages.State.LEAVING)
+            self._push()
+        return self._actions
+
+    def mark_leaving(self, now, vm_ids):
+        """Take the VM list's word that `vm_ids` are leaving."""
+        self._begin(now)
+        for vm_id in vm_ids:
+            known = self.members_by_id.get(vm_id)
+            if known and known.state < messages.State.LEAVING:
+                state = messages.State.LEAVING
+                self._hear(known._replace(state=state), None)
+        self._push()
+        return self._actions
+
+    def receive(self, now, sender, message):
+        """Take `message` from the daemon `sender`."""
+        self._begin(now)
+        _RECEIVERS[type(message)](self, sender, message)
+        return self._actions
+
+    def _begin(self, now):
+        self._now = now
+        self._actions = []
+
+    def _send(self, vm_id, message, address=""):
+        known = self.members_by_id.get(vm_id)
+        address = known.address if known else address
+        self._actions.append(Send(vm_id, address, message))
+
+    def _later(self, period_s):
+        return self._now + period_s * self._rng.uniform(0.5, 1.5)
+
+    # Records
+
+    def _hear(self, member, source):
+        if member.vm_id == self.me.vm_id:
+            self._hear_of_me(member)
+            return
+        if source:
+            self._news.heard(source, member)
+        is_known = member.vm_id in self.members_by_id
+        if is_known or member.state is not messages.State.DEAD:
+            self._take(member, source)
+
+    def _hear_of_me(self, member):
+        leaving = messages.State.LEAVING
+        if member.state is leaving and self.me.state is not leaving:
+            top = max(member.incarnation, self.me.incarnation)
+            self._restate(top + 1, leaving)
+        elif member.rank > self.me.rank:
+            self._restate(member.incarnation + 1, self.me.state)
+
+    def _restate(self, incarnation, state):
+        self.me = self.me._replace(incarnation=incarnation, state=state)
+        self._take(self.me)
+
+    def _take(self, member, source=None):
+        before = self.members_by_id.get(member.vm_id)
+        if not self._table.merge(member):
+            return
+        self._actions.append(Changed(before, member))
+        self._settle(member)
+        self._place(member)
+        self._news.add(member, source)
+
+    def _settle(self, member):
+        claim = self._watch.claim(member.vm_id)
+        if claim and member.rank >= claim.rank:
+            self._watch.settle(member.vm_id)
+
+    def _place(self, member):
+        is_placed = member.vm_id in self._rings
+        is_dead = member.state is messages.State.DEAD
+        if is_dead:
+            self._died_at_by_id.setdefault(member.vm_id, self._now)
+        else:
+            self._died_at_by_id.pop(member.vm_id, None)
+        if is_placed and is_dead:
+            self._rings.remove(member.vm_id)
+            self._link_up()
+        elif not is_placed and not is_dead:
+            self._rings.add(member.vm_id, member.failure_domain)
+            self._link_up()
+
+    def _link_up(self):
+        successors = self._rings.successors(self.me.vm_id)
+        self._watch.set_neighbours(successors, self._now)
+        self._news.set_neighbours(self.neighbours)
+
+    # Heartbeats
+
+    def _send_heartbeat(self, vm_id):
+        number = next(self._numbers)
+        self._watch.sent(vm_id, number, self._now)
+        members = self._news.take(vm_id, number, self._now)
+        doubt = self._doubt(vm_id)
+        if doubt and doubt not in members:
+            members.append(doubt)
+        self._send(vm_id, messages.Heartbeat(number, members))
+
+    def _doubt(self, vm_id):
+        """Return what `vm_id` should hear of itself, to refute it."""
+        claim = self._watch.claim(vm_id)
+        if claim:
+            return claim
+        known = self.members_by_id.get(vm_id)
+        if known and known.state is not messages.State.LIVE:
+            return known
+        return None
+
+    def _receive_heartbeat(self, sender, heartbeat):
+        for member in heartbeat.members:
+            self._hear(member, sender)
+        is_asked = any(m.vm_id == self.me.vm_id for m in heartbeat.members)
+        about = [self.me] if is_asked else []
+        doubt = self._doubt(sender)
+        if doubt:
+            about.append(doubt)
+        self._send(sender, messages.Ack(heartbeat.number, about))
+        if sender not in self.members_by_id:
+            self._send(sender, self._digest())
+
+    def _receive_ack(self, sender, ack):
+        if self._watch.acked(sender, ack.number):
+            self._health.answered()
+        self._news.acknowledge(sender, ack.number)
+        for member in ack.members:
+            self._hear(member, sender)
+        asker = self._watch.asker(sender, ack.number)
+        if asker:
+            self._send(asker, messages.ProbeAck(sender))
+
+    # Failure detection
+
+    def _judge(self):
+        silences_s = self._watch.neighbour_silences_s(self._now)
+        self._health.measure(silences_s)
+        for vm_id, subject in self._watch.subjects_by_id.items():
+            finding = self._health.find(subject.silence_s(self._now))
+            self._act_on(self.members_by_id[vm_id], finding)
+
+    def _act_on(self, member, finding):
+        claim = self._watch.claim(member.vm_id)
+        if finding is detector.Finding.LATE:
+            self._ask_others(member)
+        elif finding is detector.Finding.SUSPECT and not claim:
+            self._take(member._replace(state=messages.State.SUSPECT))
+        elif finding is detector.Finding.DEAD:
+            dead = claim or member
+            self._take(dead._replace(state=messages.State.DEAD))
+
+    def _ask_others(self, member):
+        if not self._watch.wants_probe(member.vm_id, self._now):
+            return
+        helpers = [v for v in self.neighbours if v != member.vm_id]
+        probe = messages.Probe(member.vm_id, member.address)
+        for vm_id in self._rng.sample(helpers, min(PROBERS, len(helpers))):
+            self._send(vm_id, probe)
+
+    def _receive_probe(self, sender, probe):
+        number = next(self._numbers)
+        self._watch.asked(sender, probe.subject, number, self._now)
+        heartbeat = messages.Heartbeat(number, [])
+        self._send(probe.subject, heartbeat, probe.address)
+
+    def _receive_probe_ack(self, sender, ack):
+        self._watch.vouched(ack.subject, self._now)
+
+    # Spread and repair
+
+    def _push(self):
+        for vm_id in self._news.urgent(self._now):
+            self._send_heartbeat(vm_id)
+
+    def _digest(self):
+        return messages.Digest(self._table.digest())
+
+    def _exchange(self):
+        if self._exchange_at is None:
+            self._exchange_at = self._later(EXCHANGE_PERIOD_S)
+        partners = self._watch.neighbours
+        if self._now < self._exchange_at or not partners:
+            return
+        self._exchange_at = self._later(EXCHANGE_PERIOD_S)
+        self._send(self._rng.choice(partners), self._digest())
+
+    def _receive_digest(self, sender, digest):
+        if len(digest.hashes) != table.BUCKETS:
+            return
+        differing = self._table.differing(digest.hashes)
+        if differing:
+            self._send_difference(sender, differing, wants_answer=True)
+
+    def _send_difference(self, vm_id, buckets, wants_answer):
+        chosen, members = [], []
+        for bucket in self._rng.sample(buckets, len(buckets)):
+            found = self._table.members_in(bucket)
+            if members and len(members) + len(found) > MAX_EXCHANGED:
+                break
+            chosen.append(bucket)
+            members.extend(found)
+        difference = messages.Difference(chosen, members, wants_answer)
+        self._send(vm_id, difference)
+
+    def _receive_difference(self, sender, difference):
+        for member in difference.members:
+            if self._is_claim(member):
+                self._watch.challenge(member, self._now)
+            else:
+                self._hear(member, sender)
+        buckets = [b for b in difference.buckets if 0 <= b < table.BUCKETS]
+        if difference.wants_answer:
+            self._send_difference(sender, buckets, wants_answer=False)
+
+    def _is_claim(self, member):
+        """Say whether `member` must be tried before it counts as dead.
+
+        After a split each side calls the other dead; taking its word
+        would bury the living on both sides.
+        """
+        known = self.members_by_id.get(member.vm_id)
+        return (
+            member.state is messages.State.DEAD
+            and member.vm_id != self.me.vm_id
+            and known is not None
+            and known.rank < member.rank
+        )
+
+    def _reunite(self):
+        """Try one of the dead now and then: a split may have healed."""
+        if self._reunite_at is None:
+            self._reunite_at = self._later(REUNITE_PERIOD_S)
+        if self._now < self._reunite_at or not self._died_at_by_id:
+            return
+        self._reunite_at = self._later(REUNITE_PERIOD_S)
+        vm_id = self._rng.choice(list(self._died_at_by_id))
+        self._send_heartbeat(vm_id)
+        self._send(vm_id, self._digest())
+
+    def _bury(self):
+        expired = [
+            vm_id
+            for vm_id, at in self._died_at_by_id.items()
+            if self._now - at >= TOMBSTONE_S
+        ]
+        for vm_id in expired:
+            del self._died_at_by_id[vm_id]
+            self._table.remove(vm_id)
+
+
+_RECEIVERS = {
+    messages.Heartbeat: Node._receive_heartbeat,
+    messages.Ack: Node._receive_ack,
+    messages.Probe: Node._receive_probe,
+    messages.ProbeAck: Node._receive_probe_ack,
+    messages.Digest: Node._receive_digest,
+    messages.Difference: Node._receive_difference,
+}
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/membership/watch.py
@@ -0,0 +1,130 @@
+"""The members that one daemon watches, as a neighbour or on a claim."""
+
+import typing
+
+from anvilwell_decisions.membership import detector
+from anvilwell_kernel.messages import membership as messages
+
+MAX_CHALLENGES = 16
+PROBE_KEPT_S = 2.0
+
+
+class Challenge(typing.NamedTuple):
+    """A claim that a member is dead, which is being tried."""
+
+    claim: messages.Member
+    subject: detector.Subject
+
+
+class Asker(typing.NamedTuple):
+    """Who asked for a probe, and when."""
+
+    vm_id: str
+    subject: str
+    at: float
+
+
+class Watch:
+    """Tracks heartbeats to subjects, claims under trial and probes."""
+
+    def __init__(self):
+        self._subjects_by_id = {}
+        self._challenges_by_id = {}
+        self._askers_by_number = {}
+
+    @property
+    def subjects_by_id(self):
+        """Everyone watched, neighbours and challenged."""
+        tried = {v: c.subject for v, c in self._challenges_by_id.items()}
+        return {**tried, **self._subjects_by_id}
+
+    @property
+    def neighbours(self):
+        """The ids watched because the graph says so."""
+        return list(self._subjects_by_id)
+
+    def set_neighbours(self, vm_ids, now):
+        """Watch `vm_ids`, and go on with those watched before."""
+        known = self._subjects_by_id
+        self._subjects_by_id = {
+            v: known.get(v) or detector.Subject(now) for v in vm_ids
+        }
+
+    def challenge(self, claim, now):
+        """Begin to try a claim, unless there are too many already."""
+        if len(self._challenges_by_id) < MAX_CHALLENGES:
+            known = self._challenges_by_id.get(claim.vm_id)
+            subject = known.subject if known else detector.Subject(now)
+            self._challenges_by_id[claim.vm_id] = Challenge(claim, subject)
+
+    def claim(self, vm_id):
+        """Return the claim under trial about `vm_id`, or None."""
+        challenge = self._challenges_by_id.get(vm_id)
+        return challenge and challenge.claim
+
+    def settle(self, vm_id):
+        """End the trial of `vm_id`."""
+        self._challenges_by_id.pop(vm_id, None)
+
+    def due(self, now, rng):
+        """Return the ids to send a heartbeat to now."""
+        due = [v for v, s in self.subjects_by_id.items() if s.due_at <= now]
+        for vm_id in due:
+            period_s = detector.HEARTBEAT_PERIOD_S * rng.uniform(0.9, 1.1)
+            self.subjects_by_id[vm_id].due_at = now + period_s
+        return due
+
+    def sent(self, vm_id, number, now):
+        """Note heartbeat `number` to `vm_id`."""
+        subject = self.subjects_by_id.get(vm_id)
+        if subject:
+            subject.sent(number, now)
+
+    def acked(self, vm_id, number):
+        """Note an ack; say whether a watched member owed it."""
+        subject = self.subjects_by_id.get(vm_id)
+        if not subject or not subject.acked(number):
+            return False
+        self.settle(vm_id)
+        return True
+
+    def vouched(self, vm_id, now):
+        """Note that another neighbour reached `vm_id`."""
+        subject = self.subjects_by_id.get(vm_id)
+        if subject:
+            subject.vouched(now)
+
+    def forgive(self):
+        """Start counting silences anew."""
+        for subject in self.subjects_by_id.values():
+            subject.forgive()
+
+    def neighbour_silences_s(self, now):
+        """Return the silences of the neighbours alone."""
+        return [s.silence_s(now) for s in self._subjects_by_id.values()]
+
+    def wants_probe(self, vm_id, now):
+        """Say whether it is time to ask others to try `vm_id`."""
+        subject = self.subjects_by_id[vm_id]
+        last = subject.probed_at
+        if last is not None and now - last < detector.PROBE_TIMEOUT_S:
+            return False
+        subject.probed_at = now
+        return True
+
+    def asked(self, asker, subject, number, now):
+        """Note that heartbeat `number` tries `subject` for `asker`."""
+        self._askers_by_number = {
+            n: a
+            for n, a in self._askers_by_number.items()
+            if now - a.at < PROBE_KEPT_S
+        }
+        self._askers_by_number[number] = Asker(asker, subject, now)
+
+    def asker(self, subject, number):
+        """Return who waits for the ack of probe `number`, or None."""
+        asker = self._askers_by_number.get(number)
+        if asker is None or asker.subject != subject:
+            return None
+        del self._askers_by_number[number]
+        return asker.vm_id
