--- a/packages/kernel/anvilwell_kernel/strict_http.py
+++ b/packages/kernel/anvilwell_kernel/strict_http.py
@@ -151,8 +151,6 @@
     """
 
     ConnectionClass = _Connection
-    # Seconds within which it notices that it was stopped.
-    expiration_interval = 0.1
 
     def __init__(self, address, application, *, refuse, read_limit_s, **more):
         super().__init__(address, application, **more)
--- a/packages/kernel/anvilwell_kernel/web.py
+++ b/packages/kernel/anvilwell_kernel/web.py
@@ -27,6 +27,7 @@
 READ_LIMIT_S = 30.0
 STOP_TIMEOUT_S = 1.0
 DRAIN_RETRY_S = 1.0
+POLL_S = 0.1
 
 REQUEST_ID = "Anvilwell-Request-Id"
 VERDICT = "Anvilwell-Verdict"
@@ -116,6 +117,8 @@
         Sizes of a request's body and head above which it is refused.
     read_limit_s : float
         Longest time that a client may take to send a request.
+    poll_s : float
+        Seconds after which `close` is noticed at the latest.
     needs : iterable of str
         Services that must be started before.
     """
@@ -131,6 +134,7 @@
         max_body_bytes=MAX_BODY_BYTES,
         max_header_bytes=MAX_HEADER_BYTES,
         read_limit_s=READ_LIMIT_S,
+        poll_s=POLL_S,
         needs=(),
     ):
         self.name = name
@@ -151,6 +155,7 @@
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = max_body_bytes
         self._server.shutdown_timeout = STOP_TIMEOUT_S
+        self._server.expiration_interval = poll_s
         self._thread = None
 
     @property
