--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement on service documents: prepare everywhere, then one write."""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/configuration/exchange.py
@@ -0,0 +1,69 @@
+"""Anti-entropy: finds what two instances lack of each other."""
+
+import typing
+
+from anvilwell_kernel.messages import configuration as messages
+import xxhash
+
+
+class Difference(typing.NamedTuple):
+    """What the other instance lacks, and what this one does."""
+
+    documents: list
+    wanted: list
+
+
+def versions_of(documents_by_service, services=()):
+    """Return a `messages.Version` for each document, sorted.
+
+    Parameters
+    ----------
+    documents_by_service : dict
+        The documents in force here.
+    services : collection of str
+        Restricts the result; empty means all.
+    """
+    return [
+        messages.Version(service, document.generation, document.sequence)
+        for service, document in sorted(documents_by_service.items())
+        if not services or service in services
+    ]
+
+
+def digest_of(documents_by_service, services=()):
+    """Return the `messages.Digest` of this instance's documents."""
+    versions = versions_of(documents_by_service, services)
+    state_hash = xxhash.xxh3_64_intdigest(repr(versions).encode())
+    return messages.Digest(sorted(services), state_hash)
+
+
+def compare(documents_by_service, versions, follows):
+    """Return the `Difference` to an instance with `versions`.
+
+    Parameters
+    ----------
+    documents_by_service : dict
+        The documents in force here.
+    versions : list of messages.Version
+        How far the other is with the services that it follows.
+    follows : callable
+        Whether this instance follows a service.
+    """
+    theirs_by_service = {one.service: one.sequence for one in versions}
+    documents = [
+        document
+        for service, document in sorted(documents_by_service.items())
+        if document.sequence > theirs_by_service.get(service, 0)
+    ]
+    wanted = [
+        service
+        for service, sequence in sorted(theirs_by_service.items())
+        if follows(service)
+        and sequence > _sequence(documents_by_service, service)
+    ]
+    return Difference(documents, wanted)
+
+
+def _sequence(documents_by_service, service):
+    document = documents_by_service.get(service)
+    return document.sequence if document else 0
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/configuration/member.py
@@ -0,0 +1,243 @@
+"""One instance's part in agreement, over all services it follows."""
+
+import functools
+import typing
+
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.messages import configuration as messages
+from anvilwell_kernel import reasons
+
+from anvilwell_decisions.configuration import exchange
+from anvilwell_decisions.configuration import participant
+from anvilwell_decisions.configuration import sponsorship
+
+
+class Role(typing.NamedTuple):
+    """Which services an instance follows; an entry follows all."""
+
+    service: str = ""
+
+    def follows(self, service):
+        """Return whether the instance follows `service`."""
+        return not self.service or self.service == service
+
+    def covers(self, services):
+        """Return whether it follows all that follows `services`."""
+        return not self.service or list(services) == [self.service]
+
+
+class Member:
+    """Answers control messages and says which document is in force.
+
+    Parameters
+    ----------
+    instance : messages.Instance
+        This process.
+    role : Role
+        What it follows.
+    bounds : limits.Limits
+        The protocol's bounds.
+    validate : callable
+        Takes a service's name and a text; returns a list of str, all
+        problems of the text.
+    observe : callable
+        Called with a ``messages.Document`` and a
+        ``participant.Taken`` when a document was applied or was older
+        than what is known.
+    """
+
+    def __init__(self, instance, role, bounds, validate, observe):
+        self.instance = instance
+        self.role = role
+        self.standing = sponsorship.Standing(bounds)
+        self.sponsors = sponsorship.Sponsors()
+        self.is_leaving = False
+        self._bounds = bounds
+        self._validate = validate
+        self._observe = observe
+        self._participants_by_service = {}
+
+    def participant(self, service):
+        """Return the `Participant` of `service`."""
+        found = self._participants_by_service.get(service)
+        if found is None:
+            found = participant.Participant(
+                service, self.instance, self._bounds
+            )
+            self._participants_by_service[service] = found
+        return found
+
+    @property
+    def documents_by_service(self):
+        """The documents in force here, uncertain ones too."""
+        return {
+            service: one.in_force
+            for service, one in self._participants_by_service.items()
+            if one.in_force.sequence
+        }
+
+    def document(self, service, now):
+        """Return the ``messages.Document`` to take new work under.
+
+        Raises
+        ------
+        exceptions.Refused
+            With the reason DRAINING, NOT_CONFIGURED or
+            CONFIGURATION_UNCERTAIN.
+        """
+        if self.is_leaving:
+            raise exceptions.Refused(
+                "this daemon is leaving", reason=reasons.Refusal.DRAINING
+            )
+        if not self.standing.may_serve(now):
+            raise exceptions.Refused(
+                "this daemon has not joined yet",
+                reason=reasons.Refusal.NOT_CONFIGURED,
+                retry_after=self._bounds.sponsor_s,
+            )
+        found = self._participants_by_service.get(service)
+        if found is None:
+            raise exceptions.Refused(
+                f"no document of {service} is known here",
+                reason=reasons.Refusal.NOT_CONFIGURED,
+            )
+        found.check(now)
+        return found.in_force
+
+    def learn(self, document):
+        """Take in what a record held; return a `participant.Taken`."""
+        if not self.role.follows(document.service):
+            return participant.Taken.KNOWN
+        taken = self.participant(document.service).learn(document)
+        self._report(document, taken)
+        return taken
+
+    def pending(self):
+        """Return the `messages.Prepare` without a known outcome."""
+        return [
+            one.pending.prepare
+            for one in self._participants_by_service.values()
+            if one.pending is not None
+        ]
+
+    def resolutions_due(self, position_of, now):
+        """Return each `messages.Prepare` whose outcome to look for.
+
+        Parameters
+        ----------
+        position_of : callable
+            This instance's rank in its failure domain for an attempt.
+        now : float
+            Monotonic time, s.
+        """
+        due = [
+            one.resolve_due(position_of(one.pending.prepare.attempt), now)
+            for one in self._participants_by_service.values()
+            if one.pending is not None
+        ]
+        return [one for one in due if one is not None]
+
+    @functools.singledispatchmethod
+    def handle(self, message, now):
+        """Answer one control message with another."""
+        raise exceptions.MalformedMessage(
+            f"no answer to {type(message).__name__}"
+        )
+
+    @handle.register
+    def _prepare(self, message: messages.Prepare, now):
+        """Answer for this instance; relaying is done elsewhere."""
+        asked = self._asked(message)
+        if asked.incarnation != self.instance.incarnation:
+            return messages.PrepareAnswer(
+                asked, message.attempt, messages.PrepareState.RESTARTED
+            )
+        service = message.document.service
+        sponsored = self.sponsors.of(service)
+        if self.is_leaving:
+            return messages.PrepareAnswer(
+                asked,
+                message.attempt,
+                messages.PrepareState.LEAVING,
+                sponsored=sponsored,
+            )
+        problems = self._validate(service, message.document.text)
+        answer = self.participant(service).prepare(message, problems, now)
+        return answer._replace(instance=asked, sponsored=sponsored)
+
+    @handle.register
+    def _commit(self, message: messages.Commit, now):
+        """Answer `Acknowledged`, with nobody if it must be fetched."""
+        part = self.participant(message.service)
+        before = part.in_force
+        is_known = part.commit(message)
+        if part.in_force is not before:
+            self._report(part.in_force, participant.Taken.APPLIED)
+        return messages.Acknowledged([self.instance.vm_id] * is_known)
+
+    @handle.register
+    def _abort(self, message: messages.Abort, now):
+        self.participant(message.service).abort(message.attempt)
+        return messages.Acknowledged([self.instance.vm_id])
+
+    @handle.register
+    def _digest(self, message: messages.Digest, now):
+        """Answer `Versions`, empty if the sender's hash is the same."""
+        documents = self.documents_by_service
+        mine = exchange.digest_of(documents, message.services)
+        if mine.state_hash == message.state_hash:
+            return messages.Versions([])
+        return messages.Versions(
+            exchange.versions_of(documents, message.services)
+        )
+
+    @handle.register
+    def _documents(self, message: messages.Documents, now):
+        """Learn what came and answer with what is wanted."""
+        for document in message.documents:
+            self.learn(document)
+        documents = self.documents_by_service
+        return messages.Documents(
+            [documents[one] for one in message.wanted if one in documents]
+        )
+
+    @handle.register
+    def _sponsor(self, message: messages.SponsorRequest, now):
+        if message.ended:
+            self.sponsors.end(message.instance)
+            return messages.SponsorAnswer(self.instance, False, [])
+        is_held = message.instance in self.sponsors
+        granted = self._may_sponsor(message.services) and (
+            is_held or not self.pending()
+        )
+        if granted and not is_held:
+            self.sponsors.add(message.instance, message.services)
+        documents = self.documents_by_service.values() if granted else ()
+        return messages.SponsorAnswer(
+            self.instance,
+            granted,
+            [
+                one
+                for one in documents
+                if not message.services or one.service in message.services
+            ],
+        )
+
+    def _may_sponsor(self, services):
+        if not self.standing.is_listed or self.is_leaving:
+            return False
+        return self.role.covers(services)
+
+    def _asked(self, message):
+        return next(
+            (
+                one
+                for one in message.targets
+                if one.vm_id == self.instance.vm_id
+            ),
+            self.instance,
+        )
+
+    def _report(self, document, taken):
+        if taken is not participant.Taken.KNOWN:
+            self._observe(document, taken)
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/configuration/proposal.py
@@ -0,0 +1,398 @@
+"""The proposer's side of one change."""
+
+import enum
+import typing
+
+from anvilwell_kernel.messages import configuration as messages
+from anvilwell_kernel import reasons
+
+from anvilwell_decisions.configuration import outcomes
+from anvilwell_decisions.configuration import record as records
+from anvilwell_decisions.configuration import registry
+
+_LEFT_OUT = frozenset(
+    (
+        messages.PrepareState.LEAVING,
+        messages.PrepareState.RESTARTED,
+        messages.PrepareState.GONE,
+    )
+)
+
+
+class Slot(typing.NamedTuple):
+    """A key as it was read; revision 0 and None if it is absent."""
+
+    revision: int
+    value: bytes | None
+
+
+class Reading(typing.NamedTuple):
+    """The keys that a change of one service depends on."""
+
+    record: Slot
+    entries: Slot
+    agents: Slot
+
+
+class Write(typing.NamedTuple):
+    """One conditional write of a key."""
+
+    key: str
+    expected: int
+    value: bytes
+
+
+class Read(typing.NamedTuple):
+    """Action: read the keys of the service."""
+
+
+class SendPrepare(typing.NamedTuple):
+    """Action: ask `targets` to prepare."""
+
+    prepare: messages.Prepare
+
+
+class Swap(typing.NamedTuple):
+    """Action: apply all `writes` or none."""
+
+    writes: list[Write]
+
+
+class SendCommit(typing.NamedTuple):
+    """Action: tell the targets that the change is in force."""
+
+    commit: messages.Commit
+
+
+class SendAbort(typing.NamedTuple):
+    """Action: tell the targets that the change never will be."""
+
+    abort: messages.Abort
+
+
+class Answer(typing.NamedTuple):
+    """Action: tell the operator."""
+
+    outcome: outcomes.Outcome
+
+
+class Phase(enum.StrEnum):
+    """Where a proposal is."""
+
+    READING = "reading"
+    PREPARING = "preparing"
+    SWAPPING = "swapping"
+    READING_BACK = "reading-back"
+    DONE = "done"
+
+
+class Proposal:
+    """Carries one change to its end; events in, actions out.
+
+    The accepting write is sent only after each listed instance has
+    prepared or certainly does not serve. Once it may have been sent,
+    only the record says what became of it.
+
+    Parameters
+    ----------
+    request : outcomes.Request
+        The change; its text is already found valid here.
+    attempt : str
+        Unique to this proposal.
+    in_force : messages.Document
+        What is in force at the proposer.
+    bounds : limits.Limits
+        The protocol's bounds.
+    now : float
+        Monotonic time, s.
+    """
+
+    def __init__(self, request, attempt, in_force, bounds, now):
+        self.request = request
+        self.attempt = attempt
+        self.phase = Phase.READING
+        self._bounds = bounds
+        self._in_force = in_force
+        self._started_at = now
+        self._asked_at = now
+        self._due_at = now
+        self._prepare = None
+        self._reading = None
+        self._swaps = 0
+        self._is_in_doubt = False
+        self._is_answered = False
+        self._waiting_by_key = {}
+        self._prepared_by_key = {}
+        self._left_out_by_key = {}
+
+    def start(self):
+        """Return the first actions."""
+        return [Read()]
+
+    def on_reading(self, reading, now):
+        """Take in the keys of the service as they are."""
+        if self.phase is Phase.READING:
+            return self._on_first_reading(reading, now)
+        if self.phase is Phase.READING_BACK:
+            return self._on_reading_back(reading, now)
+        return []
+
+    def on_read_failed(self, now):
+        """Take in that the service did not answer a read."""
+        if self.phase is Phase.READING:
+            return self._refuse(reasons.Refusal.KEY_VALUE_UNAVAILABLE)
+        self._due_at = now + self._bounds.retry_s
+        return []
+
+    def on_answer(self, answer, now):
+        """Take in what a member said, or is known, of the prepare."""
+        key = _key(answer.instance)
+        if self.phase is not Phase.PREPARING:
+            return []
+        if answer.attempt != self.attempt or key not in self._waiting_by_key:
+            return []
+        if answer.state is messages.PrepareState.UNREACHABLE:
+            return []
+        if answer.state is messages.PrepareState.REFUSED:
+            return self._on_refusal(answer)
+        instance = self._waiting_by_key.pop(key)
+        if answer.state in _LEFT_OUT:
+            self._left_out_by_key[key] = instance
+        else:
+            self._prepared_by_key[key] = instance
+        return self._ask(answer.sponsored) + self._swap_if_ready()
+
+    def on_swap(self, landed, now):
+        """Take in whether the accepting write landed."""
+        if self.phase is not Phase.SWAPPING:
+            return []
+        if landed:
+            return self._land(self._prepare.document)
+        self.phase = Phase.READING_BACK
+        return [Read()]
+
+    def on_swap_lost(self, never_sent, now):
+        """Take in that the accepting write was not answered.
+
+        Parameters
+        ----------
+        never_sent : bool
+            True only if it certainly did not reach the service.
+        now : float
+            Monotonic time, s.
+        """
+        if self.phase is not Phase.SWAPPING:
+            return []
+        if never_sent and not self._is_in_doubt:
+            return self._give_up(reasons.Refusal.KEY_VALUE_UNAVAILABLE)
+        self._is_in_doubt = True
+        self.phase = Phase.READING_BACK
+        self._due_at = now + self._bounds.retry_s
+        return []
+
+    def tick(self, now):
+        """Return what is due at `now`."""
+        if self.phase is Phase.PREPARING:
+            return self._tick_preparing(now)
+        actions = self._answer_if_late(now)
+        if self.phase is Phase.READING_BACK and now >= self._due_at:
+            self._due_at = now + self._bounds.retry_s
+            actions.append(Read())
+        return actions
+
+    def _on_first_reading(self, reading, now):
+        record = records.decode(reading.record.value, self.request.service)
+        earlier = records.find_change(record, self.request.change_id)
+        digest = records.digest_of(self.request.text)
+        if earlier is not None and earlier.digest == digest:
+            return self._finish_in_force(earlier.generation)
+        if earlier is not None or self._is_unexpected(record):
+            return self._refuse(reasons.Refusal.CONFLICT)
+        base = max(
+            records.document_of(record),
+            self._in_force,
+            key=lambda one: one.sequence,
+        )
+        if base.generation and base.text == self.request.text:
+            return self._finish_in_force(base.generation)
+        self._prepare = messages.Prepare(
+            self.attempt,
+            self.request.change_id,
+            messages.Document(
+                self.request.service,
+                base.generation + 1,
+                base.sequence + 1,
+                self.request.text,
+            ),
+            base.sequence,
+            [],
+        )
+        return self._ask_listed(reading, now)
+
+    def _on_reading_back(self, reading, now):
+        record = records.decode(reading.record.value, self.request.service)
+        landed = records.find_attempt(record, self.attempt)
+        if landed is not None:
+            return self._land(self._prepare.document)
+        if record.sequence > self._prepare.base_sequence:
+            return self._give_up(reasons.Refusal.CONFLICT)
+        return self._ask_listed(reading, now)
+
+    def _ask_listed(self, reading, now):
+        self._reading = reading
+        self._asked_at = now
+        self._due_at = now + self._bounds.retry_s
+        self.phase = Phase.PREPARING
+        return self._ask(self._listed()) + self._swap_if_ready()
+
+    def _listed(self):
+        slots = (self._reading.entries, self._reading.agents)
+        return [
+            instance
+            for slot in slots
+            for instance in registry.decode(slot.value).instances
+        ]
+
+    def _ask(self, instances):
+        known = (
+            self._waiting_by_key
+            | self._prepared_by_key
+            | self._left_out_by_key
+        )
+        new = [one for one in instances if _key(one) not in known]
+        self._waiting_by_key.update((_key(one), one) for one in new)
+        return [SendPrepare(self._prepare._replace(targets=new))] * bool(new)
+
+    def _on_refusal(self, answer):
+        vm_id = answer.instance.vm_id
+        problems = [f"{vm_id}: {problem}" for problem in answer.problems]
+        return self._give_up(
+            answer.reason, problems or [f"{vm_id}: {answer.reason}"]
+        )
+
+    def _swap_if_ready(self):
+        if self._waiting_by_key:
+            return []
+        self._swaps += 1
+        if self._swaps > self._bounds.swap_attempts and not self._is_in_doubt:
+            return self._give_up(reasons.Refusal.CONFLICT)
+        self.phase = Phase.SWAPPING
+        return [Swap(self._writes())]
+
+    def _writes(self):
+        service = self.request.service
+        record = records.decode(self._reading.record.value, service)
+        document = self._prepare.document
+        change = records.Change(
+            self.request.change_id,
+            self.attempt,
+            document.generation,
+            records.digest_of(document.text),
+            self.request.operator,
+        )
+        value = records.encode(records.accept(record, document, change))
+        return [
+            Write(
+                registry.record_key(service),
+                self._reading.record.revision,
+                value,
+            ),
+            self._guard(registry.ENTRY_MEMBERS_KEY, self._reading.entries),
+            self._guard(registry.agents_key(service), self._reading.agents),
+        ]
+
+    def _guard(self, key, slot):
+        kept = registry.prune(
+            registry.decode(slot.value), self._left_out_by_key.values()
+        )
+        return Write(key, slot.revision, registry.encode(kept))
+
+    def _tick_preparing(self, now):
+        if now >= self._asked_at + self._bounds.prepare_s:
+            missing = sorted(
+                one.vm_id for one in self._waiting_by_key.values()
+            )
+            return self._give_up(
+                reasons.Refusal.MEMBERS_MISSING, missing=missing
+            )
+        if now < self._due_at:
+            return []
+        self._due_at = now + self._bounds.retry_s
+        waiting = list(self._waiting_by_key.values())
+        return [SendPrepare(self._prepare._replace(targets=waiting))]
+
+    def _answer_if_late(self, now):
+        is_late = now >= self._started_at + self._bounds.propose_s
+        if self._is_answered or not is_late or self.phase is Phase.DONE:
+            return []
+        if self.phase is Phase.READING:
+            return self._refuse(reasons.Refusal.KEY_VALUE_UNAVAILABLE)
+        return self._reply(
+            outcomes.OutcomeKind.UNKNOWN, reasons.Refusal.OUTCOME_UNKNOWN
+        )
+
+    def _land(self, document):
+        self.phase = Phase.DONE
+        commit = messages.Commit(
+            self.attempt,
+            document.service,
+            document.generation,
+            document.sequence,
+            list(self._prepared_by_key.values()),
+        )
+        answer = self._reply(
+            outcomes.OutcomeKind.IN_FORCE, generation=document.generation
+        )
+        return [SendCommit(commit), *answer]
+
+    def _give_up(self, reason, problems=(), missing=()):
+        """End a change of which no write can land any more."""
+        if self._is_in_doubt and self.phase is Phase.PREPARING:
+            # A write without these members may still land: only the
+            # record can say.
+            self.phase = Phase.READING_BACK
+            return []
+        self.phase = Phase.DONE
+        asked = self._prepared_by_key | self._waiting_by_key
+        abort = messages.Abort(
+            self.attempt, self.request.service, list(asked.values())
+        )
+        answer = self._reply(
+            outcomes.OutcomeKind.REFUSED,
+            reason,
+            problems=list(problems),
+            missing=list(missing),
+        )
+        return [SendAbort(abort), *answer]
+
+    def _refuse(self, reason):
+        self.phase = Phase.DONE
+        return self._reply(outcomes.OutcomeKind.REFUSED, reason)
+
+    def _finish_in_force(self, generation):
+        self.phase = Phase.DONE
+        return self._reply(
+            outcomes.OutcomeKind.IN_FORCE, generation=generation
+        )
+
+    def _is_unexpected(self, record):
+        expected = self.request.expected_generation
+        return expected is not None and expected != record.generation
+
+    def _reply(self, kind, reason="", generation=0, problems=(), missing=()):
+        if self._is_answered:
+            return []
+        self._is_answered = True
+        outcome = outcomes.Outcome(
+            kind,
+            generation,
+            self.request.change_id,
+            list(problems),
+            list(missing),
+            str(reason),
+        )
+        return [Answer(outcome)]
+
+
+def _key(instance):
+    return (instance.vm_id, instance.incarnation)
--- /dev/null
+++ b/packages/decisions/tests/configuration/test_scenarios.py
@@ -0,0 +1,249 @@
+"""Single failures, each step chosen."""
+
+import configuration_world as worlds
+
+from anvilwell_decisions.configuration import flows
+from anvilwell_decisions.configuration import outcomes
+from anvilwell_decisions.configuration import proposal
+from anvilwell_kernel.messages import configuration as messages
+
+
+def make_world(text="first"):
+    world = worlds.World()
+    world.settle(0.5)
+    propose(world, "a1", text)
+    world.settle(0.5)
+    world.check_settled()
+    return world
+
+
+def propose(world, vm_id, text, expected_generation=None):
+    node = world.nodes_by_id[vm_id]
+    node.propose(
+        outcomes.Request(
+            text, worlds.SERVICE, text, "operator", expected_generation
+        )
+    )
+    return node.proposal
+
+
+def deliver_until(world, is_reached):
+    for _ in range(200):
+        if is_reached():
+            return
+        world.step(0, worlds.Fate.DELIVER)
+    raise AssertionError("the wire never got there")
+
+
+def swap_waits(world):
+    """Return whether the accepting write is the next call."""
+    return any(
+        isinstance(thing, worlds.Call)
+        and isinstance(thing.action, proposal.Swap)
+        for thing in world.wire
+    )
+
+
+def served_by_id(world):
+    return {
+        vm_id: world.generation_served(node)
+        for vm_id, node in world.nodes_by_id.items()
+    }
+
+
+def test_lost_answer_is_read_back_after_another_operator_wrote():
+    world = make_world()
+    lost = propose(world, "a1", "second")
+    deliver_until(world, lambda: swap_waits(world))
+    world.step_call(worlds.Fate.LOSE_ANSWER)
+    world.nodes_by_id["a1"].is_paused = True
+    for _ in range(20):
+        world.advance(0.1)
+        for _ in range(20):
+            world.step(0, worlds.Fate.DELIVER)
+    world.nodes_by_id["a1"].is_paused = False
+    world.settle()
+    propose(world, "b1", "third")
+    world.settle()
+    assert lost.phase is proposal.Phase.DONE
+    assert world.in_force_generation == 3
+    assert not world.refused_attempts
+    world.check_settled()
+
+
+def test_same_change_id_is_answered_from_the_history():
+    world = make_world()
+    propose(world, "b1", "first")
+    world.settle(0.5)
+    assert world.in_force_generation == 1
+    assert world.store.record().generation == 1
+
+
+def test_unexpected_generation_is_refused():
+    world = make_world()
+    propose(world, "b1", "second", expected_generation=7)
+    world.settle(0.5)
+    assert world.refused_texts == {"second"}
+
+
+def test_member_that_cannot_be_asked_makes_it_refused():
+    world = make_world()
+    world.cut = frozenset(("b2",))
+    propose(world, "a1", "second")
+    for _ in range(12):
+        for _ in range(20):
+            world.step(0, worlds.Fate.DELIVER)
+        world.advance(0.1)
+    assert world.refused_texts == {"second"}
+    world.settle()
+    world.check_settled()
+    assert set(served_by_id(world).values()) == {1}
+
+
+def test_proposer_dies_before_the_write():
+    world = make_world()
+    propose(world, "a1", "second")
+    deliver_until(world, lambda: swap_waits(world))
+    world.nodes_by_id["a1"].is_alive = False
+    world.wire.clear()
+    world.settle()
+    world.check()
+    assert served_by_id(world) == {"a1": None, "b1": 1, "a2": 1, "b2": 1}
+    assert world.store.record().sequence == 2
+
+
+def test_late_write_loses_to_the_tombstone():
+    world = make_world()
+    propose(world, "a1", "second")
+    deliver_until(world, lambda: swap_waits(world))
+    world.step_call(worlds.Fate.LATE)
+    late = [one for one in world.wire if isinstance(one, worlds.Call)]
+    assert len(late) == 1
+    world.wire.remove(late[0])
+    world.nodes_by_id["a1"].is_alive = False
+    world.settle()
+    assert world.store.record().generation == 1
+    world.wire.extend(late)
+    world.settle()
+    assert world.store.record().generation == 1
+    world.check_settled()
+
+
+def test_service_down_between_phases_stops_new_work_until_it_is_back():
+    world = make_world()
+    propose(world, "a1", "second")
+    deliver_until(world, lambda: swap_waits(world))
+    world.step_call(worlds.Fate.LATE)
+    world.store.is_up = False
+    world.advance(1.9)
+    world.flush()
+    assert set(served_by_id(world).values()) == {1}
+    world.advance(0.1)
+    assert set(served_by_id(world).values()) == {None}
+    world.settle()
+    world.check_settled()
+    assert None not in served_by_id(world).values()
+
+
+def test_change_names_a_member_that_joined_after_the_lists_were_read():
+    world = make_world()
+    world.nodes_by_id["b2"].is_alive = False
+    propose(world, "a1", "second")
+    proposer = world.nodes_by_id["a1"]
+    deliver_until(world, lambda: len(proposer.proposal._waiting_by_key) == 1)
+    world.find_gone(proposer)
+    swap = world.wire.pop()
+    assert isinstance(swap.action, proposal.Swap)
+    world.nodes_by_id["b2"].start()
+    world.flush()
+    world.wire.append(swap)
+    deliver_until(world, lambda: 2 in world.landed_at_by_generation)
+    world.cut = frozenset(("b2", "store"))
+    world.advance(worlds.BOUNDS.fence_s)
+    world.check()
+
+
+def test_start_during_an_outage_is_sponsored_and_bound():
+    world = make_world()
+    world.store.is_up = False
+    starting = world.nodes_by_id["b2"]
+    starting.start()
+    world.flush()
+    assert world.generation_served(starting) is None
+    world.advance(0.1)
+    world.flush()
+    assert world.generation_served(starting) == 1
+    world.cut = frozenset(("b2",))
+    world.advance(worlds.BOUNDS.sponsor_s)
+    assert world.generation_served(starting) is None
+
+
+def test_sponsored_instance_must_prepare():
+    world = make_world()
+    world.store.is_up = False
+    starting = world.nodes_by_id["b2"]
+    starting.start()
+    world.flush()
+    world.advance(0.1)
+    world.flush()
+    world.store.is_up = True
+    world.cut = frozenset(("b2", "store"))
+    propose(world, "a1", "second")
+    for _ in range(6):
+        for _ in range(20):
+            world.step(0, worlds.Fate.DELIVER)
+        world.find_gone(world.nodes_by_id["a1"])
+        world.advance(0.25)
+        world.check()
+    assert world.refused_texts == {"second"}
+
+
+def test_instance_with_a_change_prepared_sponsors_nobody():
+    world = make_world()
+    sponsor = world.nodes_by_id["a1"].member
+    starting = messages.Instance("b9", "b9#1")
+    propose(world, "a1", "second")
+    deliver_until(world, sponsor.pending)
+    answer = sponsor.handle(
+        messages.SponsorRequest(starting, [worlds.SERVICE]), world.now
+    )
+    assert not answer.granted
+
+
+def test_join_writes_the_list_before_it_reads_the_records():
+    world = make_world()
+    node = world.nodes_by_id["b2"]
+    flow = flows.join(messages.Instance("b2", "b2#9"), node.role)
+    actions = [next(flow)]
+    while not isinstance(actions[-1], flows.ReadRecords):
+        actions.append(flow.send(world.store.apply(actions[-1])))
+    kinds = [type(action) for action in actions]
+    assert kinds == [flows.ReadKey, proposal.Swap, flows.ReadRecords]
+
+
+def test_older_daemon_that_cannot_read_the_text_refuses_for_all():
+    world = make_world()
+    propose(world, "a1", worlds.UNREADABLE)
+    world.settle()
+    assert world.refused_texts == {worlds.UNREADABLE}
+    assert set(served_by_id(world).values()) == {1}
+
+
+def test_older_data_in_the_service_is_never_applied():
+    world = make_world()
+    backup = dict(world.store.slots_by_key)
+    propose(world, "a1", "second")
+    world.settle()
+    world.store.slots_by_key = backup
+    node = world.nodes_by_id["a1"]
+    node.run(_read(), node._joined)
+    world.settle(0.5)
+    assert set(served_by_id(world).values()) == {2}
+    propose(world, "b1", "third")
+    world.settle()
+    assert set(served_by_id(world).values()) == {3}
+    assert world.store.record().generation == 3
+
+
+def _read():
+    return (yield flows.ReadRecords(""))
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/messages/configuration.py
@@ -0,0 +1,143 @@
+"""Messages that agree on, spread and repair service documents."""
+
+import enum
+import typing
+
+
+class PrepareState(enum.StrEnum):
+    """What one member said, or is known, of a prepare request."""
+
+    PREPARED = "prepared"
+    REFUSED = "refused"
+    LEAVING = "leaving"
+    RESTARTED = "restarted"
+    GONE = "gone"
+    UNREACHABLE = "unreachable"
+
+
+class Instance(typing.NamedTuple):
+    """One process on a VM; ``incarnation`` is drawn at each start."""
+
+    vm_id: str
+    incarnation: str
+    address: str = ""
+    failure_domain: str = ""
+
+
+class Document(typing.NamedTuple):
+    """A service's document as one write of its record left it."""
+
+    service: str
+    generation: int
+    sequence: int
+    text: str
+
+
+class Prepare(typing.NamedTuple):
+    """Asks `targets` to get ready for a document; relayed by the first."""
+
+    attempt: str
+    change_id: str
+    document: Document
+    base_sequence: int
+    targets: list[Instance]
+
+
+class PrepareAnswer(typing.NamedTuple):
+    """What one instance answers to a `Prepare`."""
+
+    instance: Instance
+    attempt: str
+    state: PrepareState
+    reason: str = ""
+    problems: list[str] = []
+    sponsored: list[Instance] = []
+
+
+class PrepareAnswers(typing.NamedTuple):
+    """The answers of a relay's targets."""
+
+    attempt: str
+    answers: list[PrepareAnswer]
+
+
+class Commit(typing.NamedTuple):
+    """Says that an attempt landed and the document is in force."""
+
+    attempt: str
+    service: str
+    generation: int
+    sequence: int
+    targets: list[Instance]
+
+
+class Abort(typing.NamedTuple):
+    """Says that an attempt never landed and never will."""
+
+    attempt: str
+    service: str
+    targets: list[Instance]
+
+
+class Acknowledged(typing.NamedTuple):
+    """Who has taken in a `Commit` or an `Abort`."""
+
+    vm_ids: list[str]
+
+
+class Version(typing.NamedTuple):
+    """How far an instance is with one service."""
+
+    service: str
+    generation: int
+    sequence: int
+
+
+class Digest(typing.NamedTuple):
+    """A hash of how far the sender is with `services` (empty: all)."""
+
+    services: list[str]
+    state_hash: int
+
+
+class Versions(typing.NamedTuple):
+    """The sender's state in full, sent when the hashes differ."""
+
+    versions: list[Version]
+
+
+class Documents(typing.NamedTuple):
+    """Documents that the receiver lacks; empty if it is up to date."""
+
+    documents: list[Document]
+    wanted: list[str] = []
+
+
+class SponsorRequest(typing.NamedTuple):
+    """A starting instance that cannot reach the key-value service."""
+
+    instance: Instance
+    services: list[str]
+    ended: bool = False
+
+
+class SponsorAnswer(typing.NamedTuple):
+    """The sponsor and the documents that it stands for."""
+
+    sponsor: Instance
+    granted: bool
+    documents: list[Document]
+
+
+KINDS = (
+    Prepare,
+    PrepareAnswers,
+    Commit,
+    Abort,
+    Acknowledged,
+    Digest,
+    Versions,
+    Documents,
+    SponsorRequest,
+    SponsorAnswer,
+)
