--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps the services' documents agreed between all daemons."""
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/configuration/joining.py
@@ -0,0 +1,130 @@
+"""Gets a starting daemon to where it may serve, and leaves again."""
+
+import asyncio
+
+from anvilwell_decisions.configuration import flows
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.messages import configuration as messages
+from anvilwell_kernel.telemetry import logs
+
+FIRST_DELAY_S = 0.05
+LONGEST_DELAY_S = 4.0
+SPONSOR_PERIOD_S = 0.5
+REQUEST_TIMEOUT_S = 0.5
+
+_LOG = logs.get_logger(__name__)
+
+
+class Joining:
+    """Lists this instance; asks for a sponsor while that fails.
+
+    Parameters
+    ----------
+    member : member.Member
+        This instance's own part.
+    store : store.Store
+        The key-value service.
+    exchange : exchanges.Exchanges
+        Compares with one peer before serving: the service may have
+        come back with older data than the others have seen.
+    peers : peers.Peers
+        Links to the others.
+    fleet : fleet.Fleet
+        Chooses the sponsor.
+    clock : clock.Clock
+        Monotonic time.
+    rng : random.Random
+        Jitter.
+    """
+
+    def __init__(self, member, store, exchange, peers, fleet, clock, rng):
+        self._member = member
+        self._store = store
+        self._exchange = exchange
+        self._peers = peers
+        self._fleet = fleet
+        self._clock = clock
+        self._rng = rng
+
+    async def join(self):
+        """Try until this instance is listed and knows the documents."""
+        standing = self._member.standing
+        delay_s = FIRST_DELAY_S
+        while not await self._try():
+            await asyncio.sleep(self._rng.uniform(0, delay_s))
+            delay_s = min(2 * delay_s, LONGEST_DELAY_S)
+        await self._exchange.exchange_once()
+        sponsored = standing.sponsored
+        standing.list()
+        if sponsored is not None:
+            await self._end(sponsored.sponsor)
+
+    async def stay_sponsored(self):
+        """Ask for a sponsor, and hear from it, until listed."""
+        while not self._member.standing.is_listed:
+            await asyncio.sleep(SPONSOR_PERIOD_S)
+            if not self._member.standing.is_listed:
+                await self._ask()
+
+    async def leave(self):
+        """Take this instance off the list; the next change would."""
+        try:
+            await self._store.run(
+                flows.leave(self._member.instance, self._member.role)
+            )
+        except exceptions.AnvilwellError as error:
+            _LOG.log("still-listed", cause=error.message)
+
+    async def _try(self):
+        flow = flows.join(self._member.instance, self._member.role)
+        try:
+            documents = await self._store.run(flow)
+        except exceptions.MalformedMessage as error:
+            _LOG.log("unreadable", cause=error.message)
+            return False
+        if documents is None:
+            return False
+        for document in documents:
+            self._member.learn(document)
+        return True
+
+    async def _ask(self):
+        vm_id = self._sponsor_id()
+        if vm_id is None:
+            return
+        asked_at = self._clock.monotonic()
+        try:
+            answer = await self._peers.request(
+                vm_id, self._request(), REQUEST_TIMEOUT_S
+            )
+        except exceptions.AnvilwellError as error:
+            _LOG.log("no-sponsor", vm_id=vm_id, cause=error.message)
+            return
+        if not answer.granted:
+            return
+        for document in answer.documents:
+            self._member.learn(document)
+        self._member.standing.hear(answer.sponsor, asked_at)
+
+    async def _end(self, sponsor):
+        try:
+            await self._peers.request(
+                sponsor.vm_id, self._request(ended=True), REQUEST_TIMEOUT_S
+            )
+        except exceptions.AnvilwellError as error:
+            # It names this instance too often: it is listed anyway.
+            _LOG.log("sponsor-not-told", cause=error.message)
+
+    def _sponsor_id(self):
+        sponsored = self._member.standing.sponsored
+        now = self._clock.monotonic()
+        if sponsored and self._member.standing.may_serve(now):
+            return sponsored.sponsor.vm_id
+        chosen = self._fleet.sponsor()
+        return chosen.vm_id if chosen else None
+
+    def _request(self, ended=False):
+        service = self._member.role.service
+        return messages.SponsorRequest(
+            self._member.instance, [service] * bool(service), ended
+        )
--- a/packages/decisions/anvilwell_decisions/configuration/exchange.py
+++ b/packages/decisions/anvilwell_decisions/configuration/exchange.py
@@ -6,6 +6,11 @@
 import xxhash
 
 
+MAX_DOCUMENT_BYTES = 256 << 10
+MAX_EXCHANGE_BYTES = 512 << 10
+_OVERHEAD_BYTES = 256
+
+
 class Difference(typing.NamedTuple):
     """What the other instance lacks, and what this one does."""
 
@@ -14,7 +19,7 @@
 
 
 def versions_of(documents_by_service, services=()):
-    """Return a `messages.Version` for each document, sorted.
+    """Return a `messages.DocumentVersion` for each document, sorted.
 
     Parameters
     ----------
@@ -24,28 +29,32 @@
         Restricts the result; empty means all.
     """
     return [
-        messages.Version(service, document.generation, document.sequence)
+        messages.DocumentVersion(
+            service, document.generation, document.sequence
+        )
         for service, document in sorted(documents_by_service.items())
         if not services or service in services
     ]
 
 
 def digest_of(documents_by_service, services=()):
-    """Return the `messages.Digest` of this instance's documents."""
+    """Return the `messages.DocumentDigest` of this instance's documents."""
     versions = versions_of(documents_by_service, services)
     state_hash = xxhash.xxh3_64_intdigest(repr(versions).encode())
-    return messages.Digest(sorted(services), state_hash)
+    return messages.DocumentDigest(sorted(services), state_hash)
 
 
-def compare(documents_by_service, versions, follows):
+def compare(documents_by_service, versions, services, follows):
     """Return the `Difference` to an instance with `versions`.
 
     Parameters
     ----------
     documents_by_service : dict
         The documents in force here.
-    versions : list of messages.Version
-        How far the other is with the services that it follows.
+    versions : list of messages.DocumentVersion
+        How far the other is with `services`.
+    services : collection of str
+        What was compared; empty means all.
     follows : callable
         Whether this instance follows a service.
     """
@@ -54,7 +63,9 @@
         document
         for service, document in sorted(documents_by_service.items())
         if document.sequence > theirs_by_service.get(service, 0)
+        and (not services or service in services)
     ]
+    documents = list(limit(documents))
     wanted = [
         service
         for service, sequence in sorted(theirs_by_service.items())
@@ -64,6 +75,16 @@
     return Difference(documents, wanted)
 
 
+def limit(documents):
+    """Yield the first of `documents` that fit into one message."""
+    size = 0
+    for document in documents:
+        size += len(document.text.encode()) + _OVERHEAD_BYTES
+        if size > MAX_EXCHANGE_BYTES:
+            return
+        yield document
+
+
 def _sequence(documents_by_service, service):
     document = documents_by_service.get(service)
     return document.sequence if document else 0
--- a/packages/decisions/anvilwell_decisions/configuration/member.py
+++ b/packages/decisions/anvilwell_decisions/configuration/member.py
@@ -41,9 +41,7 @@
         Takes a service's name and a text; returns a list of str, all
         problems of the text.
     observe : callable
-        Called with a ``messages.Document`` and a
-        ``participant.Taken`` when a document was applied or was older
-        than what is known.
+        Called with each ``messages.Document`` that was applied.
     """
 
     def __init__(self, instance, role, bounds, validate, observe):
@@ -113,7 +111,7 @@
         return taken
 
     def pending(self):
-        """Return the `messages.Prepare` without a known outcome."""
+        """Return the `messages.PrepareChange` without a known outcome."""
         return [
             one.pending.prepare
             for one in self._participants_by_service.values()
@@ -121,17 +119,17 @@
         ]
 
     def resolutions_due(self, position_of, now):
-        """Return each `messages.Prepare` whose outcome to look for.
+        """Return each `messages.PrepareChange` whose outcome to look for.
 
         Parameters
         ----------
         position_of : callable
-            This instance's rank in its failure domain for an attempt.
+            This instance's rank in its failure domain for a prepare.
         now : float
             Monotonic time, s.
         """
         due = [
-            one.resolve_due(position_of(one.pending.prepare.attempt), now)
+            one.resolve_due(position_of(one.pending.prepare), now)
             for one in self._participants_by_service.values()
             if one.pending is not None
         ]
@@ -145,7 +143,7 @@
         )
 
     @handle.register
-    def _prepare(self, message: messages.Prepare, now):
+    def _prepare(self, message: messages.PrepareChange, now):
         """Answer for this instance; relaying is done elsewhere."""
         asked = self._asked(message)
         if asked.incarnation != self.instance.incarnation:
@@ -166,29 +164,29 @@
         return answer._replace(instance=asked, sponsored=sponsored)
 
     @handle.register
-    def _commit(self, message: messages.Commit, now):
-        """Answer `Acknowledged`, with nobody if it must be fetched."""
+    def _commit(self, message: messages.CommitChange, now):
+        """Answer `ChangeAcknowledged`, with nobody if it must be fetched."""
         part = self.participant(message.service)
         before = part.in_force
         is_known = part.commit(message)
         if part.in_force is not before:
             self._report(part.in_force, participant.Taken.APPLIED)
-        return messages.Acknowledged([self.instance.vm_id] * is_known)
+        return messages.ChangeAcknowledged([self.instance.vm_id] * is_known)
 
     @handle.register
-    def _abort(self, message: messages.Abort, now):
+    def _abort(self, message: messages.AbortChange, now):
         self.participant(message.service).abort(message.attempt)
-        return messages.Acknowledged([self.instance.vm_id])
+        return messages.ChangeAcknowledged([self.instance.vm_id])
 
     @handle.register
-    def _digest(self, message: messages.Digest, now):
-        """Answer `Versions`, empty if the sender's hash is the same."""
+    def _digest(self, message: messages.DocumentDigest, now):
+        """Answer how far this instance is, unless the hashes agree."""
         documents = self.documents_by_service
         mine = exchange.digest_of(documents, message.services)
         if mine.state_hash == message.state_hash:
-            return messages.Versions([])
-        return messages.Versions(
-            exchange.versions_of(documents, message.services)
+            return messages.DocumentVersions(True, [])
+        return messages.DocumentVersions(
+            False, exchange.versions_of(documents, message.services)
         )
 
     @handle.register
@@ -197,9 +195,8 @@
         for document in message.documents:
             self.learn(document)
         documents = self.documents_by_service
-        return messages.Documents(
-            [documents[one] for one in message.wanted if one in documents]
-        )
+        wanted = [documents[one] for one in message.wanted if one in documents]
+        return messages.Documents(list(exchange.limit(wanted)))
 
     @handle.register
     def _sponsor(self, message: messages.SponsorRequest, now):
@@ -239,5 +236,5 @@
         )
 
     def _report(self, document, taken):
-        if taken is not participant.Taken.KNOWN:
-            self._observe(document, taken)
+        if taken is participant.Taken.APPLIED:
+            self._observe(document)
--- a/packages/decisions/anvilwell_decisions/configuration/outcomes.py
+++ b/packages/decisions/anvilwell_decisions/configuration/outcomes.py
@@ -30,6 +30,8 @@
 
     ``REFUSED`` is final and in force nowhere. ``UNKNOWN`` is settled
     later; asking again with the same change id tells how.
+    ``is_transient`` marks a refusal by a race with another change:
+    trying again soon may do better.
     """
 
     outcome: OutcomeKind
@@ -38,3 +40,4 @@
     problems: list[str]
     missing: list[str]
     reason: str = ""
+    is_transient: bool = False
--- a/packages/decisions/anvilwell_decisions/configuration/participant.py
+++ b/packages/decisions/anvilwell_decisions/configuration/participant.py
@@ -21,7 +21,7 @@
 class Pending(typing.NamedTuple):
     """A change that this instance prepared and knows no outcome of."""
 
-    prepare: messages.Prepare
+    prepare: messages.PrepareChange
     prepared_at: float
 
 
@@ -51,11 +51,11 @@
         self._aborted = {}
 
     def prepare(self, request, problems, now):
-        """Answer a `Prepare`.
+        """Answer a `PrepareChange`.
 
         Parameters
         ----------
-        request : messages.Prepare
+        request : messages.PrepareChange
             The change to get ready for.
         problems : list of str
             What this instance finds wrong with the text.
--- a/packages/decisions/anvilwell_decisions/configuration/proposal.py
+++ b/packages/decisions/anvilwell_decisions/configuration/proposal.py
@@ -3,6 +3,7 @@
 import enum
 import typing
 
+from anvilwell_kernel import documents
 from anvilwell_kernel.messages import configuration as messages
 from anvilwell_kernel import reasons
 
@@ -49,7 +50,7 @@
 class SendPrepare(typing.NamedTuple):
     """Action: ask `targets` to prepare."""
 
-    prepare: messages.Prepare
+    prepare: messages.PrepareChange
 
 
 class Swap(typing.NamedTuple):
@@ -61,13 +62,13 @@
 class SendCommit(typing.NamedTuple):
     """Action: tell the targets that the change is in force."""
 
-    commit: messages.Commit
+    commit: messages.CommitChange
 
 
 class SendAbort(typing.NamedTuple):
     """Action: tell the targets that the change never will be."""
 
-    abort: messages.Abort
+    abort: messages.AbortChange
 
 
 class Answer(typing.NamedTuple):
@@ -203,7 +204,7 @@
     def _on_first_reading(self, reading, now):
         record = records.decode(reading.record.value, self.request.service)
         earlier = records.find_change(record, self.request.change_id)
-        digest = records.digest_of(self.request.text)
+        digest = documents.digest(self.request.text)
         if earlier is not None and earlier.digest == digest:
             return self._finish_in_force(earlier.generation)
         if earlier is not None or self._is_unexpected(record):
@@ -215,7 +216,7 @@
         )
         if base.generation and base.text == self.request.text:
             return self._finish_in_force(base.generation)
-        self._prepare = messages.Prepare(
+        self._prepare = messages.PrepareChange(
             self.attempt,
             self.request.change_id,
             messages.Document(
@@ -287,7 +288,7 @@
             self.request.change_id,
             self.attempt,
             document.generation,
-            records.digest_of(document.text),
+            documents.digest(document.text),
             self.request.operator,
         )
         value = records.encode(records.accept(record, document, change))
@@ -333,7 +334,7 @@
 
     def _land(self, document):
         self.phase = Phase.DONE
-        commit = messages.Commit(
+        commit = messages.CommitChange(
             self.attempt,
             document.service,
             document.generation,
@@ -354,7 +355,7 @@
             return []
         self.phase = Phase.DONE
         asked = self._prepared_by_key | self._waiting_by_key
-        abort = messages.Abort(
+        abort = messages.AbortChange(
             self.attempt, self.request.service, list(asked.values())
         )
         answer = self._reply(
@@ -362,6 +363,7 @@
             reason,
             problems=list(problems),
             missing=list(missing),
+            is_transient=str(reason) == reasons.Refusal.CONFLICT,
         )
         return [SendAbort(abort), *answer]
 
@@ -379,7 +381,7 @@
         expected = self.request.expected_generation
         return expected is not None and expected != record.generation
 
-    def _reply(self, kind, reason="", generation=0, problems=(), missing=()):
+    def _reply(self, kind, reason="", generation=0, **details):
         if self._is_answered:
             return []
         self._is_answered = True
@@ -387,9 +389,10 @@
             kind,
             generation,
             self.request.change_id,
-            list(problems),
-            list(missing),
+            details.pop("problems", []),
+            details.pop("missing", []),
             str(reason),
+            **details,
         )
         return [Answer(outcome)]
 
--- a/packages/decisions/anvilwell_decisions/configuration/record.py
+++ b/packages/decisions/anvilwell_decisions/configuration/record.py
@@ -5,7 +5,6 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import codec as codecs
 from anvilwell_kernel.messages import configuration as messages
-import xxhash
 
 from anvilwell_decisions.configuration import limits
 
@@ -69,11 +68,6 @@
     return record
 
 
-def digest_of(text):
-    """Return a short digest of a document's text."""
-    return xxhash.xxh3_64_hexdigest(text.encode())
-
-
 def document_of(record):
     """Return the document that `record` holds."""
     return messages.Document(
--- a/packages/decisions/anvilwell_decisions/configuration/resolution.py
+++ b/packages/decisions/anvilwell_decisions/configuration/resolution.py
@@ -29,7 +29,7 @@
     ----------
     slot : proposal.Slot
         The service's record as it was read.
-    prepare : messages.Prepare
+    prepare : messages.PrepareChange
         The attempt in doubt.
     in_force : messages.Document
         What is in force at this instance.
--- a/packages/decisions/tests/configuration/configuration_world.py
+++ b/packages/decisions/tests/configuration/configuration_world.py
@@ -240,7 +240,7 @@
             self.member.learn(document)
         self.member.standing.hear(answer.sponsor, asked_at)
 
-    def _position(self, attempt):
+    def _position(self, prepare):
         fellows = [
             one.vm_id
             for one in self.world.nodes_by_id.values()
@@ -302,12 +302,11 @@
     def on_document(self, node):
         incarnation = node.instance.incarnation
 
-        def observe(document, taken):
+        def observe(document):
             before = self.applied_by_incarnation.get(incarnation, 0)
-            assert document.generation >= before or taken == "behind"
-            if taken == "applied":
-                self.applied_by_incarnation[incarnation] = document.generation
-                assert document.text not in self.refused_texts
+            assert document.generation > before
+            self.applied_by_incarnation[incarnation] = document.generation
+            assert document.text not in self.refused_texts
 
         return observe
 
--- a/packages/kernel/anvilwell_kernel/messages/configuration.py
+++ b/packages/kernel/anvilwell_kernel/messages/configuration.py
@@ -33,7 +33,7 @@
     text: str
 
 
-class Prepare(typing.NamedTuple):
+class PrepareChange(typing.NamedTuple):
     """Asks `targets` to get ready for a document; relayed by the first."""
 
     attempt: str
@@ -44,7 +44,7 @@
 
 
 class PrepareAnswer(typing.NamedTuple):
-    """What one instance answers to a `Prepare`."""
+    """What one instance answers to a `PrepareChange`."""
 
     instance: Instance
     attempt: str
@@ -61,7 +61,7 @@
     answers: list[PrepareAnswer]
 
 
-class Commit(typing.NamedTuple):
+class CommitChange(typing.NamedTuple):
     """Says that an attempt landed and the document is in force."""
 
     attempt: str
@@ -71,7 +71,7 @@
     targets: list[Instance]
 
 
-class Abort(typing.NamedTuple):
+class AbortChange(typing.NamedTuple):
     """Says that an attempt never landed and never will."""
 
     attempt: str
@@ -79,13 +79,13 @@
     targets: list[Instance]
 
 
-class Acknowledged(typing.NamedTuple):
-    """Who has taken in a `Commit` or an `Abort`."""
+class ChangeAcknowledged(typing.NamedTuple):
+    """Who has taken in a `CommitChange` or an `AbortChange`."""
 
     vm_ids: list[str]
 
 
-class Version(typing.NamedTuple):
+class DocumentVersion(typing.NamedTuple):
     """How far an instance is with one service."""
 
     service: str
@@ -93,17 +93,18 @@
     sequence: int
 
 
-class Digest(typing.NamedTuple):
+class DocumentDigest(typing.NamedTuple):
     """A hash of how far the sender is with `services` (empty: all)."""
 
     services: list[str]
     state_hash: int
 
 
-class Versions(typing.NamedTuple):
-    """The sender's state in full, sent when the hashes differ."""
+class DocumentVersions(typing.NamedTuple):
+    """The sender's state in full, unless the hashes are the same."""
 
-    versions: list[Version]
+    is_same: bool
+    versions: list[DocumentVersion]
 
 
 class Documents(typing.NamedTuple):
@@ -130,13 +131,13 @@
 
 
 KINDS = (
-    Prepare,
+    PrepareChange,
     PrepareAnswers,
-    Commit,
-    Abort,
-    Acknowledged,
-    Digest,
-    Versions,
+    CommitChange,
+    AbortChange,
+    ChangeAcknowledged,
+    DocumentDigest,
+    DocumentVersions,
     Documents,
     SponsorRequest,
     SponsorAnswer,
