--- a/packages/decisions/tests/requests/test_claims.py
+++ b/packages/decisions/tests/requests/test_claims.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import settings
+import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -199,7 +199,7 @@
                     assert source.digest == request.digest
 
 
-AtMostOnce.TestCase.settings = settings(
+AtMostOnce.TestCase.settings = hypothesis.settings(
     max_examples=150, stateful_step_count=40
 )
 TestAtMostOnce = AtMostOnce.TestCase
