--- a/packages/platform/anvilwell_platform/adapters/etcd.py
+++ b/packages/platform/anvilwell_platform/adapters/etcd.py
@@ -31,8 +31,8 @@
 
     @classmethod
     def from_config(cls, config, meter=None):
-        """Build it from the settings' section; needs ``address``."""
-        return cls(http_client.HttpClient(config.address), meter)
+        """Build it from section ``[keyvalue]`` of the settings."""
+        return cls(http_client.HttpClient(*config.endpoints), meter)
 
     def get(self, key, *, purpose, timeout_s):
         """Return the `Entry` of `key`, or None."""
--- a/packages/platform/anvilwell_platform/adapters/http_adapter.py
+++ b/packages/platform/anvilwell_platform/adapters/http_adapter.py
@@ -17,9 +17,24 @@
 
     @classmethod
     def from_config(cls, config):
-        """Build it from the settings' section; needs ``address``."""
-        return cls(http_client.HttpClient(config.address))
+        """Build it from a section of the settings.
+
+        Parameters
+        ----------
+        config : KeyValueSection or OutsideSection
+            Its ``endpoints`` are used.
+        """
+        return cls(http_client.HttpClient(*config.endpoints))
 
     def close(self):
         """Close the idle connections."""
         self._client.close()
+
+
+class BackendAdapter(HttpAdapter):
+    """Calls the backend server that an agent stands beside."""
+
+    @classmethod
+    def from_config(cls, config):
+        """Build it from the agent's section; ``backend`` is used."""
+        return cls(http_client.HttpClient(config.backend))
--- a/packages/platform/anvilwell_platform/adapters/http_client.py
+++ b/packages/platform/anvilwell_platform/adapters/http_client.py
@@ -11,6 +11,7 @@
 MAX_BODY_BYTES = 4 << 20
 CONNECTIONS = 64
 CONNECT_TIMEOUT_S = 1.0
+MIN_TIMEOUT_S = 0.001
 _READ_BYTES = 1 << 16
 
 Headers = urllib3.HTTPHeaderDict
@@ -31,33 +32,38 @@
 
 
 class HttpClient:
-    """A pool of kept-alive connections to one address.
+    """Kept-alive connections to one system at one or more addresses.
 
     Parameters
     ----------
-    address : str
-        ``host:port`` with an IP number.
+    *addresses : str or Address
+        ``ip:port`` of each server; the next one is tried when a
+        connection to one can't be made, and kept to from then on.
     connections : int
         Idle connections that are kept; more may be open at a time.
 
     Notes
     -----
-    It never repeats a call and follows no redirect. A call whose
-    connection could not be made has verdict ``NOT_RUN``; whatever
-    fails later, also on a kept-alive connection that the other side
-    had closed, has verdict ``MAY_HAVE_RUN``.
+    It never repeats a call that it has begun to send and follows no
+    redirect. A call whose connection could not be made has verdict
+    ``NOT_RUN``; whatever fails later, also on a kept-alive connection
+    that the other side had closed, has verdict ``MAY_HAVE_RUN``.
     """
 
-    def __init__(self, address, connections=CONNECTIONS):
-        host, _, port = address.rpartition(":")
-        self.address = address
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=connections, retries=False
-        )
+    def __init__(self, *addresses, connections=CONNECTIONS):
+        self._pools = [_pool(address, connections) for address in addresses]
+        self._preferred = 0
+
+    @property
+    def address(self):
+        """The ``ip:port`` that is tried first."""
+        pool = self._pools[self._preferred]
+        return f"{pool.host}:{pool.port}"
 
     def close(self):
         """Close the idle connections."""
-        self._pool.close()
+        for pool in self._pools:
+            pool.close()
 
     def open(self, method, path, *, body=None, headers=None, timeout_s):
         """Send a call and return urllib3's response, body unread.
@@ -67,23 +73,19 @@
         exceptions.BackendFailed, exceptions.Timeout
             With the verdict of the failure.
         """
-        timeout_s = max(timeout_s, 0.001)
-        timeout = urllib3.Timeout(
-            connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s
-        )
-        try:
-            return self._pool.urlopen(
-                method,
-                path,
-                body=body,
-                headers=headers,
-                timeout=timeout,
-                redirect=False,
-                preload_content=False,
-                decode_content=False,
-            )
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise self.failure(error) from error
+        first = self._preferred
+        count = len(self._pools)
+        for place in range(first, first + count):
+            self._preferred = place % count
+            pool = self._pools[self._preferred]
+            try:
+                return _send(pool, method, path, body, headers, timeout_s)
+            except _NOT_SENT as error:
+                failure = self.failure(error)
+            except (urllib3.exceptions.HTTPError, OSError) as error:
+                raise self.failure(error) from error
+        self._preferred = first
+        raise failure
 
     def call(self, method, path, *, body=None, headers=None, timeout_s):
         """Send a call and return its whole `Answer`.
@@ -153,6 +155,30 @@
             )
 
 
+def _pool(address, connections):
+    host, _, port = str(address).rpartition(":")
+    return urllib3.HTTPConnectionPool(
+        host, int(port), maxsize=connections, retries=False
+    )
+
+
+def _send(pool, method, path, body, headers, timeout_s):
+    timeout_s = max(timeout_s, MIN_TIMEOUT_S)
+    timeout = urllib3.Timeout(
+        connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s
+    )
+    return pool.urlopen(
+        method,
+        path,
+        body=body,
+        headers=headers,
+        timeout=timeout,
+        redirect=False,
+        preload_content=False,
+        decode_content=False,
+    )
+
+
 def retry_after_s(headers):
     """Return the seconds of ``Retry-After``, or None."""
     try:
--- a/packages/platform/anvilwell_platform/adapters/http_plain.py
+++ b/packages/platform/anvilwell_platform/adapters/http_plain.py
@@ -24,7 +24,7 @@
 _SET_HERE = frozenset(("host", "content-length"))
 
 
-class HttpPlain(http_adapter.HttpAdapter, plain.Plain):
+class HttpPlain(http_adapter.BackendAdapter, plain.Plain):
     """Calls one plain service."""
 
     def call(self, request, *, timeout_s):
--- /dev/null
+++ b/packages/platform/anvilwell_platform/adapters/http_scorer.py
@@ -0,0 +1,69 @@
+"""The scorer's port over JSON."""
+
+from anvilwell_kernel import exceptions
+import pydantic
+import typing_extensions
+
+from anvilwell_platform.adapters import http_adapter
+from anvilwell_platform.adapters import http_client
+from anvilwell_platform.adapters import json_bodies
+from anvilwell_platform.ports import scorer
+
+
+class _ScoreBody(typing_extensions.TypedDict):
+    id: str
+    score: float
+
+
+class _ScoresBody(typing_extensions.TypedDict):
+    scores: list[_ScoreBody]
+
+
+_SCORES = pydantic.TypeAdapter(_ScoresBody)
+
+
+class HttpScorer(http_adapter.HttpAdapter, scorer.Scorer):
+    """Asks the scorer; scores nobody asked for are dropped."""
+
+    def score(self, samples, *, timeout_s):
+        """Return a `Score` for each of `samples`, as scores_by_id.
+
+        Parameters
+        ----------
+        samples : dict of str to str
+            Texts by sample id.
+        timeout_s : float
+            Longest wait, in seconds.
+
+        Raises
+        ------
+        exceptions.BackendFailed
+            If a sample got no score, or two that differ.
+        """
+        body = [{"id": key, "text": text} for key, text in samples.items()]
+        answer = self._client.call(
+            "POST",
+            "/score",
+            body=json_bodies.encode({"samples": body}),
+            headers=json_bodies.CONTENT_TYPE,
+            timeout_s=timeout_s,
+        )
+        http_client.check_status(answer, "scorer")
+        found = json_bodies.decode(_SCORES, answer.body, "scorer")["scores"]
+        return _match(samples, found)
+
+
+def _match(samples, found):
+    scores_by_id = {}
+    for one in found:
+        score = scorer.Score(one["id"], one["score"])
+        if scores_by_id.setdefault(score.sample_id, score) != score:
+            raise exceptions.BackendFailed(
+                f"the scorer gave two scores for {score.sample_id}"
+            )
+    missing = samples.keys() - scores_by_id.keys()
+    if missing:
+        raise exceptions.BackendFailed(
+            f"the scorer gave no score for {sorted(missing)}"
+        )
+    return {key: scores_by_id[key] for key in samples}
--- /dev/null
+++ b/packages/platform/anvilwell_platform/adapters/http_vmlist.py
@@ -0,0 +1,39 @@
+"""The VM list's port over JSON."""
+
+import pydantic
+import typing_extensions
+
+from anvilwell_platform.adapters import http_adapter
+from anvilwell_platform.adapters import http_client
+from anvilwell_platform.adapters import json_bodies
+from anvilwell_platform.ports import vmlist
+
+
+class _VmBody(typing_extensions.TypedDict):
+    id: str
+    address: str
+    failure_domain: str
+    state: str
+
+
+class _VmsBody(typing_extensions.TypedDict):
+    vms: list[_VmBody]
+
+
+_VMS = pydantic.TypeAdapter(_VmsBody)
+
+
+class HttpVmList(http_adapter.HttpAdapter, vmlist.VmList):
+    """Reads the list."""
+
+    def vms(self, *, timeout_s):
+        """Return the listed VMs as ``vms_by_id``."""
+        answer = self._client.call("GET", "/vms", timeout_s=timeout_s)
+        http_client.check_status(answer, "VM list")
+        body = json_bodies.decode(_VMS, answer.body, "VM list")
+        return {
+            vm["id"]: vmlist.Vm(
+                vm["id"], vm["address"], vm["failure_domain"], vm["state"]
+            )
+            for vm in body["vms"]
+        }
--- /dev/null
+++ b/packages/platform/anvilwell_platform/adapters/http_weightstore.py
@@ -0,0 +1,42 @@
+"""The weight store's port over JSON."""
+
+from urllib import parse
+
+import pydantic
+import typing_extensions
+
+from anvilwell_platform.adapters import http_adapter
+from anvilwell_platform.adapters import http_client
+from anvilwell_platform.adapters import json_bodies
+from anvilwell_platform.ports import weightstore
+
+
+class _VersionsBody(typing_extensions.TypedDict):
+    versions: list[str]
+
+
+_VERSIONS = pydantic.TypeAdapter(_VersionsBody)
+
+
+class HttpWeightStore(http_adapter.HttpAdapter, weightstore.WeightStore):
+    """Reads what versions there are; never fetches weights."""
+
+    def versions(self, model, *, timeout_s):
+        """Return the names of the published versions, oldest first.
+
+        Raises
+        ------
+        exceptions.Refused
+            If the rate limit is reached; says when to come back.
+        """
+        name = parse.quote(model, safe="")
+        answer = self._client.call(
+            "GET", f"/models/{name}/versions", timeout_s=timeout_s
+        )
+        http_client.check_status(answer, "weight store")
+        body = json_bodies.decode(_VERSIONS, answer.body, "weight store")
+        return body["versions"]
+
+    def has(self, model, version, *, timeout_s):
+        """Return whether `version` is published."""
+        return version in self.versions(model, timeout_s=timeout_s)
--- a/packages/platform/anvilwell_platform/adapters/sse_engine.py
+++ b/packages/platform/anvilwell_platform/adapters/sse_engine.py
@@ -41,7 +41,7 @@
 _EVENTS = pydantic.TypeAdapter(_Events)
 
 
-class SseEngine(http_adapter.HttpAdapter, engine.Engine):
+class SseEngine(http_adapter.BackendAdapter, engine.Engine):
     """Calls one engine; generated streams are server-sent events."""
 
     def load(self, *, timeout_s):
--- a/packages/platform/anvilwell_platform/ports/scorer.py
+++ b/packages/platform/anvilwell_platform/ports/scorer.py
@@ -16,4 +16,4 @@
 
     @abc.abstractmethod
     def score(self, samples, *, timeout_s):
-        """Return a `Score` for each of `samples`, as scores_by_id."""
+        """Return scores_by_id for `samples`, the texts by sample id."""
--- a/packages/standins/anvilwell_standins/base/server.py
+++ b/packages/standins/anvilwell_standins/base/server.py
@@ -59,6 +59,7 @@
         self._epoch = 0
         self._lock = threading.Lock()
         self._reserved = _reserve(listen)
+        self._bound = self._reserved.getsockname()
         self._web = None
         self._is_down = False
         self._outage = None
@@ -71,8 +72,7 @@
     @property
     def address(self):
         """The ``host:port`` that it listens on."""
-        host, port = self._reserved.getsockname()
-        return f"{host}:{port}"
+        return "{}:{}".format(*self._bound)
 
     @property
     def url(self):
@@ -87,7 +87,7 @@
 
     def start(self):
         """Begin to serve, and return itself."""
-        host, port = self._reserved.getsockname()
+        host, port = self._bound
         server = web.WebServer(
             host,
             port,
@@ -109,7 +109,8 @@
         self.cut_streams()
         if self._outage:
             self._outage.join()
-        self._web.close()
+        if self._web:
+            self._web.close()
         self._reserved.close()
 
     def __enter__(self):
