--- a/packages/platform/anvilwell_platform/adapters/http_client.py
+++ b/packages/platform/anvilwell_platform/adapters/http_client.py
@@ -65,9 +65,31 @@
         for pool in self._pools:
             pool.close()
 
-    def open(self, method, path, *, body=None, headers=None, timeout_s):
+    def open(
+        self,
+        method,
+        path,
+        *,
+        body=None,
+        headers=None,
+        timeout_s,
+        fresh=False,
+    ):
         """Send a call and return urllib3's response, body unread.
 
+        Parameters
+        ----------
+        method, path : str
+            The call.
+        body : bytes, optional
+            What to send.
+        headers : mapping, optional
+            Headers to send.
+        timeout_s : float
+            Longest wait for the connection and for each read.
+        fresh : bool
+            Use a new connection, for this call alone.
+
         Raises
         ------
         exceptions.BackendFailed, exceptions.Timeout
@@ -78,6 +100,8 @@
         for place in range(first, first + count):
             self._preferred = place % count
             pool = self._pools[self._preferred]
+            if fresh:
+                pool = _pool(self.address, 1)
             try:
                 return _send(pool, method, path, body, headers, timeout_s)
             except _NOT_SENT as error:
--- a/packages/platform/anvilwell_platform/adapters/http_plain.py
+++ b/packages/platform/anvilwell_platform/adapters/http_plain.py
@@ -25,7 +25,12 @@
 
 
 class HttpPlain(http_adapter.BackendAdapter, plain.Plain):
-    """Calls one plain service."""
+    """Calls one plain service; hop-by-hop headers stay behind.
+
+    A call that is not idempotent gets a connection of its own: a
+    kept-alive one may be closed just as the call is written, which
+    leaves open whether it ran.
+    """
 
     def call(self, request, *, timeout_s):
         """Return the `Response` to `request`; close its chunks."""
@@ -37,6 +42,7 @@
             body=request.body or None,
             headers=_without(dropped, request.headers),
             timeout_s=timeout_s,
+            fresh=not request.idempotent,
         )
         chunks = self._client.chunks(response, deadline, MAX_ANSWER_BYTES)
         headers = _without(_HOP_BY_HOP, response.headers.items())
--- a/packages/platform/anvilwell_platform/adapters/sse_engine.py
+++ b/packages/platform/anvilwell_platform/adapters/sse_engine.py
@@ -1,7 +1,6 @@
 """The engine port over OpenAI-compatible HTTP."""
 
 import time
-import typing
 
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -19,8 +18,6 @@
 DONE = "[DONE]"
 REQUEST_ID = "X-Request-Id"
 
-_MAPPING = pydantic.TypeAdapter(dict[str, typing.Any])
-
 
 class _Choice(typing_extensions.TypedDict, total=False):
     text: str
@@ -63,7 +60,7 @@
         response = self._client.open(
             "POST",
             "/v1/completions",
-            body=_streaming(body),
+            body=json_bodies.encode({**body, "stream": True}),
             headers={**json_bodies.CONTENT_TYPE, REQUEST_ID: attempt_id},
             timeout_s=timeout_s,
         )
@@ -134,14 +131,6 @@
     )
 
 
-def _streaming(body):
-    try:
-        mapping = _MAPPING.validate_json(body)
-    except ValueError as error:
-        raise exceptions.BadRequest(f"body is not valid: {error}") from error
-    return json_bodies.encode({**mapping, "stream": True})
-
-
 def _parse(events):
     """Yield `Tokens` for each event with some, `Finish` at the end."""
     count = 0
--- a/packages/platform/anvilwell_platform/ports/engine.py
+++ b/packages/platform/anvilwell_platform/ports/engine.py
@@ -59,8 +59,8 @@
         ----------
         attempt_id : str
             Unique to this attempt.
-        body : bytes
-            The caller's JSON; ``stream`` is set in it.
+        body : dict
+            The JSON-able completion; ``stream`` is set in it.
         timeout_s : float
             Bound of the whole stream.
 
--- a/packages/platform/anvilwell_platform/ports/plain.py
+++ b/packages/platform/anvilwell_platform/ports/plain.py
@@ -5,12 +5,13 @@
 
 
 class Request(typing.NamedTuple):
-    """One call; ``headers`` are end-to-end ones alone."""
+    """One call; ``idempotent`` says whether it may be repeated."""
 
     method: str
     path: str
     headers: list[tuple[str, str]]
     body: bytes
+    idempotent: bool = False
 
 
 class Response(typing.NamedTuple):
--- a/packages/platform/tests/adapters/test_sse_engine.py
+++ b/packages/platform/tests/adapters/test_sse_engine.py
@@ -1,7 +1,5 @@
 """The engine adapter against the engine stand-in."""
 
-import json
-
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import verdict
 from anvilwell_platform.adapters import http_client
@@ -14,7 +12,7 @@
 import pytest
 
 WAIT_S = 20.0
-BODY = json.dumps({"prompt": "p", "max_tokens": 8, "seed": 1}).encode()
+BODY = {"prompt": "p", "max_tokens": 8, "seed": 1}
 TEXT = text.text("p", 1, 0, 8)
 
 
@@ -92,7 +90,7 @@
 
 
 def test_closing_the_stream_frees_the_slot(engine, standin):
-    long = json.dumps({"prompt": "p", "max_tokens": 60000}).encode()
+    long = {"prompt": "p", "max_tokens": 60000}
     stream = engine.generate("a", long, timeout_s=WAIT_S)
     next(stream)
     stream.close()
@@ -108,17 +106,17 @@
     engine.cancel("a", timeout_s=WAIT_S)
     stream.close()
     other = server.Engine(weights.Weights("planner", "1"))
-    resumed = {**json.loads(BODY), "resume": {"tokens": first.count}}
+    resumed = {**BODY, "resume": {"tokens": first.count}}
     with other:
         adapter = sse_engine.SseEngine(http_client.HttpClient(other.address))
         adapter.import_cache("b", data, timeout_s=WAIT_S)
-        *rest, _ = generate(adapter, "b", json.dumps(resumed).encode())
+        *rest, _ = generate(adapter, "b", resumed)
         adapter.close()
     assert first.text + "".join(piece.text for piece in rest) == TEXT
 
 
 def test_resume_without_a_cache_is_not_run(engine):
-    body = json.dumps({"prompt": "p", "resume": {"tokens": 2}}).encode()
+    body = {"prompt": "p", "resume": {"tokens": 2}}
     with pytest.raises(exceptions.Conflict) as caught:
         generate(engine, "a", body)
     assert caught.value.verdict == verdict.Verdict.NOT_RUN
@@ -141,7 +139,7 @@
 
 
 def test_cache_events_follow_the_prompts(engine):
-    body = json.dumps({"prompt": "x" * 200, "max_tokens": 1}).encode()
+    body = {"prompt": "x" * 200, "max_tokens": 1}
     generate(engine, "a", body)
     events = engine.events(0, timeout_s=WAIT_S)
     assert [event.number for event in events] == [1, 2, 3]
--- /dev/null
+++ b/packages/standins/anvilwell_standins/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that use the service from outside: trainer and callers."""
