--- /dev/null
+++ b/packages/bench/anvilwell_bench/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Measures how changes of configuration reach many daemons."""
--- a/packages/daemon/anvilwell_daemon/configuration/proposer.py
+++ b/packages/daemon/anvilwell_daemon/configuration/proposer.py
@@ -50,7 +50,11 @@
         self._act(self._proposal.start())
         try:
             while not self._is_done():
-                await asyncio.sleep(TICK_S)
+                await asyncio.wait(
+                    self._tasks or {self._spawn(asyncio.sleep(TICK_S))},
+                    timeout=TICK_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
                 self._act(self._proposal.tick(self._clock.monotonic()))
         finally:
             for task in list(self._tasks):
@@ -122,6 +126,7 @@
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._ended)
+        return task
 
     def _ended(self, task):
         self._tasks.discard(task)
--- a/packages/daemon/anvilwell_daemon/configuration/texts.py
+++ b/packages/daemon/anvilwell_daemon/configuration/texts.py
@@ -21,7 +21,7 @@
         try:
             parsed = documents.parse(text, service)
         except exceptions.ConfigurationError as error:
-            return [str(problem) for problem in error.problems]
+            return [str(one) for one in error.problems] or [error.message]
         if parsed.service.name != service:
             name = parsed.service.name
             return [
--- a/packages/kernel/anvilwell_kernel/exceptions.py
+++ b/packages/kernel/anvilwell_kernel/exceptions.py
@@ -38,7 +38,7 @@
 
     Parameters
     ----------
-    problems : list of problem.Problem
+    problems : iterable of problem.Problem
         Every problem found, each with its key and the mend.
     """
 
@@ -46,8 +46,8 @@
     status = 422
 
     def __init__(self, problems):
-        super().__init__("\n".join(str(problem) for problem in problems))
         self.problems = tuple(problems)
+        super().__init__("\n".join(str(one) for one in self.problems))
 
 
 class BadRequest(AnvilwellError):
