--- a/packages/client/anvilwell_client/change.py
+++ b/packages/client/anvilwell_client/change.py
@@ -25,6 +25,7 @@
     service: str
     text: str
     expected_generation: int
+    operator: str
 
 
 def current(connection, service):
@@ -90,6 +91,7 @@
         query = {
             "change_id": self._change.change_id,
             "expected_generation": self._change.expected_generation,
+            "operator": self._change.operator,
         }
         body = self._change.text.encode()
         try:
--- a/packages/client/anvilwell_client/commands/__init__.py
+++ b/packages/client/anvilwell_client/commands/__init__.py
@@ -27,9 +27,15 @@
     "How answers are printed.",
     flag_values=_FLAGS,
 )
+flags.DEFINE_string(
+    "operator",
+    None,
+    "Name for the history; your login name if left out (apply).",
+    flag_values=_FLAGS,
+)
 flags.DEFINE_float(
     "timeout_s",
-    10.0,
+    12.0,
     "Longest wait for one entry's answer, in seconds.",
     lower_bound=0.1,
     flag_values=_FLAGS,
--- a/packages/client/anvilwell_client/commands/apply.py
+++ b/packages/client/anvilwell_client/commands/apply.py
@@ -1,5 +1,6 @@
 """``anvilwell apply``: puts a document in force everywhere or nowhere."""
 
+import getpass
 import os
 import uuid
 
@@ -30,6 +31,7 @@
         file.service,
         file.text,
         expected,
+        options.operator or getpass.getuser(),
     )
     applier = changes.Applier(
         connection, change, may_have_run=bool(options.change_id)
--- a/packages/client/tests/commands/test_apply.py
+++ b/packages/client/tests/commands/test_apply.py
@@ -13,7 +13,10 @@
 
 
 def test_in_force(entry, run, document, capsys):
-    assert run("apply", document, entry.flag) == os.EX_OK
+    code = run("apply", document, entry.flag, "--operator=bor")
+
+    assert code == os.EX_OK
+    assert entry.store.changes[0]["operator"] == "bor"
     assert capsys.readouterr().out == "in force everywhere, generation 1\n"
 
 
--- a/packages/client/tests/conftest.py
+++ b/packages/client/tests/conftest.py
@@ -23,13 +23,13 @@
         self.texts = [""]
         self.changes = []
 
-    def put(self, change_id, text):
+    def put(self, change_id, text, operator="ana"):
         self.texts.append(text)
         self.changes.append(
             operators.Change(
                 generation=len(self.changes) + 1,
                 change_id=change_id,
-                operator="ana",
+                operator=operator,
                 digest=documents.digest(text)[:8],
             )
         )
@@ -93,7 +93,9 @@
         if wanted != len(self.store.changes):
             return self._say("refused", "conflict")
         text = request.get_data(as_text=True)
-        self.store.put(request.args["change_id"], text)
+        self.store.put(
+            request.args["change_id"], text, request.args["operator"]
+        )
         if step == "lose after":
             return self._cut()
         return self._say("in-force")
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface of an entry."""
