--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(wildcard packages/*)
 EDITABLE := $(foreach p,$(PACKAGES),-e $(p))
 
-.PHONY: setup demo test lint format bench slopes fuzz
+.PHONY: docs setup demo test lint format bench slopes fuzz
 
 setup: .venv/installed
 
@@ -36,3 +36,6 @@
 
 fuzz: setup
 	HYPOTHESIS_PROFILE=fuzz $(BIN)/pytest -m fuzz
+
+docs: setup
+	$(BIN)/python -m anvilwell_daemon.reference docs
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/reference/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of the documentation, made from the code."""
--- a/packages/kernel/anvilwell_kernel/config/loader.py
+++ b/packages/kernel/anvilwell_kernel/config/loader.py
@@ -207,28 +207,31 @@
     return key_hint if "[key]" in location else value_hint
 
 
+def mend_of_value(spec):
+    """Return the mend of the values of an open section."""
+    return mend_of(typing.get_args(spec.kind)[1])
+
+
 def is_secret(hint):
     """Return whether an option of type `hint` must not be shown."""
-    return any(part is pydantic.SecretStr for part in _parts(hint))
+    return any(part is pydantic.SecretStr for part in parts_of(hint))
 
 
 def mend_of(hint):
     """Return the text of the first `options.Mend` in `hint`, or ""."""
     texts = (
-        part.text for part in _parts(hint) if isinstance(part, options.Mend)
+        part.text for part in parts_of(hint) if isinstance(part, options.Mend)
     )
     return next(texts, "") or _choices_of(hint)
 
 
 def _choices_of(hint):
-    names = [part for part in _parts(hint) if isinstance(part, str)]
+    names = [part for part in parts_of(hint) if isinstance(part, str)]
     return f"give one of: {', '.join(names)}" if names else ""
 
 
-def _parts(hint):
+def parts_of(hint):
     """Yield `hint` and all that it is made of, outermost first."""
     yield hint
-    for part in getattr(hint, "__metadata__", ()):
-        yield part
     for part in typing.get_args(hint):
-        yield from _parts(part)
+        yield from parts_of(part)
