Give leaderships by one lease a daemon and numbers that never repeat

A holder may be paused past its lease and still believe it leads.

Each take-over writes the holder's key and raises a counter without a lease in one conditional write. A take-over whose answer was lost is read back.

--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leaderships that this daemon holds under one key-value lease."""
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of the fleet as the daemon sees and keeps it."""
--- a/packages/daemon/anvilwell_daemon/peers/listener.py
+++ b/packages/daemon/anvilwell_daemon/peers/listener.py
@@ -21,19 +21,30 @@
         IP number to listen on.
     port : int
         Port; 0 chooses a free one.
+    advertised : str, optional
+        Where other daemons dial, if not where it listens.
     """
 
     name = "listener"
 
-    def __init__(self, host, port):
+    def __init__(self, host, port, *, advertised=""):
         self._host = host
         self._port = port
+        self._advertised = advertised
         self._handlers_by_path = {}
         self._server = None
 
+    @classmethod
+    def from_config(cls, settings):
+        """Return the listener of the daemon with `settings`."""
+        advertised = str(settings.daemon.address or "")
+        return cls(*settings.listener, advertised=advertised)
+
     @property
     def address(self):
-        """Where it listens, as ``host:port``, once started."""
+        """Where other daemons dial, as ``host:port``, once started."""
+        if self._advertised:
+            return self._advertised
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
--- a/packages/daemon/anvilwell_daemon/peers/service.py
+++ b/packages/daemon/anvilwell_daemon/peers/service.py
@@ -71,6 +71,11 @@
         self._tasks = set()
         listener.mount(PATH, self._accept)
 
+    @classmethod
+    def from_config(cls, settings, listener):
+        """Return the service for the daemon with `settings`."""
+        return cls(settings.daemon.vm_id, listener)
+
     @property
     def linked(self):
         """The ids of the peers with an open link."""
@@ -90,7 +95,10 @@
 
     def learn(self, vm_id, address):
         """Remember that `vm_id` listens at `address` (``host:port``)."""
+        known = self._addresses_by_id.get(vm_id)
         self._addresses_by_id[vm_id] = address
+        if known not in (None, address):
+            self.drop(vm_id)
 
     def forget(self, vm_id):
         """Drop the address of `vm_id` and its link."""
@@ -132,6 +140,12 @@
             link = await self._link(vm_id)
             return await link.request(message)
 
+    async def meet(self, address, timeout_s=REQUEST_TIMEOUT_S):
+        """Return the id of whichever daemon listens at `address`."""
+        async with _deadline(address, timeout_s):
+            link = await self._dial(address, "")
+            return link.peer.vm_id
+
     async def request_at(self, address, message, timeout_s=REQUEST_TIMEOUT_S):
         """Ask whichever daemon listens at `address`; see ``request``."""
         async with _deadline(address, timeout_s):
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, the fencing numbers they give, and the door that checks them."""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/leases/leadership.py
@@ -0,0 +1,147 @@
+"""Takes one leadership and gives it a fencing number."""
+
+import enum
+import typing
+
+import pydantic
+
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+
+PREFIX = "anvilwell/lease/"
+
+
+class Holder(typing.NamedTuple):
+    """The value of the holder's key."""
+
+    vm_id: str
+    fencing: int
+    lease: int
+
+
+_HOLDER = pydantic.TypeAdapter(Holder)
+
+
+class Keys(typing.NamedTuple):
+    """The two keys of a leadership; one read gets both."""
+
+    prefix: str
+    holder: str
+    fencing: str
+
+
+class Write(typing.NamedTuple):
+    """One key of a conditional write; see ``ports.keyvalue.Swap``."""
+
+    key: str
+    expected: int
+    value: bytes | None
+    lease: int = 0
+
+
+class Standing(enum.Enum):
+    """What one candidate knows of a leadership."""
+
+    FREE = "free"
+    OTHERS = "others"
+    OURS = "ours"
+
+
+class Tenure(typing.NamedTuple):
+    """A leadership won: valid while its lease is."""
+
+    name: str
+    fencing: int
+    lease: int
+
+
+def keys(name):
+    """Return the `Keys` of the leadership called `name`."""
+    prefix = f"{PREFIX}{name}/"
+    return Keys(prefix, f"{prefix}holder", f"{prefix}fencing")
+
+
+def read_fencing(entries_by_key, name):
+    """Return the highest number ever given, 0 if none was."""
+    entry = entries_by_key.get(keys(name).fencing)
+    return int(entry.value) if entry else 0
+
+
+class Leadership:
+    """One candidate's decisions about one leadership.
+
+    Each take-over raises the counter by the same conditional write that
+    puts the holder's key, so no number is given twice, also when the
+    store drops a lease too early. The counter's key has no lease.
+
+    Parameters
+    ----------
+    name : str
+        For example ``rollout/planner-lm``.
+    vm_id : str
+        The candidate.
+    """
+
+    def __init__(self, name, vm_id):
+        self._name = name
+        self._vm_id = vm_id
+        self._keys = keys(name)
+        self._floor = 0
+
+    def stand(self, entries_by_key, lease):
+        """Return the `Standing` that a read shows, under our `lease`."""
+        entry = entries_by_key.get(self._keys.holder)
+        if entry is None:
+            return Standing.FREE
+        holder = _HOLDER.validate_json(entry.value)
+        is_ours = holder.vm_id == self._vm_id and holder.lease == lease
+        return Standing.OURS if is_ours else Standing.OTHERS
+
+    def take(self, entries_by_key, lease):
+        """Return the writes that take it over; all or none must land."""
+        counter = entries_by_key.get(self._keys.fencing)
+        known = int(counter.value) if counter else 0
+        number = max(known, self._floor) + 1
+        holder = Holder(self._vm_id, number, lease)
+        revision = counter.revision if counter else 0
+        return [
+            Write(self._keys.holder, 0, _HOLDER.dump_json(holder), lease),
+            Write(self._keys.fencing, revision, b"%d" % number),
+        ]
+
+    def tenure(self, entries_by_key, lease):
+        """Return our `Tenure` as a read shows it.
+
+        This is how a take-over whose answer was lost is resolved.
+        """
+        holder = _HOLDER.validate_json(entries_by_key[self._keys.holder].value)
+        return Tenure(self._name, holder.fencing, lease)
+
+    def won(self, writes, lease):
+        """Return our `Tenure` once the `writes` of ``take`` landed."""
+        return Tenure(self._name, int(writes[1].value), lease)
+
+    def refused(self, highest):
+        """Note that some door knows a number above the counter.
+
+        It happens only if the store came back with older data. The next
+        take-over goes above it.
+        """
+        self._floor = max(self._floor, highest)
+
+
+def check(tenure, session, now):
+    """Allow one outward act at `now`; call right before each.
+
+    Raises
+    ------
+    exceptions.Fenced
+        If the lease of `tenure` has been lost or is past its deadline
+        less margin: the act must not be done.
+    """
+    if session.lease != tenure.lease or not session.is_held(now):
+        raise exceptions.Fenced(
+            f"the lease of {tenure.name} is past its deadline;"
+            " another daemon may hold it now",
+            reason=reasons.Refusal.NOT_LEADER,
+        )
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Weight rollout: what the leader orders and what an agent does."""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/rollout/swap.py
@@ -0,0 +1,160 @@
+"""An agent's side: one engine, one order at a time, the truth reported."""
+
+import enum
+import typing
+
+from anvilwell_decisions.leases import door
+from anvilwell_kernel.messages import orders as messages
+
+ATTEMPTS = 3
+FIRST_BACKOFF_S = 0.5
+LAST_BACKOFF_S = 8.0
+MAX_FAILED = 16
+
+_ACTIVITIES_BY_KIND = {
+    messages.Kind.LOAD: messages.Activity.LOADING,
+    messages.Kind.ACTIVATE: messages.Activity.ACTIVATING,
+}
+
+
+class Outcome(enum.Enum):
+    """What came of an engine call."""
+
+    DONE = "done"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+class Execute(typing.NamedTuple):
+    """Give `order` to the engine, then read its version."""
+
+    order: messages.Order
+
+
+class Swap:
+    """Decides for one engine; times are monotonic seconds.
+
+    The version reported is the one last read from the engine, never the
+    one wanted. A version whose attempts failed is given up under that
+    document's generation; applying the document again retries it.
+
+    Parameters
+    ----------
+    vm_id : str
+        The agent's.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(self, vm_id, rng):
+        self.door = door.Door()
+        self._vm_id = vm_id
+        self._rng = rng
+        self._version = ""
+        self._loaded = set()
+        self._failures_by_target = {}
+        self._failed = []
+        self._running = None
+        self._wait_until = None
+        self._last = (0, 0)
+        self._sequence = 0
+
+    def order(self, order, now):
+        """Take an order; return the actions.
+
+        Raises
+        ------
+        exceptions.Fenced, exceptions.Refused
+            See ``door.Door.admit``.
+        """
+        self.door.admit(order.fencing)
+        if order.fencing > self._last[0]:
+            self._last = (order.fencing, 0)
+        is_new = (order.fencing, order.number) > self._last
+        if order.kind is messages.Kind.STATUS or not is_new:
+            return []
+        self._last = (order.fencing, order.number)
+        if self._running or self._is_waiting(now) or self._is_idle(order):
+            return []
+        self._running = order
+        return [Execute(order)]
+
+    def executed(self, outcome, now):
+        """Take what came of the running order, after the version read.
+
+        An activation counts as done if and only if the engine says that
+        it runs the version, whatever its answer to the order was.
+        """
+        order, self._running = self._running, None
+        if order.kind is messages.Kind.ACTIVATE:
+            is_done = self._version == order.version
+        else:
+            is_done = outcome is Outcome.DONE
+        if is_done:
+            self._loaded.add(order.version)
+            self._failures_by_target.pop(_target(order), None)
+            return
+        self._loaded.discard(order.version)
+        self._count_failure(_target(order), now)
+
+    def read(self, version):
+        """Take the version read from the engine, "" if none was."""
+        if version:
+            self._loaded.add(version)
+        self._version = version
+
+    def report(self, now, wall_ms):
+        """Return the `messages.Report`.
+
+        Parameters
+        ----------
+        wall_ms : int
+            Wall clock; orders the reports of two starts of the agent.
+        """
+        self._sequence = max(self._sequence + 1, wall_ms)
+        fencing, number = self._last
+        return messages.Report(
+            self._vm_id,
+            self._version,
+            sorted(self._loaded),
+            list(self._failed),
+            self._activity(now),
+            fencing,
+            number,
+            self._sequence,
+        )
+
+    def refusal(self):
+        """Return the `messages.Refusal` that tells of the door."""
+        return messages.Refusal(self._vm_id, self.door.highest or 0)
+
+    def _is_idle(self, order):
+        """Return whether `order` has nothing to do or cannot work."""
+        if order.kind is messages.Kind.LOAD:
+            return order.version in self._loaded
+        is_loaded = order.version in self._loaded
+        return order.version == self._version or not is_loaded
+
+    def _count_failure(self, target, now):
+        count = self._failures_by_target.get(target, 0) + 1
+        self._failures_by_target[target] = count
+        if count >= ATTEMPTS and target not in self._failed:
+            self._failed.append(target)
+            del self._failed[:-MAX_FAILED]
+            del self._failures_by_target[target]
+        backoff_s = min(FIRST_BACKOFF_S * 2 ** (count - 1), LAST_BACKOFF_S)
+        self._wait_until = now + backoff_s * self._rng.uniform(0.5, 1.5)
+
+    def _is_waiting(self, now):
+        return self._wait_until is not None and now < self._wait_until
+
+    def _activity(self, now):
+        if self._running:
+            return _ACTIVITIES_BY_KIND[self._running.kind]
+        if self._is_waiting(now):
+            return messages.Activity.WAITING
+        return messages.Activity.IDLE
+
+
+def _target(order):
+    return messages.Failed(order.version, order.generation)
