--- a/packages/decisions/anvilwell_decisions/requests/routing.py
+++ b/packages/decisions/anvilwell_decisions/requests/routing.py
@@ -203,9 +203,7 @@
 
     def _nearest(self, request):
         """Return the next distinct eligible replicas on the ring."""
-        start = bisect.bisect_left(
-            self._ring, (xxhash.xxh3_64_intdigest(request.prefix), "")
-        )
+        start = bisect.bisect_left(self._ring, (_point(request.prefix), ""))
         found = []
         steps = min(len(self._ring), 4 * self._candidates)
         for step in range(steps):
@@ -220,6 +218,10 @@
 
     def _points(self, replica_id):
         return [
-            (xxhash.xxh3_64_intdigest(replica_id, seed=number), replica_id)
+            (_point(replica_id, number), replica_id)
             for number in range(self.POINTS_PER_REPLICA)
         ]
+
+
+def _point(name, seed=0):
+    return xxhash.xxh3_64_intdigest(name.encode(), seed=seed)
--- /dev/null
+++ b/packages/decisions/tests/requests/test_admission.py
@@ -0,0 +1,226 @@
+"""Admission: live first, bounded, and never late to refuse."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from anvilwell_decisions.requests import admission
+from anvilwell_decisions.requests import facts
+from anvilwell_decisions.requests import limits
+from anvilwell_kernel import reasons
+
+LIVE = facts.Priority.LIVE
+TRAINING = facts.Priority.TRAINING
+SETTINGS = admission.AdmissionSettings(
+    max_queue=4, live_reserve=0.25, bounds=limits.LimitBounds(initial=4)
+)
+
+
+class Invariants(stateful.RuleBasedStateMachine):
+    """Offers and ends in any order, against the model's own record."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.admission = admission.Admission(SETTINGS)
+        self.tickets = {}
+        self.states = {}
+        self.admitted_at = {}
+
+    def _take(self, action):
+        ticket_id = action.ticket_id
+        old = self.states.get(ticket_id)
+        assert old in (None, "queued"), "a second answer"
+        if isinstance(action, admission.Admit):
+            self._check_admit(self.tickets[ticket_id])
+            self.states[ticket_id] = "running"
+            self.admitted_at[ticket_id] = self.now
+        elif isinstance(action, admission.Queue):
+            self.states[ticket_id] = "queued"
+        else:
+            assert action.retry_after_s > 0
+            self.states[ticket_id] = "refused"
+
+    def _check_admit(self, ticket):
+        assert ticket.deadline >= self.now
+        running = [t for t, s in self.states.items() if s == "running"]
+        assert len(running) < self.admission.limit
+        if ticket.priority is TRAINING:
+            waiting = [
+                t
+                for t, state in self.states.items()
+                if state == "queued" and self.tickets[t].priority is LIVE
+            ]
+            assert not waiting, "training before live"
+
+    @stateful.rule(
+        priority=st.sampled_from(tuple(facts.Priority)),
+        patience=st.sampled_from((0.0, 0.5, 2.0, 30.0)),
+    )
+    def offer(self, priority, patience):
+        ticket_id = f"t{len(self.tickets)}"
+        ticket = admission.Ticket(ticket_id, priority, self.now + patience)
+        self.tickets[ticket_id] = ticket
+        self._take(self.admission.offer(ticket, self.now))
+
+    @stateful.precondition(lambda self: "running" in self.states.values())
+    @stateful.rule(data=st.data(), slow=st.sampled_from((0.1, 1.0, 3.0)))
+    def finish(self, data, slow):
+        running = [t for t, s in self.states.items() if s == "running"]
+        ticket_id = data.draw(st.sampled_from(running))
+        self.now += slow / 4
+        self.states[ticket_id] = "done"
+        for action in self.admission.finished(ticket_id, self.now, slow):
+            self._take(action)
+
+    @stateful.precondition(lambda self: "queued" in self.states.values())
+    @stateful.rule(data=st.data())
+    def cancel(self, data):
+        queued = [t for t, s in self.states.items() if s == "queued"]
+        ticket_id = data.draw(st.sampled_from(queued))
+        self.states[ticket_id] = "done"
+        for action in self.admission.cancel(ticket_id, self.now):
+            self._take(action)
+
+    @stateful.rule(seconds=st.sampled_from((0.1, 1.0, 5.0)))
+    def wait(self, seconds):
+        self.now += seconds
+        for action in self.admission.expire(self.now):
+            self._take(action)
+        overdue = [
+            t
+            for t, state in self.states.items()
+            if state == "queued" and self.tickets[t].deadline < self.now
+        ]
+        assert not overdue, "refused late"
+
+    @stateful.rule()
+    def drain(self):
+        for action in self.admission.drain():
+            self._take(action)
+        assert "queued" not in self.states.values()
+
+    @stateful.invariant()
+    def queue_is_bounded(self):
+        states = list(self.states.items())
+        for priority in facts.Priority:
+            queued = [
+                t
+                for t, state in states
+                if state == "queued" and self.tickets[t].priority is priority
+            ]
+            assert len(queued) <= SETTINGS.max_queue
+        assert self.admission.queued == sum(
+            state == "queued" for _, state in states
+        )
+
+    @stateful.invariant()
+    def nothing_waits_without_cause(self):
+        """Live never waits while there is room at the server."""
+        running = sum(s == "running" for s in self.states.values())
+        assert self.admission.in_flight == running
+        live_waits = any(
+            state == "queued" and self.tickets[t].priority is LIVE
+            for t, state in self.states.items()
+        )
+        assert not live_waits or running >= self.admission.limit
+
+
+Invariants.TestCase.settings = settings(
+    max_examples=100, stateful_step_count=40
+)
+TestInvariants = Invariants.TestCase
+
+
+def _ticket(ticket_id, priority=LIVE, deadline=100.0, work=0.0):
+    return admission.Ticket(ticket_id, priority, deadline, work)
+
+
+def test_reserve_keeps_training_out_of_the_last_places():
+    gate = admission.Admission(SETTINGS)
+    for number in range(3):
+        ticket = _ticket(f"t{number}", TRAINING)
+        assert isinstance(gate.offer(ticket, 0.0), admission.Admit)
+    assert isinstance(gate.offer(_ticket("t3", TRAINING), 0), admission.Queue)
+    assert isinstance(gate.offer(_ticket("live"), 0.0), admission.Admit)
+
+
+def test_live_that_waits_goes_before_training_that_came_first():
+    gate = admission.Admission(SETTINGS)
+    for number in range(4):
+        gate.offer(_ticket(f"r{number}"), 0.0)
+    gate.offer(_ticket("training", TRAINING), 0.0)
+    gate.offer(_ticket("live"), 0.0)
+    actions = gate.finished("r0", 1.0, 1.0)
+    assert actions == [admission.Admit("live")]
+
+
+def test_a_deadline_that_cannot_be_met_is_refused_at_once():
+    gate = admission.Admission(SETTINGS)
+    gate.offer(_ticket("a"), 0.0)
+    gate.finished("a", 10.0, 10.0)
+    answer = gate.offer(_ticket("b", deadline=15.0), 10.0)
+    assert answer.reason is reasons.Refusal.DEADLINE
+    answer = gate.offer(_ticket("c", deadline=25.0), 10.0)
+    assert answer == admission.Admit("c")
+
+
+def test_a_queue_that_is_full_refuses_and_says_when_to_return():
+    gate = admission.Admission(SETTINGS)
+    for number in range(8):
+        gate.offer(_ticket(f"t{number}"), 0.0)
+    answer = gate.offer(_ticket("more"), 0.0)
+    assert answer.reason is reasons.Refusal.QUEUE_FULL
+    assert answer.retry_after_s > 0
+
+
+def test_drain_refuses_what_waits_and_lets_the_rest_run():
+    gate = admission.Admission(SETTINGS)
+    for number in range(6):
+        gate.offer(_ticket(f"t{number}"), 0.0)
+    refused = gate.drain()
+    assert [r.ticket_id for r in refused] == ["t4", "t5"]
+    assert {r.reason for r in refused} == {reasons.Refusal.DRAINING}
+    assert gate.in_flight == 4
+    assert gate.finished("t0", 1.0, 1.0) == []
+    late = gate.offer(_ticket("late"), 1.0)
+    assert late.reason is reasons.Refusal.DRAINING
+
+
+def test_limit_shrinks_when_slow_and_grows_when_used_and_fast():
+    limit = limits.AdaptiveLimit(limits.LimitBounds(initial=10, window=4))
+    for _ in range(4):
+        limit.observe(1.0, 1.0, 10)
+    grown = limit.limit
+    assert grown > 10
+    for _ in range(40):
+        limit.observe(2.0, 1.0, grown)
+    assert limit.limit < grown
+    assert limit.limit >= 2
+
+
+def test_limit_does_not_grow_while_it_is_not_used():
+    limit = limits.AdaptiveLimit(limits.LimitBounds(initial=10, window=4))
+    for _ in range(40):
+        limit.observe(1.0, 1.0, 3)
+    assert limit.limit == 10
+
+
+def test_limit_learns_anew_when_the_server_itself_is_slower():
+    limit = limits.AdaptiveLimit(limits.LimitBounds(initial=4, window=1))
+    limit.observe(1.0, 1.0, 4)
+    for _ in range(60):
+        limit.observe(3.0, 1.0, limit.limit)
+    assert limit.best_s == 3.0
+    assert limit.limit > 2
+
+
+def test_what_became_late_in_the_queue_is_refused_and_not_run():
+    gate = admission.Admission(SETTINGS)
+    for number in range(4):
+        gate.offer(_ticket(f"t{number}"), 0.0)
+    gate.offer(_ticket("late", deadline=5.0), 0.0)
+    gate.offer(_ticket("training", TRAINING), 0.0)
+    refused, admitted = gate.finished("t0", 9.0, 9.0)
+    assert refused.reason is reasons.Refusal.DEADLINE
+    assert admitted == admission.Admit("training")
