--- a/packages/decisions/anvilwell_decisions/requests/routing.py
+++ b/packages/decisions/anvilwell_decisions/requests/routing.py
@@ -10,6 +10,7 @@
 from anvilwell_decisions.requests import pool
 
 _DRAWS = 8
+_LEAST_WARMTH = 0.1
 
 
 class Policy(abc.ABC):
@@ -138,7 +139,32 @@
 
 
 class PowerOfTwo(Policy):
-    """Takes the less loaded of two replicas drawn at random."""
+    """Takes the less loaded of two replicas drawn at random.
+
+    A fresh replica counts as more loaded than it is, so that it warms
+    up before it has its full part.
+
+    Parameters
+    ----------
+    slow_start_s : float
+        Seconds after which a replica is no longer fresh.
+    """
+
+    def __init__(self, rng, *, slow_start_s=0.0):
+        super().__init__(rng)
+        self._slow_start_s = slow_start_s
+        self._up_at_by_id = {}
+
+    def replica_up(self, facts, now):
+        """Take in a replica; one that is new is fresh."""
+        if facts.replica_id not in self._pool.facts_by_id:
+            self._up_at_by_id[facts.replica_id] = now
+        super().replica_up(facts, now)
+
+    def replica_down(self, replica_id, now):
+        """Give the replica no new work."""
+        super().replica_down(replica_id, now)
+        self._up_at_by_id.pop(replica_id, None)
 
     def choose(self, request, now):
         """Return the better of two draws."""
@@ -149,7 +175,19 @@
         return min(first, second, key=lambda r: self._cost(r, now))
 
     def _cost(self, replica_id, now):
-        return self._loads.estimate(replica_id)
+        load = self._loads.estimate(replica_id)
+        return (load + 1) / self._warmth(replica_id, now)
+
+    def _warmth(self, replica_id, now):
+        """Return the part of its full load that a replica may have."""
+        up_at = self._up_at_by_id.get(replica_id)
+        if up_at is None:
+            return 1.0
+        age_s = now - up_at
+        if age_s >= self._slow_start_s:
+            del self._up_at_by_id[replica_id]
+            return 1.0
+        return max(_LEAST_WARMTH, age_s / self._slow_start_s)
 
 
 class PrefixAffinity(PowerOfTwo):
@@ -169,8 +207,8 @@
 
     POINTS_PER_REPLICA = 16
 
-    def __init__(self, rng, *, bound=1.25, candidates=3):
-        super().__init__(rng)
+    def __init__(self, rng, *, bound=1.25, candidates=3, slow_start_s=0.0):
+        super().__init__(rng, slow_start_s=slow_start_s)
         self._bound = bound
         self._candidates = candidates
         self._ring = []
@@ -199,7 +237,8 @@
 
     def _is_within_bound(self, replica_id, now):
         mean = (self._loads.total_own + 1) / max(1, len(self._pool))
-        return self._loads.own(replica_id) < self._bound * mean + 1
+        allowed = self._bound * mean * self._warmth(replica_id, now)
+        return self._loads.own(replica_id) < allowed + 1
 
     def _nearest(self, request):
         """Return the next distinct eligible replicas on the ring."""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/requests/subsets.py
@@ -0,0 +1,136 @@
+"""The bounded part of a service's replicas that one entry uses."""
+
+import collections
+import itertools
+import typing
+
+import sortedcontainers
+import xxhash
+
+
+class SubsetSettings(typing.NamedTuple):
+    """Settings of subsetting.
+
+    ``size`` is how many replicas an entry uses; ``near_share`` is the
+    largest share of them in its own failure domain.
+    """
+
+    size: int = 48
+    near_share: float = 0.5
+
+
+class SubsetChange(typing.NamedTuple):
+    """Replicas that came into the subset and that left it."""
+
+    added: tuple
+    removed: tuple
+
+
+class Subset:
+    """Chooses by rendezvous hashing, within a quota for each domain.
+
+    In each failure domain the replicas with the lowest hash of entry
+    and replica are taken. A replica that comes or goes changes the
+    subset by at most one replica in each domain, and no two entries
+    have the same subset, so that load mixes over the fleet.
+
+    Parameters
+    ----------
+    entry_id : str
+        This entry.
+    failure_domain : str
+        Where the entry is.
+    settings : SubsetSettings, optional
+        Size and share of the near domain.
+    """
+
+    def __init__(self, entry_id, failure_domain, settings=None):
+        self._entry_id = entry_id
+        self._near = failure_domain
+        self._settings = settings or SubsetSettings()
+        self._facts_by_id = {}
+        self._ranked_by_domain = collections.defaultdict(
+            sortedcontainers.SortedList
+        )
+        self._chosen_by_domain = {}
+
+    @property
+    def replicas_by_id(self):
+        """Facts of the chosen replicas."""
+        chosen = itertools.chain(*self._chosen_by_domain.values())
+        return {r: self._facts_by_id[r] for r in chosen}
+
+    def replica_up(self, facts):
+        """Take in a replica; return the `SubsetChange`."""
+        old = self._facts_by_id.get(facts.replica_id)
+        if old and old.failure_domain != facts.failure_domain:
+            self._unrank(old)
+        self._facts_by_id[facts.replica_id] = facts
+        rank = self._rank(facts.replica_id)
+        ranked = self._ranked_by_domain[facts.failure_domain]
+        if rank not in ranked:
+            ranked.add(rank)
+        return self._choose()
+
+    def replica_down(self, replica_id):
+        """Forget a replica; return the `SubsetChange`."""
+        facts = self._facts_by_id.get(replica_id)
+        if facts is None:
+            return SubsetChange((), ())
+        self._unrank(facts)
+        change = self._choose()
+        del self._facts_by_id[replica_id]
+        return change
+
+    def _unrank(self, facts):
+        ranked = self._ranked_by_domain[facts.failure_domain]
+        ranked.remove(self._rank(facts.replica_id))
+        if not ranked:
+            del self._ranked_by_domain[facts.failure_domain]
+
+    def _rank(self, replica_id):
+        name = f"{self._entry_id}\x00{replica_id}".encode()
+        return xxhash.xxh3_64_intdigest(name), replica_id
+
+    def _choose(self):
+        """Choose anew; the cost is that of the subset, not the fleet."""
+        before = set(itertools.chain(*self._chosen_by_domain.values()))
+        quotas = self._quotas_by_domain()
+        self._chosen_by_domain = {
+            domain: [r for _, r in self._ranked_by_domain[domain][:quota]]
+            for domain, quota in quotas.items()
+        }
+        after = set(itertools.chain(*self._chosen_by_domain.values()))
+        added = tuple(sorted(after - before))
+        return SubsetChange(added, tuple(sorted(before - after)))
+
+    def _quotas_by_domain(self):
+        """Return how many replicas to take in each failure domain.
+
+        The near domain has its share, the others share the rest evenly;
+        what a domain can't fill goes to those with replicas left.
+        """
+        counts = {d: len(r) for d, r in self._ranked_by_domain.items()}
+        quotas = dict.fromkeys(counts, 0)
+        left = min(self._settings.size, sum(counts.values()))
+        if self._near in counts:
+            share = int(self._settings.size * self._settings.near_share)
+            quotas[self._near] = min(share, counts[self._near], left)
+            left -= quotas[self._near]
+        far = sorted(set(counts) - {self._near})
+        left = _spread(quotas, counts, far, left)
+        _spread(quotas, counts, sorted(counts), left)
+        return quotas
+
+
+def _spread(quotas, counts, domains, left):
+    """Raise `quotas` evenly by `left`; return what could not be placed."""
+    open_domains = [d for d in domains if quotas[d] < counts[d]]
+    while left and open_domains:
+        each = max(1, left // len(open_domains))
+        for domain in open_domains:
+            more = min(each, counts[domain] - quotas[domain], left)
+            quotas[domain] += more
+            left -= more
+        open_domains = [d for d in open_domains if quotas[d] < counts[d]]
+    return left
