--- a/packages/decisions/anvilwell_decisions/requests/admission.py
+++ b/packages/decisions/anvilwell_decisions/requests/admission.py
@@ -2,6 +2,7 @@
 
 import collections
 import heapq
+import math
 import typing
 
 from anvilwell_decisions.requests import facts
@@ -49,8 +50,8 @@
 class AdmissionSettings(typing.NamedTuple):
     """Settings of admission.
 
-    ``live_reserve`` is the share of the limit that training never
-    takes. ``max_queue`` bounds the queue of each class.
+    ``live_reserve`` is the share of the limit that training leaves
+    free, whatever live itself has. ``max_queue`` bounds the queue of each class.
     """
 
     max_queue: int = 64
@@ -69,7 +70,6 @@
         self._settings = settings or AdmissionSettings()
         self._limit = limits.AdaptiveLimit(self._settings.bounds)
         self._running_by_id = {}
-        self._training_running = 0
         self._queued_by_priority = {
             priority: collections.OrderedDict() for priority in facts.Priority
         }
@@ -101,7 +101,7 @@
         if not self._can_meet(ticket, now, self._wait_s(ticket.priority)):
             return self._refusal(ticket, reasons.Refusal.DEADLINE)
         if not queue and self._has_room(ticket.priority):
-            return self._admit(ticket, now)
+            return self._admit(ticket)
         if len(queue) >= self._settings.max_queue:
             return self._refusal(ticket, reasons.Refusal.QUEUE_FULL)
         queue[ticket.ticket_id] = ticket
@@ -180,22 +180,18 @@
             return True
         if self._queued_by_priority[facts.Priority.LIVE]:
             return False
-        return self._training_running < self._training_limit()
+        return self.in_flight < max(1, self.limit - self._headroom())
 
-    def _training_limit(self):
-        share = 1 - self._settings.live_reserve
-        return max(1, int(self.limit * share))
+    def _headroom(self):
+        """Return how many places training leaves free for live."""
+        return math.ceil(self.limit * self._settings.live_reserve)
 
-    def _admit(self, ticket, now):
+    def _admit(self, ticket):
         self._running_by_id[ticket.ticket_id] = ticket
-        if ticket.priority is facts.Priority.TRAINING:
-            self._training_running += 1
         return Admit(ticket.ticket_id)
 
     def _release(self, ticket, now):
         del self._running_by_id[ticket.ticket_id]
-        if ticket.priority is facts.Priority.TRAINING:
-            self._training_running -= 1
         return self._fill(now)
 
     def _fill(self, now):
@@ -210,7 +206,7 @@
 
     def _admit_in_time(self, ticket, now):
         if self._can_meet(ticket, now, 0.0):
-            return self._admit(ticket, now)
+            return self._admit(ticket)
         return self._refusal(ticket, reasons.Refusal.DEADLINE)
 
     def _can_meet(self, ticket, now, wait_s):
