--- a/packages/bench/anvilwell_bench/virtual/driver.py
+++ b/packages/bench/anvilwell_bench/virtual/driver.py
@@ -62,6 +62,10 @@
             self._rngs_by_name[name] = random.Random(seed)
         return self._rngs_by_name[name]
 
+    def fresh_rng(self, name):
+        """Return a new stream called `name`; equal names draw alike."""
+        return random.Random(f"{self._seed}/{name}")
+
     def after(self, delay_s, function, *args):
         """Call ``function(*args)`` in `delay_s` seconds."""
         event = self.environment.timeout(delay_s)
--- /dev/null
+++ b/packages/bench/anvilwell_bench/virtual/samples_workload.py
@@ -0,0 +1,138 @@
+"""Workloads of the samples bench: sizes and the length distribution."""
+
+import math
+import typing
+
+from anvilwell_bench.virtual import engine as engines
+from anvilwell_decisions.samples import identity
+
+
+class Lengths(typing.NamedTuple):
+    """Heavy-tailed lengths in tokens.
+
+    A prompt's typical length is lognormal; a sample's length is that
+    times lognormal noise; a share of the samples is stretched by a
+    Pareto factor. All are capped at ``max_tokens``.
+    """
+
+    median: float = 400.0
+    prompt_sigma: float = 0.7
+    sample_sigma: float = 0.35
+    tail_share: float = 0.02
+    tail_alpha: float = 1.5
+    tail_scale: float = 2.0
+    max_tokens: int = 4096
+
+    def typical(self, rng):
+        """Return a prompt's typical length."""
+        return self.median * math.exp(rng.gauss(0, self.prompt_sigma))
+
+    def draw(self, typical, rng):
+        """Return one sample's length."""
+        tokens = typical * math.exp(rng.gauss(0, self.sample_sigma))
+        if rng.random() < self.tail_share:
+            tokens *= self.tail_scale * rng.paretovariate(self.tail_alpha)
+        return max(8, min(int(tokens), self.max_tokens))
+
+
+class Deployment(typing.NamedTuple):
+    """One deployment: replicas, runs, their steps and new weights."""
+
+    name: str
+    runs: int
+    groups: int
+    samples: int
+    train_s: float
+    weights_every_s: float
+    replicas: int = 6
+    bound: int = 2
+    swap_s: float = 8.0
+    prompts: int = 256
+    prompt_tokens: int = 400
+    lengths: Lengths = Lengths()
+    engine: engines.EngineModel = engines.EngineModel(
+        base_step_s=0.02, per_stream_step_s=0.0005, max_batch=32
+    )
+
+    def capacity(self):
+        """Return the tokens a second of all replicas with full batches."""
+        batch = self.engine.max_batch
+        step_s = (
+            self.engine.base_step_s + batch * self.engine.per_stream_step_s
+        )
+        return self.replicas * batch / step_s
+
+    def fastest_token_s(self):
+        """Return the seconds that a token takes in a stream alone."""
+        return self.engine.base_step_s + self.engine.per_stream_step_s
+
+
+ASSOCIATION = Deployment(
+    "association",
+    runs=2,
+    groups=64,
+    samples=8,
+    train_s=170.0,
+    weights_every_s=240.0,
+)
+GOALPOST = Deployment(
+    "goalpost",
+    runs=3,
+    groups=32,
+    samples=8,
+    train_s=130.0,
+    weights_every_s=180.0,
+)
+DEPLOYMENTS = (ASSOCIATION, GOALPOST)
+
+
+class Workload:
+    """Draws the steps and the true length of each sample.
+
+    Lengths depend on the seed and the sample's id alone, so that every
+    policy meets the same work.
+    """
+
+    def __init__(self, deployment, driver):
+        self._deployment = deployment
+        self._driver = driver
+        self._typical_by_prompt = {}
+
+    def step(self, run, number):
+        """Return step `number` of `run`."""
+        deployment = self._deployment
+        rng = self._driver.rng(f"prompts/{run}/{number}")
+        prompts = rng.sample(range(deployment.prompts), deployment.groups)
+        groups = tuple(
+            identity.Group(
+                f"g{index}",
+                f"{run}/p{prompt}",
+                deployment.samples,
+                deployment.lengths.max_tokens,
+            )
+            for index, prompt in enumerate(prompts)
+        )
+        return identity.Step(run, number, "lm", groups)
+
+    def tokens(self, sample, group):
+        """Return the true length of `sample`."""
+        lengths = self._deployment.lengths
+        prompt = group.prompt
+        if prompt not in self._typical_by_prompt:
+            rng = self._driver.rng(f"prompt/{prompt}")
+            self._typical_by_prompt[prompt] = lengths.typical(rng)
+        rng = self._driver.fresh_rng(f"length/{sample}")
+        return lengths.draw(self._typical_by_prompt[prompt], rng)
+
+    def lower_bound_s(self, steps):
+        """Return the least time that `steps`, begun at once, can take."""
+        lengths = [
+            self.tokens(sample, group)
+            for step in steps
+            for group in step.groups
+            for sample in step.sample_ids()
+            if sample.group == group.group
+        ]
+        deployment = self._deployment
+        work_s = sum(lengths) / deployment.capacity()
+        return max(work_s, max(lengths) * deployment.fastest_token_s())
