--- a/packages/bench/anvilwell_bench/audit/promises/configuration.py
+++ b/packages/bench/anvilwell_bench/audit/promises/configuration.py
@@ -1,6 +1,7 @@
 """An accepted configuration is in force everywhere and stays so."""
 
 import itertools
+import math
 
 from anvilwell_bench.audit import promise
 from anvilwell_bench.audit import reader
@@ -108,20 +109,23 @@
 def _wanted_versions(records, at):
     """Return the versions that an order may name at a time.
 
-    Those are the version of the last document in force, of any that it
-    replaced less than ORDER_LIMIT_S ago, and of any accepted later: an
-    order may precede the operator's answer.
+    Operators ask for versions in documents, trainers when they have
+    published them. An order may name the version asked for last, any
+    that it replaced less than ORDER_LIMIT_S ago, and any asked for
+    later: an order may precede the answer to the one who asked.
     """
-    applies = [line for line in _accepted(records) if line["version"]]
-    if not any(line["at"] < at for line in applies):
+    asked = sorted(
+        (line["at"], line["version"])
+        for line in [*_accepted(records), *records.of("version")]
+        if line["version"]
+    )
+    if not any(asked_at < at for asked_at, _version in asked):
         return set()
-    replaced = {
-        earlier["generation"]
-        for earlier, later in itertools.pairwise(applies)
-        if later["at"] + ORDER_LIMIT_S < at
-    }
+    limits = [later for later, _version in asked[1:]] + [math.inf]
     return {
-        line["version"]
-        for line in applies
-        if line["generation"] not in replaced
+        version
+        for (_asked_at, version), replaced_at in zip(
+            asked, limits, strict=True
+        )
+        if replaced_at + ORDER_LIMIT_S >= at
     }
--- a/packages/bench/anvilwell_bench/audit/records.py
+++ b/packages/bench/anvilwell_bench/audit/records.py
@@ -137,12 +137,16 @@
 
 
 class TrainerCollect(_Line):
-    """A trainer asked from `cursor` and took in the samples."""
+    """A trainer asked from `cursor` and took in the samples.
+
+    It had nothing else to do for `idle_s` seconds of it.
+    """
 
     kind: typing.Literal["collect"]
     run: str
     cursor: int
     next_cursor: int
+    idle_s: float
     samples: list[CollectedSample]
 
 
--- a/packages/bench/anvilwell_bench/load/summary.py
+++ b/packages/bench/anvilwell_bench/load/summary.py
@@ -1,7 +1,6 @@
 """What a session comes to, from records and metrics pages."""
 
 import collections
-import itertools
 import pathlib
 import typing
 
@@ -46,14 +45,9 @@
     return sum(wait.whole_at is not None for wait in waits)
 
 
-def idle_s(waits):
-    """Return the seconds in which a trainer waited, over all runs."""
-    whole = [wait for wait in waits if wait.whole_at is not None]
-    by_run = itertools.groupby(
-        sorted(whole, key=lambda wait: (wait.run, wait.submitted_at)),
-        key=lambda wait: wait.run,
-    )
-    return sum(_covered_s(group) for _run, group in by_run)
+def idle_s(records):
+    """Return the seconds in which trainers had nothing to do."""
+    return sum(line["idle_s"] for line in records.of("collect"))
 
 
 def latencies(records):
@@ -93,7 +87,7 @@
     counts = counts_by_reason(pages)
     return [
         f"steps whole: {whole} of {len(waits)}",
-        f"trainer idle: {idle_s(waits):.2f} s",
+        f"trainer idle: {idle_s(records):.2f} s",
         f"staleness max: {max(staleness.ages(records), default=0)} versions",
         f"live answers: {times.get_total_count()}, "
         f"p50 {times.get_value_at_percentile(50):.0f} ms, "
@@ -110,12 +104,3 @@
     is_whole = len(collected_at_by_id) == wanted
     whole_at = max(collected_at_by_id.values()) if is_whole else None
     return StepWait(line["run"], line["step"], line["at"], whole_at)
-
-
-def _covered_s(waits):
-    covered, end = 0.0, float("-inf")
-    for wait in waits:
-        start = max(end, wait.submitted_at)
-        end = max(end, wait.whole_at)
-        covered += max(0.0, end - start)
-    return covered
--- a/packages/bench/tests/audit/clean_records.py
+++ b/packages/bench/tests/audit/clean_records.py
@@ -118,6 +118,7 @@
         run=RUN,
         cursor=cursor,
         next_cursor=next_cursor,
+        idle_s=1.5,
         samples=samples,
     )
 
--- a/packages/bench/tests/load/test_summary.py
+++ b/packages/bench/tests/load/test_summary.py
@@ -36,15 +36,10 @@
     ]
 
 
-def test_idle_time_counts_overlap_once():
-    waits = [
-        summary.StepWait("r", 1, 0.0, 4.0),
-        summary.StepWait("r", 2, 2.0, 5.0),
-        summary.StepWait("r", 3, 7.0, 8.0),
-        summary.StepWait("r", 4, 9.0, None),
-        summary.StepWait("s", 1, 0.0, 1.0),
-    ]
-    assert summary.idle_s(waits) == 7.0
+def test_step_that_misses_a_sample_is_not_whole(tmp_path):
+    kept = [line for line in clean.lines() if line.get("cursor") != 1]
+    (wait,) = summary.step_waits(clean.records(kept))
+    assert wait.whole_at is None
 
 
 def test_note_of_an_operator(tmp_path):
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,6 +19,7 @@
 FAILED=0
 CODE=0
 PORT_PLACE=0
+declare -A LISTEN DOMAIN_OF
 
 . scripts/lib/processes.sh
 . scripts/lib/fleet.sh
@@ -66,10 +67,13 @@
 }
 
 start_standins() {
-    local number fencing
+    local number fencing name vms=()
+    for name in "${!LISTEN[@]}"; do
+        vms+=(--vm "$name=127.0.0.1:${LISTEN[$name]}=${DOMAIN_OF[$name]}")
+    done
     standin keyvalue keyvalue
-    standin vmlist vmlist
-    standin weightstore weightstore
+    standin vmlist vmlist "${vms[@]}"
+    standin weightstore weightstore --published planner=1
     standin scorer scorer
     wait_ports keyvalue vmlist weightstore scorer
     for ((number = 1; number <= ENGINES; number++)); do
@@ -83,45 +87,47 @@
     for ((number = 1; number <= PLAINS; number++)); do
         standin plain "plain-$number"
     done
-    wait_ports $(seq -f engine-%.0f "$ENGINES") $(seq -f plain-%.0f "$PLAINS")
+    wait_ports "${BACKENDS[@]}"
 }
 
 start_daemons() {
-    local number fencing first second
-    next_port
-    first=$PORT
-    next_port
-    second=$PORT
+    local number fencing
     PLATFORM=(
-        "SEEDS=127.0.0.1:$first, 127.0.0.1:$second"
+        "SEEDS=127.0.0.1:${LISTEN[entry-1]}, 127.0.0.1:${LISTEN[entry-2]}"
         "KEYVALUE=$(address_of keyvalue)"
         "VMLIST=$(address_of vmlist)"
         "WEIGHTSTORE=$(address_of weightstore)"
         "SCORER=$(address_of scorer)"
     )
-    entry entry-1 "${DOMAINS[0]}" "$first"
-    entry entry-2 "${DOMAINS[1]}" "$second"
+    entry entry-1
+    entry entry-2
     for ((number = 1; number <= ENGINES; number++)); do
         fencing=yes
         ((number % 2)) || fencing=no
         agent "planner-agent-$number" planner-lm model "engine-$number" \
-            "${DOMAINS[number % 3]}" "$fencing"
+            "$fencing"
     done
     for ((number = 1; number <= PLAINS; number++)); do
-        agent "stops-agent-$number" stops-app plain "plain-$number" \
-            "${DOMAINS[number % 3]}" no
+        agent "stops-agent-$number" stops-app plain "plain-$number" no
     done
     wait_for 30 "readiness of entry-1" is_ready entry-1
     wait_for 30 "readiness of entry-2" is_ready entry-2
 }
 
 start_callers() {
-    local callers admins
-    callers="entry-1=$(address_of entry-1),entry-2=$(address_of entry-2)"
+    local admins entries
     admins="entry-1=$(address_of entry-1-admin)"
     admins+=",entry-2=$(address_of entry-2-admin)"
-    start live "$PYTHON" -m anvilwell_bench.load --who=caller \
-        --record="$RECORDS/caller.jsonl" --daemons="$callers" live
+    entries=(
+        --entry "entry-1=$(address_of entry-1)"
+        --entry "entry-2=$(address_of entry-2)"
+    )
+    start caller "$PYTHON" -m anvilwell_standins caller --name caller \
+        --record "$RECORDS/caller.jsonl" "${entries[@]}" --seconds 300
+    # Asks for a service that is not there: a refusal to hold true.
+    start stranger "$PYTHON" -m anvilwell_standins caller --name stranger \
+        --record "$RECORDS/stranger.jsonl" "${entries[@]}" --retries 0 \
+        --service no-such-lm --streams 1 --lookups 0 --notices 0 --asks 2
     start prober "$PYTHON" -m anvilwell_bench.load --who=prober \
         --record="$RECORDS/prober.jsonl" --daemons="$admins" probe
 }
@@ -141,6 +147,15 @@
     [ "$CODE" -eq 0 ] || FAILED=1
 }
 
+mapfile -t PLANNER_AGENTS < <(seq -f planner-agent-%.0f "$ENGINES")
+mapfile -t STOPS_AGENTS < <(seq -f stops-agent-%.0f "$PLAINS")
+mapfile -t BACKENDS < <(
+    seq -f engine-%.0f "$ENGINES"
+    seq -f plain-%.0f "$PLAINS"
+)
+AGENTS=("${PLANNER_AGENTS[@]}" "${STOPS_AGENTS[@]}")
+place entry-1 entry-2 "${AGENTS[@]}"
+
 say "starting stand-ins: $ENGINES engines, $PLAINS plain services"
 start_standins
 say "starting 2 entries and $((ENGINES + PLAINS)) agents"
@@ -153,8 +168,9 @@
 say "live callers ask; the trainer begins $STEPS steps"
 start trainer "$PYTHON" -m anvilwell_standins trainer --name trainer \
     --record "$RECORDS/trainer.jsonl" \
-    --entries "$(address_of entry-1),$(address_of entry-2)" \
-    --weight-store "$(address_of weightstore)" \
+    --entry "entry-1=$(address_of entry-1)" \
+    --entry "entry-2=$(address_of entry-2)" \
+    --weight-store "$(address_of weightstore)" --train-ms 1500 \
     --service planner-lm --run autumn --steps "$STEPS"
 
 wait_for "$STEP_LIMIT_S" "step 1" steps_whole 1
@@ -172,12 +188,12 @@
 wait_for $((STEP_LIMIT_S * 2)) "the last step" steps_whole "$STEPS"
 say "all $STEPS steps are whole"
 
-stop live
+stop caller
 [ "$CODE" -eq 0 ] || FAILED=1
 stop prober
 stop trainer
-for name in entry-1 $(seq -f planner-agent-%.0f "$ENGINES") \
-    $(seq -f stops-agent-%.0f "$PLAINS"); do
+[ "$CODE" -eq 0 ] || FAILED=1
+for name in entry-1 "${AGENTS[@]}"; do
     save_metrics "$name"
 done
 shut_down entry-1
@@ -186,7 +202,7 @@
 say "summary"
 load --metrics="$RUN/metrics" summary "$RECORDS"
 "$PYTHON" -m anvilwell_bench.audit "$RECORDS" \
-    --parties="caller,trainer,operator,prober,engine-1,plain-1" || FAILED=1
+    --parties="caller,stranger,trainer,operator,prober,engine-1,plain-1" || FAILED=1
 if ((FAILED || LEFTOVERS)); then
     fail "failed: $LEFTOVERS leftovers; logs are in $RUN/logs"
 fi
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -36,21 +36,30 @@
     done
 }
 
-# agent NAME SERVICE KIND BACKEND_NAME DOMAIN FENCING
+# place NAME...: choose each daemon's listener and failure domain.
+place() {
+    local name number=0
+    for name in "$@"; do
+        next_port
+        LISTEN[$name]=$PORT
+        DOMAIN_OF[$name]=${DOMAINS[number % 3]}
+        number=$((number + 1))
+    done
+}
+
+# agent NAME SERVICE KIND BACKEND_NAME FENCING
 agent() {
     local name=$1
     next_port
-    local port=$PORT
-    next_port
     echo "127.0.0.1:$PORT" >"$RUN/ports/$name-admin"
     render agent.ini "$RUN/settings/$name.ini" "NAME=$name" "SERVICE=$2" \
-        "KIND=$3" "BACKEND=$(address_of "$4")" "DOMAIN=$5" "FENCING=$6" \
-        "PORT=$port" "ADMIN=$PORT" "${PLATFORM[@]}" \
-        "LOG=$RUN/logs/$name.log"
+        "KIND=$3" "BACKEND=$(address_of "$4")" "FENCING=$5" \
+        "DOMAIN=${DOMAIN_OF[$name]}" "PORT=${LISTEN[$name]}" \
+        "ADMIN=$PORT" "${PLATFORM[@]}" "LOG=$RUN/logs/$name.log"
     start "$name" "$BIN/anvilwelld" run --settings "$RUN/settings/$name.ini"
 }
 
-# entry NAME DOMAIN PEERS_PORT
+# entry NAME
 entry() {
     local name=$1
     next_port
@@ -58,8 +67,9 @@
     next_port
     echo "127.0.0.1:$port" >"$RUN/ports/$name"
     echo "127.0.0.1:$PORT" >"$RUN/ports/$name-admin"
-    render entry.ini "$RUN/settings/$name.ini" "NAME=$name" "DOMAIN=$2" \
-        "PEERS=$3" "PORT=$port" "ADMIN=$PORT" "${PLATFORM[@]}" \
+    render entry.ini "$RUN/settings/$name.ini" "NAME=$name" \
+        "DOMAIN=${DOMAIN_OF[$name]}" "PEERS=${LISTEN[$name]}" \
+        "PORT=$port" "ADMIN=$PORT" "${PLATFORM[@]}" \
         "LOG=$RUN/logs/$name.log"
     start "$name" "$BIN/anvilwelld" run --settings "$RUN/settings/$name.ini"
 }
