--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -40,13 +40,13 @@
 
 # operate COMMAND...: run the operators' client against the first entry.
 operate() {
-    "$BIN/anvilwell" --server "$(address_of entry-1-admin)" "$@"
+    "$BIN/anvilwell" --entry="$(address_of entry-1-admin)" "$@"
 }
 
 # apply SERVICE VERSION: apply the rendered document and note the outcome.
 apply() {
     local outcome=$RUN/logs/apply-$1-$2.json
-    if ! operate --output json apply "$RUN/settings/$1.ini" >"$outcome"; then
+    if ! operate --output=json apply "$RUN/settings/$1.ini" >"$outcome"; then
         fail "apply of $1 failed: $(cat "$outcome")"
     fi
     load --who=operator --record="$RECORDS/operator.jsonl" \
