--- a/packages/bench/tests/conftest.py
+++ b/packages/bench/tests/conftest.py
@@ -3,4 +3,5 @@
 import pathlib
 import sys
 
-sys.path.append(str(pathlib.Path(__file__).parent / "audit"))
+_HERE = pathlib.Path(__file__).parent
+sys.path += [str(_HERE / "audit"), str(_HERE / "sessions")]
