--- a/packages/decisions/anvilwell_decisions/requests/admission.py
+++ b/packages/decisions/anvilwell_decisions/requests/admission.py
@@ -51,7 +51,7 @@
     """Settings of admission.
 
     ``live_reserve`` is the share of the limit that training leaves
-    free, whatever live itself has. ``max_queue`` bounds the queue of each class.
+    free, whatever live itself has. ``max_queue`` bounds each class.
     """
 
     max_queue: int = 64
