--- a/packages/daemon/anvilwell_daemon/agent/flusher.py
+++ b/packages/daemon/anvilwell_daemon/agent/flusher.py
@@ -43,6 +43,11 @@
         elif not armed:
             self._loop.call_soon_threadsafe(self._arm)
 
+    def flush(self, outflow):
+        """Move what `outflow` holds now; on the loop's thread only."""
+        for message in outflow.take():
+            self._connection.send(message)
+
     def _arm(self):
         self._loop.call_later(self._interval_s, self._flush)
 
@@ -52,5 +57,4 @@
             self._dirty = set()
             self._armed = False
         for outflow in dirty:
-            for message in outflow.take():
-                self._connection.send(message)
+            self.flush(outflow)
--- a/packages/daemon/anvilwell_daemon/agent/outflow.py
+++ b/packages/daemon/anvilwell_daemon/agent/outflow.py
@@ -61,6 +61,8 @@
         self._buffer_bytes = 0
         self._condition = threading.Condition()
         self._closed = False
+        self.is_ended = False
+        self.on_end = None
 
     def put(self, event):
         """Add an event; blocks while the buffer is full.
@@ -99,7 +101,9 @@
             while self._buffer and self._may_leave():
                 messages.append(self._message())
             self._condition.notify_all()
-            return messages
+        if self.is_ended and self.on_end:
+            self.on_end()
+        return messages
 
     def _may_leave(self):
         return self._credit > 0 or type(self._buffer[0]) is not Piece
@@ -117,6 +121,7 @@
                 event.status,
                 event.headers,
             )
+        self.is_ended = True
         return requests.ResponseEnd(
             start.stream_id,
             start.request_id,
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/agent/session.py
@@ -0,0 +1,98 @@
+"""The agent's end of one link from an entry."""
+
+from anvilwell_daemon.agent import flusher as flushers
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.messages import requests
+from anvilwell_kernel.telemetry import logs
+
+LIVE_INTERVAL_S = 0.02
+TRAINING_INTERVAL_S = 0.1
+LIVE = "live"
+
+_LOG = logs.get_logger(__name__)
+
+
+class Session:
+    """Holds the executions that came by one link.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        The loop that owns the connection.
+    connection : connection.Connection
+        The established link.
+    peer : links.Hello
+        The entry at the other end.
+    agent : service.Agent
+        Takes new requests and cancellations.
+    """
+
+    def __init__(self, loop, connection, peer, agent):
+        self.peer = peer
+        self._connection = connection
+        self._agent = agent
+        self._live = flushers.Flusher(loop, connection, LIVE_INTERVAL_S)
+        self._training = flushers.Flusher(
+            loop, connection, TRAINING_INTERVAL_S
+        )
+        self._executions_by_stream = {}
+        self.is_open = True
+
+    def send(self, message):
+        """Send `message` unless the link is gone."""
+        if self.is_open:
+            self._connection.send(message)
+
+    def flusher(self, priority):
+        """Return the flusher for requests of `priority`."""
+        return self._live if priority == LIVE else self._training
+
+    def forget(self, execution):
+        """Note that `execution` is over."""
+        self._executions_by_stream.pop(execution.start.stream_id, None)
+
+    async def run(self):
+        """Serve the link until it ends; then give up what it carried."""
+        try:
+            await self._connection.run(self._receive)
+        finally:
+            self.is_open = False
+            for execution in list(self._executions_by_stream.values()):
+                self._agent.give_up(execution)
+
+    async def close(self):
+        """Send what waits, then close the link."""
+        await self._connection.flush()
+        await self._connection.close()
+
+    def _receive(self, message):
+        kind = type(message)
+        if kind is requests.RequestStart:
+            self._open(message)
+        elif kind is requests.Credit:
+            self._add_credit(message)
+        elif kind is requests.RequestCancel:
+            self._cancel(message)
+        else:
+            raise exceptions.MalformedMessage(f"{kind.__name__} from an entry")
+
+    def _open(self, start):
+        if start.stream_id in self._executions_by_stream:
+            raise exceptions.MalformedMessage(
+                f"stream {start.stream_id} is already open"
+            )
+        execution = self._agent.execution(start, self)
+        self._executions_by_stream[start.stream_id] = execution
+        self._agent.offer(execution)
+
+    def _add_credit(self, message):
+        execution = self._executions_by_stream.get(message.stream_id)
+        if execution:
+            execution.outflow.add_credit(message.frames)
+            flusher = self.flusher(execution.start.priority)
+            flusher.flush(execution.outflow)
+
+    def _cancel(self, message):
+        execution = self._executions_by_stream.get(message.stream_id)
+        if execution:
+            self._agent.give_up(execution)
--- a/packages/daemon/anvilwell_daemon/config/sections.py
+++ b/packages/daemon/anvilwell_daemon/config/sections.py
@@ -48,6 +48,14 @@
     threads: typing.Annotated[
         options.Count, Doc("Requests served at a time")
     ] = 64
+    static_replicas: typing.Annotated[
+        options.AddressList,
+        Doc("Agents known without membership; for tests and first steps"),
+    ] = ()
+    documents: typing.Annotated[
+        options.Path | None,
+        Doc("Folder of service documents used in place of the stored ones"),
+    ] = None
     operator_token: typing.Annotated[
         options.Secret | None,
         Doc("Token that operators must send; none needed if left out"),
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/entry/__init__.py
@@ -0,0 +1,1 @@
+"""What faces callers: HTTP, routing, retries and streams."""
--- a/packages/daemon/anvilwell_daemon/links/data_link.py
+++ b/packages/daemon/anvilwell_daemon/links/data_link.py
@@ -56,6 +56,7 @@
         self._connection = None
         self._streams_by_id = {}
         self._stream_ids = itertools.count(1)
+        self._left = False
         self.late_messages = 0
 
     @property
@@ -98,6 +99,11 @@
         if stream_id in self._streams_by_id:
             self._connection.send(requests.Credit(stream_id, frames))
 
+    def leave(self):
+        """Open no more streams; those that are open go on."""
+        self._left = True
+        self.state = State.LEAVING
+
     async def run(self):
         """Keep the link up until cancelled."""
         backoff_s = MIN_BACKOFF_S
@@ -125,7 +131,7 @@
             connection = connections.Connection(websocket)
             self.peer = await connection.exchange_hello(self._hello)
             self._connection = connection
-            self.state = State.UP
+            self.state = State.LEAVING if self._left else State.UP
             try:
                 await connection.run(self._receive)
             finally:
@@ -166,9 +172,7 @@
         elif kind in _ANSWER_KINDS:
             self._receive_answer(message)
         else:
-            raise exceptions.MalformedMessage(
-                f"{kind.__name__} from an agent"
-            )
+            raise exceptions.MalformedMessage(f"{kind.__name__} from an agent")
 
     def _receive_answer(self, message):
         stream = self._streams_by_id.get(message.stream_id)
--- a/packages/daemon/anvilwell_daemon/links/stream.py
+++ b/packages/daemon/anvilwell_daemon/links/stream.py
@@ -50,9 +50,7 @@
 
     def lose(self, message):
         """End the stream because its link was lost."""
-        self._mailbox.put(
-            exceptions.LinkLost(message, verdict=self.verdict)
-        )
+        self._mailbox.put(exceptions.LinkLost(message, verdict=self.verdict))
 
     def expire(self):
         """End the stream because its deadline passed."""
@@ -95,10 +93,7 @@
         if not self._has_head:
             return "end before the head"
         if message.frames != self._next_sequence:
-            return (
-                f"{self._next_sequence} pieces came"
-                f" of {message.frames}"
-            )
+            return f"{self._next_sequence} pieces came of {message.frames}"
         return None
 
 
--- a/packages/kernel/anvilwell_kernel/services.py
+++ b/packages/kernel/anvilwell_kernel/services.py
@@ -11,11 +11,13 @@
 
     All methods run on the process's event loop. ``start`` may look up
     other services by name; those it needs are in ``needs`` and have
-    been started before it.
+    been started before it. ``in_flight`` names the requests that a
+    drain waits for.
     """
 
     name = None
     needs = ()
+    in_flight = ()
 
     async def start(self, kernel):
         """Start; `kernel` finds the services this one needs."""
@@ -81,6 +83,14 @@
         while self._started:
             await self._started.pop().stop()
 
+    def in_flight(self):
+        """Return the requests under way, by the service's name."""
+        return {
+            service.name: sorted(service.in_flight)
+            for service in self._started
+            if service.in_flight
+        }
+
     def unready(self):
         """Return the names of the services that are not ready."""
         return sorted(
