--- a/packages/daemon/anvilwell_daemon/agent/backends/model.py
+++ b/packages/daemon/anvilwell_daemon/agent/backends/model.py
@@ -1,14 +1,16 @@
 """A model engine as backend server."""
 
+import contextlib
+import itertools
 import json
 
 from anvilwell_daemon.agent.backends import base
 from anvilwell_daemon.agent import outflow
 from anvilwell_kernel import exceptions
-from anvilwell_kernel import reasons
 
 CANCEL_TIMEOUT_S = 2.0
 LOAD_TIMEOUT_S = 2.0
+HTTP_OK = 200
 
 
 class ModelBackend(base.Backend):
@@ -26,14 +28,14 @@
     def run(self, start, timeout_s):
         """Yield the head, the generated pieces and the finish."""
         body = _body(start)
-        tokens = self._engine.generate(
+        events = self._engine.generate(
             attempt_id(start), body, timeout_s=timeout_s
         )
-        first = next(tokens, None)
-        yield outflow.Head(200, [])
-        while first is not None:
-            yield _event(first)
-            first = next(tokens, None)
+        with contextlib.closing(events):
+            first = next(events)
+            yield outflow.Head(HTTP_OK, [])
+            for event in itertools.chain([first], events):
+                yield _event(event)
 
     def cancel(self, start):
         """Give up the attempt at the engine."""
@@ -56,13 +58,10 @@
         raise exceptions.BadRequest(f"body is not JSON: {error}") from error
     if not isinstance(body, dict):
         raise exceptions.BadRequest("body is not a JSON object")
-    body = {**body, "stream": True}
-    if start.resume_tokens:
-        body["resume"] = {"tokens": start.resume_tokens}
-    return body
+    return {**body, "stream": True}
 
 
 def _event(event):
     if hasattr(event, "text"):
         return outflow.Piece(event.text.encode(), event.count, event.version)
-    return outflow.Finish(event.reason or reasons.Refusal.INTERNAL)
+    return outflow.Finish(event.reason)
--- a/packages/daemon/anvilwell_daemon/entry/handlers.py
+++ b/packages/daemon/anvilwell_daemon/entry/handlers.py
@@ -7,6 +7,7 @@
 import uuid
 
 import pydantic
+import typing_extensions
 import werkzeug
 
 from anvilwell_daemon.entry import calls
@@ -32,11 +33,11 @@
 _LOG = logs.get_logger(__name__)
 
 
-class Completion(typing.TypedDict):
+class Completion(typing_extensions.TypedDict):
     """What the entry reads of a completions body."""
 
     model: typing.Annotated[str, pydantic.Field(min_length=1)]
-    stream: typing.NotRequired[bool]
+    stream: typing_extensions.NotRequired[bool]
 
 
 _COMPLETION = pydantic.TypeAdapter(Completion)
--- a/packages/daemon/anvilwell_daemon/entry/relay.py
+++ b/packages/daemon/anvilwell_daemon/entry/relay.py
@@ -172,7 +172,6 @@
             generation=call.generation,
             credit=attempts.WINDOW_FRAMES,
             key=call.key,
-            resume_tokens=self._tokens if call.is_model else 0,
             version=self._version if self._pieces else "",
         )
 
--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -3,6 +3,7 @@
 import typing
 
 from anvilwell_daemon.agent import admission
+from anvilwell_daemon.agent.backends import model
 from anvilwell_daemon.agent.backends import plain
 from anvilwell_daemon.agent import lock
 from anvilwell_daemon.agent import service as agents
@@ -17,6 +18,8 @@
 from anvilwell_kernel.messages import links
 from anvilwell_kernel import services
 from anvilwell_kernel import web
+from anvilwell_platform.adapters import http_plain
+from anvilwell_platform.adapters import sse_engine
 
 ENTRY = ("entry",)
 AGENT = ("agent",)
@@ -94,7 +97,9 @@
 
 
 def _backend(section):
-    return plain.PlainBackend(*section.backend, section.capacity)
+    if section.backend_kind == "plain":
+        return plain.PlainBackend(http_plain.HttpPlain.from_config(section))
+    return model.ModelBackend(sse_engine.SseEngine.from_config(section))
 
 
 def _replicas(settings, kernel):
--- a/packages/kernel/anvilwell_kernel/messages/requests.py
+++ b/packages/kernel/anvilwell_kernel/messages/requests.py
@@ -7,9 +7,8 @@
     """Starts one attempt of a request on a stream.
 
     ``deadline_s`` is the time left when the frame was sent, in
-    seconds: clocks of two VMs are never compared. A stream that goes
-    on where an earlier attempt was cut names the tokens it has and the
-    weight version that made them.
+    seconds: clocks of two VMs are never compared. An attempt that
+    goes on with a cut stream names the weight ``version`` it needs.
     """
 
     stream_id: int
@@ -27,7 +26,6 @@
     generation: int
     credit: int
     key: str = ""
-    resume_tokens: int = 0
     version: str = ""
 
 
