Run membership, configuration and the request decisions in the daemon

Cause: replicas, documents, admission, routing and retries were thin copies beside the real services and decisions. Change: factories for all services of both roles; replicas follow the membership; agents admit and entries route and retry by the decision classes; a cut text goes on elsewhere after a check by digest.

--- a/packages/daemon/anvilwell_daemon/agent/execution.py
+++ b/packages/daemon/anvilwell_daemon/agent/execution.py
@@ -1,7 +1,8 @@
 """One request at an agent, from its arrival to its last message."""
 
-from anvilwell_daemon.agent import admission
 from anvilwell_daemon.agent import outflow as outflows
+from anvilwell_decisions.requests import admission
+from anvilwell_decisions.requests import facts
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import requests
 from anvilwell_kernel import reasons
@@ -33,6 +34,7 @@
         self.timer = None
         self.is_running = False
         self.is_over = False
+        self.admitted_at = None
         self.verdict = verdicts.Verdict.NOT_RUN
 
     def run(self, backend, timeout_s):
@@ -58,6 +60,11 @@
                 return error
             return None
 
+    @property
+    def tokens(self):
+        """Tokens that the backend server has produced."""
+        return self.outflow.tokens
+
     def refuse(self, reason, retry_after_s, message):
         """Tell the entry that the request was given up."""
         self.fail(
@@ -97,7 +104,10 @@
 
 def ticket_for(ticket_id, start, now):
     """Return the `admission.Ticket` of `start`, which came at `now`."""
-    return admission.Ticket(ticket_id, start.priority, now + start.deadline_s)
+    priority = facts.Priority.TRAINING
+    if start.priority == facts.Priority.LIVE:
+        priority = facts.Priority.LIVE
+    return admission.Ticket(ticket_id, priority, now + start.deadline_s)
 
 
 def _error_message(start, error):
--- a/packages/daemon/anvilwell_daemon/agent/outflow.py
+++ b/packages/daemon/anvilwell_daemon/agent/outflow.py
@@ -61,6 +61,7 @@
         self._buffer_bytes = 0
         self._condition = threading.Condition()
         self._closed = False
+        self.tokens = 0
         self.is_ended = False
         self.on_end = None
 
@@ -72,7 +73,10 @@
         Cancelled
             If the stream was closed meanwhile.
         """
-        size = len(event.data) if type(event) is Piece else 0
+        size = 0
+        if type(event) is Piece:
+            size = len(event.data)
+            self.tokens += event.tokens
         with self._condition:
             while self._buffer_bytes > MAX_BUFFER_BYTES and not self._closed:
                 self._condition.wait()
--- a/packages/daemon/anvilwell_daemon/agent/service.py
+++ b/packages/daemon/anvilwell_daemon/agent/service.py
@@ -6,10 +6,10 @@
 import itertools
 import threading
 
-from anvilwell_daemon.agent import admission as admissions
 from anvilwell_daemon.agent import execution as executions
 from anvilwell_daemon.agent import session as sessions
 from anvilwell_daemon.links import connection as connections
+from anvilwell_decisions.requests import admission as admissions
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import links as link_messages
 from anvilwell_kernel import reasons
@@ -92,7 +92,7 @@
         leaving = link_messages.Leaving(self._hello.vm_id)
         for session in self._sessions:
             session.send(leaving)
-        self._act(self._admission.drain(self._now()))
+        self._act(self._admission.drain())
         while self._executions_by_id:
             await asyncio.sleep(DRAIN_POLL_S)
         for session in list(self._sessions):
@@ -115,7 +115,9 @@
 
     def execution(self, start, session):
         """Return a new `Execution` of `start`."""
-        ticket = executions.ticket_for(next(self._ids), start, self._now())
+        ticket = executions.ticket_for(
+            str(next(self._ids)), start, self._now()
+        )
         return executions.Execution(ticket, start, session)
 
     def offer(self, execution):
@@ -130,7 +132,7 @@
         execution.timer = self._loop.call_later(
             execution.start.deadline_s, self._expire, execution
         )
-        self._act(self._admission.offer(ticket, self._now()))
+        self._act([self._admission.offer(ticket, self._now())])
 
     def give_up(self, execution):
         """Stop `execution`, because nobody waits for its answer."""
@@ -162,8 +164,8 @@
             self._controls.submit(self._cancel, execution.start)
             return
         ticket_id = execution.ticket.ticket_id
-        self._admission.withdraw(ticket_id, self._now())
-        self._executions_by_id.pop(ticket_id, None)
+        if self._executions_by_id.pop(ticket_id, None):
+            self._act(self._admission.cancel(ticket_id, self._now()))
 
     def _cancel(self, start):
         try:
@@ -176,7 +178,7 @@
             execution = self._executions_by_id[action.ticket_id]
             if type(action) is admissions.Admit:
                 self._run(execution)
-            else:
+            elif type(action) is admissions.Refuse:
                 self._refuse(execution, action)
 
     def _refuse(self, execution, action):
@@ -186,6 +188,7 @@
 
     def _run(self, execution):
         execution.is_running = True
+        execution.admitted_at = self._now()
         execution.verdict = verdicts.Verdict.MAY_HAVE_RUN
         timeout_s = execution.ticket.deadline - self._now()
         # A daemon thread: a hung backend server can't hold up the exit.
@@ -211,8 +214,7 @@
 
     def _finish(self, execution, error):
         execution.is_running = False
-        ticket_id = execution.ticket.ticket_id
-        self._act(self._admission.finish(ticket_id, self._now()))
+        self._act(self._leave_admission(execution, error))
         if error is not None:
             execution.fail(error)
         else:
@@ -224,6 +226,16 @@
                 self._forget, execution
             )
 
+    def _leave_admission(self, execution, error):
+        ticket_id = execution.ticket.ticket_id
+        now = self._now()
+        if error is not None or execution.is_over:
+            return self._admission.failed(ticket_id, now)
+        latency_s = now - execution.admitted_at
+        return self._admission.finished(
+            ticket_id, now, latency_s, execution.tokens
+        )
+
     def _forget(self, execution):
         execution.close()
         execution.session.forget(execution)
@@ -234,7 +246,7 @@
         peer = await connection.exchange_hello(self._hello)
         session = sessions.Session(self._loop, connection, peer, self)
         self._sessions.add(session)
-        session.send(self._load())
+        session.send_load(self._load(session))
         if self._draining:
             session.send(link_messages.Leaving(self._hello.vm_id))
         try:
@@ -242,23 +254,21 @@
         finally:
             self._sessions.discard(session)
 
-    def _load(self):
+    def _load(self, session):
         admission = self._admission
         return link_messages.AgentLoad(
-            admission.running,
+            admission.in_flight,
             admission.queued,
             admission.limit,
             self._version,
+            session.in_flight,
         )
 
     async def _report_load(self):
-        last = None
         while True:
-            load = self._load()
-            if load != last:
-                for session in self._sessions:
-                    session.send(load)
-            last = load
+            for session in self._sessions:
+                session.send_load(self._load(session))
+            self._act(self._admission.expire(self._now()))
             await asyncio.sleep(LOAD_INTERVAL_S)
 
     async def _read_version(self):
--- a/packages/daemon/anvilwell_daemon/agent/session.py
+++ b/packages/daemon/anvilwell_daemon/agent/session.py
@@ -37,12 +37,24 @@
         )
         self._executions_by_stream = {}
         self.is_open = True
+        self._last_load = None
+
+    def send_load(self, load):
+        """Send an `AgentLoad` unless it was the last one sent."""
+        if load != self._last_load:
+            self._last_load = load
+            self.send(load)
 
     def send(self, message):
         """Send `message` unless the link is gone."""
         if self.is_open:
             self._connection.send(message)
 
+    @property
+    def in_flight(self):
+        """Requests that came by this link and are not over."""
+        return len(self._executions_by_stream)
+
     def flusher(self, priority):
         """Return the flusher for requests of `priority`."""
         return self._live if priority == LIVE else self._training
--- a/packages/daemon/anvilwell_daemon/entry/calls.py
+++ b/packages/daemon/anvilwell_daemon/entry/calls.py
@@ -10,8 +10,9 @@
 class Call(typing.NamedTuple):
     """One request, whatever replica it will run on.
 
-    ``deadline_s`` is the time it may take, in seconds; ``versions``,
-    if not empty, are the weight versions that may answer it.
+    ``deadline_s`` is the time it may take, in seconds; ``version``, if
+    not empty, is the weight version that must answer it; ``prefix``
+    identifies the prompt's beginning, for the engines' caches.
     """
 
     request_id: str
@@ -27,7 +28,8 @@
     key: str = ""
     team: str = ""
     generation: int = 0
-    versions: tuple = ()
+    version: str = ""
+    prefix: str = ""
 
 
 class Piece(typing.NamedTuple):
--- a/packages/daemon/anvilwell_daemon/entry/dispatcher.py
+++ b/packages/daemon/anvilwell_daemon/entry/dispatcher.py
@@ -4,10 +4,9 @@
 import typing
 
 from anvilwell_daemon.entry import attempt as attempts
+from anvilwell_daemon.entry import budgets
 from anvilwell_daemon.entry import calls
 from anvilwell_daemon.entry import relay as relays
-from anvilwell_daemon.entry import retries
-from anvilwell_daemon.entry import routing
 from anvilwell_daemon.links import mailbox as mailboxes
 from anvilwell_kernel import services
 
@@ -17,8 +16,7 @@
 
     replicas: typing.Any
     opener: attempts.Opener
-    routing: routing.Routing
-    retries: retries.Retries
+    retries: typing.Callable
     clock: typing.Any
     traces: typing.Any
 
@@ -120,31 +118,29 @@
 
     Parameters
     ----------
-    routing : routing.Routing
-        Chooses replicas.
-    retries : retries.Retries
-        Decides on retries.
     clock : clock.Clock
         Source of time.
+    source : random.Random
+        Source of the retries' jitter.
     """
 
     name = "dispatcher"
     needs = ("replicas", "traces")
 
-    def __init__(self, clock, *, routes=None, retry_policy=None, source=None):
-        source = source or random.Random()
+    def __init__(self, clock, source=None):
         self._clock = clock
-        self._routing = routes or routing.TwoChoices(source)
-        self._retries = retry_policy or retries.BudgetedRetries(source=source)
+        self._random = source or random.Random()
+        self._budgets = budgets.Budgets(self._random)
         self._tools = None
 
     async def start(self, kernel):
         """Find the services it works with."""
+        if kernel.has("configuration"):
+            self._budgets.follow(kernel.get("configuration"))
         self._tools = Tools(
             kernel.get("replicas"),
             attempts.Opener(),
-            self._routing,
-            self._retries,
+            self._budgets.of_service,
             self._clock,
             kernel.get("traces"),
         )
@@ -184,7 +180,7 @@
         return await AsyncAnswer(relay).open()
 
     def _begin(self, call):
-        self._retries.begin(call.service, self._clock.monotonic())
+        self._budgets.of_service(call.service).first_attempt()
 
 
 def _next_step(steps, event):
--- a/packages/daemon/anvilwell_daemon/entry/documents.py
+++ b/packages/daemon/anvilwell_daemon/entry/documents.py
@@ -40,6 +40,9 @@
         except KeyError:
             raise exceptions.NotFound(f"no service {service!r}") from None
 
+    def subscribe(self, callback):
+        """Do nothing: these documents never change."""
+
     def generation(self, service):
         """Return the generation of the document of `service`."""
         return GENERATION
--- a/packages/daemon/anvilwell_daemon/entry/handlers.py
+++ b/packages/daemon/anvilwell_daemon/entry/handlers.py
@@ -4,7 +4,6 @@
 import contextlib
 import threading
 import typing
-import uuid
 
 import pydantic
 import typing_extensions
@@ -112,7 +111,7 @@
         return self._serve(request, self._plain, service)
 
     def _serve(self, request, handler, *args):
-        request_id = uuid.uuid4().hex
+        request_id = web.request_id(request)
         action = _LOG.action("request", request_id=request_id)
         with action.context():
             try:
--- a/packages/daemon/anvilwell_daemon/entry/relay.py
+++ b/packages/daemon/anvilwell_daemon/entry/relay.py
@@ -2,7 +2,9 @@
 
 from anvilwell_daemon.entry import attempt as attempts
 from anvilwell_daemon.entry import calls
-from anvilwell_daemon.entry import retries
+from anvilwell_daemon.entry import resumed
+from anvilwell_decisions.requests import facts
+from anvilwell_decisions.requests import retries
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import requests
 from anvilwell_kernel import reasons
@@ -49,7 +51,7 @@
         self._tried = set()
         self._has_head = False
         self._pieces = 0
-        self._tokens = 0
+        self._delivered = resumed.Delivered()
         self._version = ""
         self.finish = ""
         self.replica_id = ""
@@ -67,25 +69,33 @@
 
     def _attempt(self):
         self._attempts += 1
-        candidate = self._choose()
-        self.replica_id = candidate
-        link = self._tools.replicas.link(candidate)
-        attempt = self._tools.opener.attempt(link)
+        self.replica_id = self._choose()
+        replicas = self._tools.replicas
+        attempt = self._tools.opener.attempt(replicas.link(self.replica_id))
+        begun = self._tools.clock.monotonic()
+        service = self._call.service
+        replicas.started(service, self.replica_id)
+        failed = True
+        try:
+            yield from self._stream(attempt)
+            failed = False
+        finally:
+            latency_s = self._tools.clock.monotonic() - begun
+            replicas.ended(
+                service, facts.Ended(self.replica_id, failed, latency_s)
+            )
+
+    def _stream(self, attempt):
         mailbox = self._new_mailbox()
-        is_over = False
         attempt.open(self._start(), mailbox)
         try:
             yield from self._events(attempt, mailbox)
-            is_over = True
-        except exceptions.AnvilwellError:
-            is_over = True
-            raise
         finally:
-            if not is_over:
-                attempt.cancel()
+            # Does nothing if the stream has ended.
+            attempt.cancel()
 
     def _events(self, attempt, mailbox):
-        is_resumed = self._pieces > 0
+        text = resumed.Resumed(self._delivered)
         while True:
             event = yield calls.Wait(mailbox, self._time_left())
             if event is None:
@@ -94,64 +104,56 @@
             kind = type(event)
             if kind is requests.ResponseData:
                 attempt.consumed()
-                self._check_version(event, is_resumed)
-                is_resumed = False
-                yield self._piece(event)
+                piece = self._fresh_part(text, event)
+                if piece is not None:
+                    yield piece
             elif kind is requests.ResponseHead:
                 if not self._has_head:
                     self._has_head = True
                     yield event
             elif kind is requests.ResponseEnd:
+                text.check_end()
                 self.finish = event.finish
                 return
             else:
                 raise event or exceptions.Timeout("no final event came")
 
-    def _piece(self, event):
-        self._pieces += 1
-        self._tokens += event.tokens
-        self._version = event.version
-        return calls.Piece(event.data, event.tokens, event.version)
-
-    def _check_version(self, event, is_resumed):
-        if is_resumed and event.version != self._version:
-            raise exceptions.BackendFailed(
-                "the stream went on under another version",
-                reason=reasons.Refusal.ANSWER_CUT,
-            )
+    def _fresh_part(self, text, event):
+        """Return the part of `event` that the caller lacks, or None."""
+        piece = text.fresh(
+            calls.Piece(event.data, event.tokens, event.version)
+        )
+        if piece is not None:
+            self._pieces += 1
+            self._version = piece.version
+            if self._call.is_model:
+                self._delivered.add(piece)
+        return piece
 
     def _choose(self):
         if self._only:
             return self._only
-        candidates = self._candidates()
-        if not candidates:
-            raise exceptions.Refused(
-                f"no replica of {self._call.service!r} takes requests now",
-                reason=reasons.Refusal.NO_REPLICA,
-                retry_after=1.0,
-            )
-        chosen = self._tools.routing.choose(
-            self._call, candidates, self._tools.clock.monotonic()
+        call = self._call
+        request = facts.RequestFacts(
+            call.request_id,
+            call.service,
+            facts.Priority(call.priority),
+            self._version if self._pieces else call.version,
+            idempotent=call.idempotent,
+            prefix=call.prefix,
+            excluded=frozenset(self._tried),
         )
-        self._tried.add(chosen.replica_id)
-        return chosen.replica_id
-
-    def _candidates(self):
-        wanted = {self._version} if self._pieces else set(self._call.versions)
-        usable = [
-            candidate
-            for candidate in self._tools.replicas.candidates(
-                self._call.service
-            )
-            if not wanted
-            or (candidate.load and candidate.load.version in wanted)
-        ]
-        fresh = [
-            candidate
-            for candidate in usable
-            if candidate.replica_id not in self._tried
-        ]
-        return fresh or usable
+        try:
+            chosen = self._tools.replicas.choose(request)
+        except exceptions.Refused:
+            if not self._tried:
+                raise
+            # All have failed once; any of them may be well again.
+            self._tried.clear()
+            request = request._replace(excluded=frozenset())
+            chosen = self._tools.replicas.choose(request)
+        self._tried.add(chosen)
+        return chosen
 
     def _start(self):
         call = self._call
@@ -177,37 +179,40 @@
 
     def _retry(self, error):
         self._verdict = verdicts.combine(self._verdict, error.verdict)
-        now = self._tools.clock.monotonic()
-        failure = retries.Failure(
-            idempotent=self._call.idempotent,
-            is_model=self._call.is_model,
-            verdict=self._verdict,
-            reason=error.reason,
-            attempts=self._attempts,
-            pieces=self._pieces + (self._has_head and not self._call.is_model),
-            version=self._version,
-            time_left_s=self._deadline - now,
-        )
-        retry = None
+        decision = retries.GIVE_UP
         if not self._only:
-            retry = self._tools.retries.decide(
-                self._call.service, failure, now
+            decision = self._tools.retries(self._call.service).decide(
+                self._failure(error)
             )
-        self._note(error, retry)
-        if retry is None:
+        if self._pieces and decision is not retries.GIVE_UP:
+            decision = decision._replace(reason=reasons.Retry.STREAM_RESUMED)
+        self._note(error, decision)
+        if decision.action is retries.Action.GIVE_UP:
             error.verdict = self._verdict
             raise error
-        counters.count_retry(retry.reason, self._call.service)
-        return retry
+        counters.count_retry(decision.reason, self._call.service)
+        return decision
+
+    def _failure(self, error):
+        return retries.Failure(
+            verdict=self._verdict,
+            reason=error.reason,
+            idempotent=self._call.idempotent,
+            attempts=self._attempts,
+            time_left_s=self._time_left(),
+            # A model's text can go on elsewhere, checked by its digest.
+            answered=self._has_head and not self._call.is_model,
+            retry_after_s=error.retry_after,
+        )
 
-    def _note(self, error, retry):
+    def _note(self, error, decision):
         fields = {
             "attempt": self._attempts,
             "replica": self.replica_id,
             "verdict": str(error.verdict),
             "reason": str(error.reason),
             "pieces": self._pieces,
-            "retry": str(retry.reason) if retry else "",
+            "retry": str(decision.reason or ""),
         }
         _LOG.log("failed", request_id=self._call.request_id, **fields)
         self._tools.traces.note(
--- a/packages/daemon/anvilwell_daemon/entry/replicas.py
+++ b/packages/daemon/anvilwell_daemon/entry/replicas.py
@@ -2,37 +2,77 @@
 
 import asyncio
 import random
+import threading
+import typing
 
-from anvilwell_daemon.entry import routing
 from anvilwell_daemon.links import data_link
+from anvilwell_decisions.requests import facts
+from anvilwell_decisions.requests import routing
+from anvilwell_kernel import clock as clocks
 from anvilwell_kernel import exceptions
+from anvilwell_kernel.messages import membership as member_messages
 from anvilwell_kernel import reasons
 from anvilwell_kernel import services
 
+SLOW_START_S = 5.0
+
+
+class Candidate(typing.NamedTuple):
+    """What an entry knows of a replica that takes requests.
+
+    ``in_flight`` is this entry's own count; ``load`` is the agent's
+    last report, None before the first.
+    """
+
+    replica_id: str
+    failure_domain: str
+    in_flight: int
+    load: typing.Any
+
 
 class Replicas(services.Service):
-    """Keeps one link to each agent that it is told of.
+    """Keeps links to agents and tells the routing policies of them.
 
     Parameters
     ----------
     hello : links.Hello
         Who this entry is.
     addresses : iterable of str
-        ``host:port`` of the agents known from the start.
+        ``host:port`` of the agents known without membership.
+    clock : clock.Clock
+        Source of time.
+    source : random.Random
+        Source of the jitter and of the policies' draws.
+    new_policy : callable
+        Makes the `routing.Policy` of one service.
     """
 
     name = "replicas"
 
-    def __init__(self, hello, addresses=(), source=None):
+    def __init__(
+        self, hello, addresses=(), clock=None, source=None, new_policy=None
+    ):
         self._hello = hello
         self._addresses = tuple(addresses)
+        self._clock = clock or clocks.SystemClock()
         self._random = source or random.Random()
+        self._new_policy = new_policy or _new_policy
         self._links_by_address = {}
+        self._links_by_id = {}
         self._tasks_by_address = {}
+        self._policies_by_service = {}
+        # Policies aren't safe for threads, and handlers choose on theirs.
+        self._lock = threading.Lock()
 
     async def start(self, kernel):
-        """Dial the agents."""
-        self.set_addresses(self._addresses)
+        """Dial the agents, and follow the membership if there is one."""
+        for address in self._addresses:
+            self.dial(address)
+        if not self._addresses and kernel.has("membership"):
+            membership = kernel.get("membership")
+            membership.subscribe(self._follow)
+            for member in list(membership.members_by_id.values()):
+                self._follow(None, member)
 
     async def stop(self):
         """Close every link."""
@@ -41,17 +81,29 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def set_addresses(self, addresses):
-        """Keep links to exactly `addresses`; on the loop's thread.
+    def dial(self, address):
+        """Keep a link to the agent at `address`."""
+        if address in self._links_by_address:
+            self._links_by_address[address].stay()
+            return
+        link = data_link.DataLink(
+            address, self._hello, self._random, self._changed
+        )
+        self._links_by_address[address] = link
+        self._tasks_by_address[address] = asyncio.create_task(link.run())
 
-        A link with requests in flight stays until the next call after
-        they ended.
-        """
-        wanted = set(addresses)
-        for address in wanted - set(self._links_by_address):
-            self._dial(address)
-        for address in set(self._links_by_address) - wanted:
-            self._hang_up(address)
+    def hang_up(self, address):
+        """Drop the link to `address`; what it carries is lost."""
+        link = self._links_by_address.pop(address, None)
+        if link:
+            link.leave()
+            self._tasks_by_address.pop(address).cancel()
+
+    def leave(self, address):
+        """Send no new requests to `address`."""
+        link = self._links_by_address.get(address)
+        if link:
+            link.leave()
 
     def link(self, replica_id):
         """Return the link to the replica called `replica_id`.
@@ -61,37 +113,105 @@
         exceptions.Refused
             If there is no such link now.
         """
-        for link in list(self._links_by_address.values()):
-            if link.peer and link.peer.vm_id == replica_id:
-                return link
-        raise exceptions.Refused(
-            f"no link to replica {replica_id!r}",
-            reason=reasons.Refusal.NO_REPLICA,
-        )
+        link = self._links_by_id.get(replica_id)
+        if link is None:
+            raise exceptions.Refused(
+                f"no link to replica {replica_id!r}",
+                reason=reasons.Refusal.NO_REPLICA,
+            )
+        return link
+
+    def choose(self, request):
+        """Return the id of the replica for a `facts.RequestFacts`.
+
+        Raises
+        ------
+        exceptions.Refused
+            If no replica takes such requests now.
+        """
+        with self._lock:
+            policy = self._policies_by_service.get(request.service)
+            replica_id = None
+            if policy is not None:
+                replica_id = policy.choose(request, self._now())
+        if replica_id is None:
+            raise exceptions.Refused(
+                f"no replica of {request.service!r} takes requests now",
+                reason=reasons.Refusal.NO_REPLICA,
+                retry_after=1.0,
+            )
+        return replica_id
+
+    def started(self, service, replica_id):
+        """Count an attempt that goes to a replica."""
+        with self._lock:
+            policy = self._policies_by_service.get(service)
+            if policy:
+                policy.started(replica_id, self._now())
+
+    def ended(self, service, ended):
+        """Count the end of an attempt (a `facts.Ended`)."""
+        with self._lock:
+            policy = self._policies_by_service.get(service)
+            if policy:
+                policy.ended(ended, self._now())
 
     def candidates(self, service):
-        """Return a `routing.Candidate` for each usable replica."""
+        """Return a `Candidate` for each replica that takes requests."""
         return [
-            routing.Candidate(
+            Candidate(
                 link.peer.vm_id,
                 link.peer.failure_domain,
                 link.in_flight,
                 link.load,
             )
-            for link in list(self._links_by_address.values())
+            for link in list(self._links_by_id.values())
             if link.state is data_link.State.UP
             and link.peer.service == service
         ]
 
-    def _dial(self, address):
-        link = data_link.DataLink(address, self._hello, self._random)
-        self._links_by_address[address] = link
-        self._tasks_by_address[address] = asyncio.create_task(link.run())
-
-    def _hang_up(self, address):
-        link = self._links_by_address[address]
-        link.leave()
-        if link.in_flight:
+    def _follow(self, before, member):
+        if member.role != "agent":
+            return
+        if before is not None and before.address != member.address:
+            self.hang_up(before.address)
+        if member.state is member_messages.State.DEAD:
+            self.hang_up(member.address)
             return
-        del self._links_by_address[address]
-        self._tasks_by_address.pop(address).cancel()
+        self.dial(member.address)
+        if member.state is member_messages.State.LEAVING:
+            self.leave(member.address)
+
+    def _changed(self, link):
+        peer = link.peer
+        with self._lock:
+            policy = self._policies_by_service.get(peer.service)
+            if policy is None:
+                policy = self._new_policy(self._random)
+                self._policies_by_service[peer.service] = policy
+            if link.state is data_link.State.UP:
+                self._links_by_id[peer.vm_id] = link
+                self._up(policy, link)
+            else:
+                policy.replica_down(peer.vm_id, self._now())
+        if link.state is data_link.State.DOWN:
+            self._links_by_id.pop(peer.vm_id, None)
+
+    def _up(self, policy, link):
+        peer, load, now = link.peer, link.load, self._now()
+        versions = frozenset([load.version] if load and load.version else [])
+        policy.replica_up(
+            facts.ReplicaFacts(peer.vm_id, peer.failure_domain, versions), now
+        )
+        if load:
+            report = facts.LoadReport(
+                peer.vm_id, load.running + load.queued, load.own, load.limit
+            )
+            policy.report(report, now)
+
+    def _now(self):
+        return self._clock.monotonic()
+
+
+def _new_policy(source):
+    return routing.PrefixAffinity(source, slow_start_s=SLOW_START_S)
--- a/packages/daemon/anvilwell_daemon/links/data_link.py
+++ b/packages/daemon/anvilwell_daemon/links/data_link.py
@@ -44,15 +44,18 @@
         Who this entry is.
     random : random.Random
         Source of the jitter between attempts to connect.
+    on_change : callable
+        Takes the link after each change of its state or load.
     """
 
-    def __init__(self, address, hello, random):
+    def __init__(self, address, hello, random, on_change=lambda link: None):
         self.address = address
         self.state = State.DOWN
         self.peer = None
         self.load = None
         self._hello = hello
         self._random = random
+        self._on_change = on_change
         self._connection = None
         self._streams_by_id = {}
         self._stream_ids = itertools.count(1)
@@ -102,7 +105,15 @@
     def leave(self):
         """Open no more streams; those that are open go on."""
         self._left = True
-        self.state = State.LEAVING
+        if self.state is State.UP:
+            self._set_state(State.LEAVING)
+
+    def stay(self):
+        """Undo ``leave``, because the agent has come back."""
+        if self._left:
+            self._left = False
+            if self.state is State.LEAVING:
+                self._set_state(State.UP)
 
     async def run(self):
         """Keep the link up until cancelled."""
@@ -131,21 +142,25 @@
             connection = connections.Connection(websocket)
             self.peer = await connection.exchange_hello(self._hello)
             self._connection = connection
-            self.state = State.LEAVING if self._left else State.UP
+            self._set_state(State.LEAVING if self._left else State.UP)
             try:
                 await connection.run(self._receive)
             finally:
                 self._lose()
 
     def _lose(self):
-        self.state = State.DOWN
         self.load = None
         self._connection = None
+        self._set_state(State.DOWN)
         lost = list(self._streams_by_id.values())
         self._streams_by_id.clear()
         for stream in lost:
             stream.lose(f"the link to {self.address} was lost")
 
+    def _set_state(self, state):
+        self.state = state
+        self._on_change(self)
+
     def _refusal(self):
         if self.state is State.LEAVING:
             return exceptions.Refused(
@@ -167,8 +182,9 @@
         kind = type(message)
         if kind is link_messages.AgentLoad:
             self.load = message
+            self._on_change(self)
         elif kind is link_messages.Leaving:
-            self.state = State.LEAVING
+            self._set_state(State.LEAVING)
         elif kind in _ANSWER_KINDS:
             self._receive_answer(message)
         else:
--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -2,36 +2,37 @@
 
 import typing
 
-from anvilwell_daemon.agent import admission
-from anvilwell_daemon.agent.backends import model
-from anvilwell_daemon.agent.backends import plain
-from anvilwell_daemon.agent import lock
-from anvilwell_daemon.agent import service as agents
-from anvilwell_daemon.entry import dispatcher
+from anvilwell_daemon.admin import service as operators
+from anvilwell_daemon.configuration import service as configuration
 from anvilwell_daemon.entry import documents
-from anvilwell_daemon.entry import handlers
-from anvilwell_daemon.entry import replicas
 from anvilwell_daemon.entry import traces
+from anvilwell_daemon.keyvalue import facade
+from anvilwell_daemon.leases import service as leases
+from anvilwell_daemon.membership import service as membership
 from anvilwell_daemon.peers import listener
-from anvilwell_daemon.process import health
+from anvilwell_daemon.peers import service as peers
+from anvilwell_daemon.process import data_path
+from anvilwell_daemon.process import pages
 from anvilwell_kernel import clock as clocks
-from anvilwell_kernel.messages import links
 from anvilwell_kernel import services
 from anvilwell_kernel import web
-from anvilwell_platform.adapters import http_plain
-from anvilwell_platform.adapters import sse_engine
+from anvilwell_platform.adapters import etcd
+from anvilwell_platform.adapters import http_vmlist
 
 ENTRY = ("entry",)
 AGENT = ("agent",)
 BOTH = ENTRY + AGENT
-CLOCK = clocks.SystemClock()
 ADMIN_THREADS = 8
 
+_CLOCK = clocks.SystemClock()
+
 
 class Factory(typing.NamedTuple):
-    """Makes one service; ``make`` takes the settings and the kernel.
+    """Makes one service.
 
-    It may return None if the settings want no such service.
+    ``make`` takes the settings and the kernel, which has the services
+    above it in `FACTORIES`. It may return None if the settings want no
+    such service.
     """
 
     name: str
@@ -50,25 +51,18 @@
     return kernel
 
 
-def hello(settings):
-    """Return the `links.Hello` of this daemon."""
-    daemon = settings.daemon
-    return links.Hello(
-        daemon.vm_id,
-        daemon.role,
-        settings.agent.service if settings.agent else "",
-        daemon.failure_domain,
-        int(CLOCK.wall() * 1000),
-    )
-
-
 def _listener(settings, kernel):
     return listener.Listener(*settings.listener)
 
 
 def _web(settings, kernel):
+    limits = settings.limits
     return web.WebServer(
-        *settings.entry.listen, name="web", threads=settings.entry.threads
+        *settings.entry.listen,
+        name="web",
+        threads=settings.entry.threads,
+        max_body_bytes=limits.max_body_bytes,
+        max_header_bytes=limits.max_header_bytes,
     )
 
 
@@ -78,60 +72,65 @@
     return web.WebServer(*settings.admin, name="admin", threads=ADMIN_THREADS)
 
 
-def _health(settings, kernel):
-    servers = ("web", "admin")
-    return health.Health(name for name in servers if kernel.has(name))
+def _pages(settings, kernel):
+    names = ("web", "admin")
+    return pages.Pages(name for name in names if kernel.has(name))
 
 
-def _agent(settings, kernel):
-    section = settings.agent
-    backend_lock = lock.BackendLock(str(section.backend))
-    backend_lock.acquire()
-    return agents.Agent(
-        hello(settings),
-        _backend(section),
-        admission.BoundedPriorityQueue(section.capacity, 64),
-        CLOCK,
-        backend_lock,
-    )
+def _keyvalue(settings, kernel):
+    section = settings.keyvalue
+    port = etcd.Etcd.from_config(section)
+    return facade.KeyValueFacade(port, timeout_s=section.timeout_s)
 
 
-def _backend(section):
-    if section.backend_kind == "plain":
-        return plain.PlainBackend(http_plain.HttpPlain.from_config(section))
-    return model.ModelBackend(sse_engine.SseEngine.from_config(section))
+def _peers(settings, kernel):
+    return peers.Peers(settings.daemon.vm_id, kernel.get("listener"))
 
 
-def _replicas(settings, kernel):
-    addresses = [str(address) for address in settings.entry.static_replicas]
-    return replicas.Replicas(hello(settings), addresses)
+def _membership(settings, kernel):
+    vm_list = _vm_list(settings)
+    return membership.Membership.from_config(settings, vm_list)
+
+
+def _leases(settings, kernel):
+    return leases.Leases.from_config(settings)
 
 
 def _configuration(settings, kernel):
-    return documents.FolderConfiguration(settings.entry.documents)
+    if settings.is_entry and settings.entry.documents:
+        return documents.FolderConfiguration(settings.entry.documents)
+    vm_list = _vm_list(settings)
+    return configuration.Configuration.from_config(settings, vm_list)
 
 
-def _traces(settings, kernel):
-    return traces.Traces(CLOCK, settings.limits.max_traces)
+def _vm_list(settings):
+    if not settings.vmlist.endpoints:
+        return None
+    return http_vmlist.HttpVmList.from_config(settings.vmlist)
 
 
-def _dispatcher(settings, kernel):
-    return dispatcher.Dispatcher(CLOCK)
+def _traces(settings, kernel):
+    return traces.Traces(_CLOCK, settings.limits.max_traces)
 
 
-def _callers(settings, kernel):
-    return handlers.Callers(settings.limits.max_streams)
+def _operators(settings, kernel):
+    return operators.Operators.from_config(settings)
 
 
 FACTORIES = (
     Factory("listener", BOTH, _listener),
     Factory("web", ENTRY, _web),
     Factory("admin", BOTH, _admin),
-    Factory("health", BOTH, _health),
+    Factory("pages", BOTH, _pages),
+    Factory("keyvalue", BOTH, _keyvalue),
+    Factory("peers", BOTH, _peers),
+    Factory("membership", BOTH, _membership),
+    Factory("leases", BOTH, _leases),
+    Factory("configuration", BOTH, _configuration),
     Factory("traces", ENTRY, _traces),
-    Factory("configuration", ENTRY, _configuration),
-    Factory("replicas", ENTRY, _replicas),
-    Factory("dispatcher", ENTRY, _dispatcher),
-    Factory("callers", ENTRY, _callers),
-    Factory("agent", AGENT, _agent),
+    Factory("replicas", ENTRY, data_path.replicas),
+    Factory("dispatcher", ENTRY, data_path.dispatcher),
+    Factory("callers", ENTRY, data_path.callers),
+    Factory("operators", ENTRY, _operators),
+    Factory("agent", AGENT, data_path.agent),
 )
--- a/packages/daemon/anvilwell_daemon/process/runner.py
+++ b/packages/daemon/anvilwell_daemon/process/runner.py
@@ -27,6 +27,15 @@
 
 
 async def _run(settings):
+    vm_id = settings.daemon.vm_id
+    stop_logs = logs.start(settings.log.file, daemon=vm_id)
+    try:
+        return await _run_kernel(settings)
+    finally:
+        stop_logs()
+
+
+async def _run_kernel(settings):
     signals = asyncio.Queue()
     loop = asyncio.get_running_loop()
     for number in SIGNALS:
--- a/packages/daemon/tests/entry/test_data_path.py
+++ b/packages/daemon/tests/entry/test_data_path.py
@@ -6,7 +6,6 @@
 import pytest
 import urllib3
 
-from anvilwell_daemon.agent import admission
 from anvilwell_daemon.agent.backends import model
 from anvilwell_daemon.agent import service as agents
 from anvilwell_daemon.entry import dispatcher
@@ -15,6 +14,7 @@
 from anvilwell_daemon.entry import replicas
 from anvilwell_daemon.entry import traces
 from anvilwell_daemon.peers import listener
+from anvilwell_decisions.requests import admission
 from anvilwell_kernel import clock as clocks
 from anvilwell_kernel.messages import links
 from anvilwell_kernel import services
@@ -76,7 +76,7 @@
         agent = agents.Agent(
             hello,
             model.ModelBackend(FakeEngine()),
-            admission.BoundedPriorityQueue(4, 4),
+            admission.Admission(),
             clock,
         )
         one = services.Kernel([accepts, agent])
--- a/packages/kernel/anvilwell_kernel/messages/links.py
+++ b/packages/kernel/anvilwell_kernel/messages/links.py
@@ -20,12 +20,16 @@
 
 
 class AgentLoad(typing.NamedTuple):
-    """An agent's own count of its requests, and its weight version."""
+    """An agent's own count of its requests, and its weight version.
+
+    ``own`` is how many of them belong to the entry that it is sent to.
+    """
 
     running: int
     queued: int
     limit: int
     version: str
+    own: int = 0
 
 
 KINDS = (Hello, Leaving, AgentLoad)
