--- a/packages/daemon/anvilwell_daemon/agent/outflow.py
+++ b/packages/daemon/anvilwell_daemon/agent/outflow.py
@@ -61,6 +61,9 @@
         self._buffer_bytes = 0
         self._condition = threading.Condition()
         self._closed = False
+        self.tokens = 0
+        self.is_ended = False
+        self.on_end = None
 
     def put(self, event):
         """Add an event; blocks while the buffer is full.
@@ -70,7 +73,10 @@
         Cancelled
             If the stream was closed meanwhile.
         """
-        size = len(event.data) if type(event) is Piece else 0
+        size = 0
+        if type(event) is Piece:
+            size = len(event.data)
+            self.tokens += event.tokens
         with self._condition:
             while self._buffer_bytes > MAX_BUFFER_BYTES and not self._closed:
                 self._condition.wait()
@@ -99,7 +105,9 @@
             while self._buffer and self._may_leave():
                 messages.append(self._message())
             self._condition.notify_all()
-            return messages
+        if self.is_ended and self.on_end:
+            self.on_end()
+        return messages
 
     def _may_leave(self):
         return self._credit > 0 or type(self._buffer[0]) is not Piece
@@ -117,6 +125,7 @@
                 event.status,
                 event.headers,
             )
+        self.is_ended = True
         return requests.ResponseEnd(
             start.stream_id,
             start.request_id,
