Answer for a silent member before the relay's own deadline

Cause: measured with 80 daemons, one change was refused with the names of all members of the domains: a relay took up to 0.8 s to ask and probe a silent member, the proposer waited 0.6 s for the relay, and each retry asked again those who were still being asked. Change: probe 0.1 s, member 0.25 s, relay 0.5 s, so that a relay answers for its domain in time; nobody is asked twice at a time; the VM list is read by the proposer alone. Conclusion: a silent member costs its own name, not its domain's.

--- a/packages/daemon/anvilwell_daemon/configuration/absence.py
+++ b/packages/daemon/anvilwell_daemon/configuration/absence.py
@@ -3,11 +3,10 @@
 import asyncio
 
 from anvilwell_kernel import exceptions
-from anvilwell_kernel.messages import configuration as messages
 from anvilwell_kernel.messages import membership
 from anvilwell_kernel.telemetry import logs
 
-PROBE_TIMEOUT_S = 0.5
+PROBE_TIMEOUT_S = 0.1
 LIST_TIMEOUT_S = 0.5
 LIST_PERIOD_S = 10.0
 
@@ -40,12 +39,6 @@
         self._seen = frozenset()
         self._read_at = None
 
-    async def state_of(self, instance):
-        """Return GONE or UNREACHABLE for a silent instance."""
-        if await _refuses(instance.address) or await self._is_gone(instance):
-            return messages.PrepareState.GONE
-        return messages.PrepareState.UNREACHABLE
-
     async def refresh(self):
         """Read the list if the last reading is old."""
         if self._vm_list is None:
@@ -64,7 +57,8 @@
         self._listed = frozenset(vms_by_id)
         self._seen |= self._listed
 
-    async def _is_gone(self, instance):
+    async def is_gone(self, instance):
+        """Return whether the instance's VM has left the list."""
         member = self._members.members_by_id.get(instance.vm_id)
         if member is None or member.state is not membership.State.DEAD:
             return False
@@ -72,7 +66,8 @@
         return instance.vm_id in self._seen - self._listed
 
 
-async def _refuses(address):
+async def refuses(address):
+    """Return whether nobody listens at `address` (``host:port``)."""
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
--- a/packages/daemon/anvilwell_daemon/configuration/spread.py
+++ b/packages/daemon/anvilwell_daemon/configuration/spread.py
@@ -3,13 +3,15 @@
 import asyncio
 import itertools
 
+from anvilwell_daemon.configuration import absence
 from anvilwell_decisions.configuration import placement
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import configuration as messages
 from anvilwell_kernel.telemetry import logs
 
-MEMBER_TIMEOUT_S = 0.3
-RELAY_TIMEOUT_S = 0.6
+MEMBER_TIMEOUT_S = 0.25
+# More than a relay takes to ask a silent member and to probe it.
+RELAY_TIMEOUT_S = 0.5
 
 _LOG = logs.get_logger(__name__)
 
@@ -23,31 +25,39 @@
         This instance's own part.
     peers : peers.Peers
         Links to the others.
-    absence : absence.Absence
+    absences : absence.Absence
         Says what a silent member's silence means.
     clock : clock.Clock
         Time of what this instance answers itself.
     """
 
-    def __init__(self, member, peers, absence, clock):
+    def __init__(self, member, peers, absences, clock):
         self._member = member
         self._peers = peers
-        self._absence = absence
+        self._absence = absences
         self._clock = clock
+        self._asked = set()
 
     async def prepare(self, request, take):
         """Send `request` to its targets.
 
-        ``take(answer)`` is called with each ``PrepareAnswer``.
+        ``take(answer)`` is called with each ``PrepareAnswer``. A target
+        that is being asked already is not asked twice at a time.
         """
-
-        async def ask(branch):
-            message = request._replace(targets=branch.targets)
-            for answer in await self._prepare_branch(message):
-                take(answer)
-
-        branches = placement.branches(request.attempt, request.targets)
-        await asyncio.gather(*map(ask, branches))
+        keys = {(request.attempt, target) for target in request.targets}
+        new = keys - self._asked
+        targets = [target for _, target in sorted(new)]
+        branches = placement.branches(request.attempt, targets)
+        self._asked |= new
+        try:
+            await asyncio.gather(
+                *(
+                    self._ask(request._replace(targets=one.targets), take)
+                    for one in branches
+                )
+            )
+        finally:
+            self._asked -= new
 
     async def tell(self, message):
         """Send a commit or an abort; return the ids that took it in."""
@@ -80,6 +90,17 @@
         ids = itertools.chain(own.vm_ids, *taken)
         return messages.ChangeAcknowledged(sorted(ids))
 
+    async def _ask(self, message, take):
+        for answer in await self._prepare_branch(message):
+            take(await self._settle(answer))
+
+    async def _settle(self, answer):
+        if answer.state is not messages.PrepareState.UNREACHABLE:
+            return answer
+        if not await self._absence.is_gone(answer.instance):
+            return answer
+        return answer._replace(state=messages.PrepareState.GONE)
+
     async def _prepare_branch(self, message):
         relay = message.targets[0]
         if self._is_me(relay):
@@ -102,14 +123,14 @@
             reply = await self._request(target, single, MEMBER_TIMEOUT_S)
             return reply.answers[0]
         except exceptions.AnvilwellError as error:
-            state = await self._absence.state_of(target)
-            _LOG.log(
-                "no-answer",
-                vm_id=target.vm_id,
-                state=str(state),
-                cause=error.message,
-            )
-            return messages.PrepareAnswer(target, message.attempt, state)
+            cause = error.message
+        state = messages.PrepareState.UNREACHABLE
+        if await absence.refuses(target.address):
+            state = messages.PrepareState.GONE
+        _LOG.log(
+            "no-answer", vm_id=target.vm_id, state=str(state), cause=cause
+        )
+        return messages.PrepareAnswer(target, message.attempt, state)
 
     async def _tell_branch(self, message):
         relay = message.targets[0]
