--- a/packages/decisions/anvilwell_decisions/rollout/swap.py
+++ b/packages/decisions/anvilwell_decisions/rollout/swap.py
@@ -10,6 +10,8 @@
 FIRST_BACKOFF_S = 0.5
 LAST_BACKOFF_S = 8.0
 MAX_FAILED = 16
+UNSURE_S = 10.0
+_ACTIVATE = messages.Kind.ACTIVATE
 
 _ACTIVITIES_BY_KIND = {
     messages.Kind.LOAD: messages.Activity.LOADING,
@@ -38,15 +40,21 @@
     one wanted. A version whose attempts failed is given up under that
     document's generation; applying the document again retries it.
 
+    An engine whose answer was lost, or whose agent has just started,
+    may still be about to swap: for `UNSURE_S` it takes no order and
+    counts as swapping.
+
     Parameters
     ----------
     vm_id : str
         The agent's.
     rng : random.Random
         Source of jitter.
+    now : float
+        When the agent started.
     """
 
-    def __init__(self, vm_id, rng):
+    def __init__(self, vm_id, rng, now):
         self.door = door.Door()
         self._vm_id = vm_id
         self._rng = rng
@@ -55,6 +63,8 @@
         self._failures_by_target = {}
         self._failed = []
         self._running = None
+        self._unsure = None
+        self._unsure_until = now + UNSURE_S
         self._wait_until = None
         self._last = (0, 0)
         self._sequence = 0
@@ -74,7 +84,9 @@
         if order.kind is messages.Kind.STATUS or not is_new:
             return []
         self._last = (order.fencing, order.number)
-        if self._running or self._is_waiting(now) or self._is_idle(order):
+        if self._activity(now) is not messages.Activity.IDLE:
+            return []
+        if self._is_needless(order):
             return []
         self._running = order
         return [Execute(order)]
@@ -86,22 +98,29 @@
         it runs the version, whatever its answer to the order was.
         """
         order, self._running = self._running, None
-        if order.kind is messages.Kind.ACTIVATE:
-            is_done = self._version == order.version
+        if self._is_done(order, outcome):
+            self._succeed(order)
+        elif order.kind is _ACTIVATE and outcome is Outcome.UNKNOWN:
+            self._unsure = order
+            self._unsure_until = now + UNSURE_S
         else:
-            is_done = outcome is Outcome.DONE
-        if is_done:
-            self._loaded.add(order.version)
-            self._failures_by_target.pop(_target(order), None)
-            return
-        self._loaded.discard(order.version)
-        self._count_failure(_target(order), now)
+            self._fail(order, now)
 
-    def read(self, version):
+    def read(self, version, now):
         """Take the version read from the engine, "" if none was."""
         if version:
             self._loaded.add(version)
         self._version = version
+        order = self._unsure
+        if order is None:
+            return
+        if version == order.version:
+            self._unsure = None
+            self._unsure_until = now
+            self._succeed(order)
+        elif now >= self._unsure_until:
+            self._unsure = None
+            self._fail(order, now)
 
     def report(self, now, wall_ms):
         """Return the `messages.Report`.
@@ -128,14 +147,25 @@
         """Return the `messages.Refusal` that tells of the door."""
         return messages.Refusal(self._vm_id, self.door.highest or 0)
 
-    def _is_idle(self, order):
+    def _is_needless(self, order):
         """Return whether `order` has nothing to do or cannot work."""
         if order.kind is messages.Kind.LOAD:
             return order.version in self._loaded
         is_loaded = order.version in self._loaded
         return order.version == self._version or not is_loaded
 
-    def _count_failure(self, target, now):
+    def _is_done(self, order, outcome):
+        if order.kind is _ACTIVATE:
+            return self._version == order.version
+        return outcome is Outcome.DONE
+
+    def _succeed(self, order):
+        self._loaded.add(order.version)
+        self._failures_by_target.pop(_target(order), None)
+
+    def _fail(self, order, now):
+        self._loaded.discard(order.version)
+        target = _target(order)
         count = self._failures_by_target.get(target, 0) + 1
         self._failures_by_target[target] = count
         if count >= ATTEMPTS and target not in self._failed:
@@ -145,12 +175,17 @@
         backoff_s = min(FIRST_BACKOFF_S * 2 ** (count - 1), LAST_BACKOFF_S)
         self._wait_until = now + backoff_s * self._rng.uniform(0.5, 1.5)
 
+    def _is_unsure(self, now):
+        return self._unsure is not None or now < self._unsure_until
+
     def _is_waiting(self, now):
         return self._wait_until is not None and now < self._wait_until
 
     def _activity(self, now):
         if self._running:
             return _ACTIVITIES_BY_KIND[self._running.kind]
+        if self._is_unsure(now):
+            return messages.Activity.ACTIVATING
         if self._is_waiting(now):
             return messages.Activity.WAITING
         return messages.Activity.IDLE
