--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Weight rollout as daemons carry it out."""
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/rollout/engine_orders.py
@@ -0,0 +1,164 @@
+"""The service ``engine-orders``: an agent takes orders for its engine."""
+
+import asyncio
+import random
+
+from anvilwell_decisions.rollout import swap as swaps
+from anvilwell_kernel import clock as clocks
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.messages import orders as messages
+from anvilwell_kernel import services
+from anvilwell_kernel.telemetry import counters
+from anvilwell_kernel.telemetry import logs
+from anvilwell_kernel import verdict as verdicts
+from anvilwell_platform.ports import engine as port
+
+READ_PERIOD_S = 0.5
+READ_TIMEOUT_S = 1.0
+LOAD_TIMEOUT_S = 120.0
+ACTIVATE_TIMEOUT_S = 20.0
+_MS_PER_S = 1000
+
+_TIMEOUTS_S_BY_KIND = {
+    messages.Kind.LOAD: LOAD_TIMEOUT_S,
+    messages.Kind.ACTIVATE: ACTIVATE_TIMEOUT_S,
+}
+
+_LOG = logs.get_logger(__name__)
+
+
+def leadership_name(service):
+    """Return the name of the leadership of a service's rollout."""
+    return f"rollout/{service}"
+
+
+class EngineOrders(services.Service):
+    """Checks fencing numbers, orders the engine and reports the truth.
+
+    Parameters
+    ----------
+    service : str
+        The service that the backend server belongs to.
+    engine : ports.engine.Engine
+        The engine.
+    """
+
+    name = "engine-orders"
+    needs = ("peers", "leases")
+
+    def __init__(self, vm_id, service, engine, *, clock=None, rng=None):
+        self._vm_id = vm_id
+        self._service = service
+        self._engine = engine
+        self._clock = clock or clocks.SystemClock()
+        self._rng = rng or random.Random()
+        self._swap = swaps.Swap(vm_id, self._rng, self._clock.monotonic())
+        self._learning = asyncio.Lock()
+        self._tasks = set()
+        self._listeners = []
+        self._leases = None
+
+    async def start(self, kernel):
+        """Begin to take orders and to read the engine's version."""
+        self._leases = kernel.get("leases")
+        peers = kernel.get("peers")
+        peers.declare(messages.KINDS)
+        peers.on(messages.Order, self.take)
+        self._spawn(self._keep_reading())
+
+    async def stop(self):
+        """Stop; an order that the engine has goes on in the engine."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def report(self):
+        """Return the `messages.Report` as of now."""
+        wall_ms = int(self._clock.wall() * _MS_PER_S)
+        return self._swap.report(self._now(), wall_ms)
+
+    def subscribe(self, callback):
+        """Call ``callback()`` when an order's outcome is known."""
+        self._listeners.append(callback)
+
+    async def take(self, vm_id, order):
+        """Take an `messages.Order`; return a report or a refusal."""
+        if order.service != self._service:
+            raise exceptions.NotFound(
+                f"this agent serves {self._service!r}, not {order.service!r}"
+            )
+        try:
+            await self._learn_highest()
+            actions = self._swap.order(order, self._now())
+        except exceptions.Fenced as error:
+            counters.count_refusal(error.reason, self._service)
+            _LOG.log("fenced", sender=vm_id, cause=error.message)
+            return self._swap.refusal()
+        for action in actions:
+            self._spawn(self._execute(action.order))
+        return self.report()
+
+    async def _learn_highest(self):
+        if self._swap.door.highest is not None:
+            return
+        async with self._learning:
+            if self._swap.door.highest is not None:
+                return
+            name = leadership_name(self._service)
+            try:
+                self._swap.door.learn(await self._leases.highest(name))
+            except exceptions.KeyValueUnavailable as error:
+                # The door itself refuses then, with what to do.
+                _LOG.log("highest-unknown", cause=error.message)
+
+    async def _execute(self, order):
+        outcome = await self._order_engine(order)
+        await self._read()
+        self._swap.executed(outcome, self._now())
+        _LOG.log(
+            "executed",
+            kind=str(order.kind),
+            version=order.version,
+            outcome=outcome.value,
+        )
+        for callback in self._listeners:
+            callback()
+
+    async def _order_engine(self, order):
+        timeout_s = _TIMEOUTS_S_BY_KIND[order.kind]
+        told = port.Order(str(order.kind), order.version, order.fencing)
+        try:
+            await asyncio.to_thread(
+                self._engine.order, told, timeout_s=timeout_s
+            )
+        except exceptions.AnvilwellError as error:
+            _LOG.log("order-failed", cause=error.message)
+            if error.verdict is verdicts.Verdict.NOT_RUN:
+                return swaps.Outcome.FAILED
+            return swaps.Outcome.UNKNOWN
+        return swaps.Outcome.DONE
+
+    async def _keep_reading(self):
+        while True:
+            await self._read()
+            await asyncio.sleep(READ_PERIOD_S * self._rng.uniform(0.8, 1.2))
+
+    async def _read(self):
+        try:
+            load = await asyncio.to_thread(
+                self._engine.load, timeout_s=READ_TIMEOUT_S
+            )
+            version = load.version
+        except exceptions.AnvilwellError as error:
+            _LOG.log("version-unread", cause=error.message)
+            version = ""
+        self._swap.read(version, self._now())
+
+    def _now(self):
+        return self._clock.monotonic()
+
+    def _spawn(self, work):
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/rollout/service.py
@@ -0,0 +1,105 @@
+"""The service ``rollout``: entries that stand for rollout leaderships."""
+
+import asyncio
+
+import xxhash
+
+from anvilwell_daemon.rollout import leader as leaders
+from anvilwell_kernel import clock as clocks
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.messages import membership
+from anvilwell_kernel import services
+
+CANDIDATES = 2
+TURN_PERIOD_S = 2.0
+
+
+class Rollout(services.Service):
+    """Runs a `leader.Leader` for each service that it is a candidate of.
+
+    Of the live entries the two that rank highest by a hash of service
+    and id stand for its lease, so that reads of the key-value service
+    grow with the services and not with the entries.
+    """
+
+    name = "rollout"
+    needs = ("configuration", "membership", "leases", "peers", "order-relay")
+
+    def __init__(self, weight_store=None, *, clock=None):
+        self._weight_store = weight_store
+        self._clock = clock or clocks.SystemClock()
+        self._leaders_by_service = {}
+        self._tasks_by_service = {}
+        self._kernel = None
+        self._turns = None
+
+    async def start(self, kernel):
+        """Begin to look whose turn it is."""
+        self._kernel = kernel
+        self._turns = asyncio.create_task(self._take_turns())
+
+    async def drain(self):
+        """Lead no more."""
+        await self.stop()
+
+    async def stop(self):
+        """Stop leading."""
+        tasks = [*self._tasks_by_service.values()]
+        if self._turns:
+            tasks.append(self._turns)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def progress(self, service):
+        """Return the service's ``reconciler.Progress``.
+
+        Raises
+        ------
+        exceptions.NotFound
+            If this entry does not lead the service's rollout.
+        """
+        leader = self._leaders_by_service.get(service)
+        if leader is None or leader.progress is None:
+            raise exceptions.NotFound(
+                f"this entry does not lead the rollout of {service!r}"
+            )
+        return leader.progress
+
+    async def _take_turns(self):
+        while True:
+            for service in self._kernel.get("configuration").services():
+                is_running = service in self._tasks_by_service
+                is_candidate = self._is_candidate(service)
+                if is_candidate and not is_running and self._is_model(service):
+                    self._stand(service)
+            await asyncio.sleep(TURN_PERIOD_S)
+
+    def _stand(self, service):
+        leader = leaders.Leader(
+            service, self._kernel, self._clock, self._weight_store
+        )
+        self._leaders_by_service[service] = leader
+        task = asyncio.create_task(leader.run())
+        self._tasks_by_service[service] = task
+
+    def _is_model(self, service):
+        try:
+            document = self._kernel.get("configuration").document(service)
+        except exceptions.AnvilwellError:
+            return False
+        return document.model is not None
+
+    def _is_candidate(self, service):
+        members = self._kernel.get("membership")
+        entries = [
+            member.vm_id
+            for member in members.in_state(membership.State.LIVE)
+            if member.role == "entry"
+        ]
+        ranked = sorted(entries, key=lambda vm_id: _rank(service, vm_id))
+        return members.me.vm_id in ranked[:CANDIDATES]
+
+
+def _rank(service, vm_id):
+    return xxhash.xxh64_intdigest(f"{service}/{vm_id}".encode())
