Join entries and agents to the fleet

The process knew only the data path with a folder of documents. It now makes the key-value facade, peer links, membership, leases, configuration, rollout, engine orders and the operators' interface as well; an entry with [entry] documents still works alone.

--- a/packages/daemon/anvilwell_daemon/entry/replicas.py
+++ b/packages/daemon/anvilwell_daemon/entry/replicas.py
@@ -6,6 +6,7 @@
 from anvilwell_daemon.entry import routing
 from anvilwell_daemon.links import data_link
 from anvilwell_kernel import exceptions
+from anvilwell_kernel.messages import membership
 from anvilwell_kernel import reasons
 from anvilwell_kernel import services
 
@@ -95,3 +96,30 @@
             return
         del self._links_by_address[address]
         self._tasks_by_address.pop(address).cancel()
+
+
+class FleetReplicas(Replicas):
+    """Links to the agents that membership shows as fit for new work."""
+
+    needs = ("membership",)
+
+    def __init__(self, hello, addresses=(), source=None):
+        super().__init__(hello, addresses, source)
+        self._members = None
+
+    async def start(self, kernel):
+        """Dial the agents and follow their coming and going."""
+        self._members = kernel.get("membership")
+        self._members.subscribe(self._changed)
+        self._follow()
+
+    def _changed(self, before, after):
+        if after.role == "agent":
+            self._follow()
+
+    def _follow(self):
+        fit = self._members.in_state(
+            membership.State.LIVE, membership.State.SUSPECT
+        )
+        agents = [one.address for one in fit if one.role == "agent"]
+        self.set_addresses([*self._addresses, *agents])
--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -13,6 +13,7 @@
 from anvilwell_daemon.entry import replicas
 from anvilwell_daemon.entry import traces
 from anvilwell_daemon.peers import listener
+from anvilwell_daemon.process import fleet
 from anvilwell_daemon.process import health
 from anvilwell_kernel import clock as clocks
 from anvilwell_kernel.messages import links
@@ -104,11 +105,24 @@
 
 def _replicas(settings, kernel):
     addresses = [str(address) for address in settings.entry.static_replicas]
-    return replicas.Replicas(hello(settings), addresses)
+    if fleet.is_alone(settings):
+        return replicas.Replicas(hello(settings), addresses)
+    return replicas.FleetReplicas(hello(settings), addresses)
 
 
 def _configuration(settings, kernel):
-    return documents.FolderConfiguration(settings.entry.documents)
+    if fleet.is_alone(settings):
+        return documents.FolderConfiguration(settings.entry.documents)
+    return fleet.configuration(settings, kernel)
+
+
+def _in_fleet(make):
+    """Return a ``make`` that gives None for an entry without a fleet."""
+
+    def make_in_fleet(settings, kernel):
+        return None if fleet.is_alone(settings) else make(settings, kernel)
+
+    return make_in_fleet
 
 
 def _traces(settings, kernel):
@@ -129,7 +143,15 @@
     Factory("admin", BOTH, _admin),
     Factory("health", BOTH, _health),
     Factory("traces", ENTRY, _traces),
-    Factory("configuration", ENTRY, _configuration),
+    Factory("keyvalue", BOTH, _in_fleet(fleet.keyvalue)),
+    Factory("peers", BOTH, _in_fleet(fleet.peer_links)),
+    Factory("membership", BOTH, _in_fleet(fleet.membership)),
+    Factory("leases", BOTH, _in_fleet(fleet.lease_holder)),
+    Factory("engine-orders", AGENT, fleet.orders),
+    Factory("order-relay", BOTH, _in_fleet(fleet.order_relay)),
+    Factory("configuration", BOTH, _configuration),
+    Factory("rollout", ENTRY, _in_fleet(fleet.rollout)),
+    Factory("operators", ENTRY, fleet.operators_interface),
     Factory("replicas", ENTRY, _replicas),
     Factory("dispatcher", ENTRY, _dispatcher),
     Factory("callers", ENTRY, _callers),
--- a/packages/daemon/anvilwell_daemon/process/runner.py
+++ b/packages/daemon/anvilwell_daemon/process/runner.py
@@ -23,7 +23,11 @@
         ``EX_OK`` after a whole drain, ``EX_TEMPFAIL`` if requests were
         left, ``EX_CONFIG`` or ``EX_UNAVAILABLE`` if it could not start.
     """
-    return asyncio.run(_run(settings))
+    stop_log = logs.start(settings.log.file, vm_id=settings.daemon.vm_id)
+    try:
+        return asyncio.run(_run(settings))
+    finally:
+        stop_log()
 
 
 async def _run(settings):
