--- a/packages/daemon/anvilwell_daemon/process/runner.py
+++ b/packages/daemon/anvilwell_daemon/process/runner.py
@@ -23,14 +23,19 @@
         ``EX_OK`` after a whole drain, ``EX_TEMPFAIL`` if requests were
         left, ``EX_CONFIG`` or ``EX_UNAVAILABLE`` if it could not start.
     """
-    stop_log = logs.start(settings.log.file, vm_id=settings.daemon.vm_id)
+    return asyncio.run(_run(settings))
+
+
+async def _run(settings):
+    vm_id = settings.daemon.vm_id
+    stop_logs = logs.start(settings.log.file, daemon=vm_id)
     try:
-        return asyncio.run(_run(settings))
+        return await _run_kernel(settings)
     finally:
-        stop_log()
+        stop_logs()
 
 
-async def _run(settings):
+async def _run_kernel(settings):
     signals = asyncio.Queue()
     loop = asyncio.get_running_loop()
     for number in SIGNALS:
