Use the callers of the stand-ins in the demo, probe what is in force

Two kinds of callers stood side by side; the load tool keeps probes, notes and the summary. A service's page reads the stored record, so the prober now asks for the list, which tells what the daemon itself works under.

--- a/packages/bench/anvilwell_bench/load/__main__.py
+++ b/packages/bench/anvilwell_bench/load/__main__.py
@@ -6,8 +6,6 @@
 from absl import app
 from absl import flags
 
-from anvilwell_bench.load import caller
-from anvilwell_bench.load import live as live_callers
 from anvilwell_bench.load import notes
 from anvilwell_bench.load import prober
 from anvilwell_bench.load import recorder as recorders
@@ -18,37 +16,15 @@
 _DAEMONS = flags.DEFINE_list(
     "daemons", [], "Daemons as name=host:port, callers' or admin ports."
 )
-_MODEL = flags.DEFINE_string("model-service", "planner-lm", "Model service.")
-_PLAIN = flags.DEFINE_string("plain-service", "stops-app", "Plain service.")
-_CALLERS = flags.DEFINE_integer("callers", 4, "Callers at a time.")
-_PAUSE = flags.DEFINE_float("pause", 0.1, "Mean pause of a caller, seconds.")
-_TOKENS = flags.DEFINE_integer("max-tokens", 24, "Tokens of an answer.")
 _INTERVAL = flags.DEFINE_float("interval", 0.5, "Seconds between probes.")
-_SEED = flags.DEFINE_integer("seed", 0, "Seed of the callers' choices.")
 _VERSION = flags.DEFINE_string("version", "", "Weight version applied.")
 _METRICS = flags.DEFINE_string("metrics", "", "Folder of metrics pages.")
 
 
-def live(args):
-    """Ask as live callers until a signal."""
-    load = live_callers.Load(
-        _MODEL.value,
-        _PLAIN.value,
-        callers=_CALLERS.value,
-        pause_s=_PAUSE.value,
-        max_tokens=_TOKENS.value,
-    )
-    entries = [caller.Entry(*pair) for pair in _addresses()]
-    callers = live_callers.LiveCallers(load, entries, _recorder(), _SEED.value)
-    _stop_on_signal(callers)
-    callers.run()
-
-
 def probe(args):
     """Probe the daemons until a signal."""
     daemons = [prober.Probed(*pair) for pair in _addresses()]
-    services = [_MODEL.value, _PLAIN.value]
-    probing = prober.Prober(daemons, services, _recorder())
+    probing = prober.Prober(daemons, _recorder())
     _stop_on_signal(probing)
     probing.run(_INTERVAL.value)
 
@@ -75,7 +51,7 @@
 
 _COMMANDS = {
     command.__name__: command
-    for command in (live, probe, note, applied, summary, whole_steps)
+    for command in (probe, note, applied, summary, whole_steps)
 }
 
 
--- a/packages/bench/anvilwell_bench/load/prober.py
+++ b/packages/bench/anvilwell_bench/load/prober.py
@@ -1,6 +1,5 @@
 """Asks each daemon which document it has in force."""
 
-import itertools
 import threading
 import typing
 
@@ -18,28 +17,31 @@
     url: str
 
 
-class _Service(typing_extensions.TypedDict):
+class _Summary(typing_extensions.TypedDict):
+    service: str
     generation: int
 
 
-_SERVICE = pydantic.TypeAdapter(_Service)
+class _Services(typing_extensions.TypedDict):
+    services: list[_Summary]
+
+
+_SERVICES = pydantic.TypeAdapter(_Services)
 
 
 class Prober:
-    """Probes every daemon for every service, again and again.
+    """Probes every daemon, again and again.
 
     Parameters
     ----------
     daemons : list of Probed
         Daemons to ask.
-    services : list of str
-        Services to ask for.
     recorder : recorder.Recorder
         Where probes go; a daemon that gives no answer leaves none.
     """
 
-    def __init__(self, daemons, services, recorder):
-        self._pairs = list(itertools.product(daemons, services))
+    def __init__(self, daemons, recorder):
+        self._daemons = tuple(daemons)
         self._recorder = recorder
         self._stopped = threading.Event()
         self._http = urllib3.PoolManager(retries=False)
@@ -56,22 +58,23 @@
 
     def probe(self):
         """Probe every daemon once."""
-        for daemon, service in self._pairs:
-            self._probe_one(daemon, service)
+        for daemon in self._daemons:
+            self._probe_one(daemon)
 
-    def _probe_one(self, daemon, service):
+    def _probe_one(self, daemon):
         asked_at = self._recorder.now()
-        url = f"{daemon.url}/admin/services/{service}"
+        url = f"{daemon.url}/admin/services"
         try:
             response = self._http.request("GET", url, timeout=_TIMEOUT_S)
         except urllib3.exceptions.HTTPError:
             return
         if response.status != 200:
             return
-        self._recorder.write(
-            "probe",
-            at=asked_at,
-            daemon=daemon.name,
-            service=service,
-            generation=_SERVICE.validate_json(response.data)["generation"],
-        )
+        for found in _SERVICES.validate_json(response.data)["services"]:
+            self._recorder.write(
+                "probe",
+                at=asked_at,
+                daemon=daemon.name,
+                service=found["service"],
+                generation=found["generation"],
+            )
--- a/packages/daemon/anvilwell_daemon/process/weights.py
+++ b/packages/daemon/anvilwell_daemon/process/weights.py
@@ -28,4 +28,6 @@
     store = settings.weightstore
     if not store.endpoints:
         return rollouts.Rollout()
-    return rollouts.Rollout(http_weightstore.HttpWeightStore.from_config(store))
+    return rollouts.Rollout(
+        http_weightstore.HttpWeightStore.from_config(store)
+    )
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,7 +14,7 @@
 ENGINES=${ENGINES:-6}
 PLAINS=${PLAINS:-3}
 STEPS=${STEPS:-4}
-STEP_LIMIT_S=60
+STEP_LIMIT_S=${STEP_LIMIT_S:-60}
 LEFTOVERS=0
 FAILED=0
 CODE=0
@@ -118,15 +118,12 @@
     local admins entries
     admins="entry-1=$(address_of entry-1-admin)"
     admins+=",entry-2=$(address_of entry-2-admin)"
-    entries=(
-        --entry "entry-1=$(address_of entry-1)"
-        --entry "entry-2=$(address_of entry-2)"
-    )
+    entries="entry-1=$(address_of entry-1),entry-2=$(address_of entry-2)"
     start caller "$PYTHON" -m anvilwell_standins caller --name caller \
-        --record "$RECORDS/caller.jsonl" "${entries[@]}" --seconds 300
+        --record "$RECORDS/caller.jsonl" --entries "$entries" --seconds 300
     # Asks for a service that is not there: a refusal to hold true.
     start stranger "$PYTHON" -m anvilwell_standins caller --name stranger \
-        --record "$RECORDS/stranger.jsonl" "${entries[@]}" --retries 0 \
+        --record "$RECORDS/stranger.jsonl" --entries "$entries" --retries 0 \
         --service no-such-lm --streams 1 --lookups 0 --notices 0 --asks 2
     start prober "$PYTHON" -m anvilwell_bench.load --who=prober \
         --record="$RECORDS/prober.jsonl" --daemons="$admins" probe
@@ -168,8 +165,7 @@
 say "live callers ask; the trainer begins $STEPS steps"
 start trainer "$PYTHON" -m anvilwell_standins trainer --name trainer \
     --record "$RECORDS/trainer.jsonl" \
-    --entry "entry-1=$(address_of entry-1)" \
-    --entry "entry-2=$(address_of entry-2)" \
+    --entries "entry-1=$(address_of entry-1),entry-2=$(address_of entry-2)" \
     --weight-store "$(address_of weightstore)" --train-ms 1500 \
     --service planner-lm --run autumn --steps "$STEPS"
 
