Count failed loads and failed swaps apart

An engine that loads but never swaps was never given up: each load that worked cleared the count of failures. Found by the rollout over real sockets; regression: test_engine_that_loads_but_never_swaps_is_given_up.

--- a/packages/daemon/anvilwell_daemon/rollout/engine_orders.py
+++ b/packages/daemon/anvilwell_daemon/rollout/engine_orders.py
@@ -41,18 +41,29 @@
         The service that the backend server belongs to.
     engine : ports.engine.Engine
         The engine.
+    unsure_s : float
+        For how long an order without an answer may still take effect.
     """
 
     name = "engine-orders"
     needs = ("peers", "leases")
 
-    def __init__(self, vm_id, service, engine, *, clock=None, rng=None):
+    def __init__(
+        self,
+        vm_id,
+        service,
+        engine,
+        *,
+        clock=None,
+        rng=None,
+        unsure_s=swaps.UNSURE_S,
+    ):
         self._vm_id = vm_id
         self._service = service
         self._engine = engine
         self._clock = clock or clocks.SystemClock()
         self._rng = rng or random.Random()
-        self._swap = swaps.Swap(vm_id, self._rng, self._clock.monotonic())
+        self._swap = swaps.Swap(vm_id, self._rng, self._now(), unsure_s)
         self._learning = asyncio.Lock()
         self._tasks = set()
         self._listeners = []
--- a/packages/decisions/anvilwell_decisions/rollout/swap.py
+++ b/packages/decisions/anvilwell_decisions/rollout/swap.py
@@ -41,8 +41,8 @@
     document's generation; applying the document again retries it.
 
     An engine whose answer was lost, or whose agent has just started,
-    may still be about to swap: for `UNSURE_S` it takes no order and
-    counts as swapping.
+    may still be about to swap: for `unsure_s` seconds it takes no order
+    and counts as swapping.
 
     Parameters
     ----------
@@ -54,17 +54,18 @@
         When the agent started.
     """
 
-    def __init__(self, vm_id, rng, now):
+    def __init__(self, vm_id, rng, now, unsure_s=UNSURE_S):
         self.door = door.Door()
         self._vm_id = vm_id
         self._rng = rng
         self._version = ""
         self._loaded = set()
-        self._failures_by_target = {}
+        self._failures_by_attempt = {}
         self._failed = []
         self._running = None
         self._unsure = None
-        self._unsure_until = now + UNSURE_S
+        self._unsure_s = unsure_s
+        self._unsure_until = now + unsure_s
         self._wait_until = None
         self._last = (0, 0)
         self._sequence = 0
@@ -102,7 +103,7 @@
             self._succeed(order)
         elif order.kind is _ACTIVATE and outcome is Outcome.UNKNOWN:
             self._unsure = order
-            self._unsure_until = now + UNSURE_S
+            self._unsure_until = now + self._unsure_s
         else:
             self._fail(order, now)
 
@@ -161,17 +162,17 @@
 
     def _succeed(self, order):
         self._loaded.add(order.version)
-        self._failures_by_target.pop(_target(order), None)
+        self._failures_by_attempt.pop(_attempt(order), None)
 
     def _fail(self, order, now):
         self._loaded.discard(order.version)
-        target = _target(order)
-        count = self._failures_by_target.get(target, 0) + 1
-        self._failures_by_target[target] = count
+        attempt, target = _attempt(order), _target(order)
+        count = self._failures_by_attempt.get(attempt, 0) + 1
+        self._failures_by_attempt[attempt] = count
         if count >= ATTEMPTS and target not in self._failed:
             self._failed.append(target)
             del self._failed[:-MAX_FAILED]
-            del self._failures_by_target[target]
+            del self._failures_by_attempt[attempt]
         backoff_s = min(FIRST_BACKOFF_S * 2 ** (count - 1), LAST_BACKOFF_S)
         self._wait_until = now + backoff_s * self._rng.uniform(0.5, 1.5)
 
@@ -191,5 +192,18 @@
         return messages.Activity.IDLE
 
 
+class _Attempt(typing.NamedTuple):
+    kind: messages.Kind
+    target: messages.Failed
+
+
+def _attempt(order):
+    """Return what failures are counted by.
+
+    A load that works says nothing about the activation that failed.
+    """
+    return _Attempt(order.kind, _target(order))
+
+
 def _target(order):
     return messages.Failed(order.version, order.generation)
--- a/packages/decisions/tests/rollout/test_rollout.py
+++ b/packages/decisions/tests/rollout/test_rollout.py
@@ -269,6 +269,19 @@
     assert leader.is_settled
 
 
+def test_engine_that_loads_but_never_swaps_is_given_up():
+    agent = Agent("vm0")
+    for number in range(1, 20, 2):
+        now = number * 20.0
+        agent.take(_order(messages.Kind.LOAD, "2", number), now)
+        if agent.running:
+            agent.finish(DONE, now)
+        agent.take(_order(ACTIVATE, "2", number + 1), now)
+        if agent.running:
+            agent.finish(FAILED, now)
+    assert agent.report(500.0).failed == [messages.Failed("2", 1)]
+
+
 def test_given_up_version_is_tried_again_under_a_new_generation():
     leader, agents = lead(3, 0.3)
     play(leader, agents, 30.0, {"vm1": FAILED})
