--- a/packages/kernel/anvilwell_kernel/config/loader.py
+++ b/packages/kernel/anvilwell_kernel/config/loader.py
@@ -240,5 +240,8 @@
 def parts_of(hint):
     """Yield `hint` and all that it is made of, outermost first."""
     yield hint
-    for part in typing.get_args(hint):
+    metadata = getattr(hint, "__metadata__", ())
+    yield from metadata
+    inner = (hint.__origin__,) if metadata else typing.get_args(hint)
+    for part in inner:
         yield from parts_of(part)
