--- a/packages/bench/anvilwell_bench/virtual/samples_world.py
+++ b/packages/bench/anvilwell_bench/virtual/samples_world.py
@@ -6,7 +6,6 @@
 from anvilwell_bench.virtual import driver as drivers
 from anvilwell_bench.virtual import engine as engines
 from anvilwell_bench.virtual import samples_workload
-from anvilwell_decisions.samples import actions
 from anvilwell_decisions.samples import coordinator as coordinators
 from anvilwell_decisions.samples import ledger as ledgers
 from anvilwell_decisions.samples import replicas
