Serve the pages, the operators' routes and the log in the daemon

Cause: the process had its own health pages, no metrics page, no operators' interface and no log destination. Change: the service health serves the kernel's pages, entries run the service operators, run starts metrics and the log, and the web server takes its limits from the settings; a response that fails to start no longer counts as in flight for ever. Conclusion: one way to each page.

--- a/packages/daemon/anvilwell_daemon/commands/run.py
+++ b/packages/daemon/anvilwell_daemon/commands/run.py
@@ -4,6 +4,8 @@
 import os
 
 from anvilwell_daemon.commands import check_settings
+from anvilwell_kernel.telemetry import logs
+from anvilwell_kernel.telemetry import provider
 
 _PROCESS = "anvilwell_daemon.process"
 
@@ -13,4 +15,9 @@
     settings = check_settings.read_settings(options)
     # The other commands shouldn't wait for the whole daemon to load.
     process = importlib.import_module(_PROCESS)
-    return process.run(settings) or os.EX_OK
+    provider.start()
+    stop_log = logs.start(settings.log.file, vm_id=settings.daemon.vm_id)
+    try:
+        return process.run(settings) or os.EX_OK
+    finally:
+        stop_log()
--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from anvilwell_daemon.admin import service as admin
 from anvilwell_daemon.agent import admission
 from anvilwell_daemon.agent.backends import model
 from anvilwell_daemon.agent.backends import plain
@@ -68,7 +69,11 @@
 
 def _web(settings, kernel):
     return web.WebServer(
-        *settings.entry.listen, name="web", threads=settings.entry.threads
+        *settings.entry.listen,
+        name="web",
+        threads=settings.entry.threads,
+        max_body_bytes=settings.limits.max_body_bytes,
+        max_header_bytes=settings.limits.max_header_bytes,
     )
 
 
@@ -111,6 +116,10 @@
     return documents.FolderConfiguration(settings.entry.documents)
 
 
+def _operators(settings, kernel):
+    return admin.Operators.from_config(settings)
+
+
 def _traces(settings, kernel):
     return traces.Traces(CLOCK, settings.limits.max_traces)
 
@@ -128,6 +137,7 @@
     Factory("web", ENTRY, _web),
     Factory("admin", BOTH, _admin),
     Factory("health", BOTH, _health),
+    Factory("operators", ENTRY, _operators),
     Factory("traces", ENTRY, _traces),
     Factory("configuration", ENTRY, _configuration),
     Factory("replicas", ENTRY, _replicas),
--- a/packages/daemon/anvilwell_daemon/process/health.py
+++ b/packages/daemon/anvilwell_daemon/process/health.py
@@ -1,11 +1,11 @@
-"""The service ``health``: liveness and readiness pages."""
+"""The service ``health``: metrics, liveness and readiness pages."""
 
 from anvilwell_kernel import services
-from anvilwell_kernel import web
+from anvilwell_kernel.telemetry import pages
 
 
 class Health(services.Service):
-    """Serves ``/healthz`` and ``/readyz`` on the process's servers.
+    """Serves the pages on the process's servers, during the drain too.
 
     Parameters
     ----------
@@ -17,22 +17,9 @@
 
     def __init__(self, servers):
         self.needs = tuple(servers)
-        self._kernel = None
 
     async def start(self, kernel):
         """Register the pages."""
-        self._kernel = kernel
+        made = pages.Pages(kernel)
         for name in self.needs:
-            server = kernel.get(name)
-            server.route("/healthz", self._live)
-            server.route("/readyz", self._ready)
-
-    def _live(self, request):
-        return web.json_response({"live": True})
-
-    def _ready(self, request):
-        unready = self._kernel.unready()
-        return web.json_response(
-            {"ready": not unready, "unready": unready},
-            status=503 if unready else 200,
-        )
+            made.add_to(kernel.get(name))
--- a/packages/kernel/anvilwell_kernel/web.py
+++ b/packages/kernel/anvilwell_kernel/web.py
@@ -207,9 +207,13 @@
         request = werkzeug.Request(environ)
         request.max_content_length = self._max_body_bytes
         self._in_flight.enter()
-        endpoint, response = self._respond(request)
-        response.headers.setdefault(REQUEST_ID, request_id(request))
-        chunks = response(environ, start_response)
+        try:
+            endpoint, response = self._respond(request)
+            response.headers.setdefault(REQUEST_ID, request_id(request))
+            chunks = response(environ, start_response)
+        except BaseException:
+            self._in_flight.leave()
+            raise
         duration_s = time.monotonic() - begun
         counters.record_answer(endpoint, response.status_code, duration_s)
         return wsgi.ClosingIterator(chunks, self._in_flight.leave)
