Send what libraries say to the log

Cause: cheroot and websockets wrote plain lines and tracebacks to stderr. Change: their warnings go to the log; documents from a folder refuse changes and history with a clear error, where they had caused an internal fault. Conclusion: stderr is left to what a person must read at once.

--- a/packages/daemon/anvilwell_daemon/commands/run.py
+++ b/packages/daemon/anvilwell_daemon/commands/run.py
@@ -16,6 +16,7 @@
     # The other commands shouldn't wait for the whole daemon to load.
     process = importlib.import_module(_PROCESS)
     provider.start()
+    logs.capture_libraries()
     stop_log = logs.start(settings.log.file, vm_id=settings.daemon.vm_id)
     try:
         return process.run(settings) or os.EX_OK
--- a/packages/daemon/anvilwell_daemon/entry/documents.py
+++ b/packages/daemon/anvilwell_daemon/entry/documents.py
@@ -2,6 +2,7 @@
 
 from anvilwell_kernel.documents import parser
 from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
 from anvilwell_kernel import services
 
 GENERATION = 1
@@ -43,3 +44,23 @@
     def generation(self, service):
         """Return the generation of the document of `service`."""
         return GENERATION
+
+    def services(self):
+        """Return the names of the services with a document."""
+        return sorted(self._documents_by_service)
+
+    async def record(self, service):
+        """Refuse: a folder keeps no history."""
+        raise _refusal()
+
+    async def propose(self, service, text, **options):
+        """Refuse: a folder is read once, at the start."""
+        raise _refusal()
+
+
+def _refusal():
+    return exceptions.Refused(
+        "this entry has its documents from [entry] documents; remove that"
+        " setting to use the key-value service",
+        reason=reasons.Refusal.NOT_CONFIGURED,
+    )
--- a/packages/daemon/tests/commands/test_commands.py
+++ b/packages/daemon/tests/commands/test_commands.py
@@ -5,7 +5,9 @@
 import pytest
 
 from anvilwell_daemon import commands
+from anvilwell_daemon import process
 from anvilwell_kernel import commandline
+from anvilwell_kernel.telemetry import logs
 
 GOOD = (
     "[daemon]\nvm_id = a\nrole = agent\nfailure_domain = f\n"
@@ -47,6 +49,29 @@
     assert "can't be read" in capsys.readouterr().err
 
 
+def test_run_writes_the_log_without_secrets(tmp_path, monkeypatch):
+    def fake_run(settings):
+        logs.get_logger(__name__).log("settings", settings=settings)
+        logs.get_logger(__name__).log("text", text=repr(settings))
+        return os.EX_TEMPFAIL
+
+    monkeypatch.setattr(process, "run", fake_run)
+    monkeypatch.setattr(logs, "capture_libraries", lambda: None)
+    log = tmp_path / "log.json"
+    path = tmp_path / "entry.ini"
+    path.write_text(
+        "[daemon]\nvm_id = e\nrole = entry\nfailure_domain = f\n"
+        "[entry]\nlisten = 127.0.0.1:1\nadmin = 127.0.0.1:2\n"
+        "operator_token = hunter2\n[peers]\nlisten = 127.0.0.1:3\n"
+        f"[keyvalue]\nendpoints = 127.0.0.1:4\n[log]\nfile = {log}\n"
+    )
+
+    assert execute("run", f"--settings={path}") == os.EX_TEMPFAIL
+    assert '"vm_id":"e"' in log.read_text().splitlines()[-1]
+    assert "operator_token" in log.read_text()
+    assert "hunter2" not in log.read_text()
+
+
 def test_version(capsys):
     assert execute("version") == os.EX_OK
     assert capsys.readouterr().out.startswith("anvilwelld ")
--- a/packages/kernel/anvilwell_kernel/strict_http.py
+++ b/packages/kernel/anvilwell_kernel/strict_http.py
@@ -10,10 +10,15 @@
 import socket
 import threading
 import time
+import traceback as tracebacks
 
 from cheroot import server
 from cheroot import wsgi
 
+from anvilwell_kernel.telemetry import logs
+
+_LOG = logs.get_logger(__name__)
+
 _LENGTH = b"Content-Length"
 _ENCODING = b"Transfer-Encoding"
 _SINGLE = frozenset(
@@ -179,6 +184,11 @@
         self._stopped.set()
         super().stop()
 
+    def error_log(self, msg="", level=20, traceback=False):
+        """Write what cheroot has to say to the log."""
+        trace = tracebacks.format_exc() if traceback else ""
+        _LOG.log("server-error", message=msg, level=level, traceback=trace)
+
     def _reap(self):
         interval_s = min(_REAP_INTERVAL_S, self._read_limit_s / 4)
         while not self._stopped.wait(interval_s):
--- a/packages/kernel/anvilwell_kernel/telemetry/logs.py
+++ b/packages/kernel/anvilwell_kernel/telemetry/logs.py
@@ -1,8 +1,10 @@
 """Structured logs by eliot; one causal tree for each request."""
 
+import logging
 import sys
 
 import eliot
+from eliot import stdlib
 
 
 class Logger:
@@ -67,3 +69,10 @@
             stream.close()
 
     return stop
+
+
+def capture_libraries():
+    """Have the warnings of libraries written to the log, not to stderr."""
+    logging.basicConfig(
+        handlers=[stdlib.EliotHandler()], level=logging.WARNING, force=True
+    )
--- a/packages/kernel/tests/telemetry/test_logs.py
+++ b/packages/kernel/tests/telemetry/test_logs.py
@@ -1,6 +1,7 @@
 """The log: JSON lines, causal trees across processes, no secrets."""
 
 import json
+import logging
 import typing
 
 import pytest
@@ -52,6 +53,19 @@
     assert len({message["task_uuid"] for message in lines()}) == 1
 
 
+def test_warnings_of_libraries_reach_the_log(lines, monkeypatch):
+    root = logging.getLogger()
+    monkeypatch.setattr(root, "handlers", list(root.handlers))
+    monkeypatch.setattr(root, "level", root.level)
+    logs.capture_libraries()
+
+    logging.getLogger("some.library").info("chatter")
+    logging.getLogger("some.library").warning("look here")
+
+    (message,) = lines()
+    assert message["message"] == "look here"
+
+
 def test_secret_never_reaches_the_log(lines):
     settings = loader.loads("[store]\ntoken = hunter2\n", Settings, "s.ini")
     _LOG.log("settings", settings=settings, token=settings.store.token)
