--- a/packages/daemon/anvilwell_daemon/process/health.py
+++ b/packages/daemon/anvilwell_daemon/process/pages.py
@@ -1,25 +1,25 @@
-"""The service ``health``: metrics, liveness and readiness pages."""
+"""The service ``pages``: metrics, liveness and readiness."""
 
 from anvilwell_kernel import services
 from anvilwell_kernel.telemetry import pages
 
 
-class Health(services.Service):
-    """Serves the pages on the process's servers, during the drain too.
+class Pages(services.Service):
+    """Adds the pages to the process's web servers.
 
     Parameters
     ----------
     servers : iterable of str
-        Names of the web servers to serve them on.
+        Names of the servers.
     """
 
-    name = "health"
+    name = "pages"
 
     def __init__(self, servers):
         self.needs = tuple(servers)
 
     async def start(self, kernel):
         """Register the pages."""
-        made = pages.Pages(kernel)
+        shared = pages.Pages(kernel)
         for name in self.needs:
-            made.add_to(kernel.get(name))
+            shared.add_to(kernel.get(name))
--- a/packages/daemon/tests/commands/test_commands.py
+++ b/packages/daemon/tests/commands/test_commands.py
@@ -49,6 +49,15 @@
     assert "can't be read" in capsys.readouterr().err
 
 
+def test_run_without_a_place_for_the_log(tmp_path, monkeypatch, capsys):
+    monkeypatch.setattr(logs, "capture_libraries", lambda: None)
+    path = tmp_path / "agent.ini"
+    path.write_text(f"{GOOD}[log]\nfile = {tmp_path / 'no' / 'log'}\n")
+
+    assert execute("run", f"--settings={path}") == os.EX_CONFIG
+    assert "[log] file: can't be written" in capsys.readouterr().err
+
+
 def test_run_writes_the_log_without_secrets(tmp_path, monkeypatch):
     def fake_run(settings):
         logs.get_logger(__name__).log("settings", settings=settings)
