Say which generation stays when a change is refused

Cause: a refused change was reported with generation 0, and digests made the history wider than a terminal.

--- a/packages/client/anvilwell_client/change.py
+++ b/packages/client/anvilwell_client/change.py
@@ -86,6 +86,15 @@
             self._pause(wait_s)
         return self._answer(operators.Outcome.UNKNOWN, 0)
 
+    def generation(self):
+        """Return the generation in force, 0 if no entry tells."""
+        try:
+            return current(self._connection, self._change.service)[
+                "generation"
+            ]
+        except exceptions.AnvilwellError:
+            return 0
+
     def _attempt(self):
         path = connections.path("services", self._change.service)
         query = {
--- a/packages/client/anvilwell_client/commands/apply.py
+++ b/packages/client/anvilwell_client/commands/apply.py
@@ -37,6 +37,8 @@
         connection, change, may_have_run=bool(options.change_id)
     )
     applied = applier.apply()
+    if applied["outcome"] is operators.Outcome.REFUSED:
+        applied["generation"] = applier.generation()
     _tell(applied, options, path, change)
     return _EXIT_CODES_BY_OUTCOME[applied["outcome"]]
 
@@ -67,5 +69,7 @@
     if applied["outcome"] is operators.Outcome.IN_FORCE:
         return f"in force everywhere, generation {applied['generation']}"
     if applied["outcome"] is operators.Outcome.REFUSED:
-        return f"not in force anywhere, generation {applied['generation']}"
+        return (
+            f"not in force anywhere, generation {applied['generation']} stays"
+        )
     return "unknown: it may be in force"
--- a/packages/client/anvilwell_client/commands/history.py
+++ b/packages/client/anvilwell_client/commands/history.py
@@ -9,9 +9,17 @@
 _KEYS = ("generation", "change_id", "operator", "digest")
 
 
+_DIGEST_CHARS = 12
+
+
 def history(args, options):
     """Print the changes, oldest first; return an exit code."""
     connection = connections.Connection.from_options(options)
     found = changes.history(connection, args[0])
-    printer.show(options, found, printer.listing(found, _KEYS))
+    shown = [change | {"digest": _short(change)} for change in found]
+    printer.show(options, found, printer.listing(shown, _KEYS))
     return os.EX_OK
+
+
+def _short(change):
+    return change["digest"][:_DIGEST_CHARS]
