--- a/packages/bench/anvilwell_bench/commands/configuration.py
+++ b/packages/bench/anvilwell_bench/commands/configuration.py
@@ -4,8 +4,8 @@
 
 from absl import flags
 
+from anvilwell_bench.configuration import groups
 from anvilwell_bench.configuration import measure
-from anvilwell_bench.configuration import meters
 from anvilwell_bench.configuration import report
 
 SIZES = (5, 20, 80)
@@ -22,14 +22,19 @@
     sizes = [int(size) for size in args] or (QUICK_SIZES if quick else SIZES)
     changes = QUICK_CHANGES if quick else CHANGES
     idle_s = QUICK_IDLE_S if quick else IDLE_S
-    reader = meters.make_reader()
-    ours = [
-        asyncio.run(measure.measure_ours(reader, size, changes, idle_s))
-        for size in sizes
-    ]
-    naive = [
-        asyncio.run(measure.measure_baseline(reader, size, changes, idle_s))
-        for size in sizes
-    ]
+    settle_s = measure.QUICK_SETTLE_S if quick else measure.SETTLE_S
+    results_by_kind = {
+        kind: [
+            asyncio.run(
+                measure.measure(
+                    measure.Plan(kind, size, changes, idle_s, settle_s)
+                )
+            )
+            for size in sizes
+        ]
+        for kind in groups.KINDS
+    }
+    ours = results_by_kind["ours"]
+    naive = results_by_kind["naive"]
     print(report.table([*ours, *naive]))
     print(report.target(ours, naive))
--- a/packages/bench/anvilwell_bench/configuration/measure.py
+++ b/packages/bench/anvilwell_bench/configuration/measure.py
@@ -1,23 +1,26 @@
 """One measured run at one size, of ours or of the baseline."""
 
 import asyncio
-import contextlib
+import itertools
 import time
 import typing
 
 from hdrh import histogram
 
-from anvilwell_bench.configuration import baseline
-from anvilwell_bench.configuration import fleet as fleets
+from anvilwell_bench.configuration import groups
 from anvilwell_bench.configuration import meters
-from anvilwell_platform.adapters import meter as call_meters
+from anvilwell_bench.configuration import workers
 from anvilwell_standins.keyvalue import server
 
 SERVER_THREADS = 512
-SETTLE_S = 1.0
+# Longer than a watch outlives its holder's turn.
+SETTLE_S = 25.0
+QUICK_SETTLE_S = 1.0
 DOMAINS = 3
+WORKERS = 6
 _MOST_US = 60_000_000
 _DIGITS = 3
+_ENTRY_SHARE = 10
 
 
 class Result(typing.NamedTuple):
@@ -25,8 +28,8 @@
 
     Latencies are ms from the operator's request until a daemon has the
     document in force, over all daemons and changes. ``idle`` figures
-    are per second without any change; CPU is a share of one core and
-    includes the stand-in, which runs in the same process.
+    are per second without any change; CPU is a share of one core. The
+    key-value stand-in runs in a process of its own and is not counted.
     """
 
     kind: str
@@ -41,149 +44,115 @@
     idle_bytes_per_daemon_s: float
     change_bytes_per_daemon: float
     idle_cpu_per_daemon: float
+    change_cpu_per_daemon_s: float
     memory_per_daemon_bytes: float
 
 
-class Recorder:
-    """Notes when each daemon applied each generation."""
-
-    def __init__(self):
-        self.latencies = histogram.HdrHistogram(1, _MOST_US, _DIGITS)
-        self._asked_at = {}
-        self._left = {}
-        self._all = asyncio.Event()
-
-    def begin(self, generation, daemons):
-        """Start the clock of `generation` for so many daemons."""
-        self._asked_at[generation] = time.monotonic()
-        self._left[generation] = daemons
-        self._all.clear()
-
-    def applied(self, generation):
-        """Note that one more daemon has `generation` in force."""
-        if generation not in self._asked_at:
-            return
-        spent_s = time.monotonic() - self._asked_at[generation]
-        self.latencies.record_value(max(1, round(spent_s * 1e6)))
-        self._left[generation] -= 1
-        if not self._left[generation]:
-            self._all.set()
-
-    async def all_applied(self):
-        """Wait until the last begun generation is in force at all."""
-        async with asyncio.timeout(_MOST_US / 1e6):
-            await self._all.wait()
-
-    def percentile_ms(self, percentile):
-        """Return a percentile of the latencies."""
-        return self.latencies.get_value_at_percentile(percentile) / 1e3
-
-
-class Subject(typing.NamedTuple):
-    """What is measured: sizes, a way to change, and its name."""
+class Plan(typing.NamedTuple):
+    """What to measure."""
 
     kind: str
     daemons: int
-    change: typing.Callable
-
-
-async def measure(subject, recorder, usage, memory_bytes, changes, idle_s):
-    """Let `subject` idle, then change; return the `Result`."""
-    await asyncio.sleep(SETTLE_S)
-    idle_from = usage.read()
-    await asyncio.sleep(idle_s)
-    idle_to = usage.read()
-    for generation in range(1, changes + 1):
-        recorder.begin(generation, subject.daemons)
-        await subject.change(generation)
-        await recorder.all_applied()
-    end = usage.read()
-    idle_s = idle_to.at_s - idle_from.at_s
-    busy_s = end.at_s - idle_to.at_s
-    idle_bytes = idle_to.sent_bytes - idle_from.sent_bytes
-    busy_bytes = end.sent_bytes - idle_to.sent_bytes
-    idle_calls = meters.calls_between(idle_from, idle_to)
-    busy_calls = meters.calls_between(idle_to, end)
-    spent = idle_bytes * busy_s / idle_s
+    changes: int
+    idle_s: float
+    settle_s: float = SETTLE_S
+
+
+class Crew:
+    """The workers of one run, driven together."""
+
+    def __init__(self, plan, keyvalue_address):
+        specs = _specs(plan.daemons)
+        count = min(WORKERS, plan.daemons)
+        self.daemons = plan.daemons
+        self._workers = [
+            workers.Worker(plan.kind, keyvalue_address, specs[one::count])
+            for one in range(count)
+        ]
+
+    async def start(self):
+        """Start all daemons and make them known to each other."""
+        await self.all("start")
+        members = itertools.chain.from_iterable(await self.all("members"))
+        await self.all("learn", list(members))
+        await self.all("ready")
+
+    async def all(self, method, *arguments):
+        """Return the results of `method` of all workers."""
+        return await asyncio.gather(
+            *(one.call(method, *arguments) for one in self._workers)
+        )
+
+    async def change(self, generation):
+        """Change the document; return each daemon's latency, s."""
+        asked_at = time.monotonic()
+        await self._workers[0].call("change", generation)
+        times = await self.all("all_applied", generation)
+        return [one - asked_at for one in itertools.chain(*times)]
+
+    async def usage(self):
+        """Return the workers' usage as one."""
+        return meters.add(await self.all("usage"))
+
+    async def memory_bytes(self):
+        """Return what the daemons added to the workers' memory."""
+        return sum(await self.all("memory_bytes"))
+
+    async def stop(self):
+        """Stop all workers."""
+        await asyncio.gather(*(one.stop() for one in self._workers))
+
+
+async def measure(plan):
+    """Carry out `plan` and return its `Result`."""
+    with server.KeyValue(threads=SERVER_THREADS) as keyvalue:
+        crew = Crew(plan, keyvalue.address)
+        try:
+            await crew.start()
+            return await _measure(plan, crew)
+        finally:
+            await crew.stop()
+
+
+async def _measure(plan, crew):
+    await asyncio.sleep(plan.settle_s)
+    memory_bytes = await crew.memory_bytes()
+    idle_from = await crew.usage()
+    await asyncio.sleep(plan.idle_s)
+    idle_to = await crew.usage()
+    latencies = histogram.HdrHistogram(1, _MOST_US, _DIGITS)
+    for generation in range(1, plan.changes + 1):
+        for spent_s in await crew.change(generation):
+            latencies.record_value(max(1, round(spent_s * 1e6)))
+    idle = meters.Rates(idle_from, idle_to)
+    cost = meters.Cost(idle, idle_to, await crew.usage(), plan.changes)
     return Result(
-        subject.kind,
-        subject.daemons,
-        changes,
-        recorder.percentile_ms(50),
-        recorder.percentile_ms(99),
-        recorder.percentile_ms(100),
-        {
-            kind: (count - idle_calls.get(kind, 0) * busy_s / idle_s) / changes
-            for kind, count in busy_calls.items()
-        },
-        {kind: count / idle_s for kind, count in idle_calls.items()},
+        plan.kind,
+        plan.daemons,
+        plan.changes,
+        *(
+            latencies.get_value_at_percentile(one) / 1e3
+            for one in (50, 99, 100)
+        ),
+        cost.calls(),
+        idle.calls(),
         meters.waiting(idle_to),
-        idle_bytes / idle_s / subject.daemons,
-        (busy_bytes - spent) / changes / subject.daemons,
-        (idle_to.cpu_s - idle_from.cpu_s) / idle_s / subject.daemons,
-        memory_bytes / subject.daemons,
+        idle.sent_bytes() / plan.daemons,
+        cost.sent_bytes() / plan.daemons,
+        idle.cpu() / plan.daemons,
+        cost.cpu_s() / plan.daemons,
+        memory_bytes / plan.daemons,
     )
 
 
-async def measure_ours(reader, daemons, changes, idle_s):
-    """Return the `Result` of the configuration service."""
-    calls = call_meters.CallMeter()
-    recorder = Recorder()
-    entries = max(2, daemons // 10)
-    with server.KeyValue(threads=SERVER_THREADS) as keyvalue:
-        before_bytes = meters.resident_bytes()
-        async with fleets.running(
-            keyvalue.address,
-            entries,
-            daemons - entries,
-            domains=DOMAINS,
-            meter=calls,
-        ) as fleet:
-            memory_bytes = meters.resident_bytes() - before_bytes
-            for daemon in fleet.daemons_by_id.values():
-                daemon.configuration.subscribe(
-                    lambda _, generation: recorder.applied(generation)
-                )
-            proposer = next(iter(fleet.daemons_by_id.values()))
-
-            async def change(generation):
-                outcome = await proposer.configuration.propose(
-                    fleets.SERVICE, fleets.text_of(generation)
-                )
-                if outcome.outcome != "in-force":
-                    raise RuntimeError(f"change was {outcome}")
-
-            return await measure(
-                Subject("ours", daemons, change),
-                recorder,
-                meters.Meter(reader, calls),
-                memory_bytes,
-                changes,
-                idle_s,
-            )
-
-
-async def measure_baseline(reader, daemons, changes, idle_s):
-    """Return the `Result` of the naive way."""
-    calls = call_meters.CallMeter()
-    recorder = Recorder()
-    with server.KeyValue(threads=SERVER_THREADS) as keyvalue:
-        before_bytes = meters.resident_bytes()
-        async with contextlib.AsyncExitStack() as stack:
-            all_daemons = []
-            for _ in range(daemons):
-                daemon = baseline.NaiveDaemon(
-                    keyvalue.address, calls, recorder.applied
-                )
-                await daemon.start()
-                stack.push_async_callback(daemon.stop)
-                all_daemons.append(daemon)
-            memory_bytes = meters.resident_bytes() - before_bytes
-            return await measure(
-                Subject("naive", daemons, all_daemons[0].change),
-                recorder,
-                meters.Meter(reader, calls),
-                memory_bytes,
-                changes,
-                idle_s,
-            )
+def _specs(daemons):
+    """Return the daemons to start, entries first."""
+    entries = max(2, daemons // _ENTRY_SHARE)
+    return [
+        groups.Spec(
+            f"vm-{number:03d}",
+            f"domain-{number % DOMAINS}",
+            "entry" if number < entries else "agent",
+        )
+        for number in range(daemons)
+    ]
--- a/packages/bench/anvilwell_bench/configuration/meters.py
+++ b/packages/bench/anvilwell_bench/configuration/meters.py
@@ -1,5 +1,6 @@
 """What one run used: calls, control bytes, processor time, memory."""
 
+import collections
 import os
 import resource
 import time
@@ -10,6 +11,7 @@
 from opentelemetry.sdk.metrics import export
 
 _BYTES = "anvilwell_control_bytes"
+_WAITING = "waiting"
 _PAGE_BYTES = resource.getpagesize()
 
 
@@ -75,13 +77,79 @@
         return int(statm.read().split()[1]) * _PAGE_BYTES
 
 
-def calls_between(before, after):
-    """Return the calls made between two `Usage`, by kind."""
-    return {
-        kind: count - before.calls_by_kind.get(kind, 0)
-        for kind, count in sorted(after.calls_by_kind.items())
-        if not kind.endswith("waiting")
-    }
+def add(usages):
+    """Return the sum of several processes' `Usage`."""
+    calls = collections.Counter()
+    for usage in usages:
+        calls.update(usage.calls_by_kind)
+    return Usage(
+        max(one.at_s for one in usages),
+        sum(one.cpu_s for one in usages),
+        sum(one.sent_bytes for one in usages),
+        dict(calls),
+    )
+
+
+class Rates(typing.NamedTuple):
+    """What was used a second between two `Usage`."""
+
+    before: Usage
+    after: Usage
+
+    @property
+    def spent_s(self):
+        """The time between them, s."""
+        return self.after.at_s - self.before.at_s
+
+    def cpu(self):
+        """Return the share of a core."""
+        return (self.after.cpu_s - self.before.cpu_s) / self.spent_s
+
+    def sent_bytes(self):
+        """Return the control bytes sent a second."""
+        sent = self.after.sent_bytes - self.before.sent_bytes
+        return sent / self.spent_s
+
+    def calls(self):
+        """Return the key-value calls a second, by kind."""
+        return {
+            kind: (count - self.before.calls_by_kind.get(kind, 0))
+            / self.spent_s
+            for kind, count in sorted(self.after.calls_by_kind.items())
+            if not kind.endswith(_WAITING)
+        }
+
+
+class Cost(typing.NamedTuple):
+    """What one change used beyond the idle rates."""
+
+    idle: Rates
+    before: Usage
+    after: Usage
+    changes: int
+
+    def cpu_s(self):
+        """Return the processor time, s."""
+        return self._of(lambda rates: rates.cpu())
+
+    def sent_bytes(self):
+        """Return the control bytes."""
+        return self._of(lambda rates: rates.sent_bytes())
+
+    def calls(self):
+        """Return the key-value calls, by kind."""
+        return {
+            kind: self._of(lambda rates, k=kind: rates.calls().get(k, 0.0))
+            for kind in self._busy().calls()
+        }
+
+    def _busy(self):
+        return Rates(self.before, self.after)
+
+    def _of(self, rate):
+        busy = self._busy()
+        excess = rate(busy) - rate(self.idle)
+        return excess * busy.spent_s / self.changes
 
 
 def waiting(usage):
@@ -89,5 +157,5 @@
     return sum(
         count
         for kind, count in usage.calls_by_kind.items()
-        if kind.endswith("waiting")
+        if kind.endswith(_WAITING)
     )
--- a/packages/bench/anvilwell_bench/configuration/report.py
+++ b/packages/bench/anvilwell_bench/configuration/report.py
@@ -11,7 +11,8 @@
 _HEAD = (
     "| way | daemons | p50 ms | p99 ms | max ms | calls a change | "
     "idle calls/s | watches | idle B/s a daemon | B a change a daemon | "
-    "idle CPU a daemon, % | memory a daemon, KiB |"
+    "idle CPU a daemon, % | CPU ms a change a daemon | "
+    "memory a daemon, KiB |"
 )
 
 
@@ -71,6 +72,7 @@
         f"{result.idle_bytes_per_daemon_s:.0f}",
         f"{result.change_bytes_per_daemon:.0f}",
         f"{100 * result.idle_cpu_per_daemon:.2f}",
+        f"{1000 * result.change_cpu_per_daemon_s:.2f}",
         f"{result.memory_per_daemon_bytes / 1024:.0f}",
     )
     return "| " + " | ".join(map(str, values)) + " |"
--- a/packages/bench/anvilwell_bench/virtual/samples_world.py
+++ b/packages/bench/anvilwell_bench/virtual/samples_world.py
@@ -6,7 +6,6 @@
 from anvilwell_bench.virtual import driver as drivers
 from anvilwell_bench.virtual import engine as engines
 from anvilwell_bench.virtual import samples_workload
-from anvilwell_decisions.samples import actions
 from anvilwell_decisions.samples import coordinator as coordinators
 from anvilwell_decisions.samples import ledger as ledgers
 from anvilwell_decisions.samples import replicas
@@ -212,16 +211,12 @@
             return
         ledger = self.coordinator.ledgers_by_run[run]
         args = (action.sample, action.digest, ("a", "b"), self.now)
-        self.carry(
-            self.coordinator.on_ledger(run, ledger.replicated, *args)
-        )
+        self.carry(self.coordinator.on_ledger(run, ledger.replicated, *args))
 
     def _on_Fetch(self, run, action):
         ledger = self.coordinator.ledgers_by_run[run]
         event = ledger.bytes_found
-        self.carry(
-            self.coordinator.on_ledger(run, event, action.position)
-        )
+        self.carry(self.coordinator.on_ledger(run, event, action.position))
 
     def _on_Deliverable(self, run, action):
         self.on_deliverable(run)
@@ -342,9 +337,7 @@
         if self.coordinator is not None:
             engine = self.engines_by_id[engine_id]
             engine.crash()
-            self.carry(
-                self.coordinator.replica_lost(engine_id, self.now)
-            )
+            self.carry(self.coordinator.replica_lost(engine_id, self.now))
         else:
             self.engines_by_id[engine_id].crash()
         self.driver.after(RESTART_S, self._restart, engine_id)
--- a/packages/bench/tests/configuration/test_report.py
+++ b/packages/bench/tests/configuration/test_report.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
+import pytest
+
 from anvilwell_bench.configuration import measure
-from anvilwell_bench.configuration import meters
 from anvilwell_bench.configuration import report
 
 
@@ -22,6 +23,7 @@
         0.0,
         0.0,
         0.0,
+        0.0,
     )
 
 
@@ -41,11 +43,10 @@
     assert "1700 calls/s" in lines
 
 
-def test_both_ways_are_measured():
-    reader = meters.make_reader()
-    ours = asyncio.run(measure.measure_ours(reader, 3, 2, 0.2))
-    naive = asyncio.run(measure.measure_baseline(reader, 3, 2, 0.2))
-    for result in (ours, naive):
-        assert 0 < result.p50_ms <= result.p99_ms <= result.max_ms
-    assert ours.calls_per_change["configuration write"] == 1.0
-    assert naive.waiting_watches == 3
+@pytest.mark.parametrize("kind", ["ours", "naive"])
+def test_both_ways_are_measured(kind):
+    plan = measure.Plan(kind, 3, 2, 0.2, measure.QUICK_SETTLE_S)
+    result = asyncio.run(measure.measure(plan))
+    assert 0 < result.p50_ms <= result.p99_ms <= result.max_ms
+    assert round(result.calls_per_change["configuration write"], 1) == 1.0
+    assert result.waiting_watches == 3
--- a/packages/daemon/anvilwell_daemon/configuration/proposer.py
+++ b/packages/daemon/anvilwell_daemon/configuration/proposer.py
@@ -143,7 +143,7 @@
     Parameters
     ----------
     make_run : callable
-        Returns a `Run` for an ``outcomes.Request``.
+        Returns a `Run` for an ``outcomes.Request`` and bounds.
     bounds : limits.Limits
         The protocol's bounds.
     rng : random.Random
@@ -165,12 +165,12 @@
         lock = self._locks_by_service.setdefault(
             request.service, asyncio.Lock()
         )
-        started_at = self._clock.monotonic()
+        until = self._clock.monotonic() + self._bounds.propose_s
         async with lock:
             while True:
-                outcome = await self._propose_once(request)
-                spent_s = self._clock.monotonic() - started_at
-                if not outcome.is_transient or not self._has_time(spent_s):
+                outcome = await self._propose_once(request, until)
+                is_late = self._clock.monotonic() >= until
+                if not outcome.is_transient or is_late:
                     return outcome
                 await asyncio.sleep(
                     self._rng.uniform(0, 2 * self._bounds.retry_s)
@@ -182,11 +182,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _has_time(self, spent_s):
-        return spent_s < self._bounds.propose_s
-
-    async def _propose_once(self, request):
-        run = self._make_run(request)
+    async def _propose_once(self, request, until):
+        left_s = max(0.0, until - self._clock.monotonic())
+        run = self._make_run(request, self._bounds._replace(propose_s=left_s))
         task = asyncio.create_task(run.run())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/packages/daemon/anvilwell_daemon/configuration/service.py
+++ b/packages/daemon/anvilwell_daemon/configuration/service.py
@@ -106,6 +106,8 @@
 
     def services(self):
         """Return the names of the services with a document here."""
+        if self._member is None:
+            return []
         return sorted(
             service
             for service, one in self._member.documents_by_service.items()
@@ -290,17 +292,22 @@
         await self._absence.refresh()
         return await self._proposer.propose(request)
 
-    def _make_run(self, request):
+    def _make_run(self, request, bounds):
         return proposer.Run(
             request,
             self._member.participant(request.service).in_force,
             self._store,
             self._spread,
-            self._bounds,
+            bounds,
             self._clock,
         )
 
     def _in_force(self, service):
+        if self._member is None:
+            raise exceptions.Refused(
+                "this daemon has not started yet",
+                reason=reasons.Refusal.NOT_CONFIGURED,
+            )
         return self._member.document(service, self._clock.monotonic())
 
     def _sequence_of(self, service):
--- a/packages/daemon/anvilwell_daemon/configuration/watching.py
+++ b/packages/daemon/anvilwell_daemon/configuration/watching.py
@@ -9,7 +9,7 @@
 from anvilwell_kernel.telemetry import logs
 
 TURN_S = 5.0
-IDLE_S = 60.0
+IDLE_S = 20.0
 
 _LOG = logs.get_logger(__name__)
 
@@ -40,18 +40,24 @@
     async def run(self):
         """Watch, or look whose turn it is, for ever."""
         while True:
-            if self._fleet.is_watcher(limits.WATCHERS_PER_DOMAIN):
+            if self._is_turn():
                 await self._watch()
             await asyncio.sleep(TURN_S * self._rng.uniform(0.5, 1.0))
 
+    def _is_turn(self):
+        return self._fleet.is_watcher(limits.WATCHERS_PER_DOMAIN)
+
     async def _watch(self):
+        """Read once, then watch on for as long as it is this one's turn."""
         try:
             documents, revision = await self._store.snapshot()
             for document in documents:
                 self._member.learn(document)
-            changes = self._store.watch(revision + 1, IDLE_S)
-            async for change in changes:
-                self._learn(change)
+            while self._is_turn():
+                changes = self._store.watch(revision + 1, IDLE_S)
+                async for change in changes:
+                    self._learn(change)
+                    revision = max(revision, change.revision)
         except exceptions.AnvilwellError as error:
             _LOG.log("watch-ended", cause=error.message)
 
--- a/packages/decisions/anvilwell_decisions/configuration/proposal.py
+++ b/packages/decisions/anvilwell_decisions/configuration/proposal.py
@@ -255,15 +255,17 @@
         ]
 
     def _ask(self, instances):
-        known = (
-            self._waiting_by_key
-            | self._prepared_by_key
-            | self._left_out_by_key
-        )
-        new = [one for one in instances if _key(one) not in known]
+        new = [one for one in instances if not self._is_asked(_key(one))]
         self._waiting_by_key.update((_key(one), one) for one in new)
         return [SendPrepare(self._prepare._replace(targets=new))] * bool(new)
 
+    def _is_asked(self, key):
+        return (
+            key in self._waiting_by_key
+            or key in self._prepared_by_key
+            or key in self._left_out_by_key
+        )
+
     def _on_refusal(self, answer):
         vm_id = answer.instance.vm_id
         problems = [f"{vm_id}: {problem}" for problem in answer.problems]
