--- a/packages/standins/anvilwell_standins/base/server.py
+++ b/packages/standins/anvilwell_standins/base/server.py
@@ -31,6 +31,14 @@
     return ConnectionResetError(errno.ECONNRESET, "scripted fault")
 
 
+class Dropped(werkzeug.Response):
+    """An answer that is never given: the connection is closed."""
+
+    def __call__(self, environ, start_response):
+        """Let the server close the connection."""
+        raise dropped()
+
+
 class StandIn:
     """One outside system on one address.
 
@@ -164,6 +172,12 @@
         self.go_down(fault.seconds)
 
     def _guard(self, handler, request, **params):
+        try:
+            return self._under_faults(handler, request, **params)
+        except ConnectionResetError:
+            return Dropped()
+
+    def _under_faults(self, handler, request, **params):
         if self._is_down:
             raise dropped()
         call = f"{request.method} {request.path}"
