Start a scout of each new prompt and share by slots held

Cause: in virtual time the longest samples started late: charging whole predicted lengths let one run's stragglers hold its queue up, and new prompts were unknown until late. Change: shares by slots held over weight; one sample of a new prompt goes first; progress raises predictions.

--- a/packages/decisions/anvilwell_decisions/samples/lengths.py
+++ b/packages/decisions/anvilwell_decisions/samples/lengths.py
@@ -4,7 +4,9 @@
 
 from hdrh import histogram
 
-QUANTILE = 90.0
+HIGH_PERCENTILE = 90.0
+MIDDLE_PERCENTILE = 50.0
+GROWTH = 1.5
 MAX_TOKENS = 1 << 22
 SIGNIFICANT_DIGITS = 2
 PROMPTS_KEPT = 16384
@@ -15,7 +17,11 @@
     """Predicts lengths in tokens for one run.
 
     A prompt that was seen before is predicted by the longest of its
-    own lengths; any other by a high quantile of all lengths.
+    own lengths. A stream that is longer already than its prompt's
+    prediction raises it, by half of what was seen: in a heavy tail the
+    rest grows with what has passed. Prompts never seen are predicted by
+    a percentile of all lengths: a high one until one sample of theirs
+    has started, then the middle one.
 
     Parameters
     ----------
@@ -28,20 +34,46 @@
         self._prompts_kept = prompts_kept
         self._all = histogram.HdrHistogram(1, MAX_TOKENS, SIGNIFICANT_DIGITS)
         self._seen = 0
-        self._quantile = 0
+        self._high = 0
+        self._middle = 0
 
     def observe(self, prompt, tokens):
         """Take the length of a finished sample of `prompt`."""
-        longest = self._lengths_by_prompt.pop(prompt, 0)
-        self._lengths_by_prompt[prompt] = max(longest, tokens)
-        if len(self._lengths_by_prompt) > self._prompts_kept:
-            self._lengths_by_prompt.popitem(last=False)
+        self._raise(prompt, tokens)
         self._all.record_value(min(max(tokens, 1), MAX_TOKENS))
         self._seen += 1
         if self._seen % REFRESH_EVERY == 0 or self._seen == 1:
-            self._quantile = self._all.get_value_at_percentile(QUANTILE)
+            self._refresh()
 
-    def predict(self, prompt, max_tokens):
+    def progress(self, prompt, tokens, max_tokens):
+        """Take the length so far of a running sample of `prompt`.
+
+        Returns
+        -------
+        bool
+            Whether the prediction grew.
+        """
+        if tokens <= self.predict(prompt, max_tokens, scouted=True):
+            return False
+        self._raise(prompt, min(int(tokens * GROWTH), max_tokens))
+        return True
+
+    def predict(self, prompt, max_tokens, *, scouted=False):
         """Return the predicted length, at most `max_tokens`."""
-        own = self._lengths_by_prompt.get(prompt, 0)
-        return min(own or self._quantile or max_tokens, max_tokens)
+        known = self._lengths_by_prompt.get(prompt, 0)
+        guess = self._middle if scouted else self._high
+        return min(known or guess or max_tokens, max_tokens)
+
+    def is_known(self, prompt):
+        """Return whether anything was seen of `prompt`."""
+        return prompt in self._lengths_by_prompt
+
+    def _raise(self, prompt, tokens):
+        longest = self._lengths_by_prompt.pop(prompt, 0)
+        self._lengths_by_prompt[prompt] = max(longest, tokens)
+        if len(self._lengths_by_prompt) > self._prompts_kept:
+            self._lengths_by_prompt.popitem(last=False)
+
+    def _refresh(self):
+        self._high = self._all.get_value_at_percentile(HIGH_PERCENTILE)
+        self._middle = self._all.get_value_at_percentile(MIDDLE_PERCENTILE)
--- a/packages/decisions/anvilwell_decisions/samples/queues.py
+++ b/packages/decisions/anvilwell_decisions/samples/queues.py
@@ -21,7 +21,14 @@
 class _Group:
     """Waiting samples of one group; ``home`` has its prefix cached."""
 
-    __slots__ = ("home", "key", "max_tokens", "prompt", "waiting")
+    __slots__ = (
+        "home",
+        "key",
+        "max_tokens",
+        "prompt",
+        "scouted",
+        "waiting",
+    )
 
     def __init__(self, prompt, max_tokens):
         self.prompt = prompt
@@ -29,6 +36,7 @@
         self.waiting = collections.deque()
         self.home = None
         self.key = None
+        self.scouted = False
 
 
 class RunQueue:
@@ -38,9 +46,12 @@
     ----------
     longest_first : bool
         False keeps the order of arrival; for comparison.
+    scouts : bool
+        Whether one sample of each new prompt goes before the rest.
     """
 
-    def __init__(self, *, longest_first=True):
+    def __init__(self, *, longest_first=True, scouts=True):
+        self._scouts = scouts
         self.needed_step = 0
         self.trainer_version = 0
         self.trainer_waits = False
@@ -82,10 +93,13 @@
         sample = group.waiting.popleft()
         group.home = replica
         self.waiting -= 1
-        predicted = self.lengths.predict(group.prompt, group.max_tokens)
+        predicted = self._predict(group)
         if not group.waiting:
             self._order.remove(group.key)
             group.key = None
+        elif not group.scouted and not self.lengths.is_known(group.prompt):
+            group.scouted = self._scouts
+            self._refile(group_id, group)
         return Pending(sample, group.prompt, group.max_tokens, predicted)
 
     def remove(self, sample):
@@ -106,9 +120,16 @@
         if group is None:
             return
         self.lengths.observe(group.prompt, tokens)
-        if group.key is not None:
-            self._order.remove(group.key)
-            self._file(group_id, group)
+        self._refile(group_id, group)
+
+    def progress(self, sample, tokens):
+        """Take the length so far of a running sample; order anew."""
+        group_id = (sample.step, sample.group)
+        group = self._groups_by_id.get(group_id)
+        if group is not None and self.lengths.progress(
+            group.prompt, tokens, group.max_tokens
+        ):
+            self._refile(group_id, group)
 
     def forget_step(self, step):
         """Drop what is kept of a whole step."""
@@ -119,9 +140,24 @@
                 self._order.remove(group.key)
                 self.waiting -= len(group.waiting)
 
+    def _predict(self, group):
+        return self.lengths.predict(
+            group.prompt, group.max_tokens, scouted=group.scouted
+        )
+
+    def _rank(self, group):
+        known = self.lengths.is_known(group.prompt)
+        if self._scouts and not known and not group.scouted:
+            return -group.max_tokens
+        return -self._predict(group)
+
+    def _refile(self, group_id, group):
+        if group.key is not None:
+            self._order.remove(group.key)
+            self._file(group_id, group)
+
     def _file(self, group_id, group):
         self._arrivals += 1
-        predicted = self.lengths.predict(group.prompt, group.max_tokens)
-        rank = -predicted if self._longest_first else 0
+        rank = self._rank(group) if self._longest_first else 0
         group.key = (group_id[0], rank, self._arrivals, group_id)
         self._order.add(group.key)
--- a/packages/decisions/anvilwell_decisions/samples/schedule.py
+++ b/packages/decisions/anvilwell_decisions/samples/schedule.py
@@ -17,6 +17,7 @@
     """
 
     longest_first: bool = True
+    scouts: bool = True
     affinity: bool = True
     cancel_doomed: bool = True
     early_share: float = 1.0
@@ -95,7 +96,8 @@
         """Add a run, or change its share."""
         if run not in self._queues_by_run:
             self._queues_by_run[run] = queues.RunQueue(
-                longest_first=self._policy.longest_first
+                longest_first=self._policy.longest_first,
+                scouts=self._policy.scouts,
             )
         self._fairness.set_weight(run, weight)
 
@@ -153,10 +155,15 @@
         if tokens is None:
             return
         sample = running.pending.sample
-        charged = tokens - running.pending.predicted
-        self._fairness.charge(sample.run, charged)
         self._queues_by_run[sample.run].observe(sample, tokens)
 
+    def progress(self, attempt, tokens):
+        """Note how many tokens an attempt has so far."""
+        running = self._running_by_attempt.get(attempt)
+        if running is not None:
+            sample = running.pending.sample
+            self._queues_by_run[sample.run].progress(sample, tokens)
+
     def settle(self, sample):
         """Return a `Cancel` for each attempt of a settled sample."""
         self._queues_by_run[sample.run].remove(sample)
@@ -213,12 +220,13 @@
         sample = pending.sample
         self._attempts_by_sample.setdefault(sample, set()).add(self._attempts)
         self._early_by_step[run, sample.step] += early
-        self._fairness.charge(run, pending.predicted)
+        self._fairness.hold(run, 1)
         self._refile(run)
         return Start(sample, replica_id, self._attempts, pending.predicted)
 
     def _forget(self, attempt):
         running = self._running_by_attempt.pop(attempt)
+        self._fairness.hold(running.pending.sample.run, -1)
         attempts = self._attempts_by_sample[running.pending.sample]
         attempts.discard(attempt)
         if not attempts:
