--- a/packages/kernel/anvilwell_kernel/config/loader.py
+++ b/packages/kernel/anvilwell_kernel/config/loader.py
@@ -1,6 +1,7 @@
 """Reads INI text against a schema and reports all problems at once."""
 
 import configparser
+import functools
 import inspect
 import pathlib
 import typing
@@ -86,6 +87,7 @@
     return schema(**sections_by_name)
 
 
+@functools.cache
 def describe(schema):
     """Return the `SectionSpec` of each section as specs_by_name."""
     hints = typing.get_type_hints(schema, include_extras=True)
@@ -170,13 +172,19 @@
     ]
 
 
+@functools.cache
+def _adapter(kind):
+    # Building one takes as long as reading a whole document.
+    return pydantic.TypeAdapter(kind)
+
+
 def _read_section(spec, raw, sections_by_name, found):
     if spec.is_optional and spec.name not in raw:
         sections_by_name[spec.name] = None
         return
     values = raw.get(spec.name, {})
     try:
-        section = pydantic.TypeAdapter(spec.kind).validate_python(values)
+        section = _adapter(spec.kind).validate_python(values)
     except pydantic.ValidationError as error:
         details = error.errors(include_url=False, include_input=False)
         found += [_value_problem(spec, values, one) for one in details]
@@ -207,28 +215,31 @@
     return key_hint if "[key]" in location else value_hint
 
 
+def mend_of_value(spec):
+    """Return the mend of the values of an open section."""
+    return mend_of(typing.get_args(spec.kind)[1])
+
+
 def is_secret(hint):
     """Return whether an option of type `hint` must not be shown."""
-    return any(part is pydantic.SecretStr for part in _parts(hint))
+    return any(part is pydantic.SecretStr for part in parts_of(hint))
 
 
 def mend_of(hint):
     """Return the text of the first `options.Mend` in `hint`, or ""."""
     texts = (
-        part.text for part in _parts(hint) if isinstance(part, options.Mend)
+        part.text for part in parts_of(hint) if isinstance(part, options.Mend)
     )
     return next(texts, "") or _choices_of(hint)
 
 
 def _choices_of(hint):
-    names = [part for part in _parts(hint) if isinstance(part, str)]
+    names = [part for part in parts_of(hint) if isinstance(part, str)]
     return f"give one of: {', '.join(names)}" if names else ""
 
 
-def _parts(hint):
+def parts_of(hint):
     """Yield `hint` and all that it is made of, outermost first."""
     yield hint
-    for part in getattr(hint, "__metadata__", ()):
-        yield part
     for part in typing.get_args(hint):
-        yield from _parts(part)
+        yield from parts_of(part)
