--- a/packages/daemon/tests/commands/test_commands.py
+++ b/packages/daemon/tests/commands/test_commands.py
@@ -71,14 +71,14 @@
     path.write_text(
         "[daemon]\nvm_id = e\nrole = entry\nfailure_domain = f\n"
         "[entry]\nlisten = 127.0.0.1:1\nadmin = 127.0.0.1:2\n"
-        "operator_token = hunter2\n[peers]\nlisten = 127.0.0.1:3\n"
+        "operator_token = opensesame-of-run\n[peers]\nlisten = 127.0.0.1:3\n"
         f"[keyvalue]\nendpoints = 127.0.0.1:4\n[log]\nfile = {log}\n"
     )
 
     assert execute("run", f"--settings={path}") == os.EX_TEMPFAIL
     assert '"vm_id":"e"' in log.read_text().splitlines()[-1]
     assert "operator_token" in log.read_text()
-    assert "hunter2" not in log.read_text()
+    assert "opensesame-of-run" not in log.read_text()
 
 
 def test_version(capsys):
