Cap the limit where the server lets requests wait

The limit did not grow while training alone was held back by the reserve, and it grew past the engine's batch, so live waited inside the engine. Change: the limit counts as used by what is wanted; the engine's own report of waiting requests caps it; the reserve is at most two deviations of live's own number. The red test asked for a place that the new reserve keeps free; it now sets no reserve, and the reserve has a test of its own.

--- a/packages/bench/anvilwell_bench/virtual/fleet.py
+++ b/packages/bench/anvilwell_bench/virtual/fleet.py
@@ -64,6 +64,16 @@
         """Let admission refuse what is late."""
         self._carry_out(self.gate.expire(self._driver.now))
 
+    def poll(self, lag):
+        """Read the engine's own load, which arrives after a lag."""
+        self._driver.send(
+            "polls",
+            lag,
+            self.gate.reported,
+            self.engine.running,
+            self.engine.waiting,
+        )
+
     def report_for(self, entry_id):
         """Return the load as this agent sees it now."""
         return facts.LoadReport(
--- a/packages/bench/anvilwell_bench/virtual/scenario.py
+++ b/packages/bench/anvilwell_bench/virtual/scenario.py
@@ -52,6 +52,7 @@
     slow_start_s: float = 5.0
     retry_share: float = 0.1
     corrects_reports: bool = True
+    has_engine_reports: bool = True
 
 
 class Conditions(typing.NamedTuple):
@@ -212,6 +213,9 @@
         domain = f"domain-{number % DOMAINS}"
         agent = fleet.Agent(driver, engine, domain, gate)
         driver.every(0.05, agent.expire)
+        if variant.has_engine_reports:
+            lag_s = conditions.report_lag_s
+            driver.every(0.5, agent.poll, drivers.Lag(lag_s, lag_s))
         agents_by_id[replica_id] = agent
     return agents_by_id
 
--- a/packages/decisions/anvilwell_decisions/requests/admission.py
+++ b/packages/decisions/anvilwell_decisions/requests/admission.py
@@ -10,6 +10,7 @@
 from anvilwell_kernel import reasons
 
 _SMOOTHING = 0.1
+_BURST_DEVIATIONS = 2.0
 _LEAST_RETRY_AFTER_S = 0.1
 
 
@@ -50,8 +51,9 @@
 class AdmissionSettings(typing.NamedTuple):
     """Settings of admission.
 
-    ``live_reserve`` is the share of the limit that training leaves
-    free, whatever live itself has. ``max_queue`` bounds the queue of each class.
+    ``live_reserve`` is the largest share of the limit that training
+    leaves free, beside what live itself has. ``max_queue`` bounds the
+    queue of each class.
     """
 
     max_queue: int = 64
@@ -74,6 +76,7 @@
             priority: collections.OrderedDict() for priority in facts.Priority
         }
         self._expiries = []
+        self._live_running = 0
         self._service_s = None
         self._unit_s = None
         self._is_draining = False
@@ -129,7 +132,8 @@
         if ticket is None:
             return []
         done = work or ticket.work or 1.0
-        self._limit.observe(latency_s, done, self.in_flight)
+        wanted = self.in_flight + self.queued
+        self._limit.observe(latency_s, done, wanted)
         self._service_s = _smooth(self._service_s, latency_s)
         self._unit_s = _smooth(self._unit_s, latency_s / done)
         return self._release(ticket, now)
@@ -139,6 +143,11 @@
         ticket = self._running_by_id.get(ticket_id)
         return [] if ticket is None else self._release(ticket, now)
 
+    def reported(self, running, waiting):
+        """Take the backend server's own late report of its load."""
+        if waiting:
+            self._limit.saturated(running)
+
     def cancel(self, ticket_id, now):
         """Withdraw a ticket, queued or admitted; return actions."""
         for queue in self._queued_by_priority.values():
@@ -183,15 +192,23 @@
         return self.in_flight < max(1, self.limit - self._headroom())
 
     def _headroom(self):
-        """Return how many places training leaves free for live."""
-        return math.ceil(self.limit * self._settings.live_reserve)
+        """Return how many places training leaves free for live.
+
+        Live that arrives at random varies by the root of its mean; a
+        few times that is enough, and never more than the reserve.
+        """
+        live = max(1, self._live_running)
+        most = self.limit * self._settings.live_reserve
+        return math.ceil(min(most, _BURST_DEVIATIONS * math.sqrt(live)))
 
     def _admit(self, ticket):
         self._running_by_id[ticket.ticket_id] = ticket
+        self._live_running += ticket.priority is facts.Priority.LIVE
         return Admit(ticket.ticket_id)
 
     def _release(self, ticket, now):
         del self._running_by_id[ticket.ticket_id]
+        self._live_running -= ticket.priority is facts.Priority.LIVE
         return self._fill(now)
 
     def _fill(self, now):
--- a/packages/decisions/anvilwell_decisions/requests/limits.py
+++ b/packages/decisions/anvilwell_decisions/requests/limits.py
@@ -3,6 +3,10 @@
 import typing
 
 
+# A server that let requests wait may have more room later on.
+_CEILING_STEP = 0.25
+
+
 class LimitBounds(typing.NamedTuple):
     """Settings of the adaptive limit.
 
@@ -32,13 +36,14 @@
         self._bounds = bounds or LimitBounds()
         self.limit = self._bounds.initial
         self.best_s = None
+        self._ceiling = self._bounds.highest
         self.latency_s = None
         self._latency_s = 0.0
         self._work = 0.0
         self._count = 0
         self._most = 0
 
-    def observe(self, latency_s, work, in_flight):
+    def observe(self, latency_s, work, wanted):
         """Take in one end of a request.
 
         Parameters
@@ -47,19 +52,30 @@
             From admission to the end, in seconds.
         work : float
             What it took, such as generated tokens; 1 if unknown.
-        in_flight : int
-            Requests in flight just before this one ended.
+        wanted : int
+            Requests in flight or queued just before this one ended.
         """
         self._latency_s += latency_s
         self._work += max(1.0, work)
         self._count += 1
-        self._most = max(self._most, in_flight)
+        self._most = max(self._most, wanted)
         if self._count >= self._bounds.window:
             self._close_window()
 
+    def saturated(self, running):
+        """Note that the server itself lets requests wait.
+
+        Parameters
+        ----------
+        running : int
+            Requests that it works on; more at a time cannot help.
+        """
+        self._ceiling = max(self._bounds.lowest, running)
+        self.limit = min(self.limit, self._ceiling)
+
     def _close_window(self):
         latency_s = self._latency_s / self._work
-        was_used = self._most >= self.limit - 1
+        was_used = self._most >= self.limit
         self._latency_s = self._work = 0.0
         self._count = self._most = 0
         self.latency_s = latency_s
@@ -76,4 +92,5 @@
             self.limit = max(bounds.lowest, shrunk)
         elif was_used:
             grown = self.limit + max(1, self.limit // 16)
-            self.limit = min(bounds.highest, grown)
+            self.limit = min(int(self._ceiling), grown)
+            self._ceiling = min(bounds.highest, self._ceiling + _CEILING_STEP)
--- a/packages/decisions/tests/requests/test_admission.py
+++ b/packages/decisions/tests/requests/test_admission.py
@@ -199,6 +199,31 @@
     assert limit.limit >= 2
 
 
+def test_training_leaves_the_reserve_free_beside_live():
+    gate = admission.Admission(SETTINGS)
+    for number in range(3):
+        gate.offer(_ticket(f"live{number}"), 0.0)
+    late = gate.offer(_ticket("training", TRAINING), 0.0)
+    assert isinstance(late, admission.Queue)
+    assert gate.finished("live0", 1.0, 1.0) == [admission.Admit("training")]
+
+
+def test_a_server_that_lets_requests_wait_caps_the_limit():
+    gate = admission.Admission(SETTINGS)
+    gate.reported(running=3, waiting=0)
+    assert gate.limit == 4
+    gate.reported(running=3, waiting=1)
+    assert gate.limit == 3
+
+
+def test_a_cap_is_tried_again_after_some_windows():
+    limit = limits.AdaptiveLimit(limits.LimitBounds(initial=10, window=1))
+    limit.saturated(6)
+    grown = [limit.observe(1.0, 1.0, 20) or limit.limit for _ in range(9)]
+    assert grown[0] == 6
+    assert 6 < grown[-1] <= 9
+
+
 def test_limit_does_not_grow_while_it_is_not_used():
     limit = limits.AdaptiveLimit(limits.LimitBounds(initial=10, window=4))
     for _ in range(40):
@@ -216,7 +241,7 @@
 
 
 def test_what_became_late_in_the_queue_is_refused_and_not_run():
-    gate = admission.Admission(SETTINGS)
+    gate = admission.Admission(SETTINGS._replace(live_reserve=0.0))
     for number in range(4):
         gate.offer(_ticket(f"t{number}"), 0.0)
     gate.offer(_ticket("late", deadline=5.0), 0.0)
