--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -13,10 +13,12 @@
 from anvilwell_daemon.peers import service as peers
 from anvilwell_daemon.process import data_path
 from anvilwell_daemon.process import pages
+from anvilwell_daemon.runs import service as runs
 from anvilwell_kernel import clock as clocks
 from anvilwell_kernel import services
 from anvilwell_kernel import web
 from anvilwell_platform.adapters import etcd
+from anvilwell_platform.adapters import http_scorer
 from anvilwell_platform.adapters import http_vmlist
 
 ENTRY = ("entry",)
@@ -113,6 +115,15 @@
     return traces.Traces(_CLOCK, settings.limits.max_traces)
 
 
+def _runs(settings, kernel):
+    if settings.entry.documents:
+        return None
+    scorer = None
+    if settings.scorer.endpoints:
+        scorer = http_scorer.HttpScorer.from_config(settings.scorer)
+    return runs.Runs(settings.daemon.vm_id, scorer)
+
+
 def _operators(settings, kernel):
     return operators.Operators.from_config(settings)
 
@@ -131,6 +142,7 @@
     Factory("replicas", ENTRY, data_path.replicas),
     Factory("dispatcher", ENTRY, data_path.dispatcher),
     Factory("callers", ENTRY, data_path.callers),
+    Factory("runs", ENTRY, _runs),
     Factory("operators", ENTRY, _operators),
     Factory("agent", AGENT, data_path.agent),
 )
--- a/packages/daemon/anvilwell_daemon/runs/attempts.py
+++ b/packages/daemon/anvilwell_daemon/runs/attempts.py
@@ -1,6 +1,7 @@
 """Runs attempts as tasks and settles which version made each token."""
 
 import asyncio
+import contextlib
 
 from anvilwell_daemon.runs import generator as generators
 from anvilwell_decisions.samples import versions
@@ -9,6 +10,8 @@
 from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
 
+TAG_LAG_S = 1.0
+
 _LOG = logs.get_logger(__name__)
 
 
@@ -18,16 +21,24 @@
     Parameters
     ----------
     generator : generator.Generator
-        What streams tokens.
+        What streams tokens, and knows the replicas' versions.
+    clock : clock.Clock
+        Source of time.
     on_end : callable
         ``on_end(attempt, outcome)``; `outcome` is None if it failed.
     """
 
-    def __init__(self, generator, on_end):
+    def __init__(self, generator, clock, on_end):
         self._generator = generator
+        self._clock = clock
         self._on_end = on_end
         self._tasks_by_attempt = {}
-        self._streams_by_replica = {}
+        self._tokens_by_attempt = {}
+
+    @property
+    def tokens_by_attempt(self):
+        """How many tokens each attempt has so far."""
+        return self._tokens_by_attempt
 
     def start(self, number, replica_id, attempt):
         """Begin an attempt; its end is told to ``on_end``."""
@@ -50,24 +61,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def swap_begun(self, replica_id):
-        """Note that a replica's version begins to change."""
-        for stream in self._streams_by_replica.get(replica_id, ()):
-            stream.swap_begun()
-
-    def swap_ended(self, replica_id, version):
-        """Note that a replica surely has `version` now."""
-        for stream in self._streams_by_replica.get(replica_id, ()):
-            doubt = stream.swap_ended(version)
-            if doubt is not None:
-                stream.spoiled = True
-
     async def _run(self, number, replica_id, attempt):
-        stream = _Stream()
-        streams = self._streams_by_replica.setdefault(replica_id, set())
-        streams.add(stream)
+        self._tokens_by_attempt[number] = 0
         try:
-            outcome = await self._follow(stream, replica_id, attempt)
+            outcome = await self._follow(number, replica_id, attempt)
         except exceptions.AnvilwellError as error:
             counters.count_retry(reasons.Retry.BACKEND_FAILED, attempt.service)
             _LOG.log(
@@ -78,24 +75,29 @@
             )
             outcome = None
         finally:
-            streams.discard(stream)
+            self._tokens_by_attempt.pop(number, None)
         self._on_end(number, outcome)
 
-    async def _follow(self, stream, replica_id, attempt):
+    async def _follow(self, number, replica_id, attempt):
+        stream = versions.StreamVersions(TAG_LAG_S)
         pieces = self._generator.stream(replica_id, attempt)
-        async for piece in pieces:
-            stream.piece(piece)
-            if stream.spoiled:
-                await pieces.aclose()
-                return None
-        if stream.in_doubt or stream.spoiled or not stream.runs:
+        async with contextlib.aclosing(pieces):
+            async for piece in pieces:
+                stream.piece(piece, self._clock.monotonic())
+                self._tokens_by_attempt[number] += piece.tokens
+                if stream.is_doubtful:
+                    break
+        if not stream.is_doubtful:
+            await self._settle(stream, replica_id, attempt)
+        if stream.is_doubtful or not stream.runs:
             counters.count_retry(reasons.Retry.STALE_VERSION, attempt.service)
             return None
         text = "".join(run.text for run in stream.runs)
         return generators.Outcome(text, stream.runs)
 
-
-class _Stream(versions.StreamVersions):
-    """A stream; ``spoiled`` once tokens had to be discarded."""
-
-    spoiled = False
+    async def _settle(self, stream, replica_id, attempt):
+        desired = self._generator.desired_version(attempt.service)
+        if stream.last == desired:
+            return
+        await asyncio.sleep(TAG_LAG_S)
+        stream.settle(self._generator.replica_version(replica_id))
--- a/packages/daemon/anvilwell_daemon/runs/generator.py
+++ b/packages/daemon/anvilwell_daemon/runs/generator.py
@@ -27,6 +27,14 @@
         ``exceptions.AnvilwellError`` otherwise. Closing it cancels.
         """
 
+    @abc.abstractmethod
+    def desired_version(self, service):
+        """Return the version that all replicas shall have."""
+
+    @abc.abstractmethod
+    def replica_version(self, replica_id):
+        """Return the version that a replica last reported, or ""."""
+
 
 class Outcome(typing.NamedTuple):
     """A whole stream with certain versions."""
--- a/packages/daemon/anvilwell_daemon/runs/holder.py
+++ b/packages/daemon/anvilwell_daemon/runs/holder.py
@@ -75,7 +75,9 @@
         self._logs_by_run = {}
         self._opening_by_run = {}
         self._waiters = waiters.Waiters()
-        self._attempts = attempts.Attempts(parts.generator, self._ended)
+        self._attempts = attempts.Attempts(
+            parts.generator, parts.clock, self._ended
+        )
         self._tasks = set()
         self._handlers_by_kind = {
             actions.WriteChunk: self._write_chunk,
@@ -184,14 +186,6 @@
         """Note the latest version."""
         self._carry(self._coordinator.published(version))
 
-    def swap_begun(self, replica_id):
-        """Note that a replica's version begins to change."""
-        self._attempts.swap_begun(replica_id)
-
-    def swap_ended(self, replica_id, version):
-        """Note that a replica surely has `version` now."""
-        self._attempts.swap_ended(replica_id, version)
-
     def _render(self, batch):
         rows, next_cursor, size = [], batch.next_cursor, 0
         for position, choice in zip(
@@ -308,7 +302,7 @@
         try:
             scores = await asyncio.to_thread(
                 self._parts.scorer.score,
-                [{"id": sample, "text": body["text"]}],
+                {sample: body["text"]},
                 timeout_s=SCORE_TIMEOUT_S,
             )
             value = scores[sample].value
@@ -371,6 +365,8 @@
 
     async def _tick(self):
         while not self.lost.is_set():
+            for number, tokens in self._attempts.tokens_by_attempt.items():
+                self._coordinator.schedule.progress(number, tokens)
             self._carry(self._coordinator.tick(self._now()))
             await asyncio.sleep(MAX_TICK_S)
 
--- a/packages/decisions/anvilwell_decisions/leases/leadership.py
+++ b/packages/decisions/anvilwell_decisions/leases/leadership.py
@@ -19,7 +19,7 @@
     lease: int
 
 
-_HOLDER = pydantic.TypeAdapter(Holder)
+HOLDER = pydantic.TypeAdapter(Holder)
 
 
 class Keys(typing.NamedTuple):
@@ -93,7 +93,7 @@
         entry = entries_by_key.get(self._keys.holder)
         if entry is None:
             return Standing.FREE
-        holder = _HOLDER.validate_json(entry.value)
+        holder = HOLDER.validate_json(entry.value)
         is_ours = holder.vm_id == self._vm_id and holder.lease == lease
         return Standing.OURS if is_ours else Standing.OTHERS
 
@@ -105,7 +105,7 @@
         holder = Holder(self._vm_id, number, lease)
         revision = counter.revision if counter else 0
         return [
-            Write(self._keys.holder, 0, _HOLDER.dump_json(holder), lease),
+            Write(self._keys.holder, 0, HOLDER.dump_json(holder), lease),
             Write(self._keys.fencing, revision, b"%d" % number),
         ]
 
@@ -114,7 +114,7 @@
 
         This is how a take-over whose answer was lost is resolved.
         """
-        holder = _HOLDER.validate_json(entries_by_key[self._keys.holder].value)
+        holder = HOLDER.validate_json(entries_by_key[self._keys.holder].value)
         return Tenure(self._name, holder.fencing, lease)
 
     def won(self, writes, lease):
--- a/packages/decisions/anvilwell_decisions/samples/versions.py
+++ b/packages/decisions/anvilwell_decisions/samples/versions.py
@@ -1,6 +1,5 @@
 """Which weight versions truly produced a stream."""
 
-import itertools
 import typing
 
 from anvilwell_kernel import exceptions
@@ -14,13 +13,6 @@
     text: str
 
 
-class Doubt(typing.NamedTuple):
-    """Tokens whose version is not certain and that were discarded."""
-
-    tokens: int
-    resume_at: int
-
-
 def ordinal(version):
     """Return the number of `version`; versions of a model are numbered.
 
@@ -37,87 +29,62 @@
     return int(version)
 
 
-def distinct(runs):
-    """Return the versions of `runs` in order, each once in a row."""
-    return tuple(
-        version for version, _ in itertools.groupby(r.version for r in runs)
-    )
+class _Run:
+    """Tokens of one version with when they came, in seconds."""
 
+    __slots__ = ("first_at", "run")
 
-class StreamVersions:
-    """Follows one attempt's stream and keeps only certain tokens.
+    def __init__(self, run, now):
+        self.run = run
+        self.first_at = now
 
-    An engine names a version with each piece and reports swaps late. A
-    piece counts once a later piece, or the end, names a version that
-    fits: the same one, or the one that a swap known to have begun leads
-    to. Pieces between the order to swap and the engine's word that the
-    swap ended are in doubt.
+    def extend(self, run):
+        """Add more tokens of the same version."""
+        self.run = TokenRun(
+            run.version, self.run.tokens + run.tokens, self.run.text + run.text
+        )
+
+
+class StreamVersions:
+    """Decides which versions truly made one stream.
+
+    Engines name a version with each piece, but may go on naming the old
+    one for up to `lag_s` after a swap. A version that was first named
+    less than that before the next one may have made nothing; one that
+    ended the stream is certain only if the replica still has it once
+    `lag_s` has passed.
+
+    Parameters
+    ----------
+    lag_s : float
+        Longest time that an engine names the version before.
     """
 
-    def __init__(self):
-        self._runs = []
-        self._doubtful = []
-        self._swapping = False
+    def __init__(self, lag_s):
+        self._lag_s = lag_s
+        self._kept = []
+        self.is_doubtful = False
 
     @property
     def runs(self):
-        """The certain token runs so far."""
-        return tuple(self._runs)
-
-    @property
-    def tokens(self):
-        """How many tokens are certain."""
-        return sum(run.tokens for run in self._runs)
+        """The token runs so far, one for each version in order."""
+        return tuple(kept.run for kept in self._kept)
 
     @property
-    def in_doubt(self):
-        """Whether some tokens seen are not certain yet."""
-        return bool(self._doubtful)
+    def last(self):
+        """The version named last, "" before any."""
+        return self._kept[-1].run.version if self._kept else ""
 
-    def piece(self, run):
+    def piece(self, run, now):
         """Take a piece that the engine tagged with ``run.version``."""
-        if self._swapping:
-            self._doubtful.append(run)
-        else:
-            self._keep(run)
-
-    def swap_begun(self):
-        """Note that the engine was ordered to change its version."""
-        self._swapping = True
-
-    def swap_ended(self, version):
-        """Settle the doubt: the engine surely has `version` now.
-
-        Returns
-        -------
-        Doubt or None
-            What was discarded; the stream must go on from
-            ``resume_at`` tokens. None if every tag held true.
-        """
-        self._swapping = False
-        doubtful, self._doubtful = self._doubtful, []
-        known = self._runs[-1].version if self._runs else None
-        allowed = [known, version] if known else [version]
-        tags = list(distinct(doubtful))
-        if not tags or tags in ([version], [known], allowed):
-            for run in doubtful:
-                self._keep(run)
-            return None
-        return Doubt(sum(run.tokens for run in doubtful), self.tokens)
-
-    def interrupted(self):
-        """Drop what is in doubt as the stream broke; return a `Doubt`."""
-        lost = sum(run.tokens for run in self._doubtful)
-        self._doubtful = []
-        self._swapping = False
-        return Doubt(lost, self.tokens)
-
-    def _keep(self, run):
-        last = self._runs[-1] if self._runs else None
-        if last and last.version == run.version:
-            run = TokenRun(
-                run.version, last.tokens + run.tokens, last.text + run.text
-            )
-            self._runs[-1] = run
-        else:
-            self._runs.append(run)
+        if self.last == run.version:
+            self._kept[-1].extend(run)
+            return
+        if self._kept and now - self._kept[-1].first_at <= self._lag_s:
+            self.is_doubtful = True
+        self._kept.append(_Run(run, now))
+
+    def settle(self, replica_version):
+        """Take the replica's version, `lag_s` after the stream ended."""
+        if replica_version != self.last:
+            self.is_doubtful = True
--- a/packages/kernel/anvilwell_kernel/messages/samples.py
+++ b/packages/kernel/anvilwell_kernel/messages/samples.py
@@ -39,13 +39,14 @@
 
 
 class RunCall(typing.NamedTuple):
-    """A trainer's call for the entry that holds the run's ledger."""
+    """A trainer's call for the entry that holds the service's runs.
+
+    ``arguments`` is JSON.
+    """
 
     service: str
     kind: str
-    run: str
     arguments: bytes
-    wait_s: float = 0.0
 
 
 class RunAnswer(typing.NamedTuple):
@@ -54,14 +55,6 @@
     body: bytes
 
 
-class SwapNotice(typing.NamedTuple):
-    """An agent's replica begins (or ended) a change of its version."""
-
-    replica: str
-    version: str
-    ended: bool
-
-
 KINDS = (
     KeepSample,
     SampleKept,
@@ -70,5 +63,4 @@
     DiscardSample,
     RunCall,
     RunAnswer,
-    SwapNotice,
 )
