Start a task of their own for attempts; test steps end to end

Cause: agents failed every attempt that came without a task id. Change: resume of no task starts one; the holder shows what is missing.

--- a/packages/daemon/anvilwell_daemon/runs/attempts.py
+++ b/packages/daemon/anvilwell_daemon/runs/attempts.py
@@ -64,15 +64,13 @@
     async def _run(self, number, replica_id, attempt):
         self._tokens_by_attempt[number] = 0
         try:
-            outcome = await self._follow(number, replica_id, attempt)
+            with _LOG.action(
+                "attempt", attempt=attempt.attempt_id, replica=replica_id
+            ):
+                outcome = await self._follow(number, replica_id, attempt)
         except exceptions.AnvilwellError as error:
             counters.count_retry(reasons.Retry.BACKEND_FAILED, attempt.service)
-            _LOG.log(
-                "attempt-failed",
-                attempt=attempt.attempt_id,
-                replica=replica_id,
-                error=error.message,
-            )
+            _LOG.log("attempt-failed", cause=error.message)
             outcome = None
         finally:
             self._tokens_by_attempt.pop(number, None)
--- a/packages/daemon/anvilwell_daemon/runs/holder.py
+++ b/packages/daemon/anvilwell_daemon/runs/holder.py
@@ -94,6 +94,12 @@
             schedule.Cancel: self._cancel,
         }
 
+    @property
+    def unfinished(self):
+        """How many samples are not recorded yet."""
+        ledgers_by_run = self._coordinator.ledgers_by_run
+        return sum(led.delivery.missing for led in ledgers_by_run.values())
+
     def start(self):
         """Begin to tick."""
         self._spawn(self._tick())
--- a/packages/daemon/anvilwell_daemon/runs/service.py
+++ b/packages/daemon/anvilwell_daemon/runs/service.py
@@ -111,6 +111,10 @@
         """Return whether this entry holds the runs of `service`."""
         return service in self._holders_by_service
 
+    def unfinished(self, service):
+        """Return how many samples are not recorded yet, of runs held."""
+        return self._holders_by_service[service].unfinished
+
     async def submit(self, step):
         """Record a step, here or at its holder."""
         self._document(step.service)
--- a/packages/daemon/tests/runs/test_service.py
+++ b/packages/daemon/tests/runs/test_service.py
@@ -35,6 +35,7 @@
 
 WAIT_S = 60.0
 TTL_S = 2.0
+SLOW = engines.Shape(slots=1, token_s=0.005)
 CLOCK = clocks.SystemClock()
 GROUPS = [
     {"group": f"g{n}", "prompt": f"p{n}", "samples": 4, "max_tokens": 24}
@@ -88,7 +89,7 @@
 
     async def add_agent(self, vm_id):
         held = weights.Weights("m", "1", swap_s=0.05)
-        standin = self.stack.enter_context(engines.Engine(held))
+        standin = self.stack.enter_context(engines.Engine(held, SLOW))
         engine = sse_engine.SseEngine(http_client.HttpClient(standin.address))
         agent = agents.Agent(
             links.Hello(vm_id, "agent", "lm", "d", 1),
@@ -170,9 +171,9 @@
         answer = await self.ask("POST", f"steps/{step}", json=STEP)
         assert answer.status == 200, answer.data
 
-    async def collect(self, want):
+    async def collect(self, want, limit=100):
         while len(self.rows) < want:
-            path = f"samples?cursor={self.cursor}&wait_s=2"
+            path = f"samples?cursor={self.cursor}&wait_s=2&limit={limit}"
             answer = (await self.ask("GET", path)).json()
             self.rows += answer["samples"]
             self.cursor = answer["next_cursor"]
@@ -226,8 +227,9 @@
     async def scenario(fleet, holder):
         trainer = Trainer(fleet, holder)
         await trainer.submit(1)
-        await trainer.collect(1)
+        await trainer.collect(1, limit=1)
         kernel, _ = fleet.entries_by_id.pop(holder)
+        assert kernel.get("runs").unfinished("lm") > 0
         await kernel.stop()
         trainer.entry = fleet.other(holder)
         await trainer.collect(12)
--- a/packages/decisions/anvilwell_decisions/samples/delivery.py
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -74,6 +74,11 @@
         """The first position that is not recorded."""
         return self._first + len(self._slots)
 
+    @property
+    def missing(self):
+        """How many samples of accepted steps are not recorded."""
+        return sum(self._missing_by_step.values())
+
     def first_open_step(self):
         """Return the first step with samples missing, or the next one."""
         if self._open_steps:
--- a/packages/kernel/anvilwell_kernel/telemetry/logs.py
+++ b/packages/kernel/anvilwell_kernel/telemetry/logs.py
@@ -30,7 +30,12 @@
         )
 
     def resume(self, task_id, event, **fields):
-        """Return a context that goes on with another process's task."""
+        """Return a context that goes on with another process's task.
+
+        It starts a task of its own if `task_id` is "".
+        """
+        if not task_id:
+            return self.action(event, **fields)
         return eliot.Action.continue_task(
             task_id=task_id, action_type=f"{self._name}:{event}", **fields
         )
--- a/packages/kernel/tests/telemetry/test_logs.py
+++ b/packages/kernel/tests/telemetry/test_logs.py
@@ -75,3 +75,9 @@
 
     assert len(lines()) == 2
     assert "hunter2" not in json.dumps(lines())
+
+
+def test_resuming_no_task_starts_one(lines):
+    with _LOG.resume("", "served"):
+        _LOG.log("inside")
+    assert len({line["task_uuid"] for line in lines()}) == 1
