Keep copies of samples on every daemon, entries and agents

Cause: the only daemon in another failure domain may be an agent, and agents did not keep copies, so a takeover could not finish a step. Change: the service sample-bytes runs in both roles.

--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -13,8 +13,9 @@
 from anvilwell_daemon.peers import service as peers
 from anvilwell_daemon.process import data_path
 from anvilwell_daemon.process import pages
-from anvilwell_daemon.runs import service as runs
 from anvilwell_daemon.process import weights
+from anvilwell_daemon.runs import keeper
+from anvilwell_daemon.runs import service as runs
 from anvilwell_kernel import clock as clocks
 from anvilwell_kernel import services
 from anvilwell_kernel import web
@@ -116,6 +117,10 @@
     return traces.Traces(_CLOCK, settings.limits.max_traces)
 
 
+def _sample_bytes(settings, kernel):
+    return keeper.Keeper()
+
+
 def _runs(settings, kernel):
     if settings.entry.documents:
         return None
@@ -146,6 +151,7 @@
     Factory("replicas", ENTRY, data_path.replicas),
     Factory("dispatcher", ENTRY, data_path.dispatcher),
     Factory("callers", ENTRY, data_path.callers),
+    Factory("sample-bytes", BOTH, _sample_bytes),
     Factory("runs", ENTRY, _runs),
     Factory("operators", ENTRY, _operators),
     Factory("agent", AGENT, data_path.agent),
--- a/packages/daemon/anvilwell_daemon/runs/copies.py
+++ b/packages/daemon/anvilwell_daemon/runs/copies.py
@@ -38,13 +38,6 @@
         self._peers = peers
         self._neighbours = neighbours
 
-    def serve(self):
-        """Answer other daemons' requests about bytes."""
-        self._peers.declare(messages.KINDS)
-        self._peers.on(messages.KeepSample, self._on_keep)
-        self._peers.on(messages.FetchSample, self._on_fetch)
-        self._peers.on(messages.DiscardSample, self._on_discard)
-
     async def spread(self, sample, digest):
         """Copy a sample of this store; return all holders' VM ids.
 
@@ -113,14 +106,3 @@
                 )
             except exceptions.AnvilwellError:
                 continue
-
-    async def _on_keep(self, vm_id, message):
-        self._store.keep(message.sample, message.digest, message.body)
-        return messages.SampleKept(message.digest)
-
-    async def _on_fetch(self, vm_id, message):
-        body = self._store.find(message.sample, message.digest)
-        return messages.SampleBytes(message.digest, body)
-
-    async def _on_discard(self, vm_id, message):
-        self._store.discard(message.sample, message.digest)
--- a/packages/daemon/anvilwell_daemon/runs/service.py
+++ b/packages/daemon/anvilwell_daemon/runs/service.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 
-from anvilwell_daemon.runs import bytes_store
 from anvilwell_daemon.runs import copies
 from anvilwell_daemon.runs import dispatch
 from anvilwell_daemon.runs import fleet
@@ -50,6 +49,7 @@
         "membership",
         "peers",
         "replicas",
+        "sample-bytes",
         "web",
     )
 
@@ -57,7 +57,6 @@
         self._vm_id = vm_id
         self._scorer = scorer
         self._clock = clock or clocks.SystemClock()
-        self._store = bytes_store.BytesStore()
         self._holders_by_service = {}
         self._tasks_by_service = {}
         self._kernel = None
@@ -72,8 +71,8 @@
         self._location = locations.Location(keyvalue, self._clock)
         neighbours = fleet.MemberNeighbours(kernel.get("membership"))
         peers = kernel.get("peers")
-        shared = copies.Copies(self._vm_id, self._store, peers, neighbours)
-        shared.serve()
+        store = kernel.get("sample-bytes").store
+        shared = copies.Copies(self._vm_id, store, peers, neighbours)
         peers.on(messages.RunCall, self._on_call)
         generator = dispatch.DispatchGenerator(
             kernel.get("dispatcher"),
@@ -82,7 +81,7 @@
         )
         self._parts = holders.Parts(
             self._clock,
-            self._store,
+            store,
             shared,
             keyvalue,
             generator,
--- a/packages/daemon/tests/runs/test_holder.py
+++ b/packages/daemon/tests/runs/test_holder.py
@@ -9,6 +9,7 @@
 from anvilwell_daemon.runs import copies
 from anvilwell_daemon.runs import generator
 from anvilwell_daemon.runs import holder as holders
+from anvilwell_daemon.runs import keeper
 from anvilwell_decisions.samples import identity
 from anvilwell_decisions.samples import versions
 from anvilwell_kernel import clock as clocks
@@ -141,12 +142,14 @@
         self.open = []
 
     def _add(self, vm_id):
-        store = bytes_store.BytesStore()
-        self.stores_by_id[vm_id] = store
+        kept = keeper.Keeper()
+        self.stores_by_id[vm_id] = kept.store
         peers = FakePeers(self.peers_by_id, vm_id)
         others = sorted({"a", "b", "c"} - {vm_id})
-        shared = copies.Copies(vm_id, store, peers, FakeNeighbours(*others))
-        shared.serve()
+        shared = copies.Copies(
+            vm_id, kept.store, peers, FakeNeighbours(*others)
+        )
+        kept.serve(peers)
         peers.copies = shared
 
     async def holder(self, vm_id, fencing, scorer=None):
--- a/packages/daemon/tests/runs/test_service.py
+++ b/packages/daemon/tests/runs/test_service.py
@@ -17,6 +17,7 @@
 from anvilwell_daemon.membership import service as membership
 from anvilwell_daemon.peers import listener
 from anvilwell_daemon.peers import service as peers
+from anvilwell_daemon.runs import keeper
 from anvilwell_daemon.runs import service as runs
 from anvilwell_decisions.requests import admission
 from anvilwell_kernel import clock as clocks
@@ -117,6 +118,7 @@
                 ),
                 facade.KeyValueFacade(store, timeout_s=5.0),
                 leases.Leases(vm_id, ttl_s=TTL_S),
+                keeper.Keeper(),
                 *parts,
             ]
         )
