--- a/packages/daemon/anvilwell_daemon/configuration/joining.py
+++ b/packages/daemon/anvilwell_daemon/configuration/joining.py
@@ -48,16 +48,12 @@
 
     async def join(self):
         """Try until this instance is listed and knows the documents."""
-        standing = self._member.standing
         delay_s = FIRST_DELAY_S
         while not await self._try():
             await asyncio.sleep(self._rng.uniform(0, delay_s))
             delay_s = min(2 * delay_s, LONGEST_DELAY_S)
         await self._exchange.exchange_once()
-        sponsored = standing.sponsored
-        standing.list()
-        if sponsored is not None:
-            await self._end(sponsored.sponsor)
+        self._member.standing.list()
 
     async def stay_sponsored(self):
         """Ask for a sponsor, and hear from it, until listed."""
@@ -89,42 +85,21 @@
         return True
 
     async def _ask(self):
-        vm_id = self._sponsor_id()
-        if vm_id is None:
+        sponsor = self._fleet.sponsor()
+        if sponsor is None:
             return
+        service = self._member.role.service
+        request = messages.SponsorRequest([service] * bool(service))
         asked_at = self._clock.monotonic()
         try:
             answer = await self._peers.request(
-                vm_id, self._request(), REQUEST_TIMEOUT_S
+                sponsor.vm_id, request, REQUEST_TIMEOUT_S
             )
         except exceptions.AnvilwellError as error:
-            _LOG.log("no-sponsor", vm_id=vm_id, cause=error.message)
+            _LOG.log("no-sponsor", vm_id=sponsor.vm_id, cause=error.message)
             return
         if not answer.granted:
             return
         for document in answer.documents:
             self._member.learn(document)
         self._member.standing.hear(answer.sponsor, asked_at)
-
-    async def _end(self, sponsor):
-        try:
-            await self._peers.request(
-                sponsor.vm_id, self._request(ended=True), REQUEST_TIMEOUT_S
-            )
-        except exceptions.AnvilwellError as error:
-            # It names this instance too often: it is listed anyway.
-            _LOG.log("sponsor-not-told", cause=error.message)
-
-    def _sponsor_id(self):
-        sponsored = self._member.standing.sponsored
-        now = self._clock.monotonic()
-        if sponsored and self._member.standing.may_serve(now):
-            return sponsored.sponsor.vm_id
-        chosen = self._fleet.sponsor()
-        return chosen.vm_id if chosen else None
-
-    def _request(self, ended=False):
-        service = self._member.role.service
-        return messages.SponsorRequest(
-            self._member.instance, [service] * bool(service), ended
-        )
--- a/packages/daemon/tests/configuration/test_spread.py
+++ b/packages/daemon/tests/configuration/test_spread.py
@@ -14,3 +14,4 @@
 def test_proposer_and_first_resolver_do_not_race():
     bounds = limits.Limits()
     assert bounds.prepare_s < bounds.resolve_s < bounds.fence_s
+    assert bounds.sponsor_s <= bounds.fence_s
--- a/packages/decisions/anvilwell_decisions/configuration/member.py
+++ b/packages/decisions/anvilwell_decisions/configuration/member.py
@@ -48,7 +48,6 @@
         self.instance = instance
         self.role = role
         self.standing = sponsorship.Standing(bounds)
-        self.sponsors = sponsorship.Sponsors()
         self.is_leaving = False
         self._bounds = bounds
         self._validate = validate
@@ -151,17 +150,13 @@
                 asked, message.attempt, messages.PrepareState.RESTARTED
             )
         service = message.document.service
-        sponsored = self.sponsors.of(service)
         if self.is_leaving:
             return messages.PrepareAnswer(
-                asked,
-                message.attempt,
-                messages.PrepareState.LEAVING,
-                sponsored=sponsored,
+                asked, message.attempt, messages.PrepareState.LEAVING
             )
         problems = self._validate(service, message.document.text)
         answer = self.participant(service).prepare(message, problems, now)
-        return answer._replace(instance=asked, sponsored=sponsored)
+        return answer._replace(instance=asked)
 
     @handle.register
     def _commit(self, message: messages.CommitChange, now):
@@ -200,30 +195,26 @@
 
     @handle.register
     def _sponsor(self, message: messages.SponsorRequest, now):
-        if message.ended:
-            self.sponsors.end(message.instance)
+        if not self._may_sponsor(message.services):
             return messages.SponsorAnswer(self.instance, False, [])
-        is_held = message.instance in self.sponsors
-        granted = self._may_sponsor(message.services) and (
-            is_held or not self.pending()
-        )
-        if granted and not is_held:
-            self.sponsors.add(message.instance, message.services)
-        documents = self.documents_by_service.values() if granted else ()
+        documents = [
+            one
+            for one in self.documents_by_service.values()
+            if not message.services or one.service in message.services
+        ]
         return messages.SponsorAnswer(
-            self.instance,
-            granted,
-            [
-                one
-                for one in documents
-                if not message.services or one.service in message.services
-            ],
+            self.instance, True, list(exchange.limit(documents))
         )
 
     def _may_sponsor(self, services):
         if not self.standing.is_listed or self.is_leaving:
             return False
-        return self.role.covers(services)
+        if not self.role.covers(services):
+            return False
+        return not any(
+            one.document.service in services or not services
+            for one in self.pending()
+        )
 
     def _asked(self, message):
         return next(
--- a/packages/decisions/anvilwell_decisions/configuration/proposal.py
+++ b/packages/decisions/anvilwell_decisions/configuration/proposal.py
@@ -161,7 +161,7 @@
             self._left_out_by_key[key] = instance
         else:
             self._prepared_by_key[key] = instance
-        return self._ask(answer.sponsored) + self._swap_if_ready()
+        return self._swap_if_ready()
 
     def on_swap(self, landed, now):
         """Take in whether the accepting write landed."""
--- a/packages/decisions/anvilwell_decisions/configuration/sponsorship.py
+++ b/packages/decisions/anvilwell_decisions/configuration/sponsorship.py
@@ -10,42 +10,14 @@
     heard_at: float
 
 
-class Sponsors:
-    """The instances that this one stands for, by service."""
-
-    def __init__(self):
-        self._services_by_instance = {}
-
-    def add(self, instance, services):
-        """Stand for `instance` from now on, in place of its VM's last."""
-        self._services_by_instance = {
-            one: held
-            for one, held in self._services_by_instance.items()
-            if one.vm_id != instance.vm_id
-        }
-        self._services_by_instance[instance] = frozenset(services)
-
-    def end(self, instance):
-        """Stand for `instance` no longer: it is in the service's list."""
-        self._services_by_instance.pop(instance, None)
-
-    def __contains__(self, instance):
-        return instance in self._services_by_instance
-
-    def of(self, service):
-        """Return the sponsored instances that follow `service`."""
-        return [
-            instance
-            for instance, services in self._services_by_instance.items()
-            if not services or service in services
-        ]
-
-
 class Standing:
     """Whether this instance may serve at all.
 
-    It may once it is in the service's member list, or while its
-    sponsor has been heard within the bound.
+    It may once it is in the service's member list, or for a bound
+    after a listed instance without a change prepared told it what is
+    in force. A change that lands later needs that one's prepare, or
+    its end, which comes after the question: so the bound, no longer
+    than the fence, ends soon enough.
     """
 
     def __init__(self, bounds):
--- a/packages/kernel/anvilwell_kernel/messages/configuration.py
+++ b/packages/kernel/anvilwell_kernel/messages/configuration.py
@@ -51,7 +51,6 @@
     state: PrepareState
     reason: str = ""
     problems: list[str] = []
-    sponsored: list[Instance] = []
 
 
 class PrepareAnswers(typing.NamedTuple):
@@ -115,15 +114,16 @@
 
 
 class SponsorRequest(typing.NamedTuple):
-    """A starting instance that cannot reach the key-value service."""
+    """Asked by an instance that can't reach the key-value service.
+
+    ``services`` is what it follows; empty means all.
+    """
 
-    instance: Instance
     services: list[str]
-    ended: bool = False
 
 
 class SponsorAnswer(typing.NamedTuple):
-    """The sponsor and the documents that it stands for."""
+    """Whether the sponsor is sure of `documents` at this moment."""
 
     sponsor: Instance
     granted: bool
