--- a/packages/bench/anvilwell_bench/virtual/samples_measures.py
+++ b/packages/bench/anvilwell_bench/virtual/samples_measures.py
@@ -21,6 +21,7 @@
 PLAIN = samples_world.Options(
     policy=schedule.Policy(
         longest_first=False,
+        scouts=False,
         affinity=False,
         cancel_doomed=False,
         early_share=0.0,
