Take no answer for whole whose end can't be told from a cut

Cause: an answer whose head was cut off, or whose body ends with the connection, looked whole to the HTTP client; found by a test that cuts answers byte by byte.

--- a/packages/platform/anvilwell_platform/adapters/http_client.py
+++ b/packages/platform/anvilwell_platform/adapters/http_client.py
@@ -127,14 +127,27 @@
         data = b"".join(self.chunks(response, deadline, MAX_BODY_BYTES))
         return Answer(response.status, response.headers, data)
 
-    def chunks(self, response, deadline, limit_bytes):
+    def chunks(self, response, deadline, limit_bytes, *, is_delimited=False):
         """Yield the body as it arrives, then free the connection.
 
+        Parameters
+        ----------
+        response : urllib3.HTTPResponse
+            From `open`.
+        deadline : float
+            On ``time.monotonic``, in seconds.
+        limit_bytes : int
+            Longest body that is taken.
+        is_delimited : bool
+            The reader can tell by the body itself whether it is whole.
+
         Raises
         ------
         exceptions.BackendFailed, exceptions.Timeout
-            If it is cut, larger than `limit_bytes`, or late.
+            If it is cut, larger than `limit_bytes`, or late; also if it
+            ends with the connection, which looks the same as a cut.
         """
+        has_end = response.chunked or response.length_remaining is not None
         left = limit_bytes
         whole = False
         try:
@@ -142,6 +155,11 @@
                 left -= len(chunk)
                 self._check(left, limit_bytes, deadline)
                 yield chunk
+            if not has_end and not is_delimited:
+                raise exceptions.BackendFailed(
+                    f"{self.address} gave no length; the answer may be cut",
+                    reason=reasons.Refusal.ANSWER_CUT,
+                )
             whole = True
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise self.failure(error) from error
--- a/packages/platform/anvilwell_platform/adapters/sse_engine.py
+++ b/packages/platform/anvilwell_platform/adapters/sse_engine.py
@@ -64,7 +64,9 @@
             headers={**json_bodies.CONTENT_TYPE, REQUEST_ID: attempt_id},
             timeout_s=timeout_s,
         )
-        chunks = self._client.chunks(response, deadline, MAX_STREAM_BYTES)
+        chunks = self._client.chunks(
+            response, deadline, MAX_STREAM_BYTES, is_delimited=True
+        )
         if response.status != 200:
             data = b"".join(chunks)
             http_client.check_status(
--- /dev/null
+++ b/packages/platform/tests/adapters/test_http_client.py
@@ -0,0 +1,166 @@
+"""The client against servers that answer badly, byte by byte."""
+
+import contextlib
+import socket
+import threading
+import time
+
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import verdict
+from anvilwell_platform.adapters import http_client
+import pytest
+
+WAIT_S = 20.0
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+
+
+class RawServer:
+    """Gives each connection its script of answers, then closes it."""
+
+    def __init__(self, *scripts):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._held = []
+        self.calls = 0
+        for script in scripts:
+            threading.Thread(
+                target=self._serve, args=(script,), daemon=True
+            ).start()
+
+    @property
+    def address(self):
+        return "{}:{}".format(*self._listener.getsockname())
+
+    def connections(self):
+        return len(self._held)
+
+    def close(self):
+        for held in self._held:
+            held.close()
+        self._listener.close()
+
+    def _serve(self, script):
+        with contextlib.suppress(OSError):
+            connection, _ = self._listener.accept()
+            self._held.append(connection)
+            for answer in script:
+                if not connection.recv(1 << 16):
+                    break
+                self.calls += 1
+                if answer is None:
+                    return
+                connection.sendall(answer)
+            connection.shutdown(socket.SHUT_RDWR)
+
+
+@contextlib.contextmanager
+def client_of(*scripts):
+    server = RawServer(*scripts)
+    client = http_client.HttpClient(server.address)
+    yield client, server
+    client.close()
+    server.close()
+
+
+def failure_of(*answers, timeout_s=WAIT_S):
+    with client_of(answers) as (client, _):
+        with pytest.raises(exceptions.AnvilwellError) as caught:
+            client.call("POST", "/", body=b"x", timeout_s=timeout_s)
+        return caught.value
+
+
+def test_whole_answer():
+    with client_of([WHOLE]) as (client, _):
+        answer = client.call("GET", "/", timeout_s=WAIT_S)
+    assert answer.status == 200
+    assert answer.body == b"ok"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"not HTTP at all\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        HEAD + b"Content-Length: 9\r\n\r\nhalf",
+        CHUNKED + b"4\r\nhalf\r\n",
+        CHUNKED + b"zz\r\nhalf\r\n",
+        CHUNKED + b"9\r\nhalf",
+        HEAD + b"\r\nends with the connection",
+    ],
+)
+def test_broken_answer_may_have_run(answer):
+    error = failure_of(answer)
+    assert isinstance(error, exceptions.BackendFailed)
+    assert error.verdict == MAY_HAVE_RUN
+
+
+def test_body_without_length_is_taken_where_its_end_is_told_otherwise():
+    with client_of([HEAD + b"\r\nok"]) as (client, _):
+        response = client.open("GET", "/", timeout_s=WAIT_S)
+        deadline = time.monotonic() + WAIT_S
+        chunks = client.chunks(response, deadline, 9, is_delimited=True)
+        assert b"".join(chunks) == b"ok"
+
+
+def test_silent_server_times_out():
+    error = failure_of(None, timeout_s=0.1)
+    assert isinstance(error, exceptions.Timeout)
+    assert error.verdict == MAY_HAVE_RUN
+
+
+def test_answer_that_is_too_large_is_given_up(monkeypatch):
+    monkeypatch.setattr(http_client, "MAX_BODY_BYTES", 1)
+    assert failure_of(WHOLE).reason == "body-too-large"
+
+
+def test_call_on_a_connection_closed_meanwhile_is_never_repeated():
+    with client_of([WHOLE, b""], [WHOLE]) as (client, server):
+        client.call("GET", "/", timeout_s=WAIT_S)
+        with pytest.raises(exceptions.BackendFailed) as caught:
+            client.call("POST", "/", body=b"x", timeout_s=WAIT_S)
+        assert caught.value.verdict == MAY_HAVE_RUN
+        assert server.calls == 2
+
+
+def test_fresh_call_takes_a_connection_of_its_own():
+    with client_of([WHOLE, WHOLE], [WHOLE, WHOLE]) as (client, server):
+        client.call("GET", "/", timeout_s=WAIT_S)
+        response = client.open("POST", "/", timeout_s=WAIT_S, fresh=True)
+        assert response.read() == b"ok"
+        assert server.connections() == 2
+
+
+def test_redirect_is_not_followed():
+    moved = b"HTTP/1.1 302 Found\r\nLocation: /b\r\nContent-Length: 0\r\n\r\n"
+    with client_of([moved, WHOLE]) as (client, server):
+        assert client.call("GET", "/a", timeout_s=WAIT_S).status == 302
+        assert server.calls == 1
+
+
+@pytest.mark.parametrize(
+    ("status", "kind", "told"),
+    [
+        (429, exceptions.Refused, verdict.Verdict.NOT_RUN),
+        (400, exceptions.BadRequest, verdict.Verdict.NOT_RUN),
+        (404, exceptions.NotFound, verdict.Verdict.NOT_RUN),
+        (409, exceptions.Conflict, verdict.Verdict.NOT_RUN),
+        (500, exceptions.BackendFailed, MAY_HAVE_RUN),
+        (503, exceptions.BackendFailed, MAY_HAVE_RUN),
+        (302, exceptions.BackendFailed, MAY_HAVE_RUN),
+    ],
+)
+def test_status_has_its_verdict(status, kind, told):
+    headers = http_client.Headers({"Retry-After": "3"})
+    answer = http_client.Answer(status, headers, b"why")
+    with pytest.raises(kind, match="why") as caught:
+        http_client.check_status(answer, "engine")
+    assert caught.value.verdict == told
+
+
+def test_retry_after_that_is_no_number_is_left_out():
+    dated = {"Retry-After": "Wed, 21 Oct 2026 07:28:00 GMT"}
+    assert http_client.retry_after_s(http_client.Headers(dated)) is None
+    assert http_client.retry_after_s(http_client.Headers()) is None
