--- a/packages/kernel/anvilwell_kernel/config/loader.py
+++ b/packages/kernel/anvilwell_kernel/config/loader.py
@@ -18,12 +18,16 @@
 
 
 class SectionSpec(typing.NamedTuple):
-    """A section of a schema; ``kind`` is its type without ``None``."""
+    """A section of a schema; ``kind`` is its type without ``None``.
+
+    ``adapter`` checks its options; making one costs milliseconds.
+    """
 
     name: str
     kind: type
     is_optional: bool
     hints_by_key: dict
+    adapter: pydantic.TypeAdapter
 
     @property
     def is_open(self):
@@ -104,7 +108,8 @@
     hints = (
         typing.get_type_hints(kind, include_extras=True) if is_closed else {}
     )
-    return SectionSpec(name, kind, is_optional, hints)
+    adapter = pydantic.TypeAdapter(kind)
+    return SectionSpec(name, kind, is_optional, hints, adapter)
 
 
 def _parse(text):
@@ -172,19 +177,13 @@
     ]
 
 
-@functools.cache
-def _adapter(kind):
-    # Building one takes as long as reading a whole document.
-    return pydantic.TypeAdapter(kind)
-
-
 def _read_section(spec, raw, sections_by_name, found):
     if spec.is_optional and spec.name not in raw:
         sections_by_name[spec.name] = None
         return
     values = raw.get(spec.name, {})
     try:
-        section = _adapter(spec.kind).validate_python(values)
+        section = spec.adapter.validate_python(values)
     except pydantic.ValidationError as error:
         details = error.errors(include_url=False, include_input=False)
         found += [_value_problem(spec, values, one) for one in details]
@@ -241,5 +240,8 @@
 def parts_of(hint):
     """Yield `hint` and all that it is made of, outermost first."""
     yield hint
-    for part in typing.get_args(hint):
+    metadata = getattr(hint, "__metadata__", ())
+    yield from metadata
+    inner = (hint.__origin__,) if metadata else typing.get_args(hint)
+    for part in inner:
         yield from parts_of(part)
