Refuse engine events without count or version, and split modules

Cause: text of an event without a token count was dropped in silence, one without a version got an empty tag; a refused order was taken for fenced by a word in its message. Change: both are errors; an old fencing number is told by status and reason; statuses, checkpoints and the intake of completions have modules of their own.

--- a/packages/platform/anvilwell_platform/adapters/etcd.py
+++ b/packages/platform/anvilwell_platform/adapters/etcd.py
@@ -2,6 +2,7 @@
 
 from anvilwell_kernel import exceptions
 
+from anvilwell_platform.adapters import answers
 from anvilwell_platform.adapters import etcd_watch
 from anvilwell_platform.adapters import etcd_wire
 from anvilwell_platform.adapters import http_adapter
@@ -148,7 +149,7 @@
                 headers=json_bodies.CONTENT_TYPE,
                 timeout_s=timeout_s,
             )
-            http_client.check_status(answer, path)
+            answers.check_status(answer, path)
             return json_bodies.decode(adapter, answer.body, path)
         except (exceptions.BadRequest, exceptions.NotFound):
             raise
--- a/packages/platform/anvilwell_platform/adapters/http_client.py
+++ b/packages/platform/anvilwell_platform/adapters/http_client.py
@@ -1,21 +1,20 @@
 """HTTP calls with a verdict on every error and a bound on every body."""
 
 import time
-import typing
 
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 from anvilwell_kernel import verdict as verdicts
 import urllib3
 
+from anvilwell_platform.adapters import answers
+
 MAX_BODY_BYTES = 4 << 20
 CONNECTIONS = 64
 CONNECT_TIMEOUT_S = 1.0
 MIN_TIMEOUT_S = 0.001
 _READ_BYTES = 1 << 16
 
-Headers = urllib3.HTTPHeaderDict
-
 _NOT_SENT = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -23,14 +22,6 @@
 )
 
 
-class Answer(typing.NamedTuple):
-    """A whole answer."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
 class HttpClient:
     """Kept-alive connections to one system at one or more addresses.
 
@@ -125,7 +116,7 @@
             method, path, body=body, headers=headers, timeout_s=timeout_s
         )
         data = b"".join(self.chunks(response, deadline, MAX_BODY_BYTES))
-        return Answer(response.status, response.headers, data)
+        return answers.Answer(response.status, response.headers, data)
 
     def chunks(self, response, deadline, limit_bytes, *, is_delimited=False):
         """Yield the body as it arrives, then free the connection.
@@ -219,44 +210,3 @@
         preload_content=False,
         decode_content=False,
     )
-
-
-def retry_after_s(headers):
-    """Return the seconds of ``Retry-After``, or None."""
-    try:
-        return float(headers.get("Retry-After", ""))
-    except ValueError:
-        return None
-
-
-def check_status(answer, what):
-    """Return `answer` if its status is 2xx.
-
-    Raises
-    ------
-    exceptions.Refused
-        For 429, which promises that nothing was done.
-    exceptions.BadRequest, exceptions.NotFound, exceptions.Conflict
-        For 400, 404 and 409, with verdict ``NOT_RUN``.
-    exceptions.BackendFailed
-        For all else: a server error may come after the effect.
-    """
-    if 200 <= answer.status < 300:
-        return answer
-    text = answer.body[:200].decode(errors="replace")
-    message = f"{what} answered {answer.status}: {text}"
-    if answer.status == 429:
-        raise exceptions.Refused(
-            message,
-            reason=reasons.Refusal.RATE_LIMITED,
-            retry_after=retry_after_s(answer.headers),
-        )
-    kind = _ERRORS_BY_STATUS.get(answer.status, exceptions.BackendFailed)
-    raise kind(message)
-
-
-_ERRORS_BY_STATUS = {
-    400: exceptions.BadRequest,
-    404: exceptions.NotFound,
-    409: exceptions.Conflict,
-}
--- a/packages/platform/anvilwell_platform/adapters/http_plain.py
+++ b/packages/platform/anvilwell_platform/adapters/http_plain.py
@@ -2,8 +2,8 @@
 
 import time
 
+from anvilwell_platform.adapters import answers
 from anvilwell_platform.adapters import http_adapter
-from anvilwell_platform.adapters import http_client
 from anvilwell_platform.ports import plain
 
 MAX_ANSWER_BYTES = 64 << 20
@@ -50,7 +50,7 @@
 
 
 def _without(names, headers):
-    kept = http_client.Headers()
+    kept = answers.Headers()
     for name, value in headers:
         if name.lower() not in names:
             kept.add(name, value)
--- a/packages/platform/anvilwell_platform/adapters/http_scorer.py
+++ b/packages/platform/anvilwell_platform/adapters/http_scorer.py
@@ -4,8 +4,8 @@
 import pydantic
 import typing_extensions
 
+from anvilwell_platform.adapters import answers
 from anvilwell_platform.adapters import http_adapter
-from anvilwell_platform.adapters import http_client
 from anvilwell_platform.adapters import json_bodies
 from anvilwell_platform.ports import scorer
 
@@ -48,7 +48,7 @@
             headers=json_bodies.CONTENT_TYPE,
             timeout_s=timeout_s,
         )
-        http_client.check_status(answer, "scorer")
+        answers.check_status(answer, "scorer")
         found = json_bodies.decode(_SCORES, answer.body, "scorer")["scores"]
         return _match(samples, found)
 
--- a/packages/platform/anvilwell_platform/adapters/http_vmlist.py
+++ b/packages/platform/anvilwell_platform/adapters/http_vmlist.py
@@ -3,8 +3,8 @@
 import pydantic
 import typing_extensions
 
+from anvilwell_platform.adapters import answers
 from anvilwell_platform.adapters import http_adapter
-from anvilwell_platform.adapters import http_client
 from anvilwell_platform.adapters import json_bodies
 from anvilwell_platform.ports import vmlist
 
@@ -29,7 +29,7 @@
     def vms(self, *, timeout_s):
         """Return the listed VMs as ``vms_by_id``."""
         answer = self._client.call("GET", "/vms", timeout_s=timeout_s)
-        http_client.check_status(answer, "VM list")
+        answers.check_status(answer, "VM list")
         body = json_bodies.decode(_VMS, answer.body, "VM list")
         return {
             vm["id"]: vmlist.Vm(
--- a/packages/platform/anvilwell_platform/adapters/http_weightstore.py
+++ b/packages/platform/anvilwell_platform/adapters/http_weightstore.py
@@ -5,8 +5,8 @@
 import pydantic
 import typing_extensions
 
+from anvilwell_platform.adapters import answers
 from anvilwell_platform.adapters import http_adapter
-from anvilwell_platform.adapters import http_client
 from anvilwell_platform.adapters import json_bodies
 from anvilwell_platform.ports import weightstore
 
@@ -33,7 +33,7 @@
         answer = self._client.call(
             "GET", f"/models/{name}/versions", timeout_s=timeout_s
         )
-        http_client.check_status(answer, "weight store")
+        answers.check_status(answer, "weight store")
         body = json_bodies.decode(_VERSIONS, answer.body, "weight store")
         return body["versions"]
 
--- a/packages/platform/anvilwell_platform/adapters/sse_engine.py
+++ b/packages/platform/anvilwell_platform/adapters/sse_engine.py
@@ -1,5 +1,6 @@
 """The engine port over OpenAI-compatible HTTP."""
 
+import http
 import time
 
 from anvilwell_kernel import exceptions
@@ -9,8 +10,8 @@
 import sseclient
 import typing_extensions
 
+from anvilwell_platform.adapters import answers
 from anvilwell_platform.adapters import http_adapter
-from anvilwell_platform.adapters import http_client
 from anvilwell_platform.adapters import json_bodies
 from anvilwell_platform.ports import engine
 
@@ -27,7 +28,15 @@
 class _Event(typing_extensions.TypedDict, total=False):
     choices: typing_extensions.Required[list[_Choice]]
     version: str
-    tokens: int
+    tokens: pydantic.NonNegativeInt
+
+
+class _Error(typing_extensions.TypedDict):
+    reason: str
+
+
+class _ErrorBody(typing_extensions.TypedDict):
+    error: _Error
 
 
 class _Events(typing_extensions.TypedDict):
@@ -35,6 +44,7 @@
 
 
 _EVENT = pydantic.TypeAdapter(_Event)
+_ERROR = pydantic.TypeAdapter(_ErrorBody)
 _EVENTS = pydantic.TypeAdapter(_Events)
 
 
@@ -69,8 +79,8 @@
         )
         if response.status != 200:
             data = b"".join(chunks)
-            http_client.check_status(
-                http_client.Answer(response.status, response.headers, data),
+            answers.check_status(
+                answers.Answer(response.status, response.headers, data),
                 "engine",
             )
         try:
@@ -82,18 +92,28 @@
     def cancel(self, attempt_id, *, timeout_s):
         """Give up `attempt_id`; no error if it is not there."""
         body = {"request_id": attempt_id}
-        self._call("POST", "/cancel", body=body, timeout_s=timeout_s)
+        self._call("POST", "/cancel", body, timeout_s=timeout_s)
 
     def order(self, order, *, timeout_s):
-        """Carry out `order`; raise ``exceptions.Fenced`` if it is old."""
-        try:
-            self._call(
-                "POST", "/orders", body=order._asdict(), timeout_s=timeout_s
+        """Carry out `order`.
+
+        Raises
+        ------
+        exceptions.Fenced
+            If the engine has seen a higher fencing number.
+        exceptions.Conflict
+            If the engine refuses it for another reason.
+        exceptions.BackendFailed
+            If it failed; the engine may have carried it out.
+        """
+        answer = self._send(
+            "POST", "/orders", order._asdict(), timeout_s=timeout_s
+        )
+        if answer.status == http.HTTPStatus.CONFLICT and _is_fenced(answer):
+            raise exceptions.Fenced(
+                f"the engine has seen a number above {order.fencing}"
             )
-        except exceptions.Conflict as error:
-            if str(reasons.Refusal.FENCED) not in error.message:
-                raise
-            raise exceptions.Fenced(error.message) from error
+        answers.check_status(answer, "engine /orders")
 
     def export_cache(self, attempt_id, *, timeout_s):
         """Return the attempt's KV cache as bytes."""
@@ -111,16 +131,18 @@
         answer = self._call("GET", path, timeout_s=timeout_s)
         return json_bodies.decode(_EVENTS, answer.body, "events")["events"]
 
-    def _call(self, method, path, *, body=None, data=None, timeout_s):
-        encoded = data if body is None else json_bodies.encode(body)
-        answer = self._client.call(
+    def _call(self, method, path, body=None, *, data=None, timeout_s):
+        answer = self._send(method, path, body, data=data, timeout_s=timeout_s)
+        return answers.check_status(answer, f"engine {path}")
+
+    def _send(self, method, path, body=None, *, data=None, timeout_s):
+        return self._client.call(
             method,
             path,
-            body=encoded,
+            body=data if body is None else json_bodies.encode(body),
             headers=json_bodies.CONTENT_TYPE,
             timeout_s=timeout_s,
         )
-        return http_client.check_status(answer, f"engine {path}")
 
 
 def _load(samples_by_name):
@@ -159,4 +181,18 @@
     if not body["choices"]:
         raise exceptions.BackendFailed("the engine sent an empty event")
     text = body["choices"][0].get("text", "")
-    return engine.Tokens(text, body.get("tokens", 0), body.get("version", ""))
+    count = body.get("tokens", 0)
+    version = body.get("version", "")
+    if (text or count) and not (count and version):
+        raise exceptions.BackendFailed(
+            "the engine sent text without its token count and version"
+        )
+    return engine.Tokens(text, count, version)
+
+
+def _is_fenced(answer):
+    try:
+        reason = _ERROR.validate_json(answer.body)["error"]["reason"]
+    except ValueError:
+        return False
+    return reason == reasons.Refusal.FENCED
--- a/packages/platform/tests/adapters/test_http_client.py
+++ b/packages/platform/tests/adapters/test_http_client.py
@@ -7,6 +7,7 @@
 
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import verdict
+from anvilwell_platform.adapters import answers
 from anvilwell_platform.adapters import http_client
 import pytest
 
@@ -153,14 +154,17 @@
     ],
 )
 def test_status_has_its_verdict(status, kind, told):
-    headers = http_client.Headers({"Retry-After": "3"})
-    answer = http_client.Answer(status, headers, b"why")
+    headers = answers.Headers({"Retry-After": "3"})
+    answer = answers.Answer(status, headers, b"why")
     with pytest.raises(kind, match="why") as caught:
-        http_client.check_status(answer, "engine")
+        answers.check_status(answer, "engine")
     assert caught.value.verdict == told
 
 
-def test_retry_after_that_is_no_number_is_left_out():
-    dated = {"Retry-After": "Wed, 21 Oct 2026 07:28:00 GMT"}
-    assert http_client.retry_after_s(http_client.Headers(dated)) is None
-    assert http_client.retry_after_s(http_client.Headers()) is None
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [("3", 3.0), ("", None), ("-1", None), ("nan", None), ("Wed, 21", None)],
+)
+def test_retry_after_is_whole_seconds_or_left_out(text, seconds):
+    headers = answers.Headers({"Retry-After": text})
+    assert answers.retry_after_s(headers) == seconds
--- a/packages/platform/tests/adapters/test_sse_engine.py
+++ b/packages/platform/tests/adapters/test_sse_engine.py
@@ -6,10 +6,12 @@
 from anvilwell_platform.adapters import sse_engine
 from anvilwell_platform.ports import engine as ports
 from anvilwell_standins.base import faults
+from anvilwell_standins.base import server as standins
 from anvilwell_standins.engine import server
 from anvilwell_standins.engine import text
 from anvilwell_standins.engine import weights
 import pytest
+import werkzeug
 
 WAIT_S = 20.0
 BODY = {"prompt": "p", "max_tokens": 8, "seed": 1}
@@ -145,3 +147,49 @@
     events = engine.events(0, timeout_s=WAIT_S)
     assert [event.number for event in events] == [1, 2, 3]
     assert engine.events(3, timeout_s=WAIT_S) == []
+
+
+class SpoiltEngine(standins.StandIn):
+    """Streams the events that it is given."""
+
+    name = "engine"
+
+    def __init__(self, *events):
+        super().__init__()
+        lines = [f"data: {event}\n\n".encode() for event in events]
+        self.route(
+            "/v1/completions",
+            lambda request: werkzeug.Response(
+                iter(lines), content_type="text/event-stream"
+            ),
+            ("POST",),
+        )
+
+
+TEXT_EVENT = (
+    '{"choices": [{"text": "a", "finish_reason": "stop"}],'
+    ' "version": "1", "tokens": 1}'
+)
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        [],
+        [TEXT_EVENT],
+        ["[DONE]"],
+        ["not JSON", "[DONE]"],
+        ['{"choices": []}', "[DONE]"],
+        ['{"choices": [{"text": "a"}], "version": "1"}', "[DONE]"],
+        ['{"choices": [{"text": "a"}], "tokens": 1}', "[DONE]"],
+        [TEXT_EVENT.replace('"tokens": 1', '"tokens": -1'), "[DONE]"],
+        [TEXT_EVENT.replace('"stop"', "null"), "[DONE]"],
+    ],
+)
+def test_spoilt_stream_is_an_error(events):
+    with SpoiltEngine(*events) as spoilt:
+        adapter = sse_engine.SseEngine(http_client.HttpClient(spoilt.address))
+        with pytest.raises(exceptions.BackendFailed) as caught:
+            generate(adapter)
+        adapter.close()
+    assert caught.value.verdict == verdict.Verdict.MAY_HAVE_RUN
--- a/packages/standins/anvilwell_standins/commands/trainer.py
+++ b/packages/standins/anvilwell_standins/commands/trainer.py
@@ -6,6 +6,7 @@
 from absl import flags
 
 from anvilwell_standins.commands import serving
+from anvilwell_standins.programs import checkpoint
 from anvilwell_standins.programs import entries
 from anvilwell_standins.programs import steps
 from anvilwell_standins.programs import trainer as trainers
@@ -48,7 +49,7 @@
         _plan(),
         entries.Entries(map(entries.parse_entry, ENTRIES.value)),
         serving.open_record("trainer"),
-        trainers.Checkpoint(STATE.value),
+        checkpoint.Checkpoint(STATE.value),
         f"http://{store}" if store else "",
     )
     try:
--- a/packages/standins/anvilwell_standins/engine/server.py
+++ b/packages/standins/anvilwell_standins/engine/server.py
@@ -11,6 +11,7 @@
 from anvilwell_standins.base import server
 from anvilwell_standins.engine import batching
 from anvilwell_standins.engine import cache
+from anvilwell_standins.engine import intake
 from anvilwell_standins.engine import report
 from anvilwell_standins.engine import requests
 from anvilwell_standins.engine import streams
@@ -136,23 +137,11 @@
         return response
 
     def _start_run(self, request_id, completion):
-        first = self._first_token(request_id, completion)
-        length = text.length(
-            completion.prompt,
-            completion.seed,
-            completion.index,
-            completion.max_tokens,
-            tail=self._shape.length_tail,
-        )
-        whole = length < completion.max_tokens
-        sample = batching.Sample(
+        sample = intake.plan(
             request_id,
-            completion.prompt,
-            completion.seed,
-            completion.index,
-            first,
-            max(length, first + 1),
-            "stop" if whole else "length",
+            completion,
+            self._imports.get(request_id),
+            tail=self._shape.length_tail,
         )
         missing = self._cache.use(completion.prompt)
         run = batching.Run(sample, missing * self._shape.prefill_s)
@@ -165,26 +154,10 @@
             prompt=text.digest(completion.prompt),
             seed=completion.seed,
             index=completion.index,
-            first=first,
+            first=sample.first,
         )
         return run
 
-    def _first_token(self, request_id, completion):
-        if completion.resume is None:
-            return 0
-        exported = self._imports.get(request_id)
-        wanted = (completion.prompt, completion.seed, completion.index)
-        if exported is None or exported[:3] != wanted:
-            raise exceptions.Conflict(
-                f"no KV cache of this sample was imported for {request_id!r}"
-            )
-        tokens = completion.resume.tokens
-        if not 0 <= tokens <= exported.tokens:
-            raise exceptions.BadRequest(
-                f"resume.tokens is {tokens}, the cache has {exported.tokens}"
-            )
-        return tokens
-
     def _answer_whole(self, reader, run, tags):
         try:
             body = streams.encode_whole(reader, run.sample.index, tags)
--- a/packages/standins/anvilwell_standins/programs/trainer.py
+++ b/packages/standins/anvilwell_standins/programs/trainer.py
@@ -1,7 +1,6 @@
 """A trainer: submits steps, collects samples, publishes weights."""
 
 import json
-import pathlib
 import random
 import threading
 import time
@@ -27,39 +26,6 @@
     """The trainer can't go on, or what it got is wrong."""
 
 
-class State(typing.NamedTuple):
-    """What survives a crash."""
-
-    step: int = 0
-    cursor: int = 0
-    version: int = 1
-    taken: tuple = ()
-
-
-class Checkpoint:
-    """Keeps the state in memory, and in a file if there is a path."""
-
-    def __init__(self, path=""):
-        self._path = pathlib.Path(path) if path else None
-        self._state = State()
-        if self._path and self._path.exists():
-            kept = json.loads(self._path.read_text())
-            taken = tuple(tuple(one) for one in kept.pop("taken"))
-            self._state = State(**kept, taken=taken)
-
-    def load(self):
-        """Return the state kept last."""
-        return self._state
-
-    def save(self, state):
-        """Keep `state`, whole or not at all."""
-        if self._path:
-            partial = self._path.with_suffix(".partial")
-            partial.write_text(json.dumps(state._asdict()))
-            partial.replace(self._path)
-        self._state = state
-
-
 class Summary(typing.NamedTuple):
     """What a whole run came to."""
 
@@ -82,7 +48,7 @@
         Where to ask.
     record : record.Record
         Gets ``submit``, ``version`` and ``collect`` lines.
-    checkpoint : Checkpoint
+    checkpoint : checkpoint.Checkpoint
         What survives a crash.
     store_url : str
         Weight store to publish in; "" for none.
--- a/packages/standins/tests/programs/test_trainer.py
+++ b/packages/standins/tests/programs/test_trainer.py
@@ -9,6 +9,7 @@
 from anvilwell_standins.base import record
 from anvilwell_standins.base import server
 from anvilwell_standins.engine import text as texts
+from anvilwell_standins.programs import checkpoint as checkpoints
 from anvilwell_standins.programs import entries
 from anvilwell_standins.programs import steps
 from anvilwell_standins.programs import trainer
@@ -98,7 +99,7 @@
         plan,
         names,
         record.Record("trainer"),
-        checkpoint or trainer.Checkpoint(),
+        checkpoint or checkpoints.Checkpoint(),
         store_url,
     )
 
@@ -147,9 +148,9 @@
 
 def test_restarted_trainer_goes_on_from_its_file(entry, tmp_path):
     path = tmp_path / "state"
-    first = make(entry, PLAN._replace(steps=1), trainer.Checkpoint(path))
+    first = make(entry, PLAN._replace(steps=1), checkpoints.Checkpoint(path))
     first.run()
-    second = make(entry, PLAN, trainer.Checkpoint(path))
+    second = make(entry, PLAN, checkpoints.Checkpoint(path))
     second.run()
     assert sorted(collected(first) + collected(second)) == sorted(wanted())
 
