Refuse connections beyond the queue at once

Cause: cheroot queues accepted connections without a bound, blocks the accepting thread for up to ten seconds when a bound is set, and then answers 503 without a verdict; it keeps ten connections alive at most. Change: a full queue is refused at once with verdict, reason and Retry-After; 256 idle connections are kept; the count of requests in flight has a module of its own. Conclusion: the queue of connections is bounded.

--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/in_flight.py
@@ -0,0 +1,40 @@
+"""Counts what is in flight, for the drain."""
+
+import asyncio
+import threading
+
+
+class InFlight:
+    """Counts the requests in flight; any thread may call."""
+
+    def __init__(self):
+        self.is_draining = False
+        self._lock = threading.Lock()
+        self._count = 0
+        self._on_empty = None
+
+    def enter(self):
+        """Count one request more."""
+        with self._lock:
+            self._count += 1
+
+    def leave(self):
+        """Count one request less."""
+        with self._lock:
+            self._count -= 1
+            self._tell_if_empty()
+
+    async def drain(self):
+        """Note that it drains and wait until nothing is in flight."""
+        loop = asyncio.get_running_loop()
+        empty = asyncio.Event()
+        with self._lock:
+            self.is_draining = True
+            self._on_empty = lambda: loop.call_soon_threadsafe(empty.set)
+            self._tell_if_empty()
+        await empty.wait()
+
+    def _tell_if_empty(self):
+        if self._on_empty and not self._count:
+            self._on_empty()
+            self._on_empty = None
--- a/packages/kernel/anvilwell_kernel/strict_http.py
+++ b/packages/kernel/anvilwell_kernel/strict_http.py
@@ -6,6 +6,7 @@
 can't hold a worker thread for ever.
 """
 
+import queue
 import re
 import socket
 import threading
@@ -27,6 +28,7 @@
 _SINGLE_PREFIXES = (b"Anvilwell-", b"Idempotency-")
 _LINE = re.compile(rb"[!#$%&'*+.^`|~0-9A-Za-z_-]+:[\t\x20-\x7e\x80-\xff]*\r\n")
 _REAP_INTERVAL_S = 1.0
+_UNREAD_BYTES = 64 << 10
 
 
 class _CheckedLines:
@@ -164,6 +166,13 @@
         self._deadlines_by_request = {}
         self._stopped = threading.Event()
 
+    def process_conn(self, conn):
+        """Give a readable connection to a worker, or refuse it at once."""
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            self._turn_away(conn)
+
     def watch(self, request):
         """Begin the time limit of `request`."""
         deadline = time.monotonic() + self._read_limit_s
@@ -189,6 +198,18 @@
         trace = tracebacks.format_exc() if traceback else ""
         _LOG.log("server-error", message=msg, level=level, traceback=trace)
 
+    def _turn_away(self, conn):
+        # This is the accepting thread: nothing here may wait.
+        conn.socket.setblocking(False)
+        try:
+            # Unread data would have the kernel reset the refusal.
+            conn.socket.recv(_UNREAD_BYTES)
+        except OSError:
+            # There was none after all.
+            _LOG.log("nothing-to-read")
+        Request(self, conn).simple_response("503", "Too many connections.")
+        conn.close()
+
     def _reap(self):
         interval_s = min(_REAP_INTERVAL_S, self._read_limit_s / 4)
         while not self._stopped.wait(interval_s):
--- a/packages/kernel/anvilwell_kernel/web.py
+++ b/packages/kernel/anvilwell_kernel/web.py
@@ -1,6 +1,5 @@
 """An HTTP server: cheroot in front of werkzeug's routing."""
 
-import asyncio
 import http
 import json
 import math
@@ -15,6 +14,7 @@
 
 from anvilwell_kernel import bodies
 from anvilwell_kernel import exceptions
+from anvilwell_kernel import in_flight
 from anvilwell_kernel import reasons
 from anvilwell_kernel import services
 from anvilwell_kernel import strict_http
@@ -28,6 +28,8 @@
 STOP_TIMEOUT_S = 1.0
 DRAIN_RETRY_S = 1.0
 POLL_S = 0.1
+OVERLOAD_RETRY_S = 1.0
+KEEP_ALIVE_CONNECTIONS = 256
 
 REQUEST_ID = "Anvilwell-Request-Id"
 VERDICT = "Anvilwell-Verdict"
@@ -39,6 +41,7 @@
     404: reasons.Refusal.UNKNOWN_SERVICE,
     408: reasons.Refusal.DEADLINE,
     413: reasons.Refusal.BODY_TOO_LARGE,
+    503: reasons.Refusal.OVERLOADED,
 }
 
 
@@ -112,7 +115,7 @@
     threads : int
         Requests served at a time.
     queue : int
-        Connections that may wait for a thread.
+        Connections that may wait for a thread; more are refused.
     max_body_bytes, max_header_bytes : int
         Sizes of a request's body and head above which it is refused.
     read_limit_s : float
@@ -143,7 +146,7 @@
         self._rules = routing.Map()
         self._handlers_by_endpoint = {}
         self._while_draining = set()
-        self._in_flight = _InFlight()
+        self._in_flight = in_flight.InFlight()
         self._server = strict_http.Server(
             (host, port),
             self._application,
@@ -151,7 +154,10 @@
             read_limit_s=read_limit_s,
             numthreads=threads,
             request_queue_size=queue,
+            accepted_queue_size=queue,
+            accepted_queue_timeout=0,
         )
+        self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = max_body_bytes
         self._server.shutdown_timeout = STOP_TIMEOUT_S
@@ -245,39 +251,6 @@
             )
 
 
-class _InFlight:
-    """Counts the requests in flight, from many threads."""
-
-    def __init__(self):
-        self.is_draining = False
-        self._lock = threading.Lock()
-        self._count = 0
-        self._on_empty = None
-
-    def enter(self):
-        with self._lock:
-            self._count += 1
-
-    def leave(self):
-        with self._lock:
-            self._count -= 1
-            self._tell_if_empty()
-
-    async def drain(self):
-        loop = asyncio.get_running_loop()
-        empty = asyncio.Event()
-        with self._lock:
-            self.is_draining = True
-            self._on_empty = lambda: loop.call_soon_threadsafe(empty.set)
-            self._tell_if_empty()
-        await empty.wait()
-
-    def _tell_if_empty(self):
-        if self._on_empty and not self._count:
-            self._on_empty()
-            self._on_empty = None
-
-
 def _text_of(error):
     return error.description or error.name
 
@@ -300,6 +273,8 @@
 def _refusal(code, message):
     status = http.HTTPStatus(code)
     refusal = _from_status(code, message or status.phrase)
+    if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
+        refusal.retry_after = OVERLOAD_RETRY_S
     counters.count_refusal(refusal.reason)
     response = error_response(refusal, uuid.uuid4().hex)
     line = f"{code} {status.phrase}".encode()
--- a/packages/kernel/tests/test_web.py
+++ b/packages/kernel/tests/test_web.py
@@ -1,6 +1,7 @@
 """The HTTP server: verdicts, request ids and the drain."""
 
 import asyncio
+from concurrent import futures
 import threading
 
 import pydantic
@@ -168,6 +169,34 @@
     assert answers[0].data == b"first,last"
 
 
+def test_full_queue_refuses_at_once(serve):
+    begun = threading.Event()
+    release = threading.Event()
+
+    def slow(request):
+        begun.set()
+        release.wait(TIMEOUT_S)
+        return web.json_response({})
+
+    server = serve(threads=1, queue=1)
+    server.route("/slow", slow)
+    with futures.ThreadPoolExecutor() as pool:
+        running = pool.submit(ask, server, "/slow")
+        assert begun.wait(TIMEOUT_S)
+        waiting = [pool.submit(ask, server, "/slow") for _ in range(2)]
+        refused, queued = futures.wait(
+            waiting, TIMEOUT_S, return_when=futures.FIRST_COMPLETED
+        )
+        release.set()
+
+    (refusal,) = (one.result() for one in refused)
+    assert refusal.status == 503
+    assert refusal.headers[web.VERDICT] == "not-run"
+    assert refusal.headers[web.REASON] == reasons.Refusal.OVERLOADED
+    assert refusal.headers["Retry-After"] == "1"
+    assert [one.result().status for one in (running, *queued)] == [200, 200]
+
+
 def test_drain_of_an_idle_server_ends(serve):
     server = serve()
 
