--- a/packages/bench/anvilwell_bench/virtual/samples_world.py
+++ b/packages/bench/anvilwell_bench/virtual/samples_world.py
@@ -18,6 +18,7 @@
 RESTART_S = 60.0
 TAKEOVER_S = 6.0
 RETRY_S = 1.0
+PROGRESS_S = 2.0
 
 
 class Options(typing.NamedTuple):
@@ -93,6 +94,7 @@
         self.coordinator = None
         self._open()
         self.driver.every(TICK_S, self._tick)
+        self.driver.every(PROGRESS_S, self._report_progress)
         self.driver.every(deployment.weights_every_s, self._publish)
         for fault in faults:
             self.driver.after(fault.start_s, self._inject, fault)
@@ -180,6 +182,13 @@
         if self.coordinator is not None:
             self.carry(self.coordinator.tick(self.now))
 
+    def _report_progress(self):
+        if self.coordinator is None or self._options.plain:
+            return
+        for work_id, (engine_id, attempt, _) in self._works.items():
+            tokens = self.engines_by_id[engine_id].progress(work_id)
+            self.coordinator.schedule.progress(attempt, tokens or 0)
+
     def _on_WriteChunk(self, run, action):
         self.driver.send(
             "keyvalue", KEY_VALUE_LAG, self._write, self._lives, run, action
