Give a verdict when a handler loses a connection

Cause: the web server let a handler's ConnectionError close the caller's connection unanswered, so that stand-ins could hang up; a handler of an entry that loses a connection of its own would have told its caller nothing. Change: every unforeseen error of a handler gets an answer again. Conclusion: no error path of a handler is without a verdict.

--- a/packages/kernel/anvilwell_kernel/web.py
+++ b/packages/kernel/anvilwell_kernel/web.py
@@ -236,9 +236,6 @@
             refusal = error
         except http_errors.HTTPException as error:
             refusal = _from_status(error.code or 400, _text_of(error))
-        except ConnectionError:
-            # The handler hung up on purpose: the server closes unanswered.
-            raise
         except Exception as error:
             refusal = _from_fault(error)
         counters.count_refusal(refusal.reason)
--- a/packages/kernel/tests/test_web.py
+++ b/packages/kernel/tests/test_web.py
@@ -64,9 +64,10 @@
     }
 
 
-def test_fault_may_have_run_and_does_not_leak(serve):
+@pytest.mark.parametrize("kind", [RuntimeError, ConnectionResetError])
+def test_fault_may_have_run_and_does_not_leak(kind, serve):
     def fail(request):
-        raise RuntimeError("hunter2")
+        raise kind("hunter2")
 
     server = serve()
     server.route("/fault", fail)
