--- a/packages/daemon/anvilwell_daemon/agent/outflow.py
+++ b/packages/daemon/anvilwell_daemon/agent/outflow.py
@@ -65,6 +65,11 @@
         self.is_ended = False
         self.on_end = None
 
+    @property
+    def is_full(self):
+        """Whether the worker must wait for the link."""
+        return self._buffer_bytes > MAX_BUFFER_BYTES
+
     def put(self, event):
         """Add an event; blocks while the buffer is full.
 
@@ -78,7 +83,7 @@
             size = len(event.data)
             self.tokens += event.tokens
         with self._condition:
-            while self._buffer_bytes > MAX_BUFFER_BYTES and not self._closed:
+            while self.is_full and not self._closed:
                 self._condition.wait()
             if self._closed:
                 raise Cancelled("the stream was closed")
--- a/packages/daemon/anvilwell_daemon/agent/service.py
+++ b/packages/daemon/anvilwell_daemon/agent/service.py
@@ -77,6 +77,14 @@
             for execution in self._executions_by_id.values()
         )
 
+    @property
+    def stalled(self):
+        """How many requests wait for a slow reader."""
+        return sum(
+            execution.outflow.is_full
+            for execution in self._executions_by_id.values()
+        )
+
     async def start(self, kernel):
         """Accept links from entries."""
         self._loop = asyncio.get_running_loop()
--- a/packages/daemon/anvilwell_daemon/entry/handlers.py
+++ b/packages/daemon/anvilwell_daemon/entry/handlers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import http
 import threading
 import typing
 
@@ -17,6 +18,7 @@
 from anvilwell_kernel import services
 from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
+from anvilwell_kernel import verdict as verdicts
 from anvilwell_kernel import web
 
 DEADLINE = "Anvilwell-Deadline-Ms"
@@ -226,8 +228,17 @@
         response.headers.clear()
         for name, value in answer.headers:
             response.headers.add(name, value)
+        if answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._mark_server_error(call, response)
         return response
 
+    def _mark_server_error(self, call, response):
+        """Say that a backend server's own error may follow an effect."""
+        reason = reasons.Refusal.BACKEND_FAILED
+        counters.count_refusal(reason, call.service)
+        response.headers[web.VERDICT] = str(verdicts.Verdict.MAY_HAVE_RUN)
+        response.headers[web.REASON] = str(reason)
+
     def _body(self, call, answer):
         with contextlib.closing(answer):
             for piece in answer:
--- a/packages/daemon/anvilwell_daemon/entry/relay.py
+++ b/packages/daemon/anvilwell_daemon/entry/relay.py
@@ -46,6 +46,7 @@
         self._new_mailbox = new_mailbox
         self._only = only
         self._deadline = tools.clock.monotonic() + call.deadline_s
+        self._task_ids = logs.task_ids()
         self._attempts = 0
         self._verdict = verdicts.Verdict.NOT_RUN
         self._tried = set()
@@ -170,7 +171,7 @@
             headers=list(call.headers),
             body=call.body,
             deadline_s=max(MIN_AGENT_DEADLINE_S, time_left_s),
-            task_id=logs.current_task_id(),
+            task_id=self._task_ids(),
             generation=call.generation,
             credit=attempts.WINDOW_FRAMES,
             key=call.key,
--- a/packages/daemon/tests/entry/test_data_path.py
+++ b/packages/daemon/tests/entry/test_data_path.py
@@ -1,127 +1,159 @@
-"""Callers' requests through an entry and an agent on real sockets."""
+"""Callers' requests through an entry and agents on real sockets."""
 
-import asyncio
 import json
+import threading
 
 import pytest
 import urllib3
 
-from anvilwell_daemon.agent.backends import model
-from anvilwell_daemon.agent import service as agents
-from anvilwell_daemon.entry import dispatcher
-from anvilwell_daemon.entry import documents
-from anvilwell_daemon.entry import handlers
-from anvilwell_daemon.entry import replicas
-from anvilwell_daemon.entry import traces
-from anvilwell_daemon.peers import listener
-from anvilwell_decisions.requests import admission
-from anvilwell_kernel import clock as clocks
-from anvilwell_kernel.messages import links
-from anvilwell_kernel import services
-from anvilwell_kernel import web
-from anvilwell_platform.ports import engine as engines
-
-TIMEOUT_S = 20
-
-
-class FakeEngine(engines.Engine):
-    def load(self, *, timeout_s):
-        return engines.Load(0, 0, 0.0, "7")
-
-    def generate(self, attempt_id, body, *, timeout_s):
-        for index in range(body["max_tokens"]):
-            yield engines.Tokens(f"t{index} ", 1, "7")
-        yield engines.Finish("length", body["max_tokens"])
-
-    def cancel(self, attempt_id, *, timeout_s):
-        pass
-
-    def order(self, order, *, timeout_s):
-        pass
-
-    def export_cache(self, attempt_id, *, timeout_s):
-        return b""
-
-    def import_cache(self, attempt_id, data, *, timeout_s):
-        pass
-
-    def events(self, since, *, timeout_s):
-        return []
-
-
-DOCUMENT = """[service]
-name = planner-lm
-kind = model
-[model]
-name = planner
-version = 7
-staleness_bound = 2
-"""
-
-
-async def until(condition):
-    async with asyncio.timeout(TIMEOUT_S):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
-@pytest.mark.parametrize("stream", [True, False])
-def test_completion(tmp_path, stream):
-    (tmp_path / "planner-lm.ini").write_text(DOCUMENT)
-
-    async def scenario():
-        clock = clocks.SystemClock()
-        hello = links.Hello("agent-1", "agent", "planner-lm", "a", 1)
-        accepts = listener.Listener("127.0.0.1", 0)
-        agent = agents.Agent(
-            hello,
-            model.ModelBackend(FakeEngine()),
-            admission.Admission(),
-            clock,
-        )
-        one = services.Kernel([accepts, agent])
-        await one.start()
-        server = web.WebServer("127.0.0.1", 0, threads=4)
-        links_up = replicas.Replicas(
-            links.Hello("entry-1", "entry", "", "a", 1), [accepts.address]
-        )
-        two = services.Kernel(
-            [
-                server,
-                links_up,
-                traces.Traces(clock, 10),
-                documents.FolderConfiguration(tmp_path),
-                dispatcher.Dispatcher(clock),
-                handlers.Callers(10, 0.0),
-            ]
-        )
-        await two.start()
-        await until(lambda: links_up.candidates("planner-lm"))
-        host, port = server.address
-        answer = await asyncio.to_thread(
-            urllib3.request,
-            "POST",
-            f"http://{host}:{port}/v1/completions",
-            json={"model": "planner-lm", "max_tokens": 5, "stream": stream},
-            timeout=TIMEOUT_S,
-        )
-        await two.drain()
-        await one.drain()
-        await two.stop()
-        await one.stop()
-        return answer
-
-    answer = asyncio.run(scenario())
-    assert answer.status == 200, answer.data
-    if stream:
-        events = answer.data.decode().strip().split("\n\n")
-        assert events[-1] == "data: [DONE]"
-        texts = [
-            json.loads(event[6:])["choices"][0]["text"]
-            for event in events[:-1]
-        ]
-        assert "".join(texts) == "t0 t1 t2 t3 t4 "
-    else:
-        body = answer.json()
-        assert body["choices"][0]["text"] == "t0 t1 t2 t3 t4 "
-        assert body["versions"] == ["7"]
+WHOLE = "t0 t1 t2 t3 t4 "
+
+
+def _texts(data):
+    events = data.decode().strip().split("\n\n")
+    bodies = [json.loads(e[6:]) for e in events if not e.endswith("[DONE]")]
+    texts = [b["choices"][0]["text"] for b in bodies if "choices" in b]
+    return "".join(texts), bodies, events[-1]
+
+
+def test_stream_is_whole(rig, scripted_engine):
+    rig.engine_agent(scripted_engine())
+    rig.start_entry()
+    answer = rig.complete(stream=True)
+    text, _, last = _texts(answer.data)
+    assert answer.status == 200
+    assert text == WHOLE
+    assert last == "data: [DONE]"
+
+
+def test_json_is_whole_and_names_versions(rig, scripted_engine):
+    rig.engine_agent(scripted_engine())
+    rig.start_entry()
+    body = rig.complete().json()
+    assert body["choices"][0]["text"] == WHOLE
+    assert body["versions"] == ["7"]
+    assert body["usage"] == {"completion_tokens": 5}
+
+
+def test_async_twin(rig, scripted_engine):
+    rig.engine_agent(scripted_engine())
+    rig.start_entry()
+    call = rig.call(
+        service="planner-lm", body=b'{"max_tokens": 5}', is_model=True
+    )
+
+    async def collect():
+        answer = await rig.dispatcher.open_async(call)
+        return [piece async for piece in answer], answer.finish
+
+    pieces, finish = rig.run(collect())
+    assert b"".join(piece.data for piece in pieces).decode() == WHOLE
+    assert {piece.version for piece in pieces} == {"7"}
+    assert finish == "length"
+
+
+def test_many_streams_keep_their_own_answers(rig, scripted_engine):
+    for _ in range(2):
+        rig.engine_agent(scripted_engine(), capacity=16, max_queue=64)
+    rig.start_entry(threads=32)
+    answers_by_size = {}
+
+    def ask(size):
+        answer = rig.complete(max_tokens=size, stream=True)
+        answers_by_size[size] = _texts(answer.data)
+
+    threads = [threading.Thread(target=ask, args=(n,)) for n in range(1, 33)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    for size in range(1, 33):
+        text, _, last = answers_by_size[size]
+        assert text == "".join(f"t{place} " for place in range(size))
+        assert last == "data: [DONE]"
+
+
+def test_slow_reader_stops_the_engine(rig, scripted_engine):
+    engine = scripted_engine()
+    rig.engine_agent(engine)
+    rig.start_entry()
+    call = rig.call(
+        service="planner-lm", body=b'{"max_tokens": 2000000}', is_model=True
+    )
+    answer = rig.dispatcher.open(call)
+    next(answer)
+    rig.until(lambda: rig.agents[0].stalled)
+    # 80 KB of text at most wait between the engine and this reader.
+    assert engine.produced < 200_000
+    answer.close()
+    assert engine.cancelled.wait(20)
+
+
+def test_caller_that_leaves_cancels_the_engine(rig, scripted_engine):
+    gate = threading.Event()
+    engine = scripted_engine(lambda place: place < 5 or gate.wait(0.01))
+    rig.engine_agent(engine)
+    rig.start_entry()
+    host, port = rig.server.address
+    pool = urllib3.HTTPConnectionPool(host, port)
+    response = pool.urlopen(
+        "POST",
+        "/v1/completions",
+        body=b'{"model": "planner-lm", "max_tokens": 100000, "stream": true}',
+        preload_content=False,
+    )
+    response.read1()
+    response.close()
+    pool.close()
+    assert engine.cancelled.wait(20)
+    rig.until(lambda: not rig.callers.in_flight)
+    rig.until(lambda: not rig.agents[0].in_flight)
+
+
+def test_drain_cuts_nothing_off(rig, scripted_engine):
+    gate = threading.Event()
+    engine = scripted_engine(lambda place: place < 3 or gate.wait(20))
+    rig.engine_agent(engine)
+    entry = rig.start_entry()
+    answers = []
+    asker = threading.Thread(
+        target=lambda: answers.append(rig.complete(stream=True))
+    )
+    asker.start()
+    rig.until(lambda: engine.produced >= 3)
+    drains = [
+        threading.Thread(target=rig.run, args=(kernel.drain(),))
+        for kernel in (entry, rig.agents[0].kernel)
+    ]
+    for drain in drains:
+        drain.start()
+    rig.until(lambda: not rig.agents[0].is_ready())
+    assert rig.callers.in_flight
+    gate.set()
+    for thread in (asker, *drains):
+        thread.join()
+    text, _, last = _texts(answers[0].data)
+    assert (text, last) == (WHOLE, "data: [DONE]")
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"Anvilwell-Deadline-Ms": "soon"},
+        {"Anvilwell-Priority": "highest"},
+        {"Idempotency-Key": "k" * 300},
+    ],
+)
+def test_bad_headers_are_refused(rig, headers):
+    rig.start_entry()
+    answer = rig.complete(headers=headers)
+    assert answer.status == 400
+    assert answer.headers["Anvilwell-Verdict"] == "not-run"
+
+
+@pytest.mark.parametrize("body", [b"{", b"[]", b'{"model": ""}', b"{}"])
+def test_bad_bodies_are_refused(rig, body):
+    rig.start_entry()
+    answer = rig.request("POST", "/v1/completions", body=body)
+    assert answer.status == 400
+    assert answer.json()["error"]["verdict"] == "not-run"
--- a/packages/kernel/anvilwell_kernel/telemetry/logs.py
+++ b/packages/kernel/anvilwell_kernel/telemetry/logs.py
@@ -28,7 +28,12 @@
         )
 
     def resume(self, task_id, event, **fields):
-        """Return a context that goes on with another process's task."""
+        """Return a context that goes on with another process's task.
+
+        Without a `task_id` it begins a task of its own.
+        """
+        if not task_id:
+            return self.action(event, **fields)
         return eliot.Action.continue_task(
             task_id=task_id, action_type=f"{self._name}:{event}", **fields
         )
@@ -45,6 +50,17 @@
     return action.serialize_task_id().decode() if action else ""
 
 
+def task_ids():
+    """Return a function that gives a new id below the current action.
+
+    Any thread may call it, also after it has left the action's context.
+    """
+    action = eliot.current_action()
+    if action is None:
+        return str
+    return lambda: action.serialize_task_id().decode()
+
+
 def start(path=None, **fields):
     """Write the log as JSON lines, and return what stops it.
 
