Measure what entry and agent cost against direct calls

Cause: the relay's cost was not known. Change: make relay starts engines, agents and an entry; callers stream to the engine itself and through the entry; processor time and memory come from the daemons' metrics pages.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,6 @@
 
 docs: setup
 	$(BIN)/python -m anvilwell_daemon.reference docs
+
+relay: setup
+	bash scripts/relay.sh
--- /dev/null
+++ b/packages/bench/anvilwell_bench/relay/__init__.py
@@ -0,0 +1,1 @@
+"""What entry and agent cost, against calls straight to an engine."""
