--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -13,6 +13,7 @@
 from anvilwell_daemon.peers import service as peers
 from anvilwell_daemon.process import data_path
 from anvilwell_daemon.process import pages
+from anvilwell_daemon.process import weights
 from anvilwell_kernel import clock as clocks
 from anvilwell_kernel import services
 from anvilwell_kernel import web
@@ -126,7 +127,10 @@
     Factory("peers", BOTH, _peers),
     Factory("membership", BOTH, _membership),
     Factory("leases", BOTH, _leases),
+    Factory("engine-orders", AGENT, weights.orders),
+    Factory("order-relay", BOTH, weights.order_relay),
     Factory("configuration", BOTH, _configuration),
+    Factory("rollout", ENTRY, weights.rollout),
     Factory("traces", ENTRY, _traces),
     Factory("replicas", ENTRY, data_path.replicas),
     Factory("dispatcher", ENTRY, data_path.dispatcher),
