Refuse frames whose numbers are not finite

Cause: a merged test of frames failed on `flush_s = nan`, which came back as a number unlike itself. Ruled out: the CBOR library, which keeps it. A deadline of nan is in force for ever, since every comparison with it is false.

Change: the codec refuses nan and infinity; the test draws finite numbers where it compares and a new test proves the refusal.

Conclusion: no peer's frame can set a deadline that never passes.

--- a/packages/kernel/anvilwell_kernel/messages/codec.py
+++ b/packages/kernel/anvilwell_kernel/messages/codec.py
@@ -6,6 +6,7 @@
 from anvilwell_kernel import exceptions
 
 MAX_FRAME_BYTES = 4 << 20
+_CONFIG = pydantic.ConfigDict(allow_inf_nan=False)
 
 
 class Codec:
@@ -23,7 +24,8 @@
 
     def __init__(self, kinds):
         self._adapters_by_name = {
-            kind.__name__: pydantic.TypeAdapter(kind) for kind in kinds
+            kind.__name__: pydantic.TypeAdapter(kind, config=_CONFIG)
+            for kind in kinds
         }
 
     def encode(self, message):
--- a/packages/kernel/tests/messages/test_codec.py
+++ b/packages/kernel/tests/messages/test_codec.py
@@ -30,6 +30,8 @@
     generation=NUMBER,
     credit=NUMBER,
     key=TEXT,
+    version=TEXT,
+    flush_s=st.floats(0, 10),
 )
 DATA = st.builds(
     requests.ResponseData,
@@ -64,6 +66,14 @@
     assert CODEC.decode(CODEC.encode(message)) == message
 
 
+@hypothesis.given(START, st.sampled_from(["nan", "inf", "-inf"]))
+def test_time_that_is_no_number_is_refused(start, text):
+    frame = CODEC.encode(start._replace(deadline_s=float(text)))
+
+    with pytest.raises(exceptions.MalformedMessage, match="deadline_s"):
+        CODEC.decode(frame)
+
+
 @hypothesis.given(st.lists(MESSAGE, max_size=4))
 def test_messages_come_back_in_order(messages):
     assert CODEC.decode_all(CODEC.encode_all(messages)) == messages
