Test the deadline in the agent's queue without a race

Cause: the test raced the entry's own deadline under load and failed once of eight runs. Change: it asks the agent over a link and waits for the agent's word.

--- a/packages/daemon/tests/entry/test_verdicts.py
+++ b/packages/daemon/tests/entry/test_verdicts.py
@@ -131,8 +131,16 @@
     first = threading.Thread(target=rig.complete)
     first.start()
     rig.until(lambda: engine.started)
-    answer = rig.complete(headers={"Anvilwell-Deadline-Ms": "300"})
-    assert _verdict(answer) == (NOT_RUN, "deadline")
+
+    async def ask():
+        (replica,) = rig.replicas.candidates("planner-lm")
+        mailbox = mailboxes.LoopMailbox()
+        start = _start(b"{}")._replace(service="planner-lm", deadline_s=0.1)
+        rig.replicas.link(replica.replica_id).open(start, mailbox)
+        return await mailbox.get(20)
+
+    error = rig.run(ask())
+    assert (error.verdict, error.reason) == (NOT_RUN, "deadline")
     gate.set()
     first.join()
     assert len(engine.started) == 1
