Record a claim before a non-idempotent call is forwarded

Cause: a repeated change notice at another entry, after a crash or in an outage could run twice. A record hangs on a lease of the retention.

--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At most one execution of each non-idempotent request."""
--- /dev/null
+++ b/packages/daemon/anvilwell_daemon/claims/store.py
@@ -0,0 +1,100 @@
+"""Claims in the platform's key-value service."""
+
+from anvilwell_decisions.requests import claims
+from anvilwell_decisions.requests import records
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.messages import codec
+from anvilwell_kernel.telemetry import logs
+from anvilwell_platform.ports import keyvalue as port
+
+RETENTION_S = 24 * 3600.0
+LEASE_EPOCH_S = 3600.0
+
+_LOG = logs.get_logger(__name__)
+_CODEC = codec.Codec((records.Record,))
+
+
+class ClaimStore:
+    """Writes batches of claims; the store itself drops old records.
+
+    Records hang on a lease that is never renewed. A new lease is taken
+    every epoch, so that a record lives for the retention at least and
+    for one epoch more at most, and no clocks are compared.
+
+    Parameters
+    ----------
+    keyvalue : facade.KeyValueFacade
+        The store.
+    clock : clock.Clock
+        Source of time.
+    retention_s : float
+        Time that a record is kept at least, in seconds.
+    """
+
+    def __init__(self, keyvalue, clock, retention_s=RETENTION_S):
+        self._keyvalue = keyvalue
+        self._clock = clock
+        self._retention_s = retention_s
+        self._lease = 0
+        self._lease_until = 0.0
+
+    async def write(self, swaps):
+        """Write all `swaps` or none.
+
+        Returns
+        -------
+        claims.Landed, claims.Clashed or claims.Lost
+            ``Lost`` if the store did not answer.
+        """
+        try:
+            lease = await self._current_lease()
+            result = await self._keyvalue.swap(
+                [_to_port(swap, lease) for swap in swaps],
+                purpose=port.Purpose.CLAIM,
+            )
+            return _from_port(result)
+        except exceptions.AnvilwellError as error:
+            # A lease that the store does not know fails every write.
+            self._lease_until = 0.0
+            _LOG.log("write-lost", swaps=len(swaps), cause=error.message)
+            return claims.Lost()
+
+    async def read(self, key):
+        """Return the `records.Record` of a store key, or None.
+
+        Raises
+        ------
+        exceptions.KeyValueUnavailable
+            If the store did not answer.
+        """
+        entry = await self._keyvalue.get(key, purpose=port.Purpose.CLAIM)
+        return _CODEC.decode(entry.value) if entry else None
+
+    async def _current_lease(self):
+        asked_at = self._clock.monotonic()
+        if asked_at >= self._lease_until:
+            self._lease = await self._keyvalue.grant(
+                self._retention_s + LEASE_EPOCH_S,
+                purpose=port.Purpose.CLAIM,
+            )
+            self._lease_until = asked_at + LEASE_EPOCH_S
+        return self._lease
+
+
+def _to_port(swap, lease):
+    if swap.record is None:
+        return port.Swap(swap.key, swap.expected, None)
+    value = _CODEC.encode(swap.record)
+    return port.Swap(swap.key, swap.expected, value, lease)
+
+
+def _from_port(result):
+    if result.landed:
+        return claims.Landed(result.revision)
+    return claims.Clashed(
+        {
+            key: records.Kept(_CODEC.decode(entry.value), entry.revision)
+            for key, entry in result.entries_by_key.items()
+            if entry is not None
+        }
+    )
--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -3,6 +3,7 @@
 import typing
 
 from anvilwell_daemon.admin import service as operators
+from anvilwell_daemon.claims import service as claims
 from anvilwell_daemon.configuration import service as configuration
 from anvilwell_daemon.entry import documents
 from anvilwell_daemon.entry import traces
@@ -114,6 +115,10 @@
     return traces.Traces(_CLOCK, settings.limits.max_traces)
 
 
+def _claims(settings, kernel):
+    return claims.Claims(settings.daemon.vm_id, _CLOCK)
+
+
 def _operators(settings, kernel):
     return operators.Operators.from_config(settings)
 
@@ -134,6 +139,7 @@
     Factory("traces", ENTRY, _traces),
     Factory("replicas", ENTRY, data_path.replicas),
     Factory("dispatcher", ENTRY, data_path.dispatcher),
+    Factory("claims", ENTRY, _claims),
     Factory("callers", ENTRY, data_path.callers),
     Factory("operators", ENTRY, _operators),
     Factory("agent", AGENT, data_path.agent),
--- a/packages/decisions/anvilwell_decisions/requests/claims.py
+++ b/packages/decisions/anvilwell_decisions/requests/claims.py
@@ -117,6 +117,11 @@
         self._abandoned = {}
         self._alive_owners = {owner}
 
+    @property
+    def is_settled(self):
+        """Whether nothing waits to be written."""
+        return not (self._writing or self._settling_by_key)
+
     def owner_alive(self, owner):
         """Note that an entry runs in this incarnation."""
         self._alive_owners.add(owner)
--- a/packages/kernel/anvilwell_kernel/reasons.py
+++ b/packages/kernel/anvilwell_kernel/reasons.py
@@ -31,6 +31,7 @@
     KEY_VALUE_UNAVAILABLE = "key-value-unavailable"
     OUTCOME_UNKNOWN = "outcome-unknown"
     KEY_IN_PROGRESS = "key-in-progress"
+    ALREADY_RAN = "already-ran"
     FENCED = "fenced"
     NOT_LEADER = "not-leader"
     MEMBERS_MISSING = "members-missing"
