--- a/packages/daemon/tests/entry/conftest.py
+++ b/packages/daemon/tests/entry/conftest.py
@@ -197,7 +197,7 @@
             links.Hello("entry-1", "entry", "", "a", 1), addresses
         )
         self.dispatcher = dispatcher.Dispatcher(clock)
-        self.callers = handlers.Callers(64, 0.0)
+        self.callers = handlers.Callers(64)
         self.traces = traces.Traces(clock, 100)
         self.server = web.WebServer("127.0.0.1", 0, threads=threads)
         kernel = services.Kernel(
--- a/packages/decisions/anvilwell_decisions/requests/admission.py
+++ b/packages/decisions/anvilwell_decisions/requests/admission.py
@@ -96,6 +96,15 @@
         """Requests that wait, of both classes."""
         return sum(len(q) for q in self._queued_by_priority.values())
 
+    @property
+    def settings(self):
+        """The `AdmissionSettings` in force."""
+        return self._settings
+
+    def configure(self, settings):
+        """Take new settings; what is learned and what runs stays."""
+        self._settings = settings
+
     def offer(self, ticket, now):
         """Return `Admit`, `Queue` or `Refuse` for a new ticket."""
         queue = self._queued_by_priority[ticket.priority]
