--- a/packages/decisions/anvilwell_decisions/samples/delivery.py
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -129,6 +129,11 @@
             if slot.bytes is Bytes.FETCHING and not slot.voided
         ]
 
+    def is_fetching(self, position):
+        """Return whether the bytes of `position` are being fetched."""
+        slot = self._slot(position)
+        return slot.bytes is Bytes.FETCHING and not slot.voided
+
     def bytes_found(self, position):
         """Note that the bytes of `position` are here."""
         self._slot(position).bytes = Bytes.HERE
--- a/packages/decisions/anvilwell_decisions/samples/ledger.py
+++ b/packages/decisions/anvilwell_decisions/samples/ledger.py
@@ -31,6 +31,12 @@
     RECORDED = "recorded"
 
 
+_ASKS_BY_PHASE = {
+    Phase.SCORING: actions.Score,
+    Phase.COPYING: actions.Replicate,
+}
+
+
 class Result(typing.NamedTuple):
     """The whole outcome of one attempt; no two share a digest."""
 
@@ -192,16 +198,15 @@
 
     def scored(self, sample_id, digest, score, now):
         """Take a score; a second answer changes nothing."""
-        sample = self._candidate(sample_id, digest, Phase.SCORING)
+        sample = self._answered(sample_id, digest, Phase.SCORING)
         if sample is None:
             return []
         sample.score = score
-        sample.failures = 0
         return self._ask(sample_id, sample, Phase.COPYING)
 
     def replicated(self, sample_id, digest, holders, now):
         """Note that `holders` have the bytes; the choice can be written."""
-        sample = self._candidate(sample_id, digest, Phase.COPYING)
+        sample = self._answered(sample_id, digest, Phase.COPYING)
         if sample is None:
             return []
         if self._is_over_age(sample.result):
@@ -218,6 +223,13 @@
         self._log.append(choice, now)
         return self._log.write(now)
 
+    def awaits(self, sample_id, digest, kind):
+        """Return whether the answer to an ask of `kind` is still due."""
+        sample = self._candidate(sample_id, digest)
+        if sample is None or sample_id in self._retries:
+            return False
+        return _ASKS_BY_PHASE[sample.phase] is kind
+
     def not_done(self, sample_id, digest, now):
         """Note that scoring or copying failed; it is tried again."""
         sample = self._candidate(sample_id, digest)
@@ -357,11 +369,7 @@
 
     def _ask(self, sample_id, sample, phase):
         sample.phase = phase
-        kinds = {
-            Phase.SCORING: actions.Score,
-            Phase.COPYING: actions.Replicate,
-        }
-        return [kinds[phase](sample_id, sample.result.digest)]
+        return [_ASKS_BY_PHASE[phase](sample_id, sample.result.digest)]
 
     def _candidate(self, sample_id, digest, phase=None):
         sample = self._samples_by_id.get(sample_id)
@@ -371,6 +379,13 @@
         fits = sample.phase in phases and sample.result.digest == digest
         return sample if fits else None
 
+    def _answered(self, sample_id, digest, phase):
+        sample = self._candidate(sample_id, digest, phase)
+        if sample is not None:
+            self._retries.pop(sample_id, None)
+            sample.failures = 0
+        return sample
+
     def _redo(self, sample_id, sample):
         result = sample.result
         sample.phase = Phase.WANTED
--- a/packages/decisions/tests/samples/test_ledger.py
+++ b/packages/decisions/tests/samples/test_ledger.py
@@ -232,3 +232,13 @@
     group = identity.Group("g", "p", 1, 8)
     with pytest.raises(exceptions.BadRequest):
         Run().ledger.submit(STEP._replace(groups=(group, group)), 0.0)
+
+
+def test_an_answer_that_comes_after_all_is_not_asked_for_again():
+    run = Run(scored=True)
+    run.land(run.ledger.submit(STEP, 0.0))
+    run.ledger.result(FIRST, result(), 0.0)
+    run.ledger.not_done(FIRST, "d", 0.0)
+    run.ledger.scored(FIRST, "d", 0.5, 0.5)
+    run.land(run.ledger.replicated(FIRST, "d", ["a", "b"], 0.5))
+    assert run.land(run.ledger.tick(9.0)) == [actions.Deliverable(1)]
