--- a/packages/kernel/anvilwell_kernel/telemetry/logs.py
+++ b/packages/kernel/anvilwell_kernel/telemetry/logs.py
@@ -52,6 +52,17 @@
     return action.serialize_task_id().decode() if action else ""
 
 
+def task_ids():
+    """Return a function that gives a new id below the current action.
+
+    Any thread may call it, also after it has left the action's context.
+    """
+    action = eliot.current_action()
+    if action is None:
+        return str
+    return lambda: action.serialize_task_id().decode()
+
+
 def start(path=None, **fields):
     """Write the log as JSON lines, and return what stops it.
 
