Let trainers ask for a weight version through a document change

Cause: nobody served PUT /v1/services/{service}/version. The admin's answer of an outcome serves both. Conclusion: a version is a change like any other, with the same promises.

--- a/packages/daemon/anvilwell_daemon/admin/changes.py
+++ b/packages/daemon/anvilwell_daemon/admin/changes.py
@@ -67,7 +67,7 @@
                 operator=request.args.get("operator", "")[:MAX_ID_CHARS],
             )
         )
-        return _answer(outcome)
+        return answer(outcome)
 
     def history(self, request, service):
         """Answer `operators.History`."""
@@ -140,7 +140,8 @@
     return int(text)
 
 
-def _answer(outcome):
+def answer(outcome):
+    """Return the HTTP response that tells an ``outcomes.Outcome``."""
     kind = operators.Outcome(outcome.outcome)
     response = web.json_response(
         operators.Applied(
--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -4,6 +4,7 @@
 
 from anvilwell_daemon.admin import service as operators
 from anvilwell_daemon.configuration import service as configuration
+from anvilwell_daemon.configuration import versions
 from anvilwell_daemon.entry import documents
 from anvilwell_daemon.entry import traces
 from anvilwell_daemon.keyvalue import facade
@@ -104,6 +105,12 @@
     return configuration.Configuration.from_config(settings, vm_list)
 
 
+def _versions(settings, kernel):
+    if settings.entry.documents:
+        return None
+    return versions.Versions()
+
+
 def _vm_list(settings):
     if not settings.vmlist.endpoints:
         return None
@@ -130,6 +137,7 @@
     Factory("engine-orders", AGENT, weights.orders),
     Factory("order-relay", BOTH, weights.order_relay),
     Factory("configuration", BOTH, _configuration),
+    Factory("versions", ENTRY, _versions),
     Factory("rollout", ENTRY, weights.rollout),
     Factory("traces", ENTRY, _traces),
     Factory("replicas", ENTRY, data_path.replicas),
