Flood no record that came out of another daemon's table

A daemon that joined queued the whole fleet's records for each of its neighbours, and each tick looked at the queues: one tick cost 54 us with 100 members and 2523 us with 5950, and the queues drained at 64 records a second.

Records learnt by an exchange are repaired by exchanges alone, the next one sooner. Regression: test_joining_daemon_does_not_send_the_fleet_to_its_neighbours.

--- a/packages/bench/anvilwell_bench/configuration/groups.py
+++ b/packages/bench/anvilwell_bench/configuration/groups.py
@@ -69,6 +69,10 @@
         """Return what the daemons added to the process's memory."""
         return meters.resident_bytes() - self._start_bytes
 
+    def base_bytes(self):
+        """Return the process's memory before its first daemon."""
+        return self._start_bytes
+
     def usage(self):
         """Return the `meters.Usage` so far."""
         return meters.Meter(self._reader, self.calls).read()
--- a/packages/bench/anvilwell_bench/configuration/measure.py
+++ b/packages/bench/anvilwell_bench/configuration/measure.py
@@ -65,8 +65,9 @@
         specs = _specs(plan.daemons)
         count = min(WORKERS, plan.daemons)
         self.daemons = plan.daemons
+        group = groups.KINDS[plan.kind]
         self._workers = [
-            workers.Worker(plan.kind, keyvalue_address, specs[one::count])
+            workers.Worker(group, keyvalue_address, specs[one::count])
             for one in range(count)
         ]
 
--- a/packages/bench/anvilwell_bench/configuration/meters.py
+++ b/packages/bench/anvilwell_bench/configuration/meters.py
@@ -44,24 +44,26 @@
         return Usage(
             time.monotonic(),
             time.process_time(),
-            self._sent_bytes(),
+            sent(self._reader, _BYTES),
             {
                 f"{purpose} {kind}": count
                 for (purpose, kind), count in self._calls.counts().items()
             },
         )
 
-    def _sent_bytes(self):
-        data = self._reader.get_metrics_data()
-        return sum(
-            point.value
-            for resource_metrics in (data.resource_metrics if data else ())
-            for scope in resource_metrics.scope_metrics
-            for metric in scope.metrics
-            if metric.name == _BYTES
-            for point in metric.data.data_points
-            if point.attributes["direction"] == "sent"
-        )
+
+def sent(reader, name):
+    """Return the total of the counter `name` for what was sent."""
+    data = reader.get_metrics_data()
+    return sum(
+        point.value
+        for resource_metrics in (data.resource_metrics if data else ())
+        for scope in resource_metrics.scope_metrics
+        for metric in scope.metrics
+        if metric.name == name
+        for point in metric.data.data_points
+        if point.attributes["direction"] == "sent"
+    )
 
 
 def make_reader():
--- a/packages/bench/anvilwell_bench/configuration/workers.py
+++ b/packages/bench/anvilwell_bench/configuration/workers.py
@@ -4,8 +4,6 @@
 import multiprocessing
 import typing
 
-from anvilwell_bench.configuration import groups
-
 _START = multiprocessing.get_context("spawn")
 _STOP_S = 20.0
 _ANSWER_S = 90.0
@@ -29,19 +27,19 @@
 
     Parameters
     ----------
-    kind : str
-        ``ours`` or ``naive``.
+    group : type
+        Class of the daemons' group, importable by name.
     keyvalue_address : str
         ``host:port`` of the key-value service.
     specs : list of groups.Spec
         Its daemons.
     """
 
-    def __init__(self, kind, keyvalue_address, specs):
+    def __init__(self, group, keyvalue_address, specs):
         self._pipe, theirs = _START.Pipe()
         self._process = _START.Process(
             target=_main,
-            args=(theirs, kind, keyvalue_address, specs),
+            args=(theirs, group, keyvalue_address, specs),
             daemon=True,
         )
         self._process.start()
@@ -69,8 +67,8 @@
         return answer
 
 
-def _main(pipe, kind, keyvalue_address, specs):
-    asyncio.run(_serve(pipe, groups.KINDS[kind](keyvalue_address, specs)))
+def _main(pipe, group, keyvalue_address, specs):
+    asyncio.run(_serve(pipe, group(keyvalue_address, specs)))
 
 
 async def _serve(pipe, group):
--- /dev/null
+++ b/packages/bench/anvilwell_bench/control/__init__.py
@@ -0,0 +1,1 @@
+"""What membership and leases cost, measured with real daemons."""
--- a/packages/decisions/anvilwell_decisions/membership/node.py
+++ b/packages/decisions/anvilwell_decisions/membership/node.py
@@ -12,6 +12,7 @@
 
 PROBERS = 3
 EXCHANGE_PERIOD_S = 10.0
+CATCH_UP_S = 0.5
 REUNITE_PERIOD_S = 5.0
 TOMBSTONE_S = 3600.0
 MAX_EXCHANGED = 200
@@ -166,14 +167,16 @@
         self.me = self.me._replace(incarnation=incarnation, state=state)
         self._take(self.me)
 
-    def _take(self, member, source=None):
+    def _take(self, member, source=None, is_news=True):
         before = self.members_by_id.get(member.vm_id)
         if not self._table.merge(member):
-            return
+            return False
         self._actions.append(Changed(before, member))
         self._settle(member)
         self._place(member)
-        self._news.add(member, source)
+        if is_news:
+            self._news.add(member, source)
+        return True
 
     def _settle(self, member):
         claim = self._watch.claim(member.vm_id)
@@ -319,11 +322,30 @@
             if self._is_claim(member):
                 self._watch.challenge(member, self._now)
             else:
-                self._hear(member, sender)
+                self._catch_up(sender, member)
         buckets = [b for b in difference.buckets if 0 <= b < table.BUCKETS]
         if difference.wants_answer:
             self._send_difference(sender, buckets, wants_answer=False)
 
+    def _catch_up(self, sender, member):
+        """Take a record from another's table.
+
+        It is old news to most, so it is not flooded: a daemon that
+        joins would send the whole fleet's records to its neighbours.
+        If it is news after all, the neighbours' next exchange shows it.
+        """
+        is_news = (
+            member.vm_id in (sender, self.me.vm_id)
+            or member.state is messages.State.LEAVING
+        )
+        if is_news:
+            self._hear(member, sender)
+            return
+        is_dead = member.state is messages.State.DEAD
+        if not is_dead and self._take(member, sender, is_news=False):
+            soon = self._later(CATCH_UP_S)
+            self._exchange_at = min(self._exchange_at or soon, soon)
+
     def _is_claim(self, member):
         """Say whether `member` must be tried before it counts as dead.
 
--- a/packages/decisions/tests/membership/test_node.py
+++ b/packages/decisions/tests/membership/test_node.py
@@ -210,3 +210,20 @@
     assert subject.acked(1)
     assert subject.silence_s(5.5) == 5.0
     assert not subject.acked(1)
+
+
+def test_joining_daemon_does_not_send_the_fleet_to_its_neighbours(formed):
+    fleet = formed(40)
+    begin = len(fleet.sent)
+    fleet.add("late", "d1")
+    fleet.run(10.0)
+    told = [
+        member.vm_id
+        for _, sender, send in fleet.sent[begin:]
+        if sender == "late" and isinstance(send.message, messages.Heartbeat)
+        for member in send.message.members
+    ]
+    # Its own record, and that of the daemon it joined by.
+    assert len(set(told)) <= 2
+    assert set(fleet.states_of("late").values()) == {LIVE}
+    assert len(fleet.states_of("late")) == 41
