--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -15,10 +15,13 @@
 from anvilwell_daemon.process import data_path
 from anvilwell_daemon.process import pages
 from anvilwell_daemon.process import weights
+from anvilwell_daemon.runs import keeper
+from anvilwell_daemon.runs import service as runs
 from anvilwell_kernel import clock as clocks
 from anvilwell_kernel import services
 from anvilwell_kernel import web
 from anvilwell_platform.adapters import etcd
+from anvilwell_platform.adapters import http_scorer
 from anvilwell_platform.adapters import http_vmlist
 
 ENTRY = ("entry",)
@@ -119,6 +122,19 @@
     return claims.Claims(settings.daemon.vm_id, _CLOCK)
 
 
+def _sample_bytes(settings, kernel):
+    return keeper.Keeper()
+
+
+def _runs(settings, kernel):
+    if settings.entry.documents:
+        return None
+    scorer = None
+    if settings.scorer.endpoints:
+        scorer = http_scorer.HttpScorer.from_config(settings.scorer)
+    return runs.Runs(settings.daemon.vm_id, scorer)
+
+
 def _operators(settings, kernel):
     return operators.Operators.from_config(settings)
 
@@ -141,6 +157,8 @@
     Factory("dispatcher", ENTRY, data_path.dispatcher),
     Factory("claims", ENTRY, _claims),
     Factory("callers", ENTRY, data_path.callers),
+    Factory("sample-bytes", BOTH, _sample_bytes),
+    Factory("runs", ENTRY, _runs),
     Factory("operators", ENTRY, _operators),
     Factory("agent", AGENT, data_path.agent),
 )
