Refuse watches and streams that would take the last threads

Cause: each waiting watch and each stream holds a thread of its stand-in; with as many as there are threads, every other call hung. Change: they get three quarters at most, then 429, which means not run.

--- a/packages/standins/anvilwell_standins/base/bucket.py
+++ b/packages/standins/anvilwell_standins/base/limits.py
@@ -1,4 +1,4 @@
-"""A token bucket."""
+"""Limits of a stand-in, and the refusals when they are reached."""
 
 import threading
 
@@ -13,6 +13,13 @@
     status = 429
 
 
+class TooManyStreams(exceptions.AnvilwellError):
+    """More streams than there are threads for; nothing was done."""
+
+    reason = reasons.Refusal.QUEUE_FULL
+    status = 429
+
+
 class TokenBucket:
     """Allows `rate` calls a second and bursts of `burst`.
 
--- a/packages/standins/anvilwell_standins/base/record.py
+++ b/packages/standins/anvilwell_standins/base/record.py
@@ -7,7 +7,7 @@
 from anvilwell_kernel import clock
 import orjson
 
-MAX_LINES = 1 << 20
+MAX_LINES = 1 << 18
 WAIT_S = 60.0
 
 
--- a/packages/standins/anvilwell_standins/base/server.py
+++ b/packages/standins/anvilwell_standins/base/server.py
@@ -16,6 +16,7 @@
 
 MAX_BODY_BYTES = 4 << 20
 POLL_S = 0.05
+STREAM_SHARE = 0.75
 COMMON_FAULTS = (
     "down",
     "slow",
@@ -63,6 +64,8 @@
         self.faults = faults.Faults((*COMMON_FAULTS, *self.own_faults))
         self.stopped = threading.Event()
         self._threads = threads
+        # Streams leave some threads to other calls.
+        self.stream_limit = max(1, int(threads * STREAM_SHARE))
         self._routes = []
         self._epoch = 0
         self._lock = threading.Lock()
--- a/packages/standins/anvilwell_standins/engine/server.py
+++ b/packages/standins/anvilwell_standins/engine/server.py
@@ -8,6 +8,7 @@
 import pydantic
 import werkzeug
 
+from anvilwell_standins.base import limits
 from anvilwell_standins.base import server
 from anvilwell_standins.engine import batching
 from anvilwell_standins.engine import cache
@@ -143,6 +144,10 @@
             self._imports.get(request_id),
             tail=self._shape.length_tail,
         )
+        if sum(self._batch.counts()) >= self.stream_limit:
+            raise limits.TooManyStreams(
+                f"{self.stream_limit} samples are here already"
+            )
         missing = self._cache.use(completion.prompt)
         run = batching.Run(sample, missing * self._shape.prefill_s)
         if not self._batch.submit(run):
--- a/packages/standins/anvilwell_standins/keyvalue/server.py
+++ b/packages/standins/anvilwell_standins/keyvalue/server.py
@@ -10,7 +10,7 @@
 from anvilwell_kernel import web
 import werkzeug
 
-from anvilwell_standins.base import bucket
+from anvilwell_standins.base import limits
 from anvilwell_standins.base import server
 from anvilwell_standins.keyvalue import store as stores
 from anvilwell_standins.keyvalue import transactions
@@ -40,7 +40,7 @@
         super().__init__(**kwargs)
         clock = clock or clocks.SystemClock()
         self.store = stores.Store(clock, self._record_write)
-        self._bucket = bucket.TokenBucket(rate, rate, clock)
+        self._bucket = limits.TokenBucket(rate, rate, clock)
         self._counts_by_call = collections.Counter()
         self._waiting_watches = 0
         self._count_lock = threading.Lock()
@@ -90,22 +90,26 @@
             self._counts_by_call[call] += 1
         wait_s = self._bucket.take()
         if wait_s:
-            raise bucket.RateLimited(
+            raise limits.RateLimited(
                 "etcdserver: too many requests", retry_after=wait_s
             )
 
     def _watch(self, request):
         self._count("watch")
         create = web.json_body(request, wire.WATCH).create_request
+        self._add_waiting(1)
         response = werkzeug.Response(
             self._changes(create), content_type="application/json"
         )
-        self._add_waiting(1)
         response.call_on_close(lambda: self._add_waiting(-1))
         return response
 
     def _add_waiting(self, change):
         with self._count_lock:
+            if self._waiting_watches + change > self.stream_limit:
+                raise limits.TooManyStreams(
+                    f"{self.stream_limit} watches wait already"
+                )
             self._waiting_watches += change
 
     def _changes(self, create):
--- a/packages/standins/anvilwell_standins/weightstore.py
+++ b/packages/standins/anvilwell_standins/weightstore.py
@@ -9,7 +9,7 @@
 import werkzeug
 import xxhash
 
-from anvilwell_standins.base import bucket
+from anvilwell_standins.base import limits
 from anvilwell_standins.base import server
 
 
@@ -41,7 +41,7 @@
         }
         self._lock = threading.Lock()
         clock = clock or clocks.SystemClock()
-        self._bucket = bucket.TokenBucket(rate, burst, clock)
+        self._bucket = limits.TokenBucket(rate, burst, clock)
         self.immediate_by_kind["rate-limit"] = self._limit_rate
         self.route("/models/<model>/versions", self._list)
         version = "/models/<model>/versions/<version>"
@@ -63,7 +63,7 @@
         wait_s = self._bucket.take()
         if wait_s:
             self.record.add("limited", model=model, version=version)
-            raise bucket.RateLimited(
+            raise limits.RateLimited(
                 "too many fetches of weights", retry_after=wait_s
             )
         if version not in self._versions(model):
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -182,3 +182,18 @@
         text.length("p", 1, index, 100, tail=True) for index in range(200)
     ]
     assert 1 <= min(drawn) < sum(drawn) / 200 < max(drawn) == 100
+
+
+def test_engine_that_is_full_says_so(http):
+    held = weights.Weights("planner", "1")
+    with server.Engine(held, threads=2) as engine:
+        url = f"{engine.url}/v1/completions"
+        body = {"prompt": "p", "stream": True, "max_tokens": 60000}
+        head = {"X-Request-Id": "a"}
+        first = http.request(
+            "POST", url, json=body, headers=head, preload_content=False
+        )
+        assert first.status == 200
+        refused = complete(http, engine, "b")
+        assert refused.status == 429
+        assert refused.json()["error"]["verdict"] == "not-run"
--- a/packages/standins/tests/test_standin.py
+++ b/packages/standins/tests/test_standin.py
@@ -4,9 +4,10 @@
 
 from anvilwell_kernel import clock
 from anvilwell_kernel import exceptions
-from anvilwell_standins.base import bucket
 from anvilwell_standins.base import faults
+from anvilwell_standins.base import limits
 from anvilwell_standins.base import record
+from anvilwell_standins.keyvalue import server as keyvalue
 from anvilwell_standins import vmlist
 import pytest
 import urllib3
@@ -98,8 +99,23 @@
 
 def test_bucket_tells_when_the_next_call_is_free():
     now = clock.ManualClock()
-    limited = bucket.TokenBucket(2.0, 1, now)
+    limited = limits.TokenBucket(2.0, 1, now)
     assert limited.take() == 0.0
     assert limited.take() == 0.5
     now.advance(0.5)
     assert limited.take() == 0.0
+
+
+def test_streams_leave_threads_to_other_calls(http):
+    create = {"create_request": {"key": "YQ=="}}
+    with keyvalue.KeyValue(threads=4) as standin:
+        url = f"{standin.url}/v3/watch"
+        watches = [
+            http.request("POST", url, json=create, preload_content=False)
+            for _ in range(4)
+        ]
+        statuses = [watch.status for watch in watches]
+        body = {"key": "YQ=="}
+        read = http.request("POST", f"{standin.url}/v3/kv/range", json=body)
+        assert read.status == 200
+    assert statuses == [200, 200, 200, 429]
