--- a/packages/daemon/anvilwell_daemon/entry/handlers.py
+++ b/packages/daemon/anvilwell_daemon/entry/handlers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import http
 import threading
 import typing
 
@@ -17,6 +18,7 @@
 from anvilwell_kernel import services
 from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
+from anvilwell_kernel import verdict as verdicts
 from anvilwell_kernel import web
 
 DEADLINE = "Anvilwell-Deadline-Ms"
@@ -25,6 +27,7 @@
 IDEMPOTENCY_KEY = "Idempotency-Key"
 MAX_DEADLINE_MS = 86_400_000
 MAX_KEY_CHARS = 256
+PREFIX_CHARS = 256
 DRAIN_POLL_S = 0.02
 DRAIN_GRACE_S = 1.0
 ANY_METHOD = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
@@ -36,6 +39,7 @@
     """What the entry reads of a completions body."""
 
     model: typing.Annotated[str, pydantic.Field(min_length=1)]
+    prompt: typing_extensions.NotRequired[typing.Any]
     stream: typing_extensions.NotRequired[bool]
 
 
@@ -167,7 +171,10 @@
         if document.service.kind != "model":
             raise exceptions.NotFound(f"{body['model']!r} is no model")
         call = _call(request, request_id, body["model"], document)
-        call = call._replace(generation=self._generation(call.service))
+        call = call._replace(
+            generation=self._generation(call.service),
+            prefix=str(body.get("prompt", ""))[:PREFIX_CHARS],
+        )
         answer = self._dispatcher.open(call)
         if body.get("stream", False):
             return self._stream(call, answer)
@@ -226,8 +233,17 @@
         response.headers.clear()
         for name, value in answer.headers:
             response.headers.add(name, value)
+        if answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._mark_server_error(call, response)
         return response
 
+    def _mark_server_error(self, call, response):
+        """Say that a backend server's own error may follow an effect."""
+        reason = reasons.Refusal.BACKEND_FAILED
+        counters.count_refusal(reason, call.service)
+        response.headers[web.VERDICT] = str(verdicts.Verdict.MAY_HAVE_RUN)
+        response.headers[web.REASON] = str(reason)
+
     def _body(self, call, answer):
         with contextlib.closing(answer):
             for piece in answer:
