Agree on a sample's seed: that of its group plus its index

Entries send seed plus index and no index, as an OpenAI-compatible engine knows no index; trainer and auditor expected the index. The trainer stand-in submits its first step before it announces a version, as a run is known from its first step on; the demo fails at once when the trainer has ended.

--- a/packages/bench/anvilwell_bench/audit/history.py
+++ b/packages/bench/anvilwell_bench/audit/history.py
@@ -31,8 +31,8 @@
         """What the engines must have been asked for this sample."""
         return Generation(
             texts.digest(self.group["prompt"]),
-            self.group["seed"],
-            self.collected["index"],
+            self.group["seed"] + self.collected["index"],
+            0,
         )
 
 
--- a/packages/bench/anvilwell_bench/audit/promises/own_answer.py
+++ b/packages/bench/anvilwell_bench/audit/promises/own_answer.py
@@ -88,8 +88,8 @@
     problem = _text_problem(
         collected["text"],
         sample.group["prompt"],
-        sample.group["seed"],
-        collected["index"],
+        sample.group["seed"] + collected["index"],
+        0,
         lengths.get(sample.generation),
     )
     count = texts.count_tokens(collected["text"])
--- a/packages/bench/tests/audit/clean_records.py
+++ b/packages/bench/tests/audit/clean_records.py
@@ -32,8 +32,8 @@
             "start",
             request_id=request_id,
             prompt=texts.digest(prompt),
-            seed=SEED,
-            index=index,
+            seed=SEED + index,
+            index=0,
             first=0,
         )
     ]
@@ -104,7 +104,7 @@
         "step": 1,
         "group": "g1",
         "index": index,
-        "text": texts.text(GROUP["prompt"], SEED, index, LENGTH),
+        "text": texts.text(GROUP["prompt"], SEED + index, 0, LENGTH),
         "tokens": LENGTH,
         "versions": list(versions),
     }
--- a/packages/standins/anvilwell_standins/programs/steps.py
+++ b/packages/standins/anvilwell_standins/programs/steps.py
@@ -94,7 +94,10 @@
     asked = {one["group"]: one for one in groups(plan, sample["step"])}
     group = asked[sample["group"]]
     own = texts.text(
-        group["prompt"], group["seed"], sample["index"], sample["tokens"]
+        group["prompt"],
+        group["seed"] + sample["index"],
+        0,
+        sample["tokens"],
     )
     if sample["text"] != own:
         return "has a text that is not its own"
--- a/packages/standins/anvilwell_standins/programs/trainer.py
+++ b/packages/standins/anvilwell_standins/programs/trainer.py
@@ -83,6 +83,8 @@
         """
         began = time.monotonic()
         self._deadline = began + self._plan.limit_s
+        # A run is known from its first step on.
+        self._submit(self._state.step)
         self._announce(self._state.version)
         while self._state.step < self._plan.steps:
             self._train_step(self._state.step)
--- a/packages/standins/tests/programs/test_trainer.py
+++ b/packages/standins/tests/programs/test_trainer.py
@@ -56,7 +56,7 @@
         return web.json_response({})
 
     def _sample(self, step, group, index):
-        text = texts.text(group["prompt"], group["seed"], index, 3)
+        text = texts.text(group["prompt"], group["seed"] + index, 0, 3)
         if self.faults.take("other-text"):
             text = texts.text("other", 0, 0, 3)
         return {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -62,8 +62,15 @@
     "$PYTHON" -m anvilwell_bench.load whole_steps "$RECORDS"
 }
 
+# steps_whole N: whether N steps are whole, or the trainer has failed.
 steps_whole() {
-    [ "$(collected_steps)" -ge "$1" ]
+    [ "$(collected_steps)" -ge "$1" ] || ! is_alive trainer
+}
+
+wait_for_steps() {
+    wait_for "$STEP_LIMIT_S" "$1 whole steps" steps_whole "$1"
+    [ "$(collected_steps)" -ge "$1" ] ||
+        fail "the trainer ended: $(tail -n 1 "$RUN/logs/trainer.err")"
 }
 
 start_standins() {
@@ -169,7 +176,7 @@
     --weight-store "$(address_of weightstore)" --train-ms 1500 \
     --service planner-lm --run autumn --steps "$STEPS"
 
-wait_for "$STEP_LIMIT_S" "step 1" steps_whole 1
+wait_for_steps 1
 say "step 1 is whole; killing engine-3"
 note kill process=engine-3
 crash engine-3
@@ -177,11 +184,11 @@
 apply stops-app ""
 say "stopping entry-2 while callers stream"
 shut_down entry-2
-wait_for "$STEP_LIMIT_S" "step 2" steps_whole 2
+wait_for_steps 2
 say "step 2 is whole; draining planner-agent-2"
 operate drain planner-agent-2 >"$RUN/logs/drain.out"
 note leave server=engine-2
-wait_for $((STEP_LIMIT_S * 2)) "the last step" steps_whole "$STEPS"
+wait_for_steps "$STEPS"
 say "all $STEPS steps are whole"
 
 stop caller
