--- a/packages/kernel/anvilwell_kernel/telemetry/logs.py
+++ b/packages/kernel/anvilwell_kernel/telemetry/logs.py
@@ -32,7 +32,7 @@
     def resume(self, task_id, event, **fields):
         """Return a context that goes on with another process's task.
 
-        Without a `task_id` it begins a task of its own.
+        It starts a task of its own if `task_id` is "".
         """
         if not task_id:
             return self.action(event, **fields)
