--- a/packages/daemon/anvilwell_daemon/agent/service.py
+++ b/packages/daemon/anvilwell_daemon/agent/service.py
@@ -42,7 +42,8 @@
     backend : base.Backend
         Its backend server.
     admission : admission.Admission
-        Decides what runs, waits or is refused.
+        Decides what runs, waits or is refused; it has its own settings
+        until a document names others.
     clock : clock.Clock
         Source of time.
     backend_lock : lock.BackendLock, optional
@@ -56,6 +57,7 @@
         self._hello = hello
         self._backend = backend
         self._admission = admission
+        self._configuration = None
         self._clock = clock
         self._lock = backend_lock
         self._ids = itertools.count(1)
@@ -88,12 +90,32 @@
     async def start(self, kernel):
         """Accept links from entries."""
         self._loop = asyncio.get_running_loop()
+        if kernel.has("configuration"):
+            self._configuration = kernel.get("configuration")
+            self._configuration.subscribe(self._configure)
+            self._configure(self._hello.service)
         kernel.get("listener").mount(connections.DATA_PATH, self._serve)
         self._tasks = [
             asyncio.create_task(self._report_load()),
             asyncio.create_task(self._read_version()),
         ]
 
+    def _configure(self, service, generation=0):
+        """Take the limits of the service's document, if there is one."""
+        if service != self._hello.service:
+            return
+        try:
+            traffic = self._configuration.document(service).traffic
+        except exceptions.AnvilwellError as error:
+            _LOG.log("no-document", cause=error.message)
+            return
+        self._admission.configure(
+            self._admission.settings._replace(
+                max_queue=traffic.max_queue,
+                live_reserve=traffic.live_reserve,
+            )
+        )
+
     async def drain(self):
         """Refuse new and waiting requests; wait for the running ones."""
         self._draining = True
--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -3,6 +3,7 @@
 import typing
 
 from anvilwell_daemon.admin import service as operators
+from anvilwell_daemon.claims import service as claims
 from anvilwell_daemon.configuration import service as configuration
 from anvilwell_daemon.entry import documents
 from anvilwell_daemon.entry import traces
@@ -130,15 +131,16 @@
     return runs.Runs(settings.daemon.vm_id, scorer)
 
 
+def _claims(settings, kernel):
+    return claims.Claims(settings.daemon.vm_id, _CLOCK)
+
+
 def _operators(settings, kernel):
     return operators.Operators.from_config(settings)
 
 
 FACTORIES = (
     Factory("listener", BOTH, _listener),
-    Factory("web", ENTRY, _web),
-    Factory("admin", BOTH, _admin),
-    Factory("pages", BOTH, _pages),
     Factory("keyvalue", BOTH, _keyvalue),
     Factory("peers", BOTH, _peers),
     Factory("membership", BOTH, _membership),
@@ -151,6 +153,10 @@
     Factory("replicas", ENTRY, data_path.replicas),
     Factory("dispatcher", ENTRY, data_path.dispatcher),
     Factory("callers", ENTRY, data_path.callers),
+    Factory("web", ENTRY, _web),
+    Factory("admin", BOTH, _admin),
+    Factory("pages", BOTH, _pages),
+    Factory("claims", ENTRY, _claims),
     Factory("sample-bytes", BOTH, _sample_bytes),
     Factory("runs", ENTRY, _runs),
     Factory("operators", ENTRY, _operators),
