--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -118,6 +118,10 @@
     return traces.Traces(_CLOCK, settings.limits.max_traces)
 
 
+def _claims(settings, kernel):
+    return claims.Claims(settings.daemon.vm_id, _CLOCK)
+
+
 def _sample_bytes(settings, kernel):
     return keeper.Keeper()
 
@@ -131,10 +135,6 @@
     return runs.Runs(settings.daemon.vm_id, scorer)
 
 
-def _claims(settings, kernel):
-    return claims.Claims(settings.daemon.vm_id, _CLOCK)
-
-
 def _operators(settings, kernel):
     return operators.Operators.from_config(settings)
 
