Count only runs after the ask against a refusal "not run"

Cause: the demo's audit named a breach: a lookup refused as draining "ran on plain-3". The run was of another caller's lookup of the same stop, ten seconds before this one was asked. Ruled out: the entry (its request id is in no server's record).

Change: the auditor leaves out runs before the ask; a test asks the same twice, the first served and the second refused.

--- a/packages/bench/anvilwell_bench/audit/promises/not_run.py
+++ b/packages/bench/anvilwell_bench/audit/promises/not_run.py
@@ -39,7 +39,8 @@
         servers = {
             line["who"]
             for line in history.runs_of(ask, records)
-            if not any(at <= line["at"] for at in again)
+            if line["at"] >= ask["at"]
+            and not any(at <= line["at"] for at in again)
         }
         if not servers:
             return None
--- a/packages/bench/tests/audit/test_promises.py
+++ b/packages/bench/tests/audit/test_promises.py
@@ -142,6 +142,16 @@
     assert broken(lines) == set()
 
 
+def test_refused_as_not_run_after_an_equal_ask_ran():
+    lines = clean.lines()
+    prompt = "too much at once"
+    lines.append(clean.ask(5.0, "before", prompt=prompt))
+    lines += clean.attempt(5.1, "engine-1", "x", prompt)
+    own = texts.text(prompt, clean.SEED, 0, clean.LENGTH)
+    lines.append(clean.answer(5.8, "before", text=own))
+    assert broken(lines) == set()
+
+
 def test_notice_ran_twice():
     lines = clean.lines()
     lines.append(dict(find(lines, "run"), who="plain-2", at=6.75))
