--- a/packages/daemon/tests/reference/test_pages.py
+++ b/packages/daemon/tests/reference/test_pages.py
@@ -1,6 +1,7 @@
 """The documentation lists what the code has."""
 
 import pathlib
+import re
 
 import pytest
 
@@ -25,6 +26,21 @@
         pages.refresh("user-guide/metrics.md", "no place")
 
 
+def test_links_lead_somewhere():
+    links = [
+        (page, target)
+        for page in [*DOCS.rglob("*.md"), DOCS.parent / "README.md"]
+        for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text())
+    ]
+
+    assert links
+    assert not [
+        f"{page.name}: {target}"
+        for page, target in links
+        if not (page.parent / target).exists()
+    ]
+
+
 @pytest.mark.parametrize("kind", [reasons.Refusal, reasons.Retry])
 def test_every_reason_is_explained(kind):
     heading = {
--- a/packages/kernel/tests/config/test_loader.py
+++ b/packages/kernel/tests/config/test_loader.py
@@ -50,6 +50,7 @@
 )
 
 
+@pytest.mark.fuzz
 @hypothesis.given(st.builds(Schema, main=SECTION, weights=WEIGHTS))
 def test_rendered_settings_come_back(settings):
     text = writer.render(settings)
@@ -57,6 +58,7 @@
     assert loader.loads(text, Schema, "x.ini") == settings
 
 
+@pytest.mark.fuzz
 @hypothesis.given(st.text(st.characters(codec="utf-8"), max_size=200))
 def test_any_text_gives_settings_or_problems(text):
     for whole in (text, f"[main]\nlisten = {text}", f"[main]\n{text} = 1\n"):
--- a/packages/kernel/tests/messages/test_codec.py
+++ b/packages/kernel/tests/messages/test_codec.py
@@ -58,6 +58,8 @@
 )
 CODEC = codecs.Codec(requests.KINDS)
 
+pytestmark = pytest.mark.fuzz
+
 
 @hypothesis.given(MESSAGE)
 def test_message_comes_back(message):
