--- a/packages/daemon/anvilwell_daemon/entry/handlers.py
+++ b/packages/daemon/anvilwell_daemon/entry/handlers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import http
 import threading
 import typing
 
@@ -17,6 +18,7 @@
 from anvilwell_kernel import services
 from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
+from anvilwell_kernel import verdict as verdicts
 from anvilwell_kernel import web
 
 DEADLINE = "Anvilwell-Deadline-Ms"
@@ -25,8 +27,8 @@
 IDEMPOTENCY_KEY = "Idempotency-Key"
 MAX_DEADLINE_MS = 86_400_000
 MAX_KEY_CHARS = 256
+PREFIX_CHARS = 256
 DRAIN_POLL_S = 0.02
-DRAIN_GRACE_S = 1.0
 ANY_METHOD = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
 _LOG = logs.get_logger(__name__)
@@ -36,6 +38,7 @@
     """What the entry reads of a completions body."""
 
     model: typing.Annotated[str, pydantic.Field(min_length=1)]
+    prompt: typing_extensions.NotRequired[typing.Any]
     stream: typing_extensions.NotRequired[bool]
 
 
@@ -52,17 +55,14 @@
     ----------
     max_streams : int
         Requests under way at a time; more are refused.
-    drain_grace_s : float
-        Seconds between "not ready" and the first refusal.
     """
 
     name = "callers"
-    needs = ("web", "dispatcher", "configuration", "traces")
+    # Not the web server: it opens once the routes are there.
+    needs = ("dispatcher", "configuration", "traces")
 
-    def __init__(self, max_streams, drain_grace_s=DRAIN_GRACE_S):
+    def __init__(self, max_streams):
         self._max_streams = max_streams
-        self._drain_grace_s = drain_grace_s
-        self._refusing = False
         self._lock = threading.Lock()
         self._in_flight = set()
         self._draining = False
@@ -90,13 +90,8 @@
             server.route(rule, self._pass, ANY_METHOD)
 
     async def drain(self):
-        """Refuse new requests after a grace; wait for those under way.
-
-        In the grace the balancer sees that the entry is not ready.
-        """
+        """Refuse new requests; wait for those under way."""
         self._draining = True
-        await asyncio.sleep(self._drain_grace_s)
-        self._refusing = True
         while self.in_flight:
             await asyncio.sleep(DRAIN_POLL_S)
 
@@ -130,7 +125,7 @@
         return response
 
     def _enter(self, request_id):
-        if self._refusing:
+        if self._draining:
             raise exceptions.Refused(
                 "this entry is shutting down",
                 reason=reasons.Refusal.DRAINING,
@@ -167,7 +162,10 @@
         if document.service.kind != "model":
             raise exceptions.NotFound(f"{body['model']!r} is no model")
         call = _call(request, request_id, body["model"], document)
-        call = call._replace(generation=self._generation(call.service))
+        call = call._replace(
+            generation=self._generation(call.service),
+            prefix=str(body.get("prompt", ""))[:PREFIX_CHARS],
+        )
         answer = self._dispatcher.open(call)
         if body.get("stream", False):
             return self._stream(call, answer)
@@ -226,8 +224,17 @@
         response.headers.clear()
         for name, value in answer.headers:
             response.headers.add(name, value)
+        if answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._mark_server_error(call, response)
         return response
 
+    def _mark_server_error(self, call, response):
+        """Say that a backend server's own error may follow an effect."""
+        reason = reasons.Refusal.BACKEND_FAILED
+        counters.count_refusal(reason, call.service)
+        response.headers[web.VERDICT] = str(verdicts.Verdict.MAY_HAVE_RUN)
+        response.headers[web.REASON] = str(reason)
+
     def _body(self, call, answer):
         with contextlib.closing(answer):
             for piece in answer:
--- a/packages/daemon/anvilwell_daemon/entry/relay.py
+++ b/packages/daemon/anvilwell_daemon/entry/relay.py
@@ -2,6 +2,7 @@
 
 from anvilwell_daemon.entry import attempt as attempts
 from anvilwell_daemon.entry import calls
+from anvilwell_daemon.entry import pace
 from anvilwell_daemon.entry import resumed
 from anvilwell_decisions.requests import facts
 from anvilwell_decisions.requests import retries
@@ -46,6 +47,7 @@
         self._new_mailbox = new_mailbox
         self._only = only
         self._deadline = tools.clock.monotonic() + call.deadline_s
+        self._task_ids = logs.task_ids()
         self._attempts = 0
         self._verdict = verdicts.Verdict.NOT_RUN
         self._tried = set()
@@ -58,6 +60,13 @@
 
     def steps(self):
         """Yield the steps; see the class."""
+        self._tools.load.enter()
+        try:
+            yield from self._attempts_until_whole()
+        finally:
+            self._tools.load.leave()
+
+    def _attempts_until_whole(self):
         while True:
             try:
                 yield from self._attempt()
@@ -170,11 +179,12 @@
             headers=list(call.headers),
             body=call.body,
             deadline_s=max(MIN_AGENT_DEADLINE_S, time_left_s),
-            task_id=logs.current_task_id(),
+            task_id=self._task_ids(),
             generation=call.generation,
             credit=attempts.WINDOW_FRAMES,
             key=call.key,
             version=self._version if self._pieces else "",
+            flush_s=pace.flush_s(call.priority, self._tools.load.open),
         )
 
     def _retry(self, error):
