Tell the next step that fits the reason of a refusal

Cause: a change refused during an outage was told to look at the diff. Change: each reason of a refused change has its own next step.

--- a/packages/client/anvilwell_client/commands/apply.py
+++ b/packages/client/anvilwell_client/commands/apply.py
@@ -10,6 +10,7 @@
 from anvilwell_client import printer
 from anvilwell_kernel import commandline
 from anvilwell_kernel.messages import operators
+from anvilwell_kernel import reasons
 
 _EXIT_CODES_BY_OUTCOME = {
     operators.Outcome.IN_FORCE: os.EX_OK,
@@ -17,6 +18,19 @@
     operators.Outcome.UNKNOWN: os.EX_TEMPFAIL,
 }
 
+_NEXT_STEPS_BY_REASON = {
+    reasons.Refusal.CONFLICT: (
+        "another change came first: anvilwell diff {path}, then apply again"
+    ),
+    reasons.Refusal.BAD_DOCUMENT: "correct the document, then apply again",
+    reasons.Refusal.MEMBERS_MISSING: (
+        "see anvilwell status, and apply again when the daemons answer"
+    ),
+    reasons.Refusal.KEY_VALUE_UNAVAILABLE: (
+        "apply again when the platform's key-value service answers"
+    ),
+}
+
 
 def apply(args, options):
     """Apply the document in a file; return an exit code."""
@@ -49,10 +63,7 @@
     for text in [*applied["problems"], *_missing(applied)]:
         commandline.tell(text)
     if applied["outcome"] is operators.Outcome.REFUSED:
-        commandline.tell(
-            f"refused: {applied['reason'] or 'the document is wrong'};"
-            f" see anvilwell diff {path}, then apply again"
-        )
+        commandline.tell(f"refused: {_refusal_line(applied['reason'], path)}")
     if applied["outcome"] is operators.Outcome.UNKNOWN:
         commandline.tell(
             "settle it when entries answer again: anvilwell apply"
@@ -61,6 +72,11 @@
         )
 
 
+def _refusal_line(reason, path):
+    next_step = _NEXT_STEPS_BY_REASON.get(reason, "see the lines above")
+    return f"{reason}; {next_step.format(path=path)}"
+
+
 def _missing(applied):
     return [f"no answer from {vm_id}" for vm_id in applied["missing"]]
 
--- a/packages/client/tests/commands/test_apply.py
+++ b/packages/client/tests/commands/test_apply.py
@@ -91,6 +91,7 @@
     out, err = capsys.readouterr()
     assert out == "not in force anywhere, generation 0 stays\n"
     assert "no answer from agent-3" in err
+    assert "apply again when the daemons answer" in err
 
 
 def test_second_entry_is_asked(start_entry, run, document):
