Send nothing to an agent whose backend server refuses connections

A cancelled reader on the event loop also kept its stream open until the deadline. Change: AgentLoad.reachable; an unreachable replica is no candidate until it answers again; cancelling an AsyncAnswer closes its stream.

--- a/packages/daemon/anvilwell_daemon/agent/service.py
+++ b/packages/daemon/anvilwell_daemon/agent/service.py
@@ -68,6 +68,7 @@
         )
         self._draining = False
         self._version = ""
+        self._is_reachable = True
         self._tasks = []
         self._loop = None
 
@@ -292,6 +293,7 @@
             admission.limit,
             self._version,
             session.in_flight,
+            self._is_reachable,
         )
 
     async def _report_load(self):
@@ -307,7 +309,11 @@
                 self._version = await self._loop.run_in_executor(
                     self._controls, self._backend.version
                 )
+                self._is_reachable = True
             except exceptions.AnvilwellError as error:
+                # One that is only slow still works on its requests.
+                refused = error.reason is reasons.Refusal.CONNECT_FAILED
+                self._is_reachable = not refused
                 _LOG.log("load-failed", cause=error.message)
             await asyncio.sleep(LOAD_INTERVAL_S)
 
--- a/packages/daemon/anvilwell_daemon/entry/dispatcher.py
+++ b/packages/daemon/anvilwell_daemon/entry/dispatcher.py
@@ -1,5 +1,6 @@
 """The service ``dispatcher``: carries calls to replicas."""
 
+import asyncio
 import random
 import typing
 
@@ -109,9 +110,14 @@
 
     async def _advance(self):
         step = _next_step(self._steps, None)
-        while type(step) is calls.Wait:
-            event = await step.mailbox.get(step.timeout_s)
-            step = _next_step(self._steps, event)
+        try:
+            while type(step) is calls.Wait:
+                event = await step.mailbox.get(step.timeout_s)
+                step = _next_step(self._steps, event)
+        except asyncio.CancelledError:
+            # A reader that is gone must not hold the agent's buffers.
+            self._steps.close()
+            raise
         return step
 
 
--- a/packages/daemon/anvilwell_daemon/entry/replicas.py
+++ b/packages/daemon/anvilwell_daemon/entry/replicas.py
@@ -166,8 +166,7 @@
                 link.load,
             )
             for link in list(self._links_by_id.values())
-            if link.state is data_link.State.UP
-            and link.peer.service == service
+            if link.takes_requests and link.peer.service == service
         ]
 
     def _follow(self, before, member):
@@ -189,13 +188,14 @@
             if policy is None:
                 policy = self._new_policy(self._random)
                 self._policies_by_service[peer.service] = policy
-            if link.state is data_link.State.UP:
-                self._links_by_id[peer.vm_id] = link
+            if link.takes_requests:
                 self._up(policy, link)
             else:
                 policy.replica_down(peer.vm_id, self._now())
         if link.state is data_link.State.DOWN:
             self._links_by_id.pop(peer.vm_id, None)
+        else:
+            self._links_by_id[peer.vm_id] = link
 
     def _up(self, policy, link):
         peer, load, now = link.peer, link.load, self._now()
--- a/packages/daemon/anvilwell_daemon/links/data_link.py
+++ b/packages/daemon/anvilwell_daemon/links/data_link.py
@@ -67,6 +67,12 @@
         """Requests on this link without a final answer."""
         return len(self._streams_by_id)
 
+    @property
+    def takes_requests(self):
+        """Whether new requests may go this way now."""
+        is_reachable = self.load is None or self.load.reachable
+        return self.state is State.UP and is_reachable
+
     def open(self, start, mailbox):
         """Open a stream for `start` and return its id.
 
--- a/packages/daemon/tests/entry/test_data_path.py
+++ b/packages/daemon/tests/entry/test_data_path.py
@@ -1,5 +1,6 @@
 """Callers' requests through an entry and agents on real sockets."""
 
+import asyncio
 import json
 import threading
 
@@ -52,6 +53,35 @@
     assert finish == "length"
 
 
+def test_cancelled_async_reader_cancels_the_engine(rig, scripted_engine):
+    gate = threading.Event()
+    engine = scripted_engine(lambda place: place < 3 or gate.wait(20))
+    rig.engine_agent(engine)
+    rig.start_entry()
+    call = rig.call(
+        service="planner-lm", body=b'{"max_tokens": 5}', is_model=True
+    )
+
+    async def read(kept):
+        kept.append(await rig.dispatcher.open_async(call))
+        return [piece async for piece in kept[0]]
+
+    async def scenario():
+        kept = []
+        task = asyncio.create_task(read(kept))
+        while engine.produced < 3:
+            await asyncio.sleep(0.005)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return kept
+
+    kept = rig.run(scenario())
+    assert engine.cancelled.wait(20)
+    gate.set()
+    rig.until(lambda: not rig.agents[0].in_flight)
+    assert kept
+
+
 def test_many_streams_keep_their_own_answers(rig, scripted_engine):
     for _ in range(2):
         rig.engine_agent(scripted_engine(), capacity=16, max_queue=64)
--- a/packages/daemon/tests/entry/test_verdicts.py
+++ b/packages/daemon/tests/entry/test_verdicts.py
@@ -13,6 +13,7 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import links
 from anvilwell_kernel.messages import requests
+from anvilwell_kernel import reasons
 from anvilwell_kernel import verdict as verdicts
 
 NOT_RUN = "not-run"
@@ -266,6 +267,30 @@
     assert errors[-1].verdict is verdicts.Verdict.NOT_RUN
 
 
+def test_unreachable_engine_gets_no_requests(rig, scripted_engine):
+    down = threading.Event()
+
+    class Engine(scripted_engine):
+        def load(self, *, timeout_s):
+            if down.is_set():
+                raise exceptions.BackendFailed(
+                    "connection refused",
+                    reason=reasons.Refusal.CONNECT_FAILED,
+                    verdict=verdicts.Verdict.NOT_RUN,
+                )
+            return super().load(timeout_s=timeout_s)
+
+    rig.engine_agent(Engine())
+    rig.start_entry()
+    assert rig.complete().status == 200
+    down.set()
+    rig.until(lambda: not rig.replicas.candidates("planner-lm"))
+    assert _verdict(rig.complete()) == (NOT_RUN, "no-replica")
+    down.clear()
+    rig.until(lambda: rig.replicas.candidates("planner-lm"))
+    assert rig.complete().status == 200
+
+
 def test_cut_text_goes_on_at_another_replica(rig, scripted_engine):
     def crash(place):
         if place == 3:
--- a/packages/kernel/anvilwell_kernel/messages/links.py
+++ b/packages/kernel/anvilwell_kernel/messages/links.py
@@ -22,7 +22,8 @@
 class AgentLoad(typing.NamedTuple):
     """An agent's own count of its requests, and its weight version.
 
-    ``own`` is how many of them belong to the entry that it is sent to.
+    ``own`` is how many of them belong to the entry that it is sent to;
+    ``reachable`` says whether the backend server answers the agent.
     """
 
     running: int
@@ -30,6 +31,7 @@
     limit: int
     version: str
     own: int = 0
+    reachable: bool = True
 
 
 KINDS = (Hello, Leaving, AgentLoad)
