--- a/packages/daemon/anvilwell_daemon/peers/listener.py
+++ b/packages/daemon/anvilwell_daemon/peers/listener.py
@@ -1,6 +1,7 @@
 """The daemon's one websocket listener, shared by path."""
 
 import http
+import logging
 
 from websockets.asyncio import server
 
@@ -11,6 +12,9 @@
 CLOSE_TIMEOUT_S = 1.0
 HEADROOM_BYTES = 1024
 
+# One line for each link opened and closed would flood the log.
+logging.getLogger("websockets").setLevel(logging.WARNING)
+
 
 class Listener(services.Service):
     """Accepts websockets and hands each to the handler of its path.
--- a/packages/daemon/anvilwell_daemon/rollout/leader.py
+++ b/packages/daemon/anvilwell_daemon/rollout/leader.py
@@ -12,7 +12,8 @@
 from anvilwell_kernel.telemetry import logs
 
 TICK_S = 0.25
-BATCH_TIMEOUT_S = 5.0
+SETTLED_TICK_S = 2.0
+BATCH_TIMEOUT_S = 15.0
 AHEAD_PERIOD_S = 10.0
 STORE_TIMEOUT_S = 2.0
 
@@ -78,7 +79,8 @@
             orders_by_id = self._reconciler.tick(self._clock.monotonic())
             for domain, targets in self._by_domain(orders_by_id).items():
                 self._send(lease, domain, targets)
-            await asyncio.sleep(TICK_S)
+            is_settled = self._reconciler.is_settled
+            await asyncio.sleep(SETTLED_TICK_S if is_settled else TICK_S)
 
     def _look(self):
         """Take in what the document and membership say now."""
--- a/packages/daemon/anvilwell_daemon/rollout/relay.py
+++ b/packages/daemon/anvilwell_daemon/rollout/relay.py
@@ -6,8 +6,8 @@
 from anvilwell_kernel.messages import orders as messages
 from anvilwell_kernel import services
 
-CONCURRENCY = 64
-ORDER_TIMEOUT_S = 1.0
+CONCURRENCY = 16
+ORDER_TIMEOUT_S = 2.0
 
 
 class OrderRelay(services.Service):
--- a/packages/decisions/anvilwell_decisions/rollout/reconciler.py
+++ b/packages/decisions/anvilwell_decisions/rollout/reconciler.py
@@ -8,8 +8,9 @@
 from anvilwell_decisions.rollout import replicas
 from anvilwell_kernel.messages import orders as messages
 
-STATUS_PERIOD_S = 60.0
-UNSETTLED_STATUS_PERIOD_S = 0.5
+STATUS_PERIOD_S = 600.0
+UNSETTLED_STATUS_PERIOD_S = 1.0
+ANSWER_LIMIT_S = 20.0
 _ROUNDING = 1e-9
 
 
@@ -60,6 +61,7 @@
         self._numbers = itertools.count(1)
         self._replicas_by_id = {}
         self._asked_at_by_id = {}
+        self._unanswered = set()
         self._desired = None
         self._ahead = None
 
@@ -84,6 +86,7 @@
         replica = self._replicas_by_id.get(report.vm_id)
         if replica is None:
             return
+        self._unanswered.discard(report.vm_id)
         was_waiting = replica.is_waiting
         is_taken = replica.take(report, self._fencing)
         if is_taken and replica.is_waiting and not was_waiting:
@@ -91,6 +94,7 @@
 
     def missed(self, vm_id):
         """Note that an agent gave no answer."""
+        self._unanswered.discard(vm_id)
         if vm_id in self._replicas_by_id:
             self._replicas_by_id[vm_id].missed()
 
@@ -136,6 +140,7 @@
             if self._is_status_due(vm_id, now, is_settled)
         ]
         self._asked_at_by_id.update(dict.fromkeys(due, now))
+        self._unanswered.update(due)
         return {
             vm_id: self._order(messages.Kind.STATUS, "", 0, 0) for vm_id in due
         }
@@ -144,6 +149,8 @@
         asked_at = self._asked_at_by_id.get(vm_id)
         if asked_at is None:
             return True
+        if vm_id in self._unanswered and now - asked_at < ANSWER_LIMIT_S:
+            return False
         replica = self._replicas_by_id[vm_id]
         is_quiet = is_settled or self._waits_only(replica)
         period_s = STATUS_PERIOD_S if is_quiet else UNSETTLED_STATUS_PERIOD_S
