--- a/packages/bench/anvilwell_bench/slopes/acts/membership.py
+++ b/packages/bench/anvilwell_bench/slopes/acts/membership.py
@@ -1,94 +1,140 @@
-"""Membership as each daemon keeps it."""
+"""Membership in one daemon, as the fleet grows."""
 
 import random
 
 from anvilwell_bench.slopes import act
-from anvilwell_decisions.membership import node
+from anvilwell_decisions.membership import node as nodes
+from anvilwell_kernel.messages import codec
 from anvilwell_kernel.messages import membership as messages
 
-TICKS = 50
-CHANGES = 100
-TICK_S = 0.1
+FRAMES = codec.Codec(messages.KINDS)
+SIZES = (100, 400, 1600, 6000)
 DOMAINS = 13
-_SIZES = (100, 400, 850, 3000)
+TICK_S = 0.1
+QUIET_S = 20.0
+SETTLE_S = 10.0
+DELTAS = 50
 
 
 def _member(number, incarnation=1):
     return messages.Member(
-        f"vm-{number:05d}",
-        f"10.0.{number // 250}.{number % 250}:7000",
-        f"domain-{number % DOMAINS:02d}",
-        "agent",
-        "service",
-        messages.State.LIVE,
-        incarnation,
+        vm_id=f"vm-{number:05d}",
+        address=f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:7300",
+        failure_domain=f"domain-{number % DOMAINS}",
+        role="agent",
+        service="planner-lm",
+        state=messages.State.LIVE,
+        incarnation=incarnation,
     )
 
 
 def _node(size):
-    """Return a node that knows `size` members, and its time."""
-    one = node.Node(_member(0), random.Random(1))
+    """Return a node that knows `size` members."""
+    node = nodes.Node(_member(0), random.Random(size))
     members = [_member(number) for number in range(1, size)]
-    one.receive(0.0, "vm-00001", messages.Difference([], members, False))
-    return one
+    node.receive(0.0, "vm-00001", messages.Difference([], members, False))
+    return node
 
 
-class NodeBytes(act.Act):
-    """Memory of the table, the rings and the queues."""
+class _Life:
+    """Runs one node whose neighbours answer, in virtual time."""
 
-    name = "membership.node.bytes"
-    act = "keep the fleet's members"
-    grows_with = "members"
-    unit = "bytes"
-    sizes = _SIZES
+    def __init__(self, size):
+        self.node = _node(size)
+        self.now = 0.0
+        self.news = 0
+        self._settle()
 
-    def measure(self, size):
-        """Return the bytes kept, the members' records included."""
-        return act.retained_bytes(lambda: _node(size))
+    def run(self, seconds):
+        """Go on for `seconds`; return the bytes sent and received."""
+        return sum(self._tick() for _ in range(round(seconds / TICK_S)))
 
+    def _settle(self):
+        """Run until what the node learned has been passed on."""
+        before = -1
+        while self.news != before:
+            before = self.news
+            self.run(SETTLE_S)
 
-class TickCpu(act.Act):
-    """CPU of one tick, with its share of heartbeats and their acks."""
+    def _tick(self):
+        self.now += TICK_S
+        return sum(map(self._carry, _sends(self.node.tick(self.now))))
 
-    name = "membership.tick.cpu"
-    act = "one tick of ten a second"
-    grows_with = "members"
-    unit = "us"
-    sizes = _SIZES
+    def _carry(self, sent):
+        size = len(FRAMES.encode(sent.message))
+        if not isinstance(sent.message, messages.Heartbeat):
+            return size
+        self.news += len(sent.message.members)
+        ack = messages.Ack(sent.message.number, [])
+        self.node.receive(self.now, sent.vm_id, ack)
+        return size + len(FRAMES.encode(ack))
+
+
+def _sends(actions):
+    return [one for one in actions if isinstance(one, nodes.Send)]
+
+
+class QuietBytes(act.Act):
+    """Bytes a second that a node's own heartbeats cause."""
+
+    name = "membership.quiet.bytes"
+    act = "heartbeats, their answers and digests that a node starts"
+    grows_with = "daemons"
+    unit = "bytes/s"
+    sizes = SIZES
 
     def measure(self, size):
-        """Return the microseconds of a tick."""
-        one = _node(size)
-        state = iter(range(1_000_000))
+        """Return bytes a second, in and out together."""
+        return _Life(size).run(QUIET_S) / QUIET_S
 
-        def tick():
-            now = next(state) * TICK_S
-            for action in one.tick(now):
-                answer = getattr(action, "message", None)
-                if isinstance(answer, messages.Heartbeat):
-                    ack = messages.Ack(answer.number, [])
-                    one.receive(now, action.vm_id, ack)
 
-        return act.cpu_us(tick, TICKS)
+class QuietCpu(act.Act):
+    """CPU that a node's ticks and heartbeats take."""
+
+    name = "membership.quiet.cpu"
+    act = "ticks, heartbeats and answers of one second"
+    grows_with = "daemons"
+    unit = "us/s"
+    sizes = SIZES
+
+    def measure(self, size):
+        """Return CPU microseconds for each second."""
+        life = _Life(size)
+        return act.cpu_us(lambda: life.run(QUIET_S), 1) / QUIET_S
 
 
 class ChangeCpu(act.Act):
-    """CPU of taking in one newer record and queueing the news of it."""
+    """CPU to take in one changed member and pass it on."""
 
     name = "membership.change.cpu"
-    act = "one change of a member's record"
-    grows_with = "members"
+    act = "take in one changed member"
+    grows_with = "daemons"
     unit = "us"
-    sizes = _SIZES
+    sizes = SIZES
 
     def measure(self, size):
-        """Return the microseconds of a change."""
-        one = _node(size)
+        """Return CPU microseconds for one change."""
+        node = _node(size)
         numbers = iter(range(2, 1_000_000))
 
         def change():
-            incarnation = next(numbers)
-            member = _member(1 + incarnation % (size - 1), incarnation)
-            one.receive(0.0, "vm-00001", messages.Heartbeat(1, [member]))
+            number = next(numbers)
+            member = _member(number % (size - 2) + 2, incarnation=number)
+            heartbeat = messages.Heartbeat(number, [member])
+            node.receive(0.0, "vm-00001", heartbeat)
+
+        return act.cpu_us(change, DELTAS)
+
 
-        return act.cpu_us(change, CHANGES)
+class MemberBytes(act.Act):
+    """Memory that a node keeps for the members it knows."""
+
+    name = "membership.table.bytes"
+    act = "memory of the member table, rings and news"
+    grows_with = "daemons"
+    unit = "bytes"
+    sizes = SIZES
+
+    def measure(self, size):
+        """Return retained bytes."""
+        return act.retained_bytes(lambda: _node(size))
--- a/packages/daemon/anvilwell_daemon/process/data_path.py
+++ b/packages/daemon/anvilwell_daemon/process/data_path.py
@@ -56,11 +56,12 @@
         lowest=min(_LOWEST_LIMIT, section.capacity),
         highest=section.capacity,
     )
-    admissions = admission.Admission(
-        admission.AdmissionSettings(bounds=bounds)
-    )
     return agents.Agent(
-        hello(settings), _backend(section), admissions, _CLOCK, backend_lock
+        hello(settings),
+        _backend(section),
+        admission.Admission(admission.AdmissionSettings(bounds=bounds)),
+        _CLOCK,
+        backend_lock,
     )
 
 
