Submit a step before the trainer tells its version

Cause: a run is known by its first step; the trainer told its version first, got 404 and never began, seen with the real entries. Change: it submits, then tells the version, also after a crash.

--- a/packages/standins/anvilwell_standins/programs/trainer.py
+++ b/packages/standins/anvilwell_standins/programs/trainer.py
@@ -83,7 +83,7 @@
         """
         began = time.monotonic()
         self._deadline = began + self._plan.limit_s
-        self._announce(self._state.version)
+        self._begin()
         while self._state.step < self._plan.steps:
             self._train_step(self._state.step)
         # The last collect acknowledges what was delivered before it.
@@ -97,6 +97,12 @@
             len(self._crashed),
         )
 
+    def _begin(self):
+        """Make the run known by its step, then tell the version."""
+        if self._state.step < self._plan.steps:
+            self._submit(self._state.step)
+            self._announce(self._state.version)
+
     def _train_step(self, step):
         until = min(step + self._plan.ahead, self._plan.steps - 1)
         for wanted in range(step, until + 1):
@@ -202,8 +208,7 @@
         """Forget what was not kept, as if started again."""
         self._submitted.clear()
         self._state = self._checkpoint.load()
-        self._announce(self._state.version)
-        self._submit(self._state.step)
+        self._begin()
 
     def _advance(self):
         version = self._state.version + 1
--- a/packages/standins/tests/programs/test_trainer.py
+++ b/packages/standins/tests/programs/test_trainer.py
@@ -80,6 +80,8 @@
         return web.json_response(body)
 
     def _version(self, request, run):
+        if not self.steps:
+            raise exceptions.NotFound("submit a step first")
         self.versions.append(json.loads(request.get_data())["version"])
         return web.json_response({})
 
