--- a/packages/daemon/anvilwell_daemon/entry/handlers.py
+++ b/packages/daemon/anvilwell_daemon/entry/handlers.py
@@ -29,7 +29,6 @@
 MAX_KEY_CHARS = 256
 PREFIX_CHARS = 256
 DRAIN_POLL_S = 0.02
-DRAIN_GRACE_S = 1.0
 ANY_METHOD = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
 _LOG = logs.get_logger(__name__)
@@ -56,17 +55,14 @@
     ----------
     max_streams : int
         Requests under way at a time; more are refused.
-    drain_grace_s : float
-        Seconds between "not ready" and the first refusal.
     """
 
     name = "callers"
-    needs = ("web", "dispatcher", "configuration", "traces")
+    # Not the web server: it opens once the routes are there.
+    needs = ("dispatcher", "configuration", "traces")
 
-    def __init__(self, max_streams, drain_grace_s=DRAIN_GRACE_S):
+    def __init__(self, max_streams):
         self._max_streams = max_streams
-        self._drain_grace_s = drain_grace_s
-        self._refusing = False
         self._lock = threading.Lock()
         self._in_flight = set()
         self._draining = False
@@ -94,13 +90,8 @@
             server.route(rule, self._pass, ANY_METHOD)
 
     async def drain(self):
-        """Refuse new requests after a grace; wait for those under way.
-
-        In the grace the balancer sees that the entry is not ready.
-        """
+        """Refuse new requests; wait for those under way."""
         self._draining = True
-        await asyncio.sleep(self._drain_grace_s)
-        self._refusing = True
         while self.in_flight:
             await asyncio.sleep(DRAIN_POLL_S)
 
@@ -134,7 +125,7 @@
         return response
 
     def _enter(self, request_id):
-        if self._refusing:
+        if self._draining:
             raise exceptions.Refused(
                 "this entry is shutting down",
                 reason=reasons.Refusal.DRAINING,
