--- a/packages/bench/anvilwell_bench/virtual/fleet.py
+++ b/packages/bench/anvilwell_bench/virtual/fleet.py
@@ -147,7 +147,7 @@
     def ask(self, asked, on_answer):
         """Dispatch a request; ``on_answer(answer)`` ends it."""
         self.first_attempts += 1
-        self._deciding.first_attempt()
+        self._deciding.first_attempt(asked.facts.priority)
         self._attempt(asked, 1, on_answer)
 
     def report(self, report):
@@ -209,6 +209,7 @@
                 number,
                 asked.deadline - now,
                 retry_after_s=answer.retry_after_s,
+                priority=asked.facts.priority,
             )
         )
         if decision.action is retries.Action.GIVE_UP:
--- a/packages/daemon/anvilwell_daemon/entry/budgets.py
+++ b/packages/daemon/anvilwell_daemon/entry/budgets.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from anvilwell_decisions.requests import facts
 from anvilwell_decisions.requests import retries
 from anvilwell_kernel import exceptions
 
@@ -56,10 +57,10 @@
         super().__init__(rng, settings)
         self._lock = threading.Lock()
 
-    def first_attempt(self):
-        """Count a first attempt."""
+    def first_attempt(self, priority=facts.Priority.LIVE):
+        """Count a first attempt of a class."""
         with self._lock:
-            super().first_attempt()
+            super().first_attempt(priority)
 
     def decide(self, failure):
         """Return the `retries.Decision` that follows a failure."""
--- a/packages/daemon/anvilwell_daemon/entry/dispatcher.py
+++ b/packages/daemon/anvilwell_daemon/entry/dispatcher.py
@@ -9,6 +9,7 @@
 from anvilwell_daemon.entry import pace
 from anvilwell_daemon.entry import relay as relays
 from anvilwell_daemon.links import mailbox as mailboxes
+from anvilwell_decisions.requests import facts
 from anvilwell_kernel import services
 
 
@@ -183,7 +184,8 @@
         return await AsyncAnswer(relay).open()
 
     def _begin(self, call):
-        self._budgets.of_service(call.service).first_attempt()
+        priority = facts.Priority(call.priority)
+        self._budgets.of_service(call.service).first_attempt(priority)
 
 
 def _next_step(steps, event):
--- a/packages/daemon/anvilwell_daemon/entry/relay.py
+++ b/packages/daemon/anvilwell_daemon/entry/relay.py
@@ -213,6 +213,7 @@
             # A model's text can go on elsewhere, checked by its digest.
             answered=self._has_head and not self._call.is_model,
             retry_after_s=error.retry_after,
+            priority=facts.Priority(self._call.priority),
         )
 
     def _note(self, error, decision):
--- a/packages/decisions/anvilwell_decisions/requests/retries.py
+++ b/packages/decisions/anvilwell_decisions/requests/retries.py
@@ -3,6 +3,7 @@
 import enum
 import typing
 
+from anvilwell_decisions.requests import facts
 from anvilwell_kernel import reasons
 from anvilwell_kernel import verdict as verdicts
 
@@ -28,6 +29,7 @@
     time_left_s: float
     answered: bool = False
     retry_after_s: float | None = None
+    priority: facts.Priority = facts.Priority.LIVE
 
 
 class Decision(typing.NamedTuple):
@@ -106,32 +108,43 @@
 
 
 class Retries:
-    """Decides on retries and hedges of one service at one entry."""
+    """Decides on retries and hedges of one service at one entry.
+
+    Each class has its own budget, so that training that is turned away
+    does not use up what live needs.
+    """
 
     def __init__(self, rng, settings=None):
         self._rng = rng
         self._settings = settings or RetrySettings()
-        self._budget = Budget(self._settings.share, self._settings.burst)
+        self._budgets_by_priority = {
+            priority: Budget(self._settings.share, self._settings.burst)
+            for priority in facts.Priority
+        }
 
-    def first_attempt(self):
-        """Count a first attempt; it earns a share of a retry."""
-        self._budget.earn()
+    def first_attempt(self, priority=facts.Priority.LIVE):
+        """Count a first attempt; it earns its class a share of a retry."""
+        self._budgets_by_priority[priority].earn()
 
     def decide(self, failure):
         """Return the `Decision` that follows a `Failure`."""
         if not self._is_allowed(failure):
             return GIVE_UP
         delay_s = self._delay_s(failure)
-        if delay_s >= failure.time_left_s or not self._budget.spend():
+        budget = self._budgets_by_priority[failure.priority]
+        if delay_s >= failure.time_left_s or not budget.spend():
             return GIVE_UP
         reason = _RETRIES_BY_REASON.get(
             failure.reason, reasons.Retry.REFUSED_NOT_RUN
         )
         return Decision(Action.RETRY, delay_s, reason)
 
-    def may_hedge(self, idempotent, answered=False):
+    def may_hedge(
+        self, idempotent, answered=False, priority=facts.Priority.LIVE
+    ):
         """Return whether a second attempt may run beside the first."""
-        return idempotent and not answered and self._budget.spend()
+        budget = self._budgets_by_priority[priority]
+        return idempotent and not answered and budget.spend()
 
     def _is_allowed(self, failure):
         return (
--- a/packages/decisions/tests/requests/test_retries.py
+++ b/packages/decisions/tests/requests/test_retries.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from anvilwell_decisions.requests import facts
 from anvilwell_decisions.requests import retries
 from anvilwell_decisions.requests import verdicts as table
 from anvilwell_kernel import reasons
@@ -99,6 +100,15 @@
     assert deciding.decide(_failure()) is retries.GIVE_UP
 
 
+def test_training_does_not_use_up_the_retries_of_live():
+    deciding = _retries(share=0.0, burst=1)
+    training = facts.Priority.TRAINING
+    retry = retries.Action.RETRY
+    assert deciding.decide(_failure(priority=training)).action is retry
+    assert deciding.decide(_failure(priority=training)) is retries.GIVE_UP
+    assert deciding.decide(_failure()).action is retry
+
+
 def test_non_idempotent_requests_are_never_hedged():
     assert not _retries().may_hedge(False)
 
