Learn each class's service time apart

Cause: live requests were refused as late because training's long requests set the expected service time for both. Change: the expected service time is learned for each class; a test.

--- a/packages/decisions/anvilwell_decisions/requests/admission.py
+++ b/packages/decisions/anvilwell_decisions/requests/admission.py
@@ -78,6 +78,7 @@
         self._expiries = []
         self._live_running = 0
         self._service_s = None
+        self._service_s_by_priority = {}
         self._unit_s = None
         self._is_draining = False
 
@@ -135,6 +136,10 @@
         wanted = self.in_flight + self.queued
         self._limit.observe(latency_s, done, wanted)
         self._service_s = _smooth(self._service_s, latency_s)
+        of_class = self._service_s_by_priority
+        of_class[ticket.priority] = _smooth(
+            of_class.get(ticket.priority), latency_s
+        )
         self._unit_s = _smooth(self._unit_s, latency_s / done)
         return self._release(ticket, now)
 
@@ -232,7 +237,7 @@
     def _expected_s(self, ticket):
         if ticket.work and self._unit_s is not None:
             return ticket.work * self._unit_s
-        return self._service_s or 0.0
+        return self._service_s_by_priority.get(ticket.priority, 0.0)
 
     def _wait_s(self, priority):
         """Estimate how long a new ticket of a class would wait."""
--- a/packages/decisions/tests/requests/test_admission.py
+++ b/packages/decisions/tests/requests/test_admission.py
@@ -249,3 +249,13 @@
     refused, admitted = gate.finished("t0", 9.0, 9.0)
     assert refused.reason is reasons.Refusal.DEADLINE
     assert admitted == admission.Admit("training")
+
+
+def test_long_training_does_not_make_live_seem_slow():
+    gate = admission.Admission(SETTINGS)
+    for number in range(20):
+        name = f"t{number}"
+        gate.offer(_ticket(name, TRAINING, 1000.0), 0.0)
+        gate.finished(name, 60.0, 60.0)
+    answer = gate.offer(_ticket("live", deadline=65.0), 60.0)
+    assert answer == admission.Admit("live")
