Forget finished steps and trim the log

Cause: bytes of samples and chunks of the log were kept for ever, so a full store would have stopped the run. Change: a step that is acknowledged whole is forgotten but for the last; a base says what came before the first chunk that counts. Conclusion: memory and log are bounded by two steps of each run.

--- a/packages/daemon/anvilwell_daemon/runs/holder.py
+++ b/packages/daemon/anvilwell_daemon/runs/holder.py
@@ -88,6 +88,7 @@
             actions.Replicate: self._replicate,
             actions.Fetch: self._fetch,
             actions.Discard: self._discard,
+            actions.Trim: self._trim,
             actions.Dropped: self._count_dropped,
             actions.StepDown: self._step_down,
             schedule.Start: self._start,
@@ -127,11 +128,11 @@
 
     async def _open_run(self, run, weight):
         log = run_log.RunLog(run, self._parts.keyvalue)
-        chunks_by_number = await log.read()
+        chunks_by_number, base = await log.read()
         self._logs_by_run[run] = log
         self._carry(
             self._coordinator.open_run(
-                run, weight, chunks_by_number, self._now()
+                run, weight, chunks_by_number, self._now(), base
             )
         )
         ledger = self._coordinator.ledgers_by_run[run]
@@ -360,7 +361,20 @@
         self._feed(run, event, action.position)
 
     def _discard(self, run, action):
-        self._parts.store.discard(str(action.sample), action.digest)
+        self._spawn(
+            self._parts.copies.discard(
+                str(action.sample), action.digest, action.holders
+            )
+        )
+
+    def _trim(self, run, action):
+        self._spawn(self._trim_log(run, action))
+
+    async def _trim_log(self, run, action):
+        try:
+            await self._logs_by_run[run].trim(action.base)
+        except exceptions.KeyValueUnavailable:
+            counters.count_retry(reasons.Retry.KEY_VALUE, self.service)
 
     def _count_dropped(self, run, action):
         counters.count_refusal(action.reason, self.service)
--- a/packages/decisions/anvilwell_decisions/samples/actions.py
+++ b/packages/decisions/anvilwell_decisions/samples/actions.py
@@ -59,10 +59,17 @@
 
 
 class Discard(typing.NamedTuple):
-    """Bytes that nobody will ask for again."""
+    """Bytes that nobody will ask for again; ``holders`` have copies."""
 
     sample: identity.SampleId
     digest: str
+    holders: tuple[str, ...] = ()
+
+
+class Trim(typing.NamedTuple):
+    """Write ``base``, then delete the chunks that come before it."""
+
+    base: records.Base
 
 
 class Dropped(typing.NamedTuple):
--- a/packages/decisions/anvilwell_decisions/samples/coordinator.py
+++ b/packages/decisions/anvilwell_decisions/samples/coordinator.py
@@ -40,7 +40,7 @@
         self.schedule = schedules.Schedule(bound, policy)
         self.ledgers_by_run = {}
 
-    def open_run(self, run, weight, chunks_by_number, now):
+    def open_run(self, run, weight, chunks_by_number, now, base=None):
         """Take over a run with what its log holds."""
         ledger = ledgers.Ledger(
             run,
@@ -51,7 +51,7 @@
         )
         self.ledgers_by_run[run] = ledger
         self.schedule.add_run(run, weight)
-        found = ledger.recover(chunks_by_number, now)
+        found = ledger.recover(chunks_by_number, now, base)
         for step in ledger.open_steps():
             self._learn(step)
         return self._address(run, found)
@@ -173,6 +173,9 @@
             match action:
                 case actions.Generate():
                     self._add(action.sample)
+                case actions.Trim():
+                    self._forget(run, action.base.through)
+                    kept.append(action)
                 case actions.Settled():
                     kept.extend(self._settle(action.sample))
                 case _:
@@ -180,6 +183,12 @@
         self._tell_needs(run, waiting=self.schedule.trainer_waits(run))
         return [*(Addressed(run, a) for a in kept), *self._starts()]
 
+    def _forget(self, run, through):
+        gone = [i for i in self._groups_by_id if i[0] == run]
+        for group_id in [i for i in gone if i[1] <= through]:
+            del self._groups_by_id[group_id]
+            self.schedule.remove_step(*group_id[:2])
+
     def _settle(self, sample):
         cancels = self.schedule.settle(sample)
         for cancel in cancels:
--- a/packages/decisions/anvilwell_decisions/samples/delivery.py
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -1,6 +1,7 @@
 """Positions of a run's samples, and what a cursor may collect."""
 
 import enum
+import itertools
 import typing
 
 import sortedcontainers
@@ -69,6 +70,11 @@
         self._open_steps = sortedcontainers.SortedSet()
         self._last_by_step = {}
 
+    @property
+    def first(self):
+        """The first position that is kept."""
+        return self._first
+
     @property
     def end(self):
         """The first position that is not recorded."""
@@ -138,6 +144,51 @@
         """Note that the bytes of `position` are here."""
         self._slot(position).bytes = Bytes.HERE
 
+    def is_done_with(self, position):
+        """Return whether `position` is given up or before all kept."""
+        return position < self._first or self._slot(position).voided
+
+    def skip(self):
+        """Give a choice that is done with its position."""
+        slot = _Slot(None, Bytes.LOST)
+        slot.voided = True
+        self._slots.append(slot)
+
+    def finished(self, keep):
+        """Return the last step that may be forgotten, 0 if none.
+
+        ``keep`` finished steps stay, for a trainer that comes back at
+        an older cursor.
+        """
+        finished = []
+        for step in sorted(self._missing_by_step):
+            last = self._last_by_step.get(step, self.end)
+            if self._missing_by_step[step] or last >= self.acknowledged:
+                break
+            finished.append(step)
+        return finished[-keep - 1] if len(finished) > keep else 0
+
+    def forget(self, through):
+        """Forget all steps up to `through`; return their choices."""
+        done = [
+            slot
+            for slot in self._slots
+            if not slot.voided and slot.choice.sample.step <= through
+        ]
+        for slot in done:
+            slot.voided = True
+        for step in [s for s in self._missing_by_step if s <= through]:
+            del self._missing_by_step[step]
+            self._last_by_step.pop(step, None)
+        ahead = itertools.takewhile(
+            lambda slot: slot.voided,
+            self._slots[: self.acknowledged - self._first],
+        )
+        gone = len(list(ahead))
+        del self._slots[:gone]
+        self._first += gone
+        return [slot.choice for slot in done]
+
     def bytes_lost(self, position):
         """Note that the bytes of `position` are nowhere."""
         self._slot(position).bytes = Bytes.LOST
--- a/packages/decisions/anvilwell_decisions/samples/ledger.py
+++ b/packages/decisions/anvilwell_decisions/samples/ledger.py
@@ -12,6 +12,7 @@
 from anvilwell_decisions.samples import delivery
 from anvilwell_decisions.samples import identity
 from anvilwell_decisions.samples import records
+from anvilwell_decisions.samples import retention
 from anvilwell_decisions.samples import staleness
 from anvilwell_decisions.samples import versions
 from anvilwell_kernel import exceptions
@@ -90,6 +91,7 @@
         self._steps_by_number = {}
         self._writing_steps = {}
         self._retries = {}
+        self._retention = retention.Retention()
         self.delivery = delivery.Delivery(bound)
 
     @property
@@ -97,17 +99,25 @@
         """Entries not yet known to be written."""
         return self._log.held
 
-    def recover(self, chunks_by_number, now):
+    def recover(self, chunks_by_number, now, base=None):
         """Take over what earlier holders wrote, and fence them.
 
         Parameters
         ----------
         chunks_by_number : dict of int to tuple
             Every chunk that is kept, as entries.
+        base : records.Base, optional
+            What came before them.
         """
-        for number in sorted(chunks_by_number):
+        if base is not None:
+            self._start_at(base)
+        first = base.chunk if base else 0
+        for number in sorted(n for n in chunks_by_number if n >= first):
             for entry in chunks_by_number[number]:
                 self._replay(entry)
+            self._retention.written(
+                number, chunks_by_number[number], self.delivery.end
+            )
             self._log.number = number + 1
         self._log.append(records.Takeover(self.holder, self.fencing), now)
         return self._log.write(now, at_once=True)
@@ -122,33 +132,45 @@
 
     def _replay(self, entry):
         match entry:
-            case records.Base():
-                self.delivery.start_at(entry.position)
-                self._steps_by_number.update(dict.fromkeys(entry.steps))
             case records.StepAccepted():
-                self._add_step(entry.step)
+                if entry.step.step > self._retention.through:
+                    self._add_step(entry.step)
             case records.Choice():
+                if entry.sample.step <= self._retention.through:
+                    self.delivery.skip()
+                    return
                 sample = self._samples_by_id[entry.sample]
                 sample.phase = Phase.RECORDED
                 sample.position = self.delivery.recovered(entry)
             case records.Void():
-                self._void(entry)
+                if not self.delivery.is_done_with(entry.position):
+                    self._void(entry)
             case records.TrainerVersion():
                 self._take_version(entry.version)
                 self.recorded_version = entry.version
 
     def open_steps(self):
         """Return the steps whose content is kept."""
-        return [s for s in self._steps_by_number.values() if s is not None]
+        return list(self._steps_by_number.values())
 
     def has_step(self, number):
         """Return whether a step is accepted."""
-        return number in self._steps_by_number
+        return (
+            number <= self._retention.through
+            or number in self._steps_by_number
+        )
 
     def needed_step(self):
         """Return the first step that is not whole; 0 before any."""
         return self.delivery.first_open_step()
 
+    def _start_at(self, base):
+        self.delivery.start_at(base.position)
+        self._retention.through = base.through
+        if base.version:
+            self._take_version(base.version)
+            self.recorded_version = base.version
+
     def submit(self, step, now):
         """Take a step from the trainer.
 
@@ -164,6 +186,8 @@
         """
         self._check_active()
         identity.check_step(step)
+        if step.step <= self._retention.through:
+            return [actions.Accepted(step.step)]
         if step.step in self._steps_by_number:
             _check_same(self._steps_by_number[step.step], step)
             return [actions.Accepted(step.step)]
@@ -259,11 +283,10 @@
 
     def written(self, number, now):
         """Note that chunk `number` was written."""
-        found = [
-            action
-            for entry in self._log.landed(number)
-            for action in self._recorded(entry)
-        ]
+        entries = self._log.landed(number)
+        found = [a for entry in entries for a in self._recorded(entry)]
+        if entries:
+            self._retention.written(number, entries, self.delivery.end)
         return [*found, *self._log.write(now)]
 
     def write_unknown(self, now):
@@ -307,7 +330,7 @@
         self._check_active()
         batch = self.delivery.collect(cursor, limit)
         written = self._write_voids(batch.voids, now)
-        return batch._replace(actions=tuple(written))
+        return batch._replace(actions=(*written, *self._forget()))
 
     def bytes_found(self, position):
         """Note that the bytes of `position` are here."""
@@ -319,6 +342,22 @@
         self.delivery.bytes_lost(position)
         return [actions.Deliverable(self.delivery.end)]
 
+    def _forget(self):
+        through = self.delivery.finished(retention.KEPT_STEPS)
+        if through <= self._retention.through:
+            return []
+        for number in [n for n in self._steps_by_number if n <= through]:
+            step = self._steps_by_number.pop(number)
+            for sample_id in step.sample_ids():
+                del self._samples_by_id[sample_id]
+        discards = [
+            actions.Discard(choice.sample, choice.digest, choice.holders)
+            for choice in self.delivery.forget(through)
+        ]
+        version = self.recorded_version or ""
+        first = self.delivery.first
+        return [*discards, *self._retention.trim(through, first, version)]
+
     def _write_voids(self, voids, now):
         for void in voids:
             self._log.append(void, now)
@@ -410,7 +449,7 @@
 
 
 def _check_same(accepted, step):
-    if accepted is not None and accepted != step:
+    if accepted != step:
         raise exceptions.Conflict(
             f"step {step.step} of run {step.run} was submitted with other "
             "content; a step never changes, so submit a new number"
--- a/packages/decisions/anvilwell_decisions/samples/records.py
+++ b/packages/decisions/anvilwell_decisions/samples/records.py
@@ -47,10 +47,17 @@
 
 
 class Base(typing.NamedTuple):
-    """What came before the first chunk that is kept."""
+    """What came before the first chunk that is kept.
 
+    ``chunk`` is the number of the first chunk that counts and
+    ``position`` that of its first choice. All steps up to ``through``
+    are done with. ``version`` is the trainer's, "" if it told none.
+    """
+
+    chunk: int
     position: int
-    steps: tuple[int, ...]
+    through: int
+    version: str
 
 
 KINDS = (Takeover, StepAccepted, Choice, Void, TrainerVersion, Base)
--- a/packages/decisions/tests/samples/test_ledger.py
+++ b/packages/decisions/tests/samples/test_ledger.py
@@ -24,12 +24,12 @@
 class Run:
     """A ledger whose writes land when told to."""
 
-    def __init__(self, log=None, bound=1, fencing=1, scored=False):
+    def __init__(self, log=None, bound=1, fencing=1, scored=False, base=None):
         self.log = {} if log is None else log
         self.ledger = ledgers.Ledger(
             "r", f"e{fencing}", fencing, bound=bound, scored=scored
         )
-        self.land(self.ledger.recover(dict(self.log), 0.0))
+        self.land(self.ledger.recover(dict(self.log), 0.0, base))
 
     def land(self, found):
         """Write every chunk asked for; return the other actions."""
@@ -56,7 +56,7 @@
 
     def collect(self, cursor, limit=10):
         batch = self.ledger.collect(cursor, limit, 0.0)
-        self.land(batch.actions)
+        self.others = self.land(batch.actions)
         return batch
 
 
@@ -242,3 +242,47 @@
     run.ledger.scored(FIRST, "d", 0.5, 0.5)
     run.land(run.ledger.replicated(FIRST, "d", ["a", "b"], 0.5))
     assert run.land(run.ledger.tick(9.0)) == [actions.Deliverable(1)]
+
+
+def do_steps(run, numbers):
+    """Let `run` do whole steps; return the last collect's actions."""
+    cursor = run.ledger.delivery.end
+    for number in numbers:
+        step = STEP._replace(step=number)
+        run.land(run.ledger.submit(step, 0.0))
+        for sample_id in step.sample_ids():
+            run.finish(sample_id, result(str(sample_id)))
+            run.land(run.ledger.bytes_found(cursor))
+            cursor += 1
+        run.collect(cursor)
+    return run.others
+
+
+def test_finished_steps_are_forgotten_but_the_last():
+    run = Run()
+    found = do_steps(run, [1, 2, 3])
+    discarded = [a.sample for a in found if isinstance(a, actions.Discard)]
+    assert [sample.step for sample in discarded] == [2, 2]
+    assert run.ledger.submit(STEP, 0.0) == [actions.Accepted(1)]
+    with pytest.raises(exceptions.BadRequest):
+        run.collect(0)
+    assert len(run.collect(4).choices) == 2
+
+
+def test_recovery_from_a_trimmed_log_keeps_positions():
+    old = Run()
+    old.land(old.ledger.trainer_version("8", 0.0))
+    (trim,) = (
+        action
+        for action in do_steps(old, [1, 2, 3])
+        if isinstance(action, actions.Trim)
+    )
+    kept = {n: c for n, c in old.log.items() if n >= trim.base.chunk}
+    assert len(kept) < len(old.log)
+    for log in (kept, dict(old.log)):
+        new = Run(log, fencing=2, base=trim.base)
+        assert new.ledger.delivery.end == 6
+        assert new.ledger.recorded_version == "8"
+        assert new.ledger.has_step(1)
+        new.ledger.bytes_found(4)
+        assert new.collect(4, limit=1).choices[0].sample.step == 3
