--- /dev/null
+++ b/packages/decisions/tests/samples/test_ledger_machine.py
@@ -0,0 +1,138 @@
+"""A ledger in any order of events, against a plain model of a trainer."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import identity
+from anvilwell_decisions.samples import ledger as ledgers
+
+BOUND = 1
+SAMPLES = 3
+
+
+class LedgerMachine(stateful.RuleBasedStateMachine):
+    """Holders come and go; the trainer must see each sample once."""
+
+    def __init__(self):
+        super().__init__()
+        self.log = {}
+        self.now = 0.0
+        self.fencing = 0
+        self.results = 0
+        self.steps = 0
+        self.version = 1
+        self.cursor = 0
+        self.taken = {}
+        self.digests_by_position = {}
+        self.waiting = []
+        self.old = None
+        self.ledger = None
+        self.take_over()
+
+    @stateful.rule()
+    def take_over(self):
+        """Another process takes over; the old one may still write."""
+        self.old, self.fencing = self.ledger, self.fencing + 1
+        self.ledger = ledgers.Ledger(
+            "r", f"e{self.fencing}", self.fencing, bound=BOUND
+        )
+        self.waiting = []
+        self.carry(self.ledger, self.ledger.recover(dict(self.log), self.now))
+
+    @stateful.rule()
+    def old_holder_writes(self):
+        if self.old is not None:
+            self.carry(self.old, self.old.tick(self.now + 100))
+
+    @stateful.rule()
+    def submit(self):
+        if self.steps < 3:
+            self.steps += 1
+            group = identity.Group("g", "p", SAMPLES, 8)
+            step = identity.Step("r", self.steps, "lm", (group,))
+            self.carry(self.ledger, self.ledger.submit(step, self.now))
+
+    @stateful.rule(
+        step=st.integers(1, 3),
+        index=st.integers(0, SAMPLES - 1),
+        age=st.integers(0, 2),
+    )
+    def result(self, step, index, age):
+        """An attempt ends, wanted or not, fresh or not."""
+        self.results += 1
+        sample = identity.SampleId("r", step, "g", index)
+        version = str(max(1, self.version - age))
+        outcome = ledgers.Result(f"d{self.results}", 4, (version,))
+        found = self.ledger.result(sample, outcome, self.now)
+        self.carry(self.ledger, found)
+
+    @stateful.rule(copies=st.booleans())
+    def copied(self, copies):
+        """The oldest copy under way ends, well or badly."""
+        if not self.waiting:
+            return
+        ask = self.waiting.pop(0)
+        if copies:
+            found = self.ledger.replicated(
+                ask.sample, ask.digest, ("a", "b"), self.now
+            )
+            self.carry(self.ledger, found)
+        else:
+            self.ledger.not_done(ask.sample, ask.digest, self.now)
+
+    @stateful.rule()
+    def time_passes(self):
+        self.now += 1.0
+        self.carry(self.ledger, self.ledger.tick(self.now))
+
+    @stateful.rule()
+    def new_version(self):
+        self.version += 1
+        found = self.ledger.trainer_version(str(self.version), self.now)
+        self.carry(self.ledger, found)
+
+    @stateful.rule(limit=st.integers(1, 4), answer=st.booleans())
+    def collect(self, limit, answer):
+        """The trainer collects at its cursor; the answer may be lost."""
+        batch = self.ledger.collect(self.cursor, limit, self.now)
+        self.carry(self.ledger, batch.actions)
+        for position, choice in zip(
+            batch.positions, batch.choices, strict=True
+        ):
+            digest = self.digests_by_position.setdefault(
+                position, choice.digest
+            )
+            assert digest == choice.digest
+            assert self.version - int(choice.versions[0]) <= BOUND
+            if answer:
+                assert choice.sample not in self.taken
+                self.taken[choice.sample] = choice.digest
+        if answer:
+            self.cursor = batch.next_cursor
+
+    def carry(self, ledger, found):
+        """Carry actions out; every write and fetch succeeds at once."""
+        todo = list(found)
+        while todo:
+            action = todo.pop(0)
+            match action:
+                case actions.WriteChunk():
+                    todo += self.write(ledger, action)
+                case actions.Fetch():
+                    todo += ledger.bytes_found(action.position)
+                case actions.Replicate() if ledger is self.ledger:
+                    self.waiting.append(action)
+
+    def write(self, ledger, chunk):
+        there = self.log.setdefault(chunk.number, chunk.entries)
+        if there == chunk.entries:
+            return ledger.written(chunk.number, self.now)
+        return ledger.write_conflict(chunk.number, there, self.now)
+
+
+LedgerMachine.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=40
+)
+TestLedger = LedgerMachine.TestCase
