--- a/packages/decisions/anvilwell_decisions/samples/delivery.py
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -137,12 +137,14 @@
 
     def is_fetching(self, position):
         """Return whether the bytes of `position` are being fetched."""
-        slot = self._slot(position)
-        return slot.bytes is Bytes.FETCHING and not slot.voided
+        if self.is_done_with(position):
+            return False
+        return self._slot(position).bytes is Bytes.FETCHING
 
     def bytes_found(self, position):
         """Note that the bytes of `position` are here."""
-        self._slot(position).bytes = Bytes.HERE
+        if not self.is_done_with(position):
+            self._slot(position).bytes = Bytes.HERE
 
     def is_done_with(self, position):
         """Return whether `position` is given up or before all kept."""
@@ -191,7 +193,8 @@
 
     def bytes_lost(self, position):
         """Note that the bytes of `position` are nowhere."""
-        self._slot(position).bytes = Bytes.LOST
+        if not self.is_done_with(position):
+            self._slot(position).bytes = Bytes.LOST
 
     def overdue(self):
         """Return voids of positions never sent that grew too old."""
--- a/packages/decisions/anvilwell_decisions/samples/ledger.py
+++ b/packages/decisions/anvilwell_decisions/samples/ledger.py
@@ -143,8 +143,7 @@
                 sample.phase = Phase.RECORDED
                 sample.position = self.delivery.recovered(entry)
             case records.Void():
-                if not self.delivery.is_done_with(entry.position):
-                    self._void(entry)
+                self._void(entry)
             case records.TrainerVersion():
                 self._take_version(entry.version)
                 self.recorded_version = entry.version
@@ -388,6 +387,8 @@
         return self._unfinished()
 
     def _void(self, void):
+        if self.delivery.is_done_with(void.position):
+            return []
         choice = self.delivery.voided(void.position)
         sample = self._samples_by_id[choice.sample]
         discard = actions.Discard(choice.sample, choice.digest)
--- a/packages/decisions/tests/samples/test_ledger.py
+++ b/packages/decisions/tests/samples/test_ledger.py
@@ -266,6 +266,9 @@
     assert run.ledger.submit(STEP, 0.0) == [actions.Accepted(1)]
     with pytest.raises(exceptions.BadRequest):
         run.collect(0)
+    # Bytes may be found, or not, when nobody needs them any more.
+    run.ledger.bytes_lost(0)
+    run.ledger.bytes_found(1)
     assert len(run.collect(4).choices) == 2
 
 
--- a/packages/decisions/tests/samples/test_ledger_machine.py
+++ b/packages/decisions/tests/samples/test_ledger_machine.py
@@ -9,7 +9,7 @@
 from anvilwell_decisions.samples import ledger as ledgers
 
 BOUND = 1
-SAMPLES = 3
+SAMPLES = 2
 
 
 class LedgerMachine(stateful.RuleBasedStateMachine):
@@ -48,39 +48,43 @@
 
     @stateful.rule()
     def submit(self):
-        if self.steps < 3:
+        if self.steps < 2:
             self.steps += 1
             group = identity.Group("g", "p", SAMPLES, 8)
             step = identity.Step("r", self.steps, "lm", (group,))
             self.carry(self.ledger, self.ledger.submit(step, self.now))
 
     @stateful.rule(
-        step=st.integers(1, 3),
+        data=st.data(),
         index=st.integers(0, SAMPLES - 1),
         age=st.integers(0, 2),
     )
-    def result(self, step, index, age):
+    def result(self, data, index, age):
         """An attempt ends, wanted or not, fresh or not."""
+        if not self.steps:
+            return
         self.results += 1
+        step = data.draw(st.integers(1, self.steps))
         sample = identity.SampleId("r", step, "g", index)
         version = str(max(1, self.version - age))
         outcome = ledgers.Result(f"d{self.results}", 4, (version,))
         found = self.ledger.result(sample, outcome, self.now)
         self.carry(self.ledger, found)
 
-    @stateful.rule(copies=st.booleans())
-    def copied(self, copies):
-        """The oldest copy under way ends, well or badly."""
-        if not self.waiting:
-            return
-        ask = self.waiting.pop(0)
-        if copies:
+    @stateful.rule(well=st.booleans())
+    def copied(self, well):
+        """The copies under way end, well or badly; time passes."""
+        asks, self.waiting = self.waiting, []
+        for ask in asks:
+            if not well:
+                self.ledger.not_done(ask.sample, ask.digest, self.now)
+                continue
+            holders = ("a", "b")
             found = self.ledger.replicated(
-                ask.sample, ask.digest, ("a", "b"), self.now
+                ask.sample, ask.digest, holders, self.now
             )
             self.carry(self.ledger, found)
-        else:
-            self.ledger.not_done(ask.sample, ask.digest, self.now)
+        self.time_passes()
 
     @stateful.rule()
     def time_passes(self):
@@ -133,6 +137,6 @@
 
 
 LedgerMachine.TestCase.settings = hypothesis.settings(
-    max_examples=60, stateful_step_count=40
+    max_examples=120, stateful_step_count=60
 )
 TestLedger = LedgerMachine.TestCase
