--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,7 +13,7 @@
 RECORDS=$RUN/records
 ENGINES=${ENGINES:-6}
 PLAINS=${PLAINS:-3}
-STEPS=${STEPS:-4}
+STEPS=${STEPS:-5}
 STEP_LIMIT_S=${STEP_LIMIT_S:-60}
 LEFTOVERS=0
 FAILED=0
@@ -67,6 +67,10 @@
     [ "$(collected_steps)" -ge "$1" ] || ! is_alive trainer
 }
 
+has_ended() {
+    ! is_alive "$1"
+}
+
 wait_for_steps() {
     wait_for "$STEP_LIMIT_S" "$1 whole steps" steps_whole "$1"
     [ "$(collected_steps)" -ge "$1" ] ||
@@ -190,6 +194,7 @@
 note leave server=engine-2
 wait_for_steps "$STEPS"
 say "all $STEPS steps are whole"
+wait_for 30 "the trainer's end" has_ended trainer
 
 stop caller
 [ "$CODE" -eq 0 ] || FAILED=1
@@ -206,6 +211,10 @@
 load --metrics="$RUN/metrics" summary "$RECORDS"
 "$PYTHON" -m anvilwell_bench.audit "$RECORDS" \
     --parties="caller,stranger,trainer,operator,prober,engine-1,plain-1" || FAILED=1
+if ! grep -q '"kind":"swap"' "$RECORDS"/engine-*.jsonl; then
+    echo "no engine changed its weights" >&2
+    FAILED=1
+fi
 if ((FAILED || LEFTOVERS)); then
     fail "failed: $LEFTOVERS leftovers; logs are in $RUN/logs"
 fi
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -59,14 +59,11 @@
 
 # wait_for LIMIT_S WHAT COMMAND...: until the command succeeds.
 wait_for() {
-    local limit_s=$1 what=$2 waited=0
+    local limit_s=$1 what=$2 end=$((SECONDS + $1))
     shift 2
     until "$@" >/dev/null 2>&1; do
+        ((SECONDS < end)) || fail "$what not reached in ${limit_s} s"
         sleep 0.1
-        waited=$((waited + 1))
-        if ((waited >= limit_s * 10)); then
-            fail "$what not reached in ${limit_s} s"
-        fi
     done
 }
 
