Accept connections in order in the raw server of a test

Cause: test_call_on_a_connection_closed_meanwhile_is_never_repeated failed in 1 of 3 runs: two threads accepted, so the scripts could swap. Change: one thread accepts, each connection is answered on its own. Conclusion: the fault was the test's, not the client's.

--- a/packages/platform/tests/adapters/test_http_client.py
+++ b/packages/platform/tests/adapters/test_http_client.py
@@ -19,16 +19,16 @@
 
 
 class RawServer:
-    """Gives each connection its script of answers, then closes it."""
+    """Gives each connection in turn its script, then closes it."""
 
     def __init__(self, *scripts):
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._held = []
         self.calls = 0
-        for script in scripts:
-            threading.Thread(
-                target=self._serve, args=(script,), daemon=True
-            ).start()
+        self._start(self._accept, scripts)
+
+    def _start(self, target, argument):
+        threading.Thread(target=target, args=(argument,), daemon=True).start()
 
     @property
     def address(self):
@@ -42,10 +42,16 @@
             held.close()
         self._listener.close()
 
-    def _serve(self, script):
+    def _accept(self, scripts):
+        with contextlib.suppress(OSError):
+            for script in scripts:
+                connection, _ = self._listener.accept()
+                self._held.append(connection)
+                self._start(self._answer, (connection, script))
+
+    def _answer(self, work):
+        connection, script = work
         with contextlib.suppress(OSError):
-            connection, _ = self._listener.accept()
-            self._held.append(connection)
             for answer in script:
                 if not connection.recv(1 << 16):
                     break
