Keep the long run's example as a test

Change: the example is a named test in steps that floats hold exactly. Conclusion: rounding in the test world, no fault of the protocol.

--- a/packages/decisions/tests/configuration/test_scenarios.py
+++ b/packages/decisions/tests/configuration/test_scenarios.py
@@ -276,3 +276,22 @@
 
 def _read():
     return (yield flows.ReadRecords(""))
+
+
+def test_members_and_sponsored_stop_by_the_bound_after_a_landing():
+    """The shrunk example of a long run of the state machine."""
+    world = make_world()
+    world.store.is_up = False
+    starting = world.nodes_by_id["b1"]
+    starting.start()
+    world.flush()
+    world.advance(worlds.STEP_S)
+    world.flush()
+    assert world.generation_served(starting) == 1
+    world.store.is_up = True
+    propose(world, "a1", "second")
+    deliver_until(world, lambda: 2 in world.landed_at_by_generation)
+    world.wire.clear()
+    world.advance(worlds.BOUNDS.fence_s)
+    world.check()
+    assert set(served_by_id(world).values()) <= {None, 2}
