Take a step as needed only once its trainer asks for it

Cause: the knob had no effect: the next step counted as needed as soon as the one before was whole, so nothing was ever early. Change: a trainer that got a step whole needs the next one when it collects again; tests.

--- a/packages/bench/anvilwell_bench/commands/samples.py
+++ b/packages/bench/anvilwell_bench/commands/samples.py
@@ -26,12 +26,22 @@
 
 flags.DEFINE_integer("seeds", 2, "Seeds to average over, from --seed on.")
 flags.DEFINE_integer("steps", 10, "Steps of each run.")
+flags.DEFINE_list(
+    "deployments",
+    [deployment.name for deployment in workload.DEPLOYMENTS],
+    "Deployments to measure.",
+)
 
 
 def samples(args):
     """Print every table; return an exit status."""
     breaches = 0
-    for deployment in workload.DEPLOYMENTS:
+    chosen = [
+        deployment
+        for deployment in workload.DEPLOYMENTS
+        if deployment.name in _FLAGS.deployments
+    ]
+    for deployment in chosen:
         breaches += _compare(deployment)
         _sweep(deployment)
         _ablate(deployment)
--- a/packages/decisions/anvilwell_decisions/samples/coordinator.py
+++ b/packages/decisions/anvilwell_decisions/samples/coordinator.py
@@ -37,6 +37,8 @@
         self._bound = bound
         self._scored = scored
         self._groups_by_id = {}
+        self._got_by_run = {}
+        self._done_by_run = {}
         self.schedule = schedules.Schedule(bound, policy)
         self.ledgers_by_run = {}
 
@@ -114,7 +116,7 @@
     def collect(self, run, cursor, limit, now, *, waiting=False):
         """Return the batch at `cursor`; its actions are addressed."""
         batch = self.ledgers_by_run[run].collect(cursor, limit, now)
-        self._tell_needs(run, waiting=waiting)
+        self._note_need(run, batch, waiting)
         return batch._replace(actions=tuple(self._address(run, batch.actions)))
 
     def tick(self, now):
@@ -151,11 +153,25 @@
     def _add(self, sample):
         self.schedule.add(sample, self.group(sample))
 
+    def _note_need(self, run, batch, waiting):
+        """Learn from a collect which step the trainer waits for.
+
+        A trainer that just got the last sample of a step trains on it;
+        it needs the next one only when it collects again.
+        """
+        got = batch.steps_whole[-1] if batch.steps_whole else 0
+        if got > self._got_by_run.get(run, 0):
+            self._got_by_run[run] = got
+            self._tell_needs(run, waiting=False)
+            return
+        self._done_by_run[run] = got
+        self._tell_needs(run, waiting=waiting)
+
     def _tell_needs(self, run, *, waiting):
         ledger = self.ledgers_by_run[run]
         self.schedule.need(
             run,
-            ledger.needed_step(),
+            ledger.delivery.step_after(self._done_by_run.get(run, 0)),
             ledger.delivery.trainer_version,
             waiting=waiting,
         )
--- a/packages/decisions/anvilwell_decisions/samples/delivery.py
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -4,8 +4,6 @@
 import itertools
 import typing
 
-import sortedcontainers
-
 from anvilwell_decisions.samples import actions
 from anvilwell_decisions.samples import records
 from anvilwell_decisions.samples import staleness
@@ -67,7 +65,6 @@
         self._sent_end = 0
         self._held_back = None
         self._missing_by_step = {}
-        self._open_steps = sortedcontainers.SortedSet()
         self._last_by_step = {}
 
     @property
@@ -85,11 +82,10 @@
         """How many samples of accepted steps are not recorded."""
         return sum(self._missing_by_step.values())
 
-    def first_open_step(self):
-        """Return the first step with samples missing, or the next one."""
-        if self._open_steps:
-            return self._open_steps[0]
-        return max(self._missing_by_step, default=0)
+    def step_after(self, step):
+        """Return the next known step, the last one if there is none."""
+        later = (known for known in self._missing_by_step if known > step)
+        return min(later, default=max(self._missing_by_step, default=0))
 
     def start_at(self, position):
         """Begin at `position`; all before are acknowledged and gone."""
@@ -99,7 +95,6 @@
     def expect(self, step, samples):
         """Note that `step` has `samples` samples to come."""
         self._missing_by_step[step] = samples
-        self._open_steps.add(step)
 
     def recorded(self, choice, where=Bytes.HERE):
         """Give `choice` the next position and return it."""
@@ -107,8 +102,6 @@
         self._slots.append(_Slot(choice, where))
         step = choice.sample.step
         self._missing_by_step[step] -= 1
-        if not self._missing_by_step[step]:
-            self._open_steps.discard(step)
         self._last_by_step[step] = position
         return position
 
@@ -124,7 +117,6 @@
         if not slot.voided:
             slot.voided = True
             self._missing_by_step[slot.choice.sample.step] += 1
-            self._open_steps.add(slot.choice.sample.step)
         return slot.choice
 
     def fetches(self):
--- a/packages/decisions/anvilwell_decisions/samples/ledger.py
+++ b/packages/decisions/anvilwell_decisions/samples/ledger.py
@@ -159,10 +159,6 @@
             or number in self._steps_by_number
         )
 
-    def needed_step(self):
-        """Return the first step that is not whole; 0 before any."""
-        return self.delivery.first_open_step()
-
     def _start_at(self, base):
         self.delivery.start_at(base.position)
         self._retention.through = base.through
--- /dev/null
+++ b/packages/decisions/tests/samples/test_coordinator.py
@@ -0,0 +1,87 @@
+"""The coordinator: which step a trainer needs, and early work."""
+
+from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import coordinator as coordinators
+from anvilwell_decisions.samples import identity
+from anvilwell_decisions.samples import ledger as ledgers
+from anvilwell_decisions.samples import schedule
+
+GROUP = identity.Group("g", "p", 2, 8)
+
+
+class Service:
+    """A coordinator whose writes and copies succeed at once."""
+
+    def __init__(self, early_share):
+        policy = schedule.Policy(early_share=early_share)
+        self.coordinator = coordinators.Coordinator(
+            "a", 1, bound=1, policy=policy
+        )
+        self.started = []
+        self.coordinator.replica("e", 8, 1)
+        self.carry(self.coordinator.open_run("r", 1.0, {}, 0.0))
+
+    def carry(self, addressed):
+        todo = list(addressed)
+        while todo:
+            run, action = todo.pop(0)
+            ledger = self.coordinator.ledgers_by_run[run]
+            event, args = None, ()
+            match action:
+                case actions.WriteChunk():
+                    event, args = ledger.written, (action.number, 0.0)
+                case actions.Replicate():
+                    event = ledger.replicated
+                    args = (action.sample, action.digest, ("a",), 0.0)
+                case schedule.Start():
+                    self.started.append(action)
+            if event:
+                todo += self.coordinator.on_ledger(run, event, *args)
+
+    def submit(self, number):
+        step = identity.Step("r", number, "lm", (GROUP,))
+        self.carry(self.coordinator.submit(step, 0.0))
+
+    def end_all(self):
+        starts, self.started = self.started, []
+        for start in starts:
+            result = ledgers.Result(str(start.attempt), 4, ("1",))
+            self.carry(self.coordinator.result(start.attempt, result, 0.0))
+        self.carry(self.coordinator.tick(9.0))
+
+    def collect(self, cursor):
+        batch = self.coordinator.collect("r", cursor, 9, 9.0, waiting=True)
+        self.carry(batch.actions)
+        return batch.next_cursor
+
+    def steps_started(self):
+        return [start.sample.step for start in self.started]
+
+
+def test_the_next_step_waits_until_the_trainer_asks_for_it():
+    service = Service(early_share=0.0)
+    service.submit(1)
+    service.submit(2)
+    assert service.steps_started() == [1, 1]
+    service.end_all()
+    cursor = service.collect(0)
+    assert service.steps_started() == []
+    service.collect(cursor)
+    assert service.steps_started() == [2, 2]
+
+
+def test_a_step_submitted_after_the_trainer_asked_starts_at_once():
+    service = Service(early_share=0.0)
+    service.submit(1)
+    service.end_all()
+    cursor = service.collect(0)
+    service.collect(cursor)
+    service.submit(2)
+    assert service.steps_started() == [2, 2]
+
+
+def test_the_early_share_of_the_next_step_starts_before():
+    service = Service(early_share=0.5)
+    service.submit(1)
+    service.submit(2)
+    assert service.steps_started() == [1, 1, 2]
