--- a/packages/daemon/anvilwell_daemon/process/runner.py
+++ b/packages/daemon/anvilwell_daemon/process/runner.py
@@ -9,6 +9,7 @@
 from anvilwell_kernel.telemetry import logs
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT)
+ENTRY_GRACE_S = 1.0
 EXIT_NOT_DRAINED = os.EX_TEMPFAIL
 
 _LOG = logs.get_logger(__name__)
@@ -35,7 +36,9 @@
     try:
         kernel = factories.build(settings)
         await kernel.start()
-        return await serve(kernel, signals, settings.daemon.drain_limit_s)
+        grace_s = ENTRY_GRACE_S if settings.is_entry else 0.0
+        limit_s = settings.daemon.drain_limit_s
+        return await serve(kernel, signals, limit_s, grace_s)
     except exceptions.AnvilwellError as error:
         _LOG.log("cannot-start", cause=error.message)
         return os.EX_CONFIG
@@ -47,7 +50,7 @@
             await kernel.stop()
 
 
-async def serve(kernel, signals, drain_limit_s):
+async def serve(kernel, signals, drain_limit_s, grace_s=0.0):
     """Wait for a signal, then drain; return an exit code.
 
     Parameters
@@ -58,11 +61,14 @@
         Gets an item for each signal; the second ends the drain.
     drain_limit_s : float
         Longest drain.
+    grace_s : float
+        Time between "not ready" and the first refusal, in which a
+        balancer can look elsewhere.
     """
     _LOG.log("started")
     await signals.get()
     _LOG.log("draining", in_flight=kernel.in_flight())
-    drain = asyncio.create_task(kernel.drain())
+    drain = asyncio.create_task(_drain(kernel, grace_s))
     second = asyncio.create_task(signals.get())
     await asyncio.wait(
         (drain, second),
@@ -78,3 +84,9 @@
     await asyncio.gather(drain, return_exceptions=True)
     _LOG.log("not-drained", in_flight=kernel.in_flight())
     return EXIT_NOT_DRAINED
+
+
+async def _drain(kernel, grace_s):
+    kernel.is_draining = True
+    await asyncio.sleep(grace_s)
+    await kernel.drain()
--- a/packages/decisions/anvilwell_decisions/requests/admission.py
+++ b/packages/decisions/anvilwell_decisions/requests/admission.py
@@ -78,6 +78,7 @@
         self._expiries = []
         self._live_running = 0
         self._service_s = None
+        self._service_s_by_priority = {}
         self._unit_s = None
         self._is_draining = False
 
@@ -96,6 +97,15 @@
         """Requests that wait, of both classes."""
         return sum(len(q) for q in self._queued_by_priority.values())
 
+    @property
+    def settings(self):
+        """The `AdmissionSettings` in force."""
+        return self._settings
+
+    def configure(self, settings):
+        """Take new settings; what is learned and what runs stays."""
+        self._settings = settings
+
     def offer(self, ticket, now):
         """Return `Admit`, `Queue` or `Refuse` for a new ticket."""
         queue = self._queued_by_priority[ticket.priority]
@@ -135,6 +145,10 @@
         wanted = self.in_flight + self.queued
         self._limit.observe(latency_s, done, wanted)
         self._service_s = _smooth(self._service_s, latency_s)
+        of_class = self._service_s_by_priority
+        of_class[ticket.priority] = _smooth(
+            of_class.get(ticket.priority), latency_s
+        )
         self._unit_s = _smooth(self._unit_s, latency_s / done)
         return self._release(ticket, now)
 
@@ -232,7 +246,7 @@
     def _expected_s(self, ticket):
         if ticket.work and self._unit_s is not None:
             return ticket.work * self._unit_s
-        return self._service_s or 0.0
+        return self._service_s_by_priority.get(ticket.priority, 0.0)
 
     def _wait_s(self, priority):
         """Estimate how long a new ticket of a class would wait."""
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,7 +13,7 @@
 RECORDS=$RUN/records
 ENGINES=${ENGINES:-6}
 PLAINS=${PLAINS:-3}
-STEPS=${STEPS:-4}
+STEPS=${STEPS:-5}
 STEP_LIMIT_S=${STEP_LIMIT_S:-60}
 LEFTOVERS=0
 FAILED=0
@@ -62,8 +62,19 @@
     "$PYTHON" -m anvilwell_bench.load whole_steps "$RECORDS"
 }
 
+# steps_whole N: whether N steps are whole, or the trainer has failed.
 steps_whole() {
-    [ "$(collected_steps)" -ge "$1" ]
+    [ "$(collected_steps)" -ge "$1" ] || ! is_alive trainer
+}
+
+has_ended() {
+    ! is_alive "$1"
+}
+
+wait_for_steps() {
+    wait_for "$STEP_LIMIT_S" "$1 whole steps" steps_whole "$1"
+    [ "$(collected_steps)" -ge "$1" ] ||
+        fail "the trainer ended: $(tail -n 1 "$RUN/logs/trainer.err")"
 }
 
 start_standins() {
@@ -169,7 +180,7 @@
     --weight-store "$(address_of weightstore)" --train-ms 1500 \
     --service planner-lm --run autumn --steps "$STEPS"
 
-wait_for "$STEP_LIMIT_S" "step 1" steps_whole 1
+wait_for_steps 1
 say "step 1 is whole; killing engine-3"
 note kill process=engine-3
 crash engine-3
@@ -177,12 +188,13 @@
 apply stops-app ""
 say "stopping entry-2 while callers stream"
 shut_down entry-2
-wait_for "$STEP_LIMIT_S" "step 2" steps_whole 2
+wait_for_steps 2
 say "step 2 is whole; draining planner-agent-2"
 operate drain planner-agent-2 >"$RUN/logs/drain.out"
 note leave server=engine-2
-wait_for $((STEP_LIMIT_S * 2)) "the last step" steps_whole "$STEPS"
+wait_for_steps "$STEPS"
 say "all $STEPS steps are whole"
+wait_for 30 "the trainer's end" has_ended trainer
 
 stop caller
 [ "$CODE" -eq 0 ] || FAILED=1
@@ -199,6 +211,10 @@
 load --metrics="$RUN/metrics" summary "$RECORDS"
 "$PYTHON" -m anvilwell_bench.audit "$RECORDS" \
     --parties="caller,stranger,trainer,operator,prober,engine-1,plain-1" || FAILED=1
+if ! grep -q '"kind":"swap"' "$RECORDS"/engine-*.jsonl; then
+    echo "no engine changed its weights" >&2
+    FAILED=1
+fi
 if ((FAILED || LEFTOVERS)); then
     fail "failed: $LEFTOVERS leftovers; logs are in $RUN/logs"
 fi
