Count step 0 as a step that is not finished yet

Cause: a new ledger held all steps up to 0 for finished, so a first step numbered 0 was accepted and never made. The demo found it: 16 samples asked for, none delivered. Change: NO_STEP comes before every step. A test submits step 0, collects it and recovers it; it failed before.

--- a/packages/decisions/anvilwell_decisions/samples/delivery.py
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -5,6 +5,7 @@
 import typing
 
 from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import identity
 from anvilwell_decisions.samples import records
 from anvilwell_decisions.samples import staleness
 from anvilwell_kernel import exceptions
@@ -149,7 +150,7 @@
         self._slots.append(slot)
 
     def finished(self, keep):
-        """Return the last step that may be forgotten, 0 if none.
+        """Return the last step that may be forgotten, or ``NO_STEP``.
 
         ``keep`` finished steps stay, for a trainer that comes back at
         an older cursor.
@@ -160,7 +161,9 @@
             if self._missing_by_step[step] or last >= self.acknowledged:
                 break
             finished.append(step)
-        return finished[-keep - 1] if len(finished) > keep else 0
+        if len(finished) <= keep:
+            return identity.NO_STEP
+        return finished[-keep - 1]
 
     def forget(self, through):
         """Forget all steps up to `through`; return their choices."""
--- a/packages/decisions/anvilwell_decisions/samples/identity.py
+++ b/packages/decisions/anvilwell_decisions/samples/identity.py
@@ -5,6 +5,9 @@
 
 from anvilwell_kernel import exceptions
 
+# Comes before every step; steps count from 0.
+NO_STEP = -1
+
 
 class SampleId(typing.NamedTuple):
     """Names one sample for ever, whatever attempts it takes."""
--- a/packages/decisions/anvilwell_decisions/samples/retention.py
+++ b/packages/decisions/anvilwell_decisions/samples/retention.py
@@ -4,6 +4,7 @@
 import typing
 
 from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import identity
 from anvilwell_decisions.samples import records
 
 KEPT_STEPS = 1
@@ -25,7 +26,7 @@
     """
 
     def __init__(self):
-        self.through = 0
+        self.through = identity.NO_STEP
         self._chunks = collections.deque()
 
     def written(self, number, entries, end):
@@ -35,7 +36,9 @@
             for entry in entries
             if isinstance(entry, records.StepAccepted)
         ]
-        self._chunks.append(_Chunk(number, end, max(steps, default=0)))
+        self._chunks.append(
+            _Chunk(number, end, max(steps, default=identity.NO_STEP))
+        )
 
     def trim(self, through, first, version):
         """Return a ``Trim``, in a list, if chunks can go.
--- a/packages/decisions/tests/samples/test_ledger.py
+++ b/packages/decisions/tests/samples/test_ledger.py
@@ -70,6 +70,18 @@
         run.ledger.submit(other, 0.0)
 
 
+def test_step_0_is_a_step_like_any_other():
+    run = Run()
+    first = STEP._replace(step=0)
+    found = run.land(run.ledger.submit(first, 0.0))
+    assert kinds(found) == [actions.Accepted] + [actions.Generate] * 2
+    for sample_id in first.sample_ids():
+        run.finish(sample_id, result())
+    assert run.collect(0).steps_whole == (0,)
+    again = Run(log=run.log, fencing=2)
+    assert again.ledger.open_steps() == [first]
+
+
 def test_first_result_counts_and_the_second_is_dropped():
     run = Run()
     run.land(run.ledger.submit(STEP, 0.0))
