--- a/packages/bench/tests/sessions/test_sessions.py
+++ b/packages/bench/tests/sessions/test_sessions.py
@@ -1,12 +1,22 @@
 import json
 import threading
 
+from anvilwell_bench.audit.promises import exactly_once
+from anvilwell_bench.audit.promises import own_answer
+from anvilwell_bench.audit.promises import staleness
+from anvilwell_bench.audit.promises import versions
+import configuring
 import deployment as deployments
 import pytest
+import training
 import transcript as transcripts
 
-PLANNER = deployments.render("planner-lm.ini", VERSION="1")
-STOPS = deployments.render("stops-app.ini", QUEUE="64")
+TRAINING_PROMISES = (
+    versions.VersionsTrue(),
+    staleness.StalenessBound(),
+    exactly_once.ExactlyOnce(),
+    own_answer.OwnWholeAnswer(),
+)
 RAN = ("start", "token", "finish")
 
 
@@ -22,29 +32,6 @@
     return transcripts.Transcript()
 
 
-def put(deployment, service, text, change_id, generation):
-    entry = deployment.entries[0]
-    query = f"change_id={change_id}&expected_generation={generation}"
-    url = f"{entry.admin_url}/admin/services/{service}?{query}"
-    return deployment.http.request("PUT", url, body=text, timeout=60)
-
-
-def configure(deployment):
-    for service, text in (("planner-lm", PLANNER), ("stops-app", STOPS)):
-        answer = put(deployment, service, text, f"first-{service}", 0)
-        assert answer.json()["outcome"] == "in-force", answer.data
-    entry = deployment.entries[0]
-    deployments.wait_until(lambda: has_replicas(deployment, entry))
-
-
-def has_replicas(deployment, entry):
-    url = f"{entry.admin_url}/admin/versions/planner-lm"
-    found = deployment.http.request("GET", url).json()["replicas"]
-    return len(found) == len(deployment.engines) and all(
-        one["version"] for one in found
-    )
-
-
 def stream(deployment, prompt, max_tokens=6):
     body = {
         "model": "planner-lm",
@@ -75,7 +62,7 @@
 
 
 def test_live_stream(deployment, script, snapshot):
-    configure(deployment)
+    configuring.configure(deployment)
     note_stream(script, stream(deployment, "a route to Kamnik"))
     engine = busy_engine(deployment)
     deployments.wait_until(lambda: engine.record.lines("finish"))
@@ -83,8 +70,28 @@
     assert script.text() == snapshot
 
 
+def test_normal_step(deployment, script, snapshot):
+    configuring.configure(deployment)
+    kept = training.train(deployment)
+    for kind in ("submit", "version"):
+        for line in kept.lines(kind):
+            script.note("trainer", kind, **without(line, "at", "who", "kind"))
+    for sample in training.samples(kept):
+        # Which sample comes first is a matter of timing.
+        script.note("trainer", "sample", **without(sample, "position"))
+    records = training.records(kept, deployment.engines)
+    for promise in TRAINING_PROMISES:
+        assert promise.check(records) == []
+        script.note("auditor", promise.name, seen=promise.evidence(records))
+    assert script.text() == snapshot
+
+
+def without(fields, *names):
+    return {k: v for k, v in fields.items() if k not in names}
+
+
 def test_non_idempotent_call(deployment, script, snapshot):
-    configure(deployment)
+    configuring.configure(deployment)
     url = deployment.entries[0].url + "/services/stops-app/notices"
     for _ in range(2):
         answer = deployment.http.request(
@@ -100,16 +107,22 @@
 
 
 def test_configuration_change(deployment, script, snapshot):
-    configure(deployment)
-    changed = STOPS.replace("max_queue = 64", "max_queue = 32")
+    configuring.configure(deployment)
+    changed = configuring.STOPS.replace("max_queue = 64", "max_queue = 32")
     asked = (
         ("second", 1, changed),
         ("second", 1, changed),
-        ("rival", 1, STOPS),
-        ("broken", 2, STOPS.replace("kind = plain", "kind = other")),
+        ("rival", 1, configuring.STOPS),
+        (
+            "broken",
+            2,
+            configuring.STOPS.replace("kind = plain", "kind = other"),
+        ),
     )
     for change_id, generation, text in asked:
-        answer = put(deployment, "stops-app", text, change_id, generation)
+        answer = configuring.put(
+            deployment, "stops-app", text, change_id, generation
+        )
         script.note("operator", change_id, answer=answer.json())
         script.note_answer("operator", answer)
     for entry in deployment.entries:
@@ -120,7 +133,7 @@
 
 
 def test_graceful_shutdown(deployment, script, snapshot):
-    configure(deployment)
+    configuring.configure(deployment)
     response = stream(deployment, "a long route", max_tokens=400)
     events = transcripts.events(response)
     first = next(events)
@@ -142,7 +155,7 @@
 
 
 def test_engine_crash(deployment, script, snapshot):
-    configure(deployment)
+    configuring.configure(deployment)
     response = stream(deployment, "a route to Menges", max_tokens=100)
     events = transcripts.events(response)
     first = next(events)
