Cut streams that begin while a stand-in closes

Cause: a stream that began between the cut of the others and the end of the listener was never cut, so the process did not end: seen in the demo as a leftover, engine-1 (did not end in 10 s). Change: such streams are cut too, at a close and at an outage; the trainer names the entry that failed it. Conclusion: a closing stand-in ends; one test closes it under streams.

--- a/packages/standins/anvilwell_standins/base/server.py
+++ b/packages/standins/anvilwell_standins/base/server.py
@@ -139,8 +139,11 @@
         return self._epoch
 
     def check_epoch(self, epoch):
-        """Cut the caller's stream if there was an outage since `epoch`."""
-        if epoch != self._epoch:
+        """Cut the caller's stream if there was an outage since `epoch`.
+
+        One that began while the listener was being closed is cut too.
+        """
+        if epoch != self._epoch or self._is_down or self.stopped.is_set():
             raise dropped()
 
     def cut_streams(self):
--- a/packages/standins/anvilwell_standins/engine/server.py
+++ b/packages/standins/anvilwell_standins/engine/server.py
@@ -102,6 +102,7 @@
 
     def close(self):
         """Cut all streams and stop."""
+        self.stopped.set()
         self._report.stop()
         self._batch.stop()
         super().close()
--- a/packages/standins/anvilwell_standins/programs/trainer.py
+++ b/packages/standins/anvilwell_standins/programs/trainer.py
@@ -241,8 +241,9 @@
         """Call the entries in turn until one answers 2xx."""
         encoded = None if body is None else json.dumps(body).encode()
         while True:
+            entry = self._entries.take()
             reply = self._entries.call(
-                self._entries.take(),
+                entry,
                 method,
                 path,
                 body=encoded,
@@ -251,11 +252,12 @@
             )
             if 200 <= reply.status < 300:
                 return reply.body
-            self._pause(method, path, reply)
+            call = f"{method} {path} at {entry.name}"
+            self._pause(call, reply)
 
-    def _pause(self, method, path, reply):
+    def _pause(self, call, reply):
         told = reply.body[:300].decode(errors="replace")
-        message = f"{method} {path} answered {reply.status}: {told}"
+        message = f"{call} answered {reply.status}: {told}"
         if reply.status in _HOPELESS:
             raise Failed(message)
         self._check_limit(message)
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -1,5 +1,9 @@
 """The engine stand-in alone."""
 
+import contextlib
+import itertools
+import threading
+
 from anvilwell_standins.base import faults
 from anvilwell_standins.engine import batching
 from anvilwell_standins.engine import cache
@@ -197,3 +201,32 @@
         refused = complete(http, engine, "b")
         assert refused.status == 429
         assert refused.json()["error"]["verdict"] == "not-run"
+
+
+def test_engine_closes_while_streams_keep_coming(http):
+    engine = server.Engine(weights.Weights("planner", "1")).start()
+
+    def keep_asking(name):
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            for number in itertools.count():
+                complete(http, engine, f"{name}-{number}", max_tokens=60000)
+
+    threads = [
+        threading.Thread(target=keep_asking, args=(name,)) for name in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    while not sum(engine._batch.counts()):
+        continue
+    engine.close()
+    for thread in threads:
+        thread.join(timeout=60)
+    assert not any(thread.is_alive() for thread in threads)
+
+
+def test_stream_that_begins_during_the_close_is_cut(engine):
+    epoch = engine.epoch()
+    engine.check_epoch(epoch)
+    engine.stopped.set()
+    with pytest.raises(ConnectionResetError):
+        engine.check_epoch(epoch)
