Wake the readers of streams a few at a time

Cause: the pieces of hundreds of streams arrive together and woke all their threads at once, which then queued for the interpreter's lock. Change: a mailbox's reader is woken while at most two others are on their way; a thread of its own goes through the rest.

--- a/packages/daemon/anvilwell_daemon/links/mailbox.py
+++ b/packages/daemon/anvilwell_daemon/links/mailbox.py
@@ -2,7 +2,13 @@
 
 import abc
 import asyncio
-import queue
+import collections
+import threading
+
+from anvilwell_daemon.links import waker
+
+# One for the process: its threads share one interpreter lock.
+_WAKER = waker.Waker()
 
 
 class Mailbox(abc.ABC):
@@ -18,21 +24,39 @@
 
 
 class ThreadMailbox(Mailbox):
-    """For a reader on a thread of its own."""
+    """For one reader on a thread of its own."""
 
     def __init__(self):
-        self._queue = queue.SimpleQueue()
+        self._events = collections.deque()
+        self._mutex = threading.Lock()
+        self._is_waiting = False
+        self._signal = threading.Lock()
+        self._signal.acquire()
 
     def put(self, event):
         """Add `event`."""
-        self._queue.put(event)
+        with self._mutex:
+            self._events.append(event)
+            is_waiting = self._is_waiting
+            self._is_waiting = False
+        if is_waiting:
+            _WAKER.wake(self._signal)
 
     def get(self, timeout_s):
         """Block until an event is there."""
-        try:
-            return self._queue.get(timeout=max(0.0, timeout_s))
-        except queue.Empty:
-            return None
+        with self._mutex:
+            if self._events:
+                return self._events.popleft()
+            self._is_waiting = True
+        if not self._signal.acquire(timeout=max(0.0, timeout_s)):
+            with self._mutex:
+                if self._is_waiting:
+                    self._is_waiting = False
+                    return None
+            # The signal is on its way and must be answered.
+            self._signal.acquire()
+        _WAKER.awake()
+        return self._events.popleft()
 
 
 class LoopMailbox(Mailbox):
