Restart a rollout leader that failed, and stand down when others should

A leader that ended by an unexpected error was never started again, and an entry went on standing after entries that rank higher had joined. The leader logs its progress when what stands in the way changes.

--- a/packages/daemon/anvilwell_daemon/peers/service.py
+++ b/packages/daemon/anvilwell_daemon/peers/service.py
@@ -23,7 +23,7 @@
 DIAL_TIMEOUT_S = 1.0
 REQUEST_TIMEOUT_S = 2.0
 IDLE_S = 30.0
-MAX_LINKS = 64
+MAX_LINKS = 256
 
 _LOG = logs.get_logger(__name__)
 
--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -58,7 +58,7 @@
 
 
 def _listener(settings, kernel):
-    return listener.Listener(*settings.listener)
+    return listener.Listener.from_config(settings)
 
 
 def _web(settings, kernel):
--- a/packages/daemon/anvilwell_daemon/rollout/leader.py
+++ b/packages/daemon/anvilwell_daemon/rollout/leader.py
@@ -45,9 +45,15 @@
         self._clock = clock
         self._weight_store = weight_store
         self._reconciler = None
+        self._told = None
         self._turns_by_domain = collections.Counter()
         self._batches_by_domain = {}
 
+    @property
+    def leads(self):
+        """Whether it holds the lease."""
+        return self._reconciler is not None
+
     @property
     def progress(self):
         """The `reconciler.Progress`, None while it does not lead."""
@@ -79,6 +85,7 @@
             orders_by_id = self._reconciler.tick(self._clock.monotonic())
             for domain, targets in self._by_domain(orders_by_id).items():
                 self._send(lease, domain, targets)
+            self._tell_progress()
             is_settled = self._reconciler.is_settled
             await asyncio.sleep(SETTLED_TICK_S if is_settled else TICK_S)
 
@@ -103,6 +110,18 @@
                 reconciler.Desired(model.version, generation, model.live_floor)
             )
 
+    def _tell_progress(self):
+        """Log what stands in the way whenever it changes."""
+        progress = self._reconciler.progress()
+        told = (
+            progress.failed,
+            progress.is_blocked,
+            self._reconciler.is_settled,
+        )
+        if told != self._told:
+            self._told = told
+            _LOG.log("progress", service=self._service, **progress._asdict())
+
     def _by_domain(self, orders_by_id):
         targets_by_domain = collections.defaultdict(list)
         for vm_id, order in orders_by_id.items():
--- a/packages/daemon/anvilwell_daemon/rollout/service.py
+++ b/packages/daemon/anvilwell_daemon/rollout/service.py
@@ -9,10 +9,13 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import membership
 from anvilwell_kernel import services
+from anvilwell_kernel.telemetry import logs
 
 CANDIDATES = 2
 TURN_PERIOD_S = 2.0
 
+_LOG = logs.get_logger(__name__)
+
 
 class Rollout(services.Service):
     """Runs a `leader.Leader` for each service that it is a candidate of.
@@ -69,12 +72,29 @@
     async def _take_turns(self):
         while True:
             for service in self._kernel.get("configuration").services():
-                is_running = service in self._tasks_by_service
-                is_candidate = self._is_candidate(service)
-                if is_candidate and not is_running and self._is_model(service):
-                    self._stand(service)
+                self._take_turn(service)
             await asyncio.sleep(TURN_PERIOD_S)
 
+    def _take_turn(self, service):
+        self._forget_ended(service)
+        is_candidate = self._is_candidate(service)
+        if service not in self._tasks_by_service:
+            if is_candidate and self._is_model(service):
+                self._stand(service)
+        elif not is_candidate and not self._leaders_by_service[service].leads:
+            self._tasks_by_service[service].cancel()
+
+    def _forget_ended(self, service):
+        task = self._tasks_by_service.get(service)
+        if task is None or not task.done():
+            return
+        del self._tasks_by_service[service]
+        del self._leaders_by_service[service]
+        if not task.cancelled() and task.exception():
+            _LOG.log(
+                "leader-failed", service=service, error=repr(task.exception())
+            )
+
     def _stand(self, service):
         leader = leaders.Leader(
             service, self._kernel, self._clock, self._weight_store
