--- a/packages/bench/anvilwell_bench/virtual/samples_trainers.py
+++ b/packages/bench/anvilwell_bench/virtual/samples_trainers.py
@@ -1,6 +1,7 @@
 """Fakes of trainers: one that trains, and one that only asks."""
 
 RETRY_S = 1.0
+POLL_S = 5.0
 
 
 class Trainer:
@@ -58,6 +59,12 @@
         if self._step in batch.steps_whole:
             self._whole()
 
+    def _poll(self, step):
+        """Ask again now and then, as a long poll ends."""
+        if self._step == step and self._waits_since is not None:
+            self.look()
+            self._world.driver.after(POLL_S, self._poll, step)
+
     def _take(self, choice):
         oldest = min(map(int, choice.versions))
         age = max(0, self.version - oldest)
@@ -78,7 +85,7 @@
             step = self._world.workload.step(self.run, self._submitted)
             self._world.submit(step)
         self._waits_since = self._world.now
-        self.look()
+        self._poll(self._step)
 
     def _whole(self):
         waited = self._world.now - self._waits_since
