Test the bench; answer not-leader when the lease lapsed

Cause: a lapsed lease answered 409 without a time to come back. Change: 503 not-leader with Retry-After; the test asks for that now and is stricter. The cost bench fails if a sample is not recorded.

--- a/packages/bench/anvilwell_bench/virtual/samples_cost.py
+++ b/packages/bench/anvilwell_bench/virtual/samples_cost.py
@@ -93,6 +93,9 @@
         carrier.carry(coordinator.submit(step, 0.0))
     carrier.end_all()
     elapsed_us = (time.perf_counter() - begun) * 1e6
+    ledgers_by_run = coordinator.ledgers_by_run
+    if any(led.delivery.missing for led in ledgers_by_run.values()):
+        raise RuntimeError("some samples were never recorded")
     return elapsed_us, bytes_replicas, _traced() - before
 
 
--- a/packages/daemon/anvilwell_daemon/runs/holder.py
+++ b/packages/daemon/anvilwell_daemon/runs/holder.py
@@ -219,7 +219,10 @@
         return self._parts.clock.monotonic()
 
     def _check_lease(self):
-        self._lease.check(self._now())
+        try:
+            self._lease.check(self._now())
+        except exceptions.Fenced as error:
+            raise _not_leader(self.service) from error
 
     def _check_recorded(self, done, ledger):
         if ledger.stopped:
--- a/packages/daemon/tests/runs/test_holder.py
+++ b/packages/daemon/tests/runs/test_holder.py
@@ -14,6 +14,7 @@
 from anvilwell_decisions.samples import versions
 from anvilwell_kernel import clock as clocks
 from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
 from anvilwell_platform.ports import keyvalue
 from anvilwell_platform.ports import scorer as scorers
 
@@ -261,8 +262,10 @@
         holder = await world.holder("a", 1)
         await holder.submit(STEP)
         holder.lease.lapsed = True
-        with pytest.raises(exceptions.Fenced):
+        with pytest.raises(exceptions.Refused) as refusal:
             await holder.collect("r", 0, 10, 0)
+        assert refusal.value.reason == reasons.Refusal.NOT_LEADER
+        assert refusal.value.retry_after
 
     run(scenario)
 
