--- /dev/null
+++ b/packages/decisions/tests/requests/test_ejection.py
@@ -0,0 +1,84 @@
+"""Ejection never empties the set."""
+
+import random
+
+from anvilwell_decisions.requests import ejection
+from anvilwell_decisions.requests import facts
+from anvilwell_decisions.requests import routing
+
+FAILED = 3
+
+
+def _policy(replicas=6, **settings):
+    rng = random.Random(1)
+    policy = ejection.OutlierEjection(
+        rng,
+        routing.PowerOfTwo(rng),
+        ejection.EjectionSettings(failures=FAILED, **settings),
+    )
+    for number in range(replicas):
+        policy.replica_up(facts.ReplicaFacts(f"r{number}"), 0.0)
+    return policy
+
+
+def _fail(policy, replica_id, now=0.0, times=FAILED):
+    for _ in range(times):
+        policy.started(replica_id, now)
+        policy.ended(facts.Ended(replica_id, True, 0.1), now)
+
+
+def _chosen(policy, now):
+    request = facts.RequestFacts("q")
+    return {policy.choose(request, now) for _ in range(200)}
+
+
+def test_a_replica_that_fails_in_a_row_is_out_and_comes_back():
+    policy = _policy()
+    _fail(policy, "r0")
+    assert policy.ejected == ["r0"]
+    assert "r0" not in _chosen(policy, 1.0)
+    assert "r0" in _chosen(policy, 2.0)
+
+
+def test_one_success_starts_the_count_again():
+    policy = _policy()
+    _fail(policy, "r0", times=FAILED - 1)
+    policy.ended(facts.Ended("r0", False, 0.1), 0.0)
+    _fail(policy, "r0", times=FAILED - 1)
+    assert policy.ejected == []
+
+
+def test_one_failure_after_the_return_is_enough_and_it_stays_longer():
+    policy = _policy()
+    _fail(policy, "r0")
+    _chosen(policy, 2.0)
+    _fail(policy, "r0", 2.0, times=1)
+    assert "r0" not in _chosen(policy, 5.9)
+    assert "r0" in _chosen(policy, 6.0)
+
+
+def test_the_set_is_never_emptied():
+    policy = _policy()
+    for number in range(6):
+        _fail(policy, f"r{number}")
+    assert len(policy.ejected) == 2
+    alone = _policy(1)
+    _fail(alone, "r0")
+    assert _chosen(alone, 0.0) == {"r0"}
+
+
+def test_a_request_that_only_an_ejected_replica_can_take_gets_it():
+    policy = _policy()
+    only = facts.ReplicaFacts("r9", versions=frozenset({"8"}))
+    policy.replica_up(only, 0.0)
+    _fail(policy, "r9")
+    assert policy.ejected == ["r9"]
+    request = facts.RequestFacts("q", version="8")
+    assert policy.choose(request, 0.0) == "r9"
+
+
+def test_a_replica_that_is_down_does_not_come_back_by_itself():
+    policy = _policy()
+    _fail(policy, "r0")
+    policy.replica_down("r0", 1.0)
+    assert "r0" not in _chosen(policy, 100.0)
