--- a/packages/daemon/anvilwell_daemon/process/factories.py
+++ b/packages/daemon/anvilwell_daemon/process/factories.py
@@ -5,6 +5,7 @@
 from anvilwell_daemon.admin import service as operators
 from anvilwell_daemon.claims import service as claims
 from anvilwell_daemon.configuration import service as configuration
+from anvilwell_daemon.configuration import versions
 from anvilwell_daemon.entry import documents
 from anvilwell_daemon.entry import traces
 from anvilwell_daemon.keyvalue import facade
@@ -108,6 +109,12 @@
     return configuration.Configuration.from_config(settings, vm_list)
 
 
+def _versions(settings, kernel):
+    if settings.entry.documents:
+        return None
+    return versions.Versions()
+
+
 def _vm_list(settings):
     if not settings.vmlist.endpoints:
         return None
@@ -118,10 +125,6 @@
     return traces.Traces(_CLOCK, settings.limits.max_traces)
 
 
-def _claims(settings, kernel):
-    return claims.Claims(settings.daemon.vm_id, _CLOCK)
-
-
 def _sample_bytes(settings, kernel):
     return keeper.Keeper()
 
@@ -135,15 +138,16 @@
     return runs.Runs(settings.daemon.vm_id, scorer)
 
 
+def _claims(settings, kernel):
+    return claims.Claims(settings.daemon.vm_id, _CLOCK)
+
+
 def _operators(settings, kernel):
     return operators.Operators.from_config(settings)
 
 
 FACTORIES = (
     Factory("listener", BOTH, _listener),
-    Factory("web", ENTRY, _web),
-    Factory("admin", BOTH, _admin),
-    Factory("pages", BOTH, _pages),
     Factory("keyvalue", BOTH, _keyvalue),
     Factory("peers", BOTH, _peers),
     Factory("membership", BOTH, _membership),
@@ -151,12 +155,16 @@
     Factory("engine-orders", AGENT, weights.orders),
     Factory("order-relay", BOTH, weights.order_relay),
     Factory("configuration", BOTH, _configuration),
+    Factory("versions", ENTRY, _versions),
     Factory("rollout", ENTRY, weights.rollout),
     Factory("traces", ENTRY, _traces),
     Factory("replicas", ENTRY, data_path.replicas),
     Factory("dispatcher", ENTRY, data_path.dispatcher),
-    Factory("claims", ENTRY, _claims),
     Factory("callers", ENTRY, data_path.callers),
+    Factory("web", ENTRY, _web),
+    Factory("admin", BOTH, _admin),
+    Factory("pages", BOTH, _pages),
+    Factory("claims", ENTRY, _claims),
     Factory("sample-bytes", BOTH, _sample_bytes),
     Factory("runs", ENTRY, _runs),
     Factory("operators", ENTRY, _operators),
--- a/packages/daemon/tests/entry/test_verdicts.py
+++ b/packages/daemon/tests/entry/test_verdicts.py
@@ -13,6 +13,7 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import links
 from anvilwell_kernel.messages import requests
+from anvilwell_kernel import reasons
 from anvilwell_kernel import verdict as verdicts
 
 NOT_RUN = "not-run"
@@ -131,8 +132,16 @@
     first = threading.Thread(target=rig.complete)
     first.start()
     rig.until(lambda: engine.started)
-    answer = rig.complete(headers={"Anvilwell-Deadline-Ms": "300"})
-    assert _verdict(answer) == (NOT_RUN, "deadline")
+
+    async def ask():
+        (replica,) = rig.replicas.candidates("planner-lm")
+        mailbox = mailboxes.LoopMailbox()
+        start = _start(b"{}")._replace(service="planner-lm", deadline_s=0.1)
+        rig.replicas.link(replica.replica_id).open(start, mailbox)
+        return await mailbox.get(20)
+
+    error = rig.run(ask())
+    assert (error.verdict, error.reason) == (NOT_RUN, "deadline")
     gate.set()
     first.join()
     assert len(engine.started) == 1
@@ -258,6 +267,30 @@
     assert errors[-1].verdict is verdicts.Verdict.NOT_RUN
 
 
+def test_unreachable_engine_gets_no_requests(rig, scripted_engine):
+    down = threading.Event()
+
+    class Engine(scripted_engine):
+        def load(self, *, timeout_s):
+            if down.is_set():
+                raise exceptions.BackendFailed(
+                    "connection refused",
+                    reason=reasons.Refusal.CONNECT_FAILED,
+                    verdict=verdicts.Verdict.NOT_RUN,
+                )
+            return super().load(timeout_s=timeout_s)
+
+    rig.engine_agent(Engine())
+    rig.start_entry()
+    assert rig.complete().status == 200
+    down.set()
+    rig.until(lambda: not rig.replicas.candidates("planner-lm"))
+    assert _verdict(rig.complete()) == (NOT_RUN, "no-replica")
+    down.clear()
+    rig.until(lambda: rig.replicas.candidates("planner-lm"))
+    assert rig.complete().status == 200
+
+
 def test_cut_text_goes_on_at_another_replica(rig, scripted_engine):
     def crash(place):
         if place == 3:
--- a/packages/standins/tests/programs/test_trainer.py
+++ b/packages/standins/tests/programs/test_trainer.py
@@ -56,7 +56,7 @@
         return web.json_response({})
 
     def _sample(self, step, group, index):
-        text = texts.text(group["prompt"], group["seed"], index, 3)
+        text = texts.text(group["prompt"], group["seed"] + index, 0, 3)
         if self.faults.take("other-text"):
             text = texts.text("other", 0, 0, 3)
         return {
@@ -80,6 +80,8 @@
         return web.json_response(body)
 
     def _version(self, request, run):
+        if not self.steps:
+            raise exceptions.NotFound("submit a step first")
         self.versions.append(json.loads(request.get_data())["version"])
         return web.json_response({})
 
