Kill an agent and an entry in the demo, and keep callers there to the end

Cause: the demo had no SIGKILL of the product's own processes, and a run could end with no request in flight at a shutdown, so without evidence for that promise. Change: three entries in three failure domains; planner-agent-4 and entry-3 are killed in mid-step; 12 callers ask until the last entry has drained. Programs leave out an entry that lost a call for 1 s, as a balancer would. The summary tells streams and plain calls apart.

--- a/packages/bench/anvilwell_bench/load/summary.py
+++ b/packages/bench/anvilwell_bench/load/summary.py
@@ -50,11 +50,22 @@
     return sum(line["idle_s"] for line in records.of("collect"))
 
 
-def latencies(records):
-    """Return a histogram, in ms, of whole answers to callers."""
+def latencies(records, *, of_models):
+    """Return a histogram, in ms, of whole answers to callers.
+
+    Parameters
+    ----------
+    of_models : bool
+        Count the answers of models, else those of plain services.
+    """
     found = histogram.HdrHistogram(_LOWEST_MS, _HIGHEST_MS, _DIGITS)
+    asks = {
+        ask["ask"]
+        for ask in records.of("ask")
+        if history.is_model_ask(ask) is of_models
+    }
     for line in records.of("answer"):
-        if line["whole"]:
+        if line["whole"] and line["ask"] in asks:
             found.record_value(
                 max(_LOWEST_MS, round(line["latency_s"] * _MS_PER_S))
             )
@@ -79,7 +90,6 @@
     records = reader.read(records_folder)
     waits = step_waits(records)
     whole = sum(wait.whole_at is not None for wait in waits)
-    times = latencies(records)
     pages = [
         path.read_text(encoding="utf-8")
         for path in sorted(pathlib.Path(metrics_folder).glob("*.prom"))
@@ -89,16 +99,24 @@
         f"steps whole: {whole} of {len(waits)}",
         f"trainer idle: {idle_s(records):.2f} s",
         f"staleness max: {max(staleness.ages(records), default=0)} versions",
-        f"live answers: {times.get_total_count()}, "
-        f"p50 {times.get_value_at_percentile(50):.0f} ms, "
-        f"p99 {times.get_value_at_percentile(99):.0f} ms",
+        _latency_line("live streams", latencies(records, of_models=True)),
+        _latency_line("plain calls", latencies(records, of_models=False)),
         *(
             f"{name.removeprefix('anvilwell_')}: {reason} {count}"
             for (name, reason), count in sorted(counts.items())
+            if count
         ),
     ]
 
 
+def _latency_line(what, times):
+    return (
+        f"{what}: {times.get_total_count()} whole, "
+        f"p50 {times.get_value_at_percentile(50):.0f} ms, "
+        f"p99 {times.get_value_at_percentile(99):.0f} ms"
+    )
+
+
 def _wait(line, collected_at_by_id):
     wanted = sum(group["samples"] for group in line["groups"])
     is_whole = len(collected_at_by_id) == wanted
--- a/packages/bench/tests/load/test_summary.py
+++ b/packages/bench/tests/load/test_summary.py
@@ -13,6 +13,7 @@
 # TYPE anvilwell_refusals_total counter
 anvilwell_refusals_total{reason="overloaded",service="a"} 2.0
 anvilwell_refusals_total{reason="overloaded",service="b"} 1.0
+anvilwell_refusals_total{reason="deadline",service="b"} 0.0
 # TYPE anvilwell_retries_total counter
 anvilwell_retries_total{reason="link-lost",service="a"} 4.0
 # TYPE other_total counter
@@ -30,7 +31,8 @@
         "steps whole: 1 of 1",
         "trainer idle: 3.00 s",
         "staleness max: 1 versions",
-        "live answers: 3, p50 1000 ms, p99 1000 ms",
+        "live streams: 2 whole, p50 1000 ms, p99 1000 ms",
+        "plain calls: 1 whole, p50 1000 ms, p99 1000 ms",
         "refusals: overloaded 3",
         "retries: link-lost 4",
     ]
--- a/packages/standins/anvilwell_standins/programs/answers.py
+++ b/packages/standins/anvilwell_standins/programs/answers.py
@@ -89,6 +89,7 @@
             )
         stream = _read(response, deadline)
     except (urllib3.exceptions.HTTPError, OSError):
+        entries.avoid(entry)
         return _judge(entry_lists.LOST)
     return Answer(
         _request_id(response.headers),
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -51,7 +51,7 @@
     fi
     load --who=operator --record="$RECORDS/operator.jsonl" \
         --version="$2" applied "$1" <"$outcome"
-    say "$1 is in force: $(tr -d '\n' <"$outcome" | head -c 120)"
+    say "$1 is in force, $(grep -o '"generation": [0-9]*' "$outcome")"
 }
 
 is_ready() {
@@ -102,7 +102,7 @@
 }
 
 start_daemons() {
-    local number fencing
+    local name number fencing
     PLATFORM=(
         "SEEDS=127.0.0.1:${LISTEN[entry-1]}, 127.0.0.1:${LISTEN[entry-2]}"
         "KEYVALUE=$(address_of keyvalue)"
@@ -110,8 +110,9 @@
         "WEIGHTSTORE=$(address_of weightstore)"
         "SCORER=$(address_of scorer)"
     )
-    entry entry-1
-    entry entry-2
+    for name in "${ENTRIES[@]}"; do
+        entry "$name"
+    done
     for ((number = 1; number <= ENGINES; number++)); do
         fencing=yes
         ((number % 2)) || fencing=no
@@ -121,23 +122,25 @@
     for ((number = 1; number <= PLAINS; number++)); do
         agent "stops-agent-$number" stops-app plain "plain-$number" no
     done
-    wait_for 30 "readiness of entry-1" is_ready entry-1
-    wait_for 30 "readiness of entry-2" is_ready entry-2
+    for name in "${ENTRIES[@]}"; do
+        wait_for 30 "readiness of $name" is_ready "$name"
+    done
 }
 
 start_callers() {
-    local admins entries
-    admins="entry-1=$(address_of entry-1-admin)"
-    admins+=",entry-2=$(address_of entry-2-admin)"
-    entries="entry-1=$(address_of entry-1),entry-2=$(address_of entry-2)"
+    local entries=$1 name admins=""
+    for name in "${ENTRIES[@]}"; do
+        admins+="$name=$(address_of "$name-admin"),"
+    done
     start caller "$PYTHON" -m anvilwell_standins caller --name caller \
-        --record "$RECORDS/caller.jsonl" --entries "$entries" --seconds 300
+        --record "$RECORDS/caller.jsonl" --entries "$entries" --seconds 300 \
+        --callers 12 --max-tokens 60 --pause-ms 100
     # Asks for a service that is not there: a refusal to hold true.
     start stranger "$PYTHON" -m anvilwell_standins caller --name stranger \
         --record "$RECORDS/stranger.jsonl" --entries "$entries" --retries 0 \
         --service no-such-lm --streams 1 --lookups 0 --notices 0 --asks 2
     start prober "$PYTHON" -m anvilwell_bench.load --who=prober \
-        --record="$RECORDS/prober.jsonl" --daemons="$admins" probe
+        --record="$RECORDS/prober.jsonl" --daemons="${admins%,}" probe
 }
 
 save_metrics() {
@@ -162,28 +165,38 @@
     seq -f plain-%.0f "$PLAINS"
 )
 AGENTS=("${PLANNER_AGENTS[@]}" "${STOPS_AGENTS[@]}")
-place entry-1 entry-2 "${AGENTS[@]}"
+ENTRIES=(entry-1 entry-2 entry-3)
+place "${ENTRIES[@]}" "${AGENTS[@]}"
+
+kill_now() {
+    note kill "process=$1"
+    crash "$1"
+}
 
 say "starting stand-ins: $ENGINES engines, $PLAINS plain services"
 start_standins
-say "starting 2 entries and $((ENGINES + PLAINS)) agents"
+say "starting ${#ENTRIES[@]} entries and $((ENGINES + PLAINS)) agents"
 start_daemons
 render planner-lm.ini "$RUN/settings/planner-lm.ini" VERSION=1
 render stops-app.ini "$RUN/settings/stops-app.ini" QUEUE=64
 apply planner-lm 1
 apply stops-app ""
-start_callers
+ADDRESSES=""
+for name in "${ENTRIES[@]}"; do
+    ADDRESSES+="$name=$(address_of "$name"),"
+done
+ADDRESSES=${ADDRESSES%,}
+start_callers "$ADDRESSES"
 say "live callers ask; the trainer begins $STEPS steps"
 start trainer "$PYTHON" -m anvilwell_standins trainer --name trainer \
     --record "$RECORDS/trainer.jsonl" \
-    --entries "entry-1=$(address_of entry-1),entry-2=$(address_of entry-2)" \
+    --entries "$ADDRESSES" \
     --weight-store "$(address_of weightstore)" --train-ms 1500 \
     --service planner-lm --run autumn --steps "$STEPS"
 
 wait_for_steps 1
 say "step 1 is whole; killing engine-3"
-note kill process=engine-3
-crash engine-3
+kill_now engine-3
 render stops-app.ini "$RUN/settings/stops-app.ini" QUEUE=48
 apply stops-app ""
 say "stopping entry-2 while callers stream"
@@ -192,19 +205,27 @@
 say "step 2 is whole; draining planner-agent-2"
 operate drain planner-agent-2 >"$RUN/logs/drain.out"
 note leave server=engine-2
+if ((ENGINES >= 6)); then
+    say "killing planner-agent-4 in mid-step"
+    kill_now planner-agent-4
+fi
+wait_for_steps 3
+say "step 3 is whole; killing entry-3 in mid-step"
+kill_now entry-3
 wait_for_steps "$STEPS"
 say "all $STEPS steps are whole"
 wait_for 30 "the trainer's end" has_ended trainer
 
-stop caller
-[ "$CODE" -eq 0 ] || FAILED=1
-stop prober
 stop trainer
 [ "$CODE" -eq 0 ] || FAILED=1
+stop prober
 for name in entry-1 "${AGENTS[@]}"; do
     save_metrics "$name"
 done
+say "stopping entry-1 while callers stream"
 shut_down entry-1
+stop caller
+[ "$CODE" -eq 0 ] || FAILED=1
 stop_all
 
 say "summary"
