Let a changed document reach the holder of the runs

Cause: bound, preference and trainers' weights were read only when an entry took the runs over. Change: the holder takes them from the document in force; progress is reported every 2 s instead of at every tick.

--- a/packages/daemon/anvilwell_daemon/runs/holder.py
+++ b/packages/daemon/anvilwell_daemon/runs/holder.py
@@ -24,6 +24,7 @@
 SCORE_TIMEOUT_S = 5.0
 BATCH_BYTES = 512 << 10
 MAX_TICK_S = 0.25
+PROGRESS_PERIOD_S = 2.0
 
 _LOG = logs.get_logger(__name__)
 
@@ -104,6 +105,7 @@
     def start(self):
         """Begin to tick."""
         self._spawn(self._tick())
+        self._spawn(self._report_progress())
 
     async def stop(self):
         """Give up all work; what is recorded stays."""
@@ -181,6 +183,17 @@
                 return self._render(batch)
             await self._waiters.changed(run, changes, left)
 
+    def configure(self, document):
+        """Take what the service's document says now."""
+        model = document.model
+        self._carry(
+            self._coordinator.configure(
+                model.staleness_bound,
+                1.0 - model.preference,
+                document.trainers,
+            )
+        )
+
     def replica(self, replica_id, slots, version):
         """Note a replica's slots and version."""
         self._carry(self._coordinator.replica(replica_id, slots, version))
@@ -388,11 +401,16 @@
 
     async def _tick(self):
         while not self.lost.is_set():
-            for number, tokens in self._attempts.tokens_by_attempt.items():
-                self._coordinator.schedule.progress(number, tokens)
             self._carry(self._coordinator.tick(self._now()))
             await asyncio.sleep(MAX_TICK_S)
 
+    async def _report_progress(self):
+        progress = self._coordinator.schedule.progress
+        while not self.lost.is_set():
+            await asyncio.sleep(PROGRESS_PERIOD_S)
+            for number, tokens in self._attempts.tokens_by_attempt.items():
+                progress(number, tokens)
+
     def _spawn(self, work):
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/packages/daemon/anvilwell_daemon/runs/service.py
+++ b/packages/daemon/anvilwell_daemon/runs/service.py
@@ -232,15 +232,23 @@
     async def _follow(self, service, holder, lease):
         replicas = self._kernel.get("replicas")
         watch = fleet.ReplicaWatch(service, replicas, holder)
-        latest = ""
+        known = None
         while lease.is_valid and not holder.lost.is_set():
             watch.look()
-            desired = self._parts.generator.desired_version(service)
-            if desired and desired != latest:
-                latest = desired
-                holder.published(versions.ordinal(desired))
+            document = self._latest_document(service)
+            if document is not None and document != known:
+                known = document
+                holder.configure(document)
+                version = versions.ordinal(document.model.version)
+                holder.published(version)
             await asyncio.sleep(TURN_PERIOD_S)
 
+    def _latest_document(self, service):
+        try:
+            return self._document(service)
+        except exceptions.AnvilwellError:
+            return None  # what was in force before stays
+
 
 def _not_held(service):
     return exceptions.Refused(
--- a/packages/decisions/anvilwell_decisions/samples/coordinator.py
+++ b/packages/decisions/anvilwell_decisions/samples/coordinator.py
@@ -58,6 +58,15 @@
             self._learn(step)
         return self._address(run, found)
 
+    def configure(self, bound, early_share, weights_by_run):
+        """Take what the service's document says now."""
+        self._bound = bound
+        self.schedule.configure(bound, early_share)
+        for run, ledger in self.ledgers_by_run.items():
+            ledger.set_bound(bound)
+            self.schedule.add_run(run, weights_by_run.get(run, 1.0))
+        return [*self._cancel_doomed(), *self._starts()]
+
     def submit(self, step, now):
         """Take a step; see ``Ledger.submit``."""
         ledger = self.ledgers_by_run[step.run]
--- a/packages/decisions/anvilwell_decisions/samples/ledger.py
+++ b/packages/decisions/anvilwell_decisions/samples/ledger.py
@@ -152,6 +152,11 @@
         """Return the steps whose content is kept."""
         return list(self._steps_by_number.values())
 
+    def set_bound(self, bound):
+        """Take another staleness bound; it holds from the next check."""
+        self.bound = bound
+        self.delivery.bound = bound
+
     def has_step(self, number):
         """Return whether a step is accepted."""
         return (
--- a/packages/decisions/anvilwell_decisions/samples/schedule.py
+++ b/packages/decisions/anvilwell_decisions/samples/schedule.py
@@ -87,6 +87,13 @@
         """How many samples wait."""
         return sum(q.waiting for q in self._queues_by_run.values())
 
+    def configure(self, bound, early_share):
+        """Take another staleness bound and share of early work."""
+        self.bound = bound
+        self._policy = self._policy._replace(early_share=early_share)
+        for run in self._queues_by_run:
+            self._refile(run)
+
     def remove_replica(self, replica_id):
         """Forget a replica; return the samples it was running."""
         lost = self.replicas.remove(replica_id)
@@ -100,6 +107,7 @@
                 scouts=self._policy.scouts,
             )
         self._fairness.set_weight(run, weight)
+        self._refile(run)
 
     def need(self, run, step, trainer_version, *, waiting):
         """Note which step the trainer needs, and the version it has.
--- a/packages/decisions/tests/samples/test_coordinator.py
+++ b/packages/decisions/tests/samples/test_coordinator.py
@@ -85,3 +85,17 @@
     service.submit(1)
     service.submit(2)
     assert service.steps_started() == [1, 1, 2]
+
+
+def test_a_changed_document_holds_at_once():
+    service = Service(early_share=0.0)
+    service.submit(1)
+    service.submit(2)
+    service.end_all()
+    configured = service.coordinator.configure(0, 1.0, {"r": 2.0})
+    service.carry(configured)
+    assert service.steps_started() == [2, 2]
+    version = service.coordinator.trainer_version("r", "2", 9.0)
+    service.carry(version)
+    batch = service.coordinator.collect("r", 0, 9, 9.0)
+    assert batch.choices == ()
