--- a/packages/decisions/anvilwell_decisions/samples/coordinator.py
+++ b/packages/decisions/anvilwell_decisions/samples/coordinator.py
@@ -37,6 +37,8 @@
         self._bound = bound
         self._scored = scored
         self._groups_by_id = {}
+        self._got_by_run = {}
+        self._done_by_run = {}
         self.schedule = schedules.Schedule(bound, policy)
         self.ledgers_by_run = {}
 
@@ -56,6 +58,15 @@
             self._learn(step)
         return self._address(run, found)
 
+    def configure(self, bound, early_share, weights_by_run):
+        """Take what the service's document says now."""
+        self._bound = bound
+        self.schedule.configure(bound, early_share)
+        for run, ledger in self.ledgers_by_run.items():
+            ledger.set_bound(bound)
+            self.schedule.add_run(run, weights_by_run.get(run, 1.0))
+        return [*self._cancel_doomed(), *self._starts()]
+
     def submit(self, step, now):
         """Take a step; see ``Ledger.submit``."""
         ledger = self.ledgers_by_run[step.run]
@@ -114,7 +125,7 @@
     def collect(self, run, cursor, limit, now, *, waiting=False):
         """Return the batch at `cursor`; its actions are addressed."""
         batch = self.ledgers_by_run[run].collect(cursor, limit, now)
-        self._tell_needs(run, waiting=waiting)
+        self._note_need(run, batch, waiting)
         return batch._replace(actions=tuple(self._address(run, batch.actions)))
 
     def tick(self, now):
@@ -151,11 +162,25 @@
     def _add(self, sample):
         self.schedule.add(sample, self.group(sample))
 
+    def _note_need(self, run, batch, waiting):
+        """Learn from a collect which step the trainer waits for.
+
+        A trainer that just got the last sample of a step trains on it;
+        it needs the next one only when it collects again.
+        """
+        got = batch.steps_whole[-1] if batch.steps_whole else 0
+        if got > self._got_by_run.get(run, 0):
+            self._got_by_run[run] = got
+            self._tell_needs(run, waiting=False)
+            return
+        self._done_by_run[run] = got
+        self._tell_needs(run, waiting=waiting)
+
     def _tell_needs(self, run, *, waiting):
         ledger = self.ledgers_by_run[run]
         self.schedule.need(
             run,
-            ledger.needed_step(),
+            ledger.delivery.step_after(self._done_by_run.get(run, 0)),
             ledger.delivery.trainer_version,
             waiting=waiting,
         )
