--- a/packages/decisions/tests/membership/test_fleet_machine.py
+++ b/packages/decisions/tests/membership/test_fleet_machine.py
@@ -142,6 +142,7 @@
 
 
 @pytest.mark.fuzz
+@pytest.mark.timeout(3600)
 def test_fleet_agrees_and_is_right_once_all_is_well(make_fleet):
     class Machine(FleetMachine):
         pass
