--- a/packages/decisions/anvilwell_decisions/samples/delivery.py
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -4,9 +4,8 @@
 import itertools
 import typing
 
-import sortedcontainers
-
 from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import identity
 from anvilwell_decisions.samples import records
 from anvilwell_decisions.samples import staleness
 from anvilwell_kernel import exceptions
@@ -67,7 +66,6 @@
         self._sent_end = 0
         self._held_back = None
         self._missing_by_step = {}
-        self._open_steps = sortedcontainers.SortedSet()
         self._last_by_step = {}
 
     @property
@@ -85,11 +83,10 @@
         """How many samples of accepted steps are not recorded."""
         return sum(self._missing_by_step.values())
 
-    def first_open_step(self):
-        """Return the first step with samples missing, or the next one."""
-        if self._open_steps:
-            return self._open_steps[0]
-        return max(self._missing_by_step, default=0)
+    def step_after(self, step):
+        """Return the next known step, the last one if there is none."""
+        later = (known for known in self._missing_by_step if known > step)
+        return min(later, default=max(self._missing_by_step, default=0))
 
     def start_at(self, position):
         """Begin at `position`; all before are acknowledged and gone."""
@@ -99,7 +96,6 @@
     def expect(self, step, samples):
         """Note that `step` has `samples` samples to come."""
         self._missing_by_step[step] = samples
-        self._open_steps.add(step)
 
     def recorded(self, choice, where=Bytes.HERE):
         """Give `choice` the next position and return it."""
@@ -107,8 +103,6 @@
         self._slots.append(_Slot(choice, where))
         step = choice.sample.step
         self._missing_by_step[step] -= 1
-        if not self._missing_by_step[step]:
-            self._open_steps.discard(step)
         self._last_by_step[step] = position
         return position
 
@@ -124,7 +118,6 @@
         if not slot.voided:
             slot.voided = True
             self._missing_by_step[slot.choice.sample.step] += 1
-            self._open_steps.add(slot.choice.sample.step)
         return slot.choice
 
     def fetches(self):
@@ -157,7 +150,7 @@
         self._slots.append(slot)
 
     def finished(self, keep):
-        """Return the last step that may be forgotten, 0 if none.
+        """Return the last step that may be forgotten, or ``NO_STEP``.
 
         ``keep`` finished steps stay, for a trainer that comes back at
         an older cursor.
@@ -168,7 +161,9 @@
             if self._missing_by_step[step] or last >= self.acknowledged:
                 break
             finished.append(step)
-        return finished[-keep - 1] if len(finished) > keep else 0
+        if len(finished) <= keep:
+            return identity.NO_STEP
+        return finished[-keep - 1]
 
     def forget(self, through):
         """Forget all steps up to `through`; return their choices."""
--- a/packages/decisions/anvilwell_decisions/samples/ledger.py
+++ b/packages/decisions/anvilwell_decisions/samples/ledger.py
@@ -152,6 +152,11 @@
         """Return the steps whose content is kept."""
         return list(self._steps_by_number.values())
 
+    def set_bound(self, bound):
+        """Take another staleness bound; it holds from the next check."""
+        self.bound = bound
+        self.delivery.bound = bound
+
     def has_step(self, number):
         """Return whether a step is accepted."""
         return (
@@ -159,10 +164,6 @@
             or number in self._steps_by_number
         )
 
-    def needed_step(self):
-        """Return the first step that is not whole; 0 before any."""
-        return self.delivery.first_open_step()
-
     def _start_at(self, base):
         self.delivery.start_at(base.position)
         self._retention.through = base.through
