--- a/packages/daemon/anvilwell_daemon/entry/replicas.py
+++ b/packages/daemon/anvilwell_daemon/entry/replicas.py
@@ -6,6 +6,7 @@
 import typing
 
 from anvilwell_daemon.links import data_link
+from anvilwell_decisions.requests import ejection
 from anvilwell_decisions.requests import facts
 from anvilwell_decisions.requests import routing
 from anvilwell_kernel import clock as clocks
@@ -214,4 +215,5 @@
 
 
 def _new_policy(source):
-    return routing.PrefixAffinity(source, slow_start_s=SLOW_START_S)
+    inner = routing.PrefixAffinity(source, slow_start_s=SLOW_START_S)
+    return ejection.OutlierEjection(source, inner)
