--- /dev/null
+++ b/packages/decisions/tests/requests/test_verdicts.py
@@ -0,0 +1,18 @@
+"""The design note holds the verdict table as the code has it."""
+
+import pathlib
+
+from anvilwell_decisions.requests import verdicts
+
+PAGE = pathlib.Path(__file__).parents[4] / "docs/design/requests.md"
+
+
+def test_the_page_has_every_row_and_no_other():
+    rows = [
+        f"| {row.hop} | {row.event} | `{row.verdict}` |"
+        f" {row.reason or '-'} | {row.why} |"
+        for row in verdicts.TABLE
+    ]
+    part = PAGE.read_text().split("| where | event |")[1].split("\n## ")[0]
+    listed = [line for line in part.splitlines()[2:] if line]
+    assert listed == rows
