--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -68,7 +68,7 @@
 }
 
 fail() {
-    echo "demo: $*" >&2
+    echo "demo: $* (logs and records are in $RUN)" >&2
     exit 1
 }
 
