--- a/packages/daemon/anvilwell_daemon/agent/flusher.py
+++ b/packages/daemon/anvilwell_daemon/agent/flusher.py
@@ -34,13 +34,15 @@
         now : bool
             Whether to move it without waiting for more events.
         """
+        if now:
+            # Alone: the others may still wait for more events.
+            self._loop.call_soon_threadsafe(self.flush, outflow)
+            return
         with self._lock:
             self._dirty.add(outflow)
             armed = self._armed
             self._armed = True
-        if now:
-            self._loop.call_soon_threadsafe(self._flush)
-        elif not armed:
+        if not armed:
             self._loop.call_soon_threadsafe(self._arm)
 
     def flush(self, outflow):
