--- a/packages/bench/anvilwell_bench/commands/configuration.py
+++ b/packages/bench/anvilwell_bench/commands/configuration.py
@@ -23,18 +23,18 @@
     changes = QUICK_CHANGES if quick else CHANGES
     idle_s = QUICK_IDLE_S if quick else IDLE_S
     settle_s = measure.QUICK_SETTLE_S if quick else measure.SETTLE_S
+    print(report.head())
     results_by_kind = {
         kind: [
-            asyncio.run(
-                measure.measure(
-                    measure.Plan(kind, size, changes, idle_s, settle_s)
-                )
-            )
+            _measure(measure.Plan(kind, size, changes, idle_s, settle_s))
             for size in sizes
         ]
         for kind in groups.KINDS
     }
-    ours = results_by_kind["ours"]
-    naive = results_by_kind["naive"]
-    print(report.table([*ours, *naive]))
-    print(report.target(ours, naive))
+    print(report.target(results_by_kind["ours"], results_by_kind["naive"]))
+
+
+def _measure(plan):
+    result = asyncio.run(measure.measure(plan))
+    print(report.row(result), flush=True)
+    return result
--- a/packages/bench/anvilwell_bench/configuration/report.py
+++ b/packages/bench/anvilwell_bench/configuration/report.py
@@ -2,6 +2,8 @@
 
 import numpy
 
+from anvilwell_daemon.configuration import watching
+
 TARGET_DAEMONS = 850
 TARGET_DOMAINS = 13
 CHANGES_PER_S = 16_000 / 86_400
@@ -16,10 +18,34 @@
 )
 
 
-def table(results):
-    """Return a Markdown table of `measure.Result` rows."""
-    rule = "|" + "---|" * (_HEAD.count("|") - 1)
-    return "\n".join([_HEAD, rule, *map(_row, results)])
+def head():
+    """Return the head of the Markdown table of results."""
+    return _HEAD + "\n|" + "---|" * (_HEAD.count("|") - 1)
+
+
+def row(result):
+    """Return the table's row of a `measure.Result`."""
+    calls = ", ".join(
+        f"{count:.1f} {kind}"
+        for kind, count in result.calls_per_change.items()
+        if count >= 0.05
+    )
+    values = (
+        result.kind,
+        result.daemons,
+        f"{result.p50_ms:.0f}",
+        f"{result.p99_ms:.0f}",
+        f"{result.max_ms:.0f}",
+        calls,
+        f"{_idle_calls(result):.1f}",
+        result.waiting_watches,
+        f"{result.idle_bytes_per_daemon_s:.0f}",
+        f"{result.change_bytes_per_daemon:.0f}",
+        f"{100 * result.idle_cpu_per_daemon:.2f}",
+        f"{1000 * result.change_cpu_per_daemon_s:.2f}",
+        f"{result.memory_per_daemon_bytes / 1024:.0f}",
+    )
+    return "| " + " | ".join(map(str, values)) + " |"
 
 
 def slope(results, value):
@@ -48,36 +74,13 @@
         f"At {TARGET_DAEMONS} daemons, {TARGET_DOMAINS} failure domains, "
         f"{CHANGES_PER_S:.2f} changes/s, {STARTS_PER_S:.3f} starts/s:\n"
         f"  ours:  {reads:.2f} reads/s, {writes:.2f} writes/s, "
-        f"{watches} waiting watches\n"
+        f"{watches} waiting watches, begun anew "
+        f"{watches / watching.IDLE_S:.1f} times/s\n"
         f"  naive: {naive_calls:.0f} calls/s while nothing changes, "
         f"{TARGET_DAEMONS} waiting watches"
     )
 
 
-def _row(result):
-    calls = ", ".join(
-        f"{count:.1f} {kind}"
-        for kind, count in result.calls_per_change.items()
-        if count >= 0.05
-    )
-    values = (
-        result.kind,
-        result.daemons,
-        f"{result.p50_ms:.0f}",
-        f"{result.p99_ms:.0f}",
-        f"{result.max_ms:.0f}",
-        calls,
-        f"{_idle_calls(result):.1f}",
-        result.waiting_watches,
-        f"{result.idle_bytes_per_daemon_s:.0f}",
-        f"{result.change_bytes_per_daemon:.0f}",
-        f"{100 * result.idle_cpu_per_daemon:.2f}",
-        f"{1000 * result.change_cpu_per_daemon_s:.2f}",
-        f"{result.memory_per_daemon_bytes / 1024:.0f}",
-    )
-    return "| " + " | ".join(map(str, values)) + " |"
-
-
 def _idle_calls(result):
     return sum(result.idle_calls_per_s.values())
 
