--- a/packages/decisions/anvilwell_decisions/samples/delivery.py
+++ b/packages/decisions/anvilwell_decisions/samples/delivery.py
@@ -1,11 +1,11 @@
 """Positions of a run's samples, and what a cursor may collect."""
 
 import enum
+import itertools
 import typing
 
-import sortedcontainers
-
 from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import identity
 from anvilwell_decisions.samples import records
 from anvilwell_decisions.samples import staleness
 from anvilwell_kernel import exceptions
@@ -66,9 +66,13 @@
         self._sent_end = 0
         self._held_back = None
         self._missing_by_step = {}
-        self._open_steps = sortedcontainers.SortedSet()
         self._last_by_step = {}
 
+    @property
+    def first(self):
+        """The first position that is kept."""
+        return self._first
+
     @property
     def end(self):
         """The first position that is not recorded."""
@@ -79,11 +83,10 @@
         """How many samples of accepted steps are not recorded."""
         return sum(self._missing_by_step.values())
 
-    def first_open_step(self):
-        """Return the first step with samples missing, or the next one."""
-        if self._open_steps:
-            return self._open_steps[0]
-        return max(self._missing_by_step, default=0)
+    def step_after(self, step):
+        """Return the next known step, the last one if there is none."""
+        later = (known for known in self._missing_by_step if known > step)
+        return min(later, default=max(self._missing_by_step, default=0))
 
     def start_at(self, position):
         """Begin at `position`; all before are acknowledged and gone."""
@@ -93,7 +96,6 @@
     def expect(self, step, samples):
         """Note that `step` has `samples` samples to come."""
         self._missing_by_step[step] = samples
-        self._open_steps.add(step)
 
     def recorded(self, choice, where=Bytes.HERE):
         """Give `choice` the next position and return it."""
@@ -101,8 +103,6 @@
         self._slots.append(_Slot(choice, where))
         step = choice.sample.step
         self._missing_by_step[step] -= 1
-        if not self._missing_by_step[step]:
-            self._open_steps.discard(step)
         self._last_by_step[step] = position
         return position
 
@@ -118,7 +118,6 @@
         if not slot.voided:
             slot.voided = True
             self._missing_by_step[slot.choice.sample.step] += 1
-            self._open_steps.add(slot.choice.sample.step)
         return slot.choice
 
     def fetches(self):
@@ -131,16 +130,66 @@
 
     def is_fetching(self, position):
         """Return whether the bytes of `position` are being fetched."""
-        slot = self._slot(position)
-        return slot.bytes is Bytes.FETCHING and not slot.voided
+        if self.is_done_with(position):
+            return False
+        return self._slot(position).bytes is Bytes.FETCHING
 
     def bytes_found(self, position):
         """Note that the bytes of `position` are here."""
-        self._slot(position).bytes = Bytes.HERE
+        if not self.is_done_with(position):
+            self._slot(position).bytes = Bytes.HERE
+
+    def is_done_with(self, position):
+        """Return whether `position` is given up or before all kept."""
+        return position < self._first or self._slot(position).voided
+
+    def skip(self):
+        """Give a choice that is done with its position."""
+        slot = _Slot(None, Bytes.LOST)
+        slot.voided = True
+        self._slots.append(slot)
+
+    def finished(self, keep):
+        """Return the last step that may be forgotten, or ``NO_STEP``.
+
+        ``keep`` finished steps stay, for a trainer that comes back at
+        an older cursor.
+        """
+        finished = []
+        for step in sorted(self._missing_by_step):
+            last = self._last_by_step.get(step, self.end)
+            if self._missing_by_step[step] or last >= self.acknowledged:
+                break
+            finished.append(step)
+        if len(finished) <= keep:
+            return identity.NO_STEP
+        return finished[-keep - 1]
+
+    def forget(self, through):
+        """Forget all steps up to `through`; return their choices."""
+        done = [
+            slot
+            for slot in self._slots
+            if not slot.voided and slot.choice.sample.step <= through
+        ]
+        for slot in done:
+            slot.voided = True
+        for step in [s for s in self._missing_by_step if s <= through]:
+            del self._missing_by_step[step]
+            self._last_by_step.pop(step, None)
+        ahead = itertools.takewhile(
+            lambda slot: slot.voided,
+            self._slots[: self.acknowledged - self._first],
+        )
+        gone = len(list(ahead))
+        del self._slots[:gone]
+        self._first += gone
+        return [slot.choice for slot in done]
 
     def bytes_lost(self, position):
         """Note that the bytes of `position` are nowhere."""
-        self._slot(position).bytes = Bytes.LOST
+        if not self.is_done_with(position):
+            self._slot(position).bytes = Bytes.LOST
 
     def overdue(self):
         """Return voids of positions never sent that grew too old."""
