--- a/packages/daemon/anvilwell_daemon/runs/holder.py
+++ b/packages/daemon/anvilwell_daemon/runs/holder.py
@@ -24,6 +24,7 @@
 SCORE_TIMEOUT_S = 5.0
 BATCH_BYTES = 512 << 10
 MAX_TICK_S = 0.25
+PROGRESS_PERIOD_S = 2.0
 
 _LOG = logs.get_logger(__name__)
 
@@ -88,6 +89,7 @@
             actions.Replicate: self._replicate,
             actions.Fetch: self._fetch,
             actions.Discard: self._discard,
+            actions.Trim: self._trim,
             actions.Dropped: self._count_dropped,
             actions.StepDown: self._step_down,
             schedule.Start: self._start,
@@ -103,6 +105,7 @@
     def start(self):
         """Begin to tick."""
         self._spawn(self._tick())
+        self._spawn(self._report_progress())
 
     async def stop(self):
         """Give up all work; what is recorded stays."""
@@ -127,11 +130,11 @@
 
     async def _open_run(self, run, weight):
         log = run_log.RunLog(run, self._parts.keyvalue)
-        chunks_by_number = await log.read()
+        chunks_by_number, base = await log.read()
         self._logs_by_run[run] = log
         self._carry(
             self._coordinator.open_run(
-                run, weight, chunks_by_number, self._now()
+                run, weight, chunks_by_number, self._now(), base
             )
         )
         ledger = self._coordinator.ledgers_by_run[run]
@@ -180,6 +183,17 @@
                 return self._render(batch)
             await self._waiters.changed(run, changes, left)
 
+    def configure(self, document):
+        """Take what the service's document says now."""
+        model = document.model
+        self._carry(
+            self._coordinator.configure(
+                model.staleness_bound,
+                1.0 - model.preference,
+                document.trainers,
+            )
+        )
+
     def replica(self, replica_id, slots, version):
         """Note a replica's slots and version."""
         self._carry(self._coordinator.replica(replica_id, slots, version))
@@ -218,7 +232,10 @@
         return self._parts.clock.monotonic()
 
     def _check_lease(self):
-        self._lease.check(self._now())
+        try:
+            self._lease.check(self._now())
+        except exceptions.Fenced as error:
+            raise _not_leader(self.service) from error
 
     def _check_recorded(self, done, ledger):
         if ledger.stopped:
@@ -360,7 +377,20 @@
         self._feed(run, event, action.position)
 
     def _discard(self, run, action):
-        self._parts.store.discard(str(action.sample), action.digest)
+        self._spawn(
+            self._parts.copies.discard(
+                str(action.sample), action.digest, action.holders
+            )
+        )
+
+    def _trim(self, run, action):
+        self._spawn(self._trim_log(run, action))
+
+    async def _trim_log(self, run, action):
+        try:
+            await self._logs_by_run[run].trim(action.base)
+        except exceptions.KeyValueUnavailable:
+            counters.count_retry(reasons.Retry.KEY_VALUE, self.service)
 
     def _count_dropped(self, run, action):
         counters.count_refusal(action.reason, self.service)
@@ -371,11 +401,16 @@
 
     async def _tick(self):
         while not self.lost.is_set():
-            for number, tokens in self._attempts.tokens_by_attempt.items():
-                self._coordinator.schedule.progress(number, tokens)
             self._carry(self._coordinator.tick(self._now()))
             await asyncio.sleep(MAX_TICK_S)
 
+    async def _report_progress(self):
+        progress = self._coordinator.schedule.progress
+        while not self.lost.is_set():
+            await asyncio.sleep(PROGRESS_PERIOD_S)
+            for number, tokens in self._attempts.tokens_by_attempt.items():
+                progress(number, tokens)
+
     def _spawn(self, work):
         task = asyncio.create_task(work)
         self._tasks.add(task)
