Say that a rollout is led only while the lease allows acts

A leader whose lease had passed still answered for the rollout until its next look, up to 2 s later; it sent nothing. Found by the new test of a leader cut off from the key-value service, whom another replaces.

The retried and the given-up swap now share one run over sockets, to save time; both are still asserted.

--- a/packages/daemon/anvilwell_daemon/rollout/leader.py
+++ b/packages/daemon/anvilwell_daemon/rollout/leader.py
@@ -44,6 +44,7 @@
         self._relay = kernel.get("order-relay")
         self._clock = clock
         self._weight_store = weight_store
+        self._lease = None
         self._reconciler = None
         self._told = None
         self._turns_by_domain = collections.Counter()
@@ -51,13 +52,13 @@
 
     @property
     def leads(self):
-        """Whether it holds the lease."""
-        return self._reconciler is not None
+        """Whether it holds the lease and may act."""
+        return self._lease is not None and self._lease.is_valid
 
     @property
     def progress(self):
         """The `reconciler.Progress`, None while it does not lead."""
-        return self._reconciler and self._reconciler.progress()
+        return self._reconciler.progress() if self.leads else None
 
     async def run(self):
         """Stand for the lease and lead, again and again."""
@@ -67,12 +68,14 @@
             try:
                 await self._lead(lease)
             finally:
+                self._lease = None
                 self._reconciler = None
                 await self._cancel_batches()
                 await self._leases.release(lease)
 
     async def _lead(self, lease):
         self._reconciler = reconciler.Reconciler(self._service, lease.fencing)
+        self._lease = lease
         async with asyncio.TaskGroup() as group:
             ahead = group.create_task(self._load_ahead())
             with contextlib.suppress(exceptions.Fenced):
--- a/packages/daemon/tests/rollout/test_rollout.py
+++ b/packages/daemon/tests/rollout/test_rollout.py
@@ -13,6 +13,7 @@
 from anvilwell_daemon.rollout import relay
 from anvilwell_daemon.rollout import service
 from anvilwell_kernel.documents import document as documents
+from anvilwell_kernel import exceptions
 from anvilwell_kernel import services
 from anvilwell_platform.adapters import etcd
 from anvilwell_platform.adapters import http_client
@@ -23,9 +24,23 @@
 from anvilwell_standins.keyvalue import server
 
 WAIT_S = 40.0
+TTL_S = 2.0
 POLL_S = 0.02
 
 
+class Gate:
+    """Passes calls on to the store unless it is shut."""
+
+    def __init__(self, store):
+        self.is_shut = False
+        self._store = store
+
+    def __getattr__(self, name):
+        if self.is_shut:
+            raise exceptions.KeyValueUnavailable("no way to the store")
+        return getattr(self._store, name)
+
+
 class Configuration(services.Service):
     """One document that the test changes."""
 
@@ -62,12 +77,12 @@
         self.engines = []
         self.seeds = []
         self.rollout = None
+        self.gates_by_id = {}
 
     async def add_entry(self, vm_id):
         self.rollout = service.Rollout()
-        await self.start(
-            vm_id, "entry", "", [self.configuration, self.rollout]
-        )
+        parts = [self.configuration, self.rollout]
+        await self.start(vm_id, "entry", "", parts)
 
     async def add_agent(self, vm_id):
         held = weights.Weights("m", "1", swap_s=0.05)
@@ -80,6 +95,7 @@
     async def start(self, vm_id, role, name, parts):
         store = etcd.Etcd(http_client.HttpClient(self.keyvalue.address))
         self.stack.callback(store.close)
+        self.gates_by_id[vm_id] = Gate(store)
         door = listener.Listener("127.0.0.1", 0)
         kernel = services.Kernel(
             [
@@ -92,8 +108,8 @@
                     seeds=list(self.seeds),
                     rng=random.Random(vm_id),
                 ),
-                facade.KeyValueFacade(store, timeout_s=5.0),
-                leases_service.Leases(vm_id),
+                facade.KeyValueFacade(self.gates_by_id[vm_id], timeout_s=5.0),
+                leases_service.Leases(vm_id, ttl_s=TTL_S),
                 relay.OrderRelay(),
                 *parts,
             ]
@@ -133,22 +149,38 @@
     run(work)
 
 
-def test_failed_swap_is_retried():
+def test_failed_swap_is_retried_and_at_last_given_up_and_reported():
     async def work(fleet):
-        fleet.engines[0].faults.add(faults.Fault("swap-failed"))
+        never = faults.Fault("swap-failed", count=faults.FOREVER)
+        fleet.engines[0].faults.add(never)
+        fleet.engines[1].faults.add(faults.Fault("swap-failed"))
         fleet.configuration.change("2", 2)
-        await fleet.until(lambda: fleet.versions() == ["2"] * 2)
+        await fleet.until(lambda: fleet.versions() == ["1", "2"])
+        await fleet.until(lambda: leads(fleet.rollout))
+        await fleet.until(lambda: fleet.rollout.progress("lm").failed == 1)
+        assert fleet.rollout.progress("lm").at_version == 1
 
     run(work, agents=2, floor=0.5)
 
 
-def test_engine_that_never_swaps_is_given_up_and_reported():
+def test_leader_cut_off_from_the_store_is_replaced_and_the_rollout_ends():
     async def work(fleet):
-        never = faults.Fault("swap-failed", count=faults.FOREVER)
-        fleet.engines[0].faults.add(never)
+        first = fleet.rollout
         fleet.configuration.change("2", 2)
-        await fleet.until(lambda: fleet.versions() == ["1", "2"])
-        await fleet.until(lambda: fleet.rollout.progress("lm").failed == 1)
-        assert fleet.rollout.progress("lm").at_version == 1
+        await fleet.until(lambda: fleet.versions() == ["2"] * 2)
+        await fleet.add_entry("second")
+        fleet.gates_by_id["entry"].is_shut = True
+        await fleet.until(lambda: leads(fleet.rollout))
+        assert not leads(first)
+        fleet.configuration.change("3", 3)
+        await fleet.until(lambda: fleet.versions() == ["3"] * 2)
 
     run(work, agents=2, floor=0.5)
+
+
+def leads(rollout):
+    try:
+        rollout.progress("lm")
+    except exceptions.NotFound:
+        return False
+    return True
