Need step 0 as any other first step

Cause: with a first step numbered 0 the step after it counted as needed from the start, so the preference did not hold for it. Change: what is done begins before step 0; the test covers both and failed before. Conclusion: none open here.

--- a/packages/decisions/anvilwell_decisions/samples/coordinator.py
+++ b/packages/decisions/anvilwell_decisions/samples/coordinator.py
@@ -3,6 +3,7 @@
 import typing
 
 from anvilwell_decisions.samples import actions
+from anvilwell_decisions.samples import identity
 from anvilwell_decisions.samples import ledger as ledgers
 from anvilwell_decisions.samples import schedule as schedules
 
@@ -168,8 +169,8 @@
         A trainer that just got the last sample of a step trains on it;
         it needs the next one only when it collects again.
         """
-        got = batch.steps_whole[-1] if batch.steps_whole else 0
-        if got > self._got_by_run.get(run, 0):
+        got = max(batch.steps_whole, default=identity.NO_STEP)
+        if got > self._got_by_run.get(run, identity.NO_STEP):
             self._got_by_run[run] = got
             self._tell_needs(run, waiting=False)
             return
@@ -178,9 +179,10 @@
 
     def _tell_needs(self, run, *, waiting):
         ledger = self.ledgers_by_run[run]
+        done = self._done_by_run.get(run, identity.NO_STEP)
         self.schedule.need(
             run,
-            ledger.delivery.step_after(self._done_by_run.get(run, 0)),
+            ledger.delivery.step_after(done),
             ledger.delivery.trainer_version,
             waiting=waiting,
         )
--- a/packages/decisions/tests/samples/test_coordinator.py
+++ b/packages/decisions/tests/samples/test_coordinator.py
@@ -1,5 +1,7 @@
 """The coordinator: which step a trainer needs, and early work."""
 
+import pytest
+
 from anvilwell_decisions.samples import actions
 from anvilwell_decisions.samples import coordinator as coordinators
 from anvilwell_decisions.samples import identity
@@ -58,16 +60,17 @@
         return [start.sample.step for start in self.started]
 
 
-def test_the_next_step_waits_until_the_trainer_asks_for_it():
+@pytest.mark.parametrize("first", [0, 1])
+def test_the_next_step_waits_until_the_trainer_asks_for_it(first):
     service = Service(early_share=0.0)
-    service.submit(1)
-    service.submit(2)
-    assert service.steps_started() == [1, 1]
+    service.submit(first)
+    service.submit(first + 1)
+    assert service.steps_started() == [first] * 2
     service.end_all()
     cursor = service.collect(0)
     assert service.steps_started() == []
     service.collect(cursor)
-    assert service.steps_started() == [2, 2]
+    assert service.steps_started() == [first + 1] * 2
 
 
 def test_a_step_submitted_after_the_trainer_asked_starts_at_once():
