--- a/packages/daemon/anvilwell_daemon/agent/backends/base.py
+++ b/packages/daemon/anvilwell_daemon/agent/backends/base.py
@@ -28,6 +28,6 @@
     def cancel(self, start):
         """Give the request up at the backend server, if it can."""
 
-    def version(self):
-        """Return the weight version, "" if there is none."""
-        return ""
+    def load(self):
+        """Return the ``engine.Load`` that it reports, None if none."""
+        return None
--- a/packages/daemon/anvilwell_daemon/agent/backends/model.py
+++ b/packages/daemon/anvilwell_daemon/agent/backends/model.py
@@ -41,9 +41,9 @@
         """Give up the attempt at the engine."""
         self._engine.cancel(attempt_id(start), timeout_s=CANCEL_TIMEOUT_S)
 
-    def version(self):
-        """Return the version that the engine reports."""
-        return self._engine.load(timeout_s=LOAD_TIMEOUT_S).version
+    def load(self):
+        """Return the engine's own report."""
+        return self._engine.load(timeout_s=LOAD_TIMEOUT_S)
 
 
 def attempt_id(start):
--- a/packages/daemon/anvilwell_daemon/agent/service.py
+++ b/packages/daemon/anvilwell_daemon/agent/service.py
@@ -98,7 +98,7 @@
         kernel.get("listener").mount(connections.DATA_PATH, self._serve)
         self._tasks = [
             asyncio.create_task(self._report_load()),
-            asyncio.create_task(self._read_version()),
+            asyncio.create_task(self._read_load()),
         ]
 
     def _configure(self, service, generation=0):
@@ -303,13 +303,14 @@
             self._act(self._admission.expire(self._now()))
             await asyncio.sleep(LOAD_INTERVAL_S)
 
-    async def _read_version(self):
+    async def _read_load(self):
         while True:
             try:
-                self._version = await self._loop.run_in_executor(
-                    self._controls, self._backend.version
+                load = await self._loop.run_in_executor(
+                    self._controls, self._backend.load
                 )
                 self._is_reachable = True
+                self._take(load)
             except exceptions.AnvilwellError as error:
                 # One that is only slow still works on its requests.
                 refused = error.reason is reasons.Refusal.CONNECT_FAILED
@@ -317,5 +318,10 @@
                 _LOG.log("load-failed", cause=error.message)
             await asyncio.sleep(LOAD_INTERVAL_S)
 
+    def _take(self, load):
+        if load is not None:
+            self._version = load.version
+            self._admission.reported(load.running, load.waiting)
+
     def _now(self):
         return self._clock.monotonic()
