End a flush when its connection is over

Cause: a drain that closed a session whose link had just been lost waited for an outbox that nobody emptied, until the drain limit.

--- a/packages/daemon/anvilwell_daemon/links/connection.py
+++ b/packages/daemon/anvilwell_daemon/links/connection.py
@@ -61,6 +61,7 @@
         self._outbox = collections.deque()
         self._outbox_bytes = 0
         self._wakeup = asyncio.Event()
+        self._is_over = False
 
     @property
     def is_full(self):
@@ -116,6 +117,7 @@
         except exceptions.MalformedMessage as error:
             _LOG.log("malformed", cause=error.message)
         finally:
+            self._is_over = True
             writer.cancel()
             await asyncio.gather(writer, return_exceptions=True)
             await self._websocket.close()
@@ -125,8 +127,8 @@
         await self._websocket.close()
 
     async def flush(self):
-        """Wait until nothing waits for the socket."""
-        while self._outbox:
+        """Wait until nothing waits for the socket, or it is closed."""
+        while self._outbox and not self._is_over:
             await asyncio.sleep(0.01)
 
     async def _receive(self):
