Never take an answer with a cut head for a whole one

Cause: the standard library takes the end of the connection for the end of an answer's head. An answer without a body (a length of 0, 204) whose head was cut then looked whole to the agent and to the caller. The agent does use HttpPlain already, so this concerned every adapter over HTTP.

Change: connections check that a blank line ended the head.

Conclusion: a cut answer never looks whole, also without a body.

--- a/packages/daemon/tests/entry/test_verdicts.py
+++ b/packages/daemon/tests/entry/test_verdicts.py
@@ -182,6 +182,51 @@
         rig.request("GET", "/services/stops-app/lookup")
 
 
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"",
+        b"HTTP/1.1 20",
+        b"HTTP/1.1 200 OK",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\n\r\nno length and no chunks",
+        b"HTTP/1.1 201 Made\r\nContent-Length: 0\r\nX-Notice: 1",
+        b"HTTP/1.1 201 Made\r\nContent-Length: 2\r\nX-Notice: 1\r\n",
+        b"HTTP/1.1 204 No Content\r\nX-Notice: 1",
+        b"HTTP/1.1 204 No Content\r\n",
+    ],
+)
+def test_cut_notice_may_have_run(rig, raw_server, read_http, sent):
+    def cut(connection):
+        read_http(connection)
+        connection.sendall(sent)
+
+    server = raw_server(cut)
+    rig.plain_agent(server.address)
+    rig.start_entry()
+    try:
+        answer = _notice(rig)
+    except urllib3.exceptions.HTTPError:
+        pass  # cut at the caller too, which never looks whole
+    else:
+        assert answer.status == 502
+        assert _verdict(answer) == (MAY, "answer-cut")
+    assert server.accepted == 1
+
+
+@pytest.mark.parametrize("status", [b"201 Made", b"204 No Content"])
+def test_whole_empty_answer_passes(rig, raw_server, read_http, status):
+    def serve(connection):
+        read_http(connection)
+        connection.sendall(
+            b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\n\r\n"
+        )
+
+    rig.plain_agent(raw_server(serve).address)
+    rig.start_entry()
+    assert _notice(rig).status == int(status[:3])
+
+
 def test_agent_full_is_not_run(rig, scripted_engine):
     gate = threading.Event()
     engine = scripted_engine(lambda place: gate.wait(20))
--- a/packages/platform/anvilwell_platform/adapters/http_client.py
+++ b/packages/platform/anvilwell_platform/adapters/http_client.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from anvilwell_platform.adapters import answers
+from anvilwell_platform.adapters import whole_heads
 
 MAX_BODY_BYTES = 4 << 20
 CONNECTIONS = 64
@@ -190,9 +191,11 @@
 
 def _pool(address, connections):
     host, _, port = str(address).rpartition(":")
-    return urllib3.HTTPConnectionPool(
+    pool = urllib3.HTTPConnectionPool(
         host, int(port), maxsize=connections, retries=False
     )
+    pool.ConnectionCls = whole_heads.Connection
+    return pool
 
 
 def _send(pool, method, path, body, headers, timeout_s):
