Step down when a task of a holder of runs fails

Cause: errors of a holder's tasks and attempts were lost with the task; the sample or the whole run then waited for ever, and a bug while standing for a service ended that for good. Callers of a run that was being opened when the holder stopped got no answer at all.

Change: such an error is logged with its traceback and counted as internal; the holder gives up its lease and stands again only after a lease's life, so that another entry comes first. Callers of a holder that ends are sent elsewhere at once.

Conclusion: a fault costs a takeover and no longer stalls a run.

--- a/packages/daemon/anvilwell_daemon/runs/attempts.py
+++ b/packages/daemon/anvilwell_daemon/runs/attempts.py
@@ -26,12 +26,15 @@
         Source of time.
     on_end : callable
         ``on_end(attempt, outcome)``; `outcome` is None if it failed.
+    on_done : callable
+        Takes each attempt's task when it is done, also by a fault.
     """
 
-    def __init__(self, generator, clock, on_end):
+    def __init__(self, generator, clock, on_end, on_done):
         self._generator = generator
         self._clock = clock
         self._on_end = on_end
+        self._on_done = on_done
         self._tasks_by_attempt = {}
         self._tokens_by_attempt = {}
 
@@ -47,6 +50,7 @@
         task.add_done_callback(
             lambda _: self._tasks_by_attempt.pop(number, None)
         )
+        task.add_done_callback(self._on_done)
 
     def cancel(self, number):
         """Give up an attempt; its end is not told."""
--- a/packages/daemon/anvilwell_daemon/runs/holder.py
+++ b/packages/daemon/anvilwell_daemon/runs/holder.py
@@ -1,7 +1,9 @@
 """Holds the ledgers of one service's runs and carries out decisions."""
 
 import asyncio
+import functools
 import json
+import traceback as tracebacks
 import typing
 
 from anvilwell_daemon.runs import attempts
@@ -63,6 +65,7 @@
     def __init__(self, service, vm_id, lease, parts, *, bound, policy=None):
         self.service = service
         self.lost = asyncio.Event()
+        self.failed = False
         self._lease = lease
         self._parts = parts
         self._attempt_prefix = f"{vm_id}-{lease.fencing}"
@@ -77,7 +80,10 @@
         self._opening_by_run = {}
         self._waiters = waiters.Waiters()
         self._attempts = attempts.Attempts(
-            parts.generator, parts.clock, self._ended
+            parts.generator,
+            parts.clock,
+            self._ended,
+            functools.partial(self._task_ended, ()),
         )
         self._tasks = set()
         self._handlers_by_kind = {
@@ -109,21 +115,25 @@
 
     async def stop(self):
         """Give up all work; what is recorded stays."""
-        self.lost.set()
+        self._lose()
         await self._attempts.stop()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._waiters.close()
 
     async def open_run(self, run, weight):
         """Take over the ledger of `run` if that is not done yet."""
         if run not in self._opening_by_run:
-            opening = self._spawn(self._open_run(run, weight))
+            opening = self._spawn(
+                self._open_run(run, weight), told=exceptions.AnvilwellError
+            )
             self._opening_by_run[run] = opening
         opening = self._opening_by_run[run]
+        await asyncio.wait((opening,))
+        if opening.cancelled():
+            raise _not_leader(self.service)
         try:
-            await asyncio.shield(opening)
+            opening.result()
         except exceptions.AnvilwellError:
             self._opening_by_run.pop(run, None)
             raise
@@ -232,6 +242,8 @@
         return self._parts.clock.monotonic()
 
     def _check_lease(self):
+        if self.lost.is_set():
+            raise _not_leader(self.service)
         try:
             self._lease.check(self._now())
         except exceptions.Fenced as error:
@@ -397,7 +409,7 @@
 
     def _step_down(self, run, action):
         _LOG.log("step-down", run=run, holder=action.holder)
-        self.lost.set()
+        self._lose()
 
     async def _tick(self):
         while not self.lost.is_set():
@@ -411,12 +423,29 @@
             for number, tokens in self._attempts.tokens_by_attempt.items():
                 progress(number, tokens)
 
-    def _spawn(self, work):
+    def _spawn(self, work, told=()):
+        """Start a task; errors of the classes `told` reach its waiters."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(functools.partial(self._task_ended, told))
         return task
 
+    def _task_ended(self, told, task):
+        """Step down if `task` failed: what it should do is not done."""
+        error = None if task.cancelled() else task.exception()
+        if error is None or isinstance(error, told):
+            return
+        counters.count_refusal(reasons.Refusal.INTERNAL, self.service)
+        trace = "".join(tracebacks.format_exception(error))
+        _LOG.log("task-failed", service=self.service, traceback=trace)
+        self.failed = True
+        self._lose()
+
+    def _lose(self):
+        self.lost.set()
+        self._waiters.close()
+
 
 def _encode(attempt, outcome):
     # The attempt makes equal texts differ, so that one can be discarded.
--- a/packages/daemon/anvilwell_daemon/runs/service.py
+++ b/packages/daemon/anvilwell_daemon/runs/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import traceback as tracebacks
 
 from anvilwell_daemon.runs import copies
 from anvilwell_daemon.runs import dispatch
@@ -10,6 +11,7 @@
 from anvilwell_daemon.runs import location as locations
 from anvilwell_daemon.runs import requests
 from anvilwell_daemon.runs import routes
+from anvilwell_decisions.leases import session as sessions
 from anvilwell_decisions.samples import schedule
 from anvilwell_decisions.samples import versions
 from anvilwell_kernel import clock as clocks
@@ -17,11 +19,14 @@
 from anvilwell_kernel.messages import samples as messages
 from anvilwell_kernel import reasons
 from anvilwell_kernel import services
+from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
 
 TURN_PERIOD_S = 0.25
 FORWARD_TIMEOUT_S = 5.0
 RETRY_S = 1.0
+# After a fault others stand first: they look twice within a lease's life.
+FAULT_RETRY_S = sessions.TTL_S
 
 _LOG = logs.get_logger(__name__)
 
@@ -199,15 +204,24 @@
         leases = self._kernel.get("leases")
         while True:
             lease = await leases.hold(locations.lease_name(service))
+            retry_s = RETRY_S
             try:
-                await self._hold(service, lease)
+                if await self._hold(service, lease):
+                    retry_s = FAULT_RETRY_S
             except exceptions.AnvilwellError as error:
                 _LOG.log("hold-failed", service=service, cause=error.message)
+            except Exception:
+                # Whatever it was: another entry may fare better.
+                counters.count_refusal(reasons.Refusal.INTERNAL, service)
+                trace = tracebacks.format_exc()
+                _LOG.log("hold-failed", service=service, traceback=trace)
+                retry_s = FAULT_RETRY_S
             finally:
                 await leases.release(lease)
-            await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(retry_s)
 
     async def _hold(self, service, lease):
+        """Hold the runs until the lease ends; return if by a fault."""
         model = self._document(service).model
         policy = schedule.Policy(early_share=1.0 - model.preference)
         holder = holders.Holder(
@@ -228,6 +242,7 @@
         finally:
             self._holders_by_service.pop(service, None)
             await holder.stop()
+        return holder.failed
 
     async def _follow(self, service, holder, lease):
         replicas = self._kernel.get("replicas")
--- a/packages/daemon/tests/runs/test_holder.py
+++ b/packages/daemon/tests/runs/test_holder.py
@@ -15,6 +15,7 @@
 from anvilwell_kernel import clock as clocks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
+from anvilwell_kernel.telemetry import counters
 from anvilwell_platform.ports import keyvalue
 from anvilwell_platform.ports import scorer as scorers
 
@@ -320,6 +321,84 @@
     run(scenario)
 
 
+async def _fail(*args):
+    raise ZeroDivisionError("a bug")
+
+
+def _break_copies(world, holder):
+    world.peers_by_id["a"].copies.spread = _fail
+
+
+def _break_attempts(world, holder):
+    world.generator.scripts.append(1 / 0 for _ in "x")
+
+
+def _break_ticks(world, holder):
+    def tick(now):
+        raise ZeroDivisionError("a bug")
+
+    holder._coordinator.tick = tick
+
+
+@pytest.mark.parametrize(
+    "damage", [_break_copies, _break_attempts, _break_ticks]
+)
+def test_a_holder_with_a_failed_task_steps_down(damage, monkeypatch):
+    counted = []
+    monkeypatch.setattr(
+        counters, "count_refusal", lambda *args: counted.append(args)
+    )
+
+    async def scenario(world):
+        holder = await world.holder("a", 1)
+        damage(world, holder)
+        await holder.submit(STEP)
+        with pytest.raises(exceptions.Refused) as refusal:
+            await collect_all(holder)
+        assert refusal.value.reason == reasons.Refusal.NOT_LEADER
+        assert holder.lost.is_set()
+        assert holder.failed
+        assert (reasons.Refusal.INTERNAL, "lm") in counted
+
+    run(scenario)
+
+
+def test_a_run_that_cannot_be_opened_for_a_bug_is_told_and_given_up():
+    async def scenario(world):
+        holder = await world.holder("a", 1)
+        world.keyvalue.get_prefix = lambda prefix, *, purpose: _fail()
+        with pytest.raises(ZeroDivisionError):
+            await holder.open_run("other", 1.0)
+        assert holder.lost.is_set()
+
+    run(scenario)
+
+
+def test_callers_of_a_holder_that_stops_are_sent_elsewhere_at_once():
+    async def scenario(world):
+        world.generator.gate.clear()
+        holder = await world.holder("a", 1)
+        await holder.submit(STEP)
+        never = asyncio.Event()
+
+        async def hang(prefix, *, purpose):
+            await never.wait()
+
+        world.keyvalue.get_prefix = hang
+        calls = [
+            asyncio.create_task(holder.collect("r", 0, 10, 25.0)),
+            asyncio.create_task(holder.open_run("other", 1.0)),
+        ]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        await holder.stop()
+        for error in await asyncio.gather(*calls, return_exceptions=True):
+            assert isinstance(error, exceptions.Refused)
+            assert error.reason == reasons.Refusal.NOT_LEADER
+
+    run(scenario)
+
+
 def test_bytes_that_do_not_fit_their_digest_are_refused():
     store = bytes_store.BytesStore()
     with pytest.raises(exceptions.BadRequest):
--- a/packages/daemon/tests/runs/test_service.py
+++ b/packages/daemon/tests/runs/test_service.py
@@ -242,6 +242,22 @@
     run(scenario)
 
 
+def test_another_entry_takes_over_from_one_with_a_bug():
+    async def fail(sample, digest):
+        raise ZeroDivisionError("a bug")
+
+    async def scenario(fleet, holder):
+        kernel, _ = fleet.entries_by_id[holder]
+        kernel.get("runs")._parts.copies.spread = fail
+        trainer = Trainer(fleet, holder)
+        await trainer.submit(1)
+        await trainer.collect(12)
+        check_whole(trainer.rows, [1])
+        assert fleet.holder() == fleet.other(holder)
+
+    run(scenario)
+
+
 def test_a_step_is_whole_though_an_agent_goes():
     async def scenario(fleet, holder):
         trainer = Trainer(fleet, holder)
