Keep comments and layout when a trainer moves the version on

Cause: the text of a service document was rendered anew for each new weight version, and operators lost comments, order and spacing.

Change: ConfigUpdater finds the option, and only the digits change (kernel documents.set_version).

--- a/packages/daemon/anvilwell_daemon/configuration/texts.py
+++ b/packages/daemon/anvilwell_daemon/configuration/texts.py
@@ -65,5 +65,4 @@
             )
         if int(version) == int(parsed.model.version):
             return document.text
-        model = parsed.model._replace(version=version)
-        return documents.render(parsed._replace(model=model))
+        return documents.set_version(document.text, version, document.service)
--- a/packages/kernel/anvilwell_kernel/config/loader.py
+++ b/packages/kernel/anvilwell_kernel/config/loader.py
@@ -13,6 +13,8 @@
 from anvilwell_kernel import exceptions
 
 MAX_TEXT_BYTES = 256 << 10
+DELIMITERS = ("=",)
+COMMENT_PREFIXES = ("#", ";")
 _SHOWN_CHARS = 60
 _NO_DEFAULT_SECTION = "\0"
 
@@ -126,8 +128,8 @@
     parser = configparser.ConfigParser(
         strict=strict,
         interpolation=None,
-        delimiters=("=",),
-        comment_prefixes=("#", ";"),
+        delimiters=DELIMITERS,
+        comment_prefixes=COMMENT_PREFIXES,
         inline_comment_prefixes=(";",),
         default_section=_NO_DEFAULT_SECTION,
         empty_lines_in_values=False,
