Work the target out from measured slopes

Cause: the target's costs stood nowhere, and acts were missing for the relay, claims, rollout, key-value calls, control links and a process. Change: acts for these; `slopes` measures, keeps and compares; formulas from a fleet and the lines to typed rows; docs/CAPACITY.md is rendered from the committed slopes and a test compares it; `anvilwell capacity` prints the rows of an operator's own fleet. CPU is set in proportion to a fixed piece of work, since the machine is shared. Conclusion: what does not hold stands on the page with its next step.

--- a/packages/bench/anvilwell_bench/slopes/act.py
+++ b/packages/bench/anvilwell_bench/slopes/act.py
@@ -1,11 +1,19 @@
 """What a recurring act is, and the meters that measure it."""
 
 import abc
+import functools
 import gc
+import statistics
 import time
 import tracemalloc
 
+import cbor2
+
 MICROSECONDS = 1e6
+ROUNDS = 5
+REFERENCE_STEPS = 100
+REFERENCE_REPEATS = 10
+REFERENCE_ROUNDS = 500
 
 
 class Act(abc.ABC):
@@ -28,11 +36,13 @@
 def cpu_us(function, repeats):
     """Return CPU microseconds for one call of `function`.
 
-    The least of three rounds of `repeats` calls: other load on the
-    machine can only add to it.
+    Neighbours on the machine slow every instruction down, so each round
+    is set in proportion to a fixed piece of work done around it, and
+    the median proportion is multiplied by that work's least time.
     """
-    rounds = [_cpu_s(function, repeats) for _ in range(3)]
-    return min(rounds) / repeats * MICROSECONDS
+    quiet_us = _quiet_reference_us()
+    ratios = [_ratio(function, repeats) for _ in range(ROUNDS)]
+    return statistics.median(ratios) * quiet_us
 
 
 def retained_bytes(build):
@@ -47,11 +57,35 @@
     return size
 
 
-def _cpu_s(function, repeats):
+def _ratio(function, repeats):
+    before_us = _reference_us()
+    spent_us = _cpu_us(function, repeats) / repeats
+    return 2 * spent_us / (before_us + _reference_us())
+
+
+@functools.cache
+def _quiet_reference_us():
+    return min(_cpu_us(_reference, 1) for _ in range(REFERENCE_ROUNDS))
+
+
+def _reference_us():
+    return _cpu_us(_reference, REFERENCE_REPEATS) / REFERENCE_REPEATS
+
+
+def _reference():
+    """Do some work like that of the acts: calls, dicts and bytes."""
+    counts_by_size = {}
+    for number in range(REFERENCE_STEPS):
+        frame = cbor2.dumps([number, "reference", b"x" * 32])
+        size = len(cbor2.loads(frame))
+        counts_by_size[size] = counts_by_size.get(size, 0) + number
+
+
+def _cpu_us(function, repeats):
     gc.disable()
     started = time.process_time()
     for _ in range(repeats):
         function()
     spent = time.process_time() - started
     gc.enable()
-    return spent
+    return spent * MICROSECONDS
--- a/packages/bench/anvilwell_bench/slopes/acts/configuration.py
+++ b/packages/bench/anvilwell_bench/slopes/acts/configuration.py
@@ -6,9 +6,11 @@
 from anvilwell_decisions.configuration import outcomes
 from anvilwell_decisions.configuration import proposal
 from anvilwell_decisions.configuration import registry
+from anvilwell_kernel.messages import codec
 from anvilwell_kernel.messages import configuration as messages
 
 CALLS = 3
+FRAMES = codec.Codec(messages.KINDS)
 DIGESTS = 200
 DOCUMENT_CHARS = 1000
 _MEMBER_SIZES = (50, 200, 450, 850)
@@ -105,3 +107,55 @@
         return act.cpu_us(
             lambda: exchange.digest_of(documents_by_service), DIGESTS
         )
+
+
+class PrepareBytes(act.Act):
+    """Bytes of a prepare request for the members of one domain."""
+
+    name = "configuration.prepare.bytes"
+    act = "prepare request to a domain's relay, document of 1,000 bytes"
+    grows_with = "members in the domain"
+    unit = "bytes"
+    sizes = (8, 32, 128, 460)
+
+    def measure(self, size):
+        """Return the frame's bytes."""
+        text = "x" * DOCUMENT_CHARS
+        document = messages.Document("stops", 12, 12, text)
+        message = messages.PrepareChange(
+            "a" * 32, "c" * 32, document, 11, _instances(size)
+        )
+        return len(FRAMES.encode(message))
+
+
+class CommitBytes(act.Act):
+    """Bytes of a commit for the members of one domain."""
+
+    name = "configuration.commit.bytes"
+    act = "commit to a domain's relay"
+    grows_with = "members in the domain"
+    unit = "bytes"
+    sizes = (8, 32, 128, 460)
+
+    def measure(self, size):
+        """Return the frame's bytes."""
+        message = messages.CommitChange(
+            "a" * 32, "stops", 12, 12, _instances(size)
+        )
+        return len(FRAMES.encode(message))
+
+
+class DigestBytes(act.Act):
+    """Bytes of a digest that names the services followed."""
+
+    name = "configuration.digest.bytes"
+    act = "digest that names the services that its sender follows"
+    grows_with = "services named"
+    unit = "bytes"
+    sizes = (1, 8, 32, 64)
+
+    def measure(self, size):
+        """Return the frame's bytes."""
+        services = [f"service-{number:03d}" for number in range(size)]
+        digest = messages.DocumentDigest(services, (1 << 63) - 1)
+        return len(FRAMES.encode(digest))
--- a/packages/bench/anvilwell_bench/slopes/acts/membership.py
+++ b/packages/bench/anvilwell_bench/slopes/acts/membership.py
@@ -138,3 +138,18 @@
     def measure(self, size):
         """Return retained bytes."""
         return act.retained_bytes(lambda: _node(size))
+
+
+class NewsBytes(act.Act):
+    """Bytes of a heartbeat with news of changed members."""
+
+    name = "membership.news.bytes"
+    act = "heartbeat with records of changed members"
+    grows_with = "records"
+    unit = "bytes"
+    sizes = (0, 4, 8, 16)
+
+    def measure(self, size):
+        """Return the frame's bytes."""
+        members = [_member(number) for number in range(size)]
+        return len(FRAMES.encode(messages.Heartbeat(123456, members)))
--- a/packages/client/anvilwell_client/commands/__init__.py
+++ b/packages/client/anvilwell_client/commands/__init__.py
@@ -3,6 +3,7 @@
 from absl import flags
 
 from anvilwell_client.commands import apply
+from anvilwell_client.commands import capacity
 from anvilwell_client.commands import diff
 from anvilwell_client.commands import drain
 from anvilwell_client.commands import explain
@@ -11,6 +12,7 @@
 from anvilwell_client.commands import status
 from anvilwell_client.commands import versions
 from anvilwell_client import printer
+from anvilwell_decisions.capacity import target
 from anvilwell_kernel import commandline
 
 _FLAGS = flags.FlagValues()
@@ -61,6 +63,49 @@
     flag_values=_FLAGS,
 )
 
+_INTEGERS_BY_FLAG = {
+    "entries": "Daemons before the replicas",
+    "replicas": "Replicas of model engines",
+    "accelerators": "Accelerators of all replicas",
+    "trainers": "Training runs at a time",
+    "samples_step": "Samples in a step of a run",
+    "regions": "Regions",
+    "failure_domains": "Failure domains",
+    "services": "Services",
+    "body_bytes": "Mean bytes of a request's body",
+}
+_FLOATS_BY_FLAG = {
+    "requests_s": "Requests a second at the peak",
+    "tokens_s": "Tokens generated a second at the peak",
+    "step_s": "Seconds within which a step is whole",
+    "weights_s": "Seconds between weight versions",
+    "swap_s": "Seconds for weights to be everywhere",
+    "changes_day": "Changes of configuration a day",
+    "spread_s": "Seconds for a change to be everywhere",
+    "failures_day": "VMs that fail a day",
+    "replaced_day": "VMs restarted or replaced a day",
+}
+_CAPACITY_NOTE = "; {} if left out (capacity)."
+
+for _name, _about in _INTEGERS_BY_FLAG.items():
+    flags.DEFINE_integer(
+        _name,
+        None,
+        _about + _CAPACITY_NOTE.format(getattr(target.TARGET, _name)),
+        lower_bound=1,
+        flag_values=_FLAGS,
+    )
+for _name, _about in _FLOATS_BY_FLAG.items():
+    flags.DEFINE_float(
+        _name,
+        None,
+        _about + _CAPACITY_NOTE.format(getattr(target.TARGET, _name)),
+        lower_bound=1e-3,
+        flag_values=_FLAGS,
+    )
+flags.DEFINE_alias("requests", "requests_s", flag_values=_FLAGS)
+flags.DEFINE_alias("tokens", "tokens_s", flag_values=_FLAGS)
+
 PROGRAM = commandline.Program(
     name="anvilwell",
     about="Drives anvilwell: service documents, drains and explanations.",
@@ -89,6 +134,9 @@
         "explain": commandline.Command(
             explain.explain, ("REQUEST_ID",), "say what happened to a request"
         ),
+        "capacity": commandline.Command(
+            capacity.capacity, (), "work out what a fleet of some size takes"
+        ),
     },
     flag_values=_FLAGS,
 )
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The rows of each role, one module a role."""
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/agent.py
@@ -0,0 +1,141 @@
+"""What an agent beside a backend server holds and spends."""
+
+import math
+
+from anvilwell_decisions.capacity import assumptions
+from anvilwell_decisions.capacity.roles import control
+from anvilwell_decisions.capacity.roles import entry
+from anvilwell_decisions.capacity import rows
+from anvilwell_decisions.capacity import target
+
+ROLE = "agent"
+QUEUED = 64
+_US = 1e6
+
+
+def replicas_a_daemon(fleet):
+    """Return the replicas behind one daemon if agents are shared."""
+    return math.ceil(fleet.replicas / fleet.entries)
+
+
+def tokens_s(fleet, lines):
+    """Return tokens a second of one replica."""
+    return fleet.tokens_s / fleet.replicas
+
+
+def accelerators(fleet, lines):
+    """Return the tokens a second of one accelerator."""
+    return fleet.tokens_s / fleet.accelerators
+
+
+def links(fleet):
+    """Return how many entries link to one agent."""
+    return fleet.entries * entry.subset_links(fleet) / fleet.replicas
+
+
+def data_path_cores(fleet, lines):
+    """Return cores of one agent for the tokens of its replica."""
+    message_us = lines["agent.tokens.cpu"].at(25)
+    requests_us = (fleet.requests_s / fleet.replicas) * (
+        lines["link.request.cpu"].at(fleet.body_bytes)
+        + lines["agent.admission.cpu"].at(QUEUED)
+    )
+    return (tokens_s(fleet, lines) / 25 * message_us + requests_us) / _US
+
+
+def shared_cores(fleet, lines):
+    """Return data path cores of a daemon that has both roles."""
+    agents = replicas_a_daemon(fleet) * data_path_cores(fleet, lines)
+    return entry.data_path_cores(fleet, lines) + agents
+
+
+def control_bytes_s(fleet, lines):
+    """Return all control bytes a second of one agent."""
+    return control.bytes_s(fleet, lines) + entry.link_bytes_s(
+        links(fleet), lines
+    )
+
+
+def control_cpu_share(fleet, lines):
+    """Return all control CPU of one agent, in cores."""
+    return control.cpu_share(fleet, lines) + entry.link_cpu_share(
+        links(fleet), lines
+    )
+
+
+def memory_bytes(fleet, lines):
+    """Return the memory of an agent with its streams."""
+    streams = tokens_s(fleet, lines) / assumptions.STREAM_TOKENS_S
+    streams_bytes = streams * lines["link.streams.bytes"].slope
+    return control.memory_bytes(fleet, lines) + streams_bytes
+
+
+FIGURES = (
+    rows.Figure(
+        ROLE,
+        "tokens of one accelerator",
+        "tokens/s",
+        accelerators,
+        "tokens/s / accelerators",
+        (),
+        "an accelerator is its engine's; an agent sees replicas only",
+    ),
+    rows.Figure(
+        ROLE,
+        "data path of one replica (no sockets or threads)",
+        "cores",
+        data_path_cores,
+        "tokens/s / 25 x message(25) + requests/s x (frame + admission)",
+        ("agent.tokens.cpu", "link.request.cpu", "agent.admission.cpu"),
+        "neighbouring tokens leave as one message",
+        assumptions.DATA_PATH_CORES,
+        rows.Reading.APART,
+    ),
+    rows.Figure(
+        ROLE,
+        "data path of a daemon with both roles (no sockets or threads)",
+        "cores",
+        shared_cores,
+        "entry's data path + replicas of a daemon x agent's",
+        ("entry.messages.cpu", "agent.tokens.cpu", "link.request.cpu"),
+        "the roles' work adds up in one process",
+        assumptions.DATA_PATH_CORES,
+        rows.Reading.SHARED,
+        "agents in processes of their own, reading B",
+    ),
+    rows.Figure(
+        ROLE,
+        "all control bytes",
+        "bytes/s",
+        control_bytes_s,
+        "control of every daemon + entries x subset / replicas links",
+        ("entry.reports.bytes", "membership.quiet.bytes"),
+        "an agent has as many links as subsets name it",
+        target.BUDGET.bytes_s,
+        rows.Reading.APART,
+        entry.FEWER_REPORTS,
+    ),
+    rows.Figure(
+        ROLE,
+        "all control CPU",
+        "cores",
+        control_cpu_share,
+        "control of every daemon + links x (reports + pings)",
+        ("control.messages.cpu", "membership.quiet.cpu"),
+        "an agent has as many links as subsets name it",
+        target.BUDGET.cpu_share,
+        rows.Reading.APART,
+        entry.FEWER_REPORTS,
+    ),
+    rows.Figure(
+        ROLE,
+        "memory with its streams",
+        "bytes",
+        memory_bytes,
+        "every daemon's + streams x stream",
+        ("link.streams.bytes", "daemon.base.bytes"),
+        "64 KiB of an answer at most; then the engine's socket fills",
+        target.BUDGET.memory_bytes,
+        rows.Reading.APART,
+    ),
+)
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/bad_days.py
@@ -0,0 +1,302 @@
+"""What happens on the bad days, with figures."""
+
+from anvilwell_decisions.capacity import assumptions
+from anvilwell_decisions.capacity.roles import configuration
+from anvilwell_decisions.capacity.roles import entry
+from anvilwell_decisions.capacity.roles import keyvalue
+from anvilwell_decisions.capacity.roles import rollout
+from anvilwell_decisions.capacity import rows
+from anvilwell_decisions.capacity import target
+from anvilwell_decisions.membership import news
+from anvilwell_decisions.membership import rings
+from anvilwell_decisions.rollout import grants
+
+ROLE = "bad days"
+CUT_S = 300.0
+OUTAGE_S = 3600.0
+DEAD_S = 2.0
+LEASE_WAIT_S = 15.0
+JOIN_LONGEST_DELAY_S = 4.0
+KEYVALUE_CALL_S = configuration.KEYVALUE_CALL_S
+_EDGES = 2 * rings.RINGS
+
+
+def _spread_s(lost):
+    """Return seconds until `lost` deaths have crossed every edge."""
+    records = lost * _EDGES
+    beyond_burst = max(0.0, records - news.BURST)
+    return DEAD_S + beyond_burst / news.RATE_PER_S
+
+
+def rack_s(fleet, lines):
+    """Return seconds until a rack's deaths are known everywhere."""
+    return _spread_s(min(assumptions.RACK_VMS, domain_vms(fleet, lines)))
+
+
+def domain_vms(fleet, lines):
+    """Return daemons that a failure domain takes along."""
+    return fleet.daemons / fleet.failure_domains
+
+
+def domain_s(fleet, lines):
+    """Return seconds until a domain's deaths are known everywhere."""
+    return _spread_s(domain_vms(fleet, lines))
+
+
+def storm_bytes_s(fleet, lines):
+    """Return control bytes a second while much is lost or heals."""
+    record = lines["membership.news.bytes"].slope
+    return entry.control_bytes_s(fleet, lines) + 2 * news.RATE_PER_S * record
+
+
+def storm_cpu_share(fleet, lines):
+    """Return control CPU of an entry while much is lost or heals."""
+    heard_s = 2 * news.RATE_PER_S
+    change_us = lines["membership.change.cpu"].at(fleet.daemons)
+    return entry.control_cpu_share(fleet, lines) + heard_s * change_us / 1e6
+
+
+def cut_load(fleet, lines):
+    """Return the load on what is left when a region is cut off."""
+    if fleet.regions == 1:
+        return float("inf")
+    return fleet.regions / (fleet.regions - 1)
+
+
+def refused_changes(fleet, lines):
+    """Return changes refused by name in a cut of five minutes."""
+    return fleet.changes_s * CUT_S
+
+
+def heal_s(fleet, lines):
+    """Return seconds until both sides know each other again."""
+    return _spread_s(fleet.daemons / fleet.regions)
+
+
+def outage_starts(fleet, lines):
+    """Return daemons that start in an hour's outage."""
+    return OUTAGE_S * fleet.replaced_day / target.DAY_S
+
+
+def return_writes(fleet, lines):
+    """Return writes that wait when the service is back."""
+    leaders = fleet.trainers + fleet.services
+    return (
+        outage_starts(fleet, lines)
+        + 2 * leaders
+        + fleet.trainers * OUTAGE_S / 60.0
+    )
+
+
+def return_s(fleet, lines):
+    """Return seconds until the waiting writes have gone through."""
+    rate_s = assumptions.KEYVALUE_WRITES_S - keyvalue.writes_s(
+        assumptions.CLAIM_SHARE
+    )(fleet, lines)
+    if rate_s <= 0:
+        return float("inf")
+    return LEASE_WAIT_S + return_writes(fleet, lines) / rate_s
+
+
+def domain_restart_s(fleet, lines):
+    """Return seconds until a domain's daemons are in their lists."""
+    daemons = domain_vms(fleet, lines)
+    lists = min(fleet.services, daemons)
+    # Writers of one list land one after the other.
+    one_list_s = daemons * assumptions.LARGEST_SERVICE * 2 * KEYVALUE_CALL_S
+    others_s = daemons / lists * 2 * KEYVALUE_CALL_S
+    return one_list_s + others_s + JOIN_LONGEST_DELAY_S
+
+
+def replaced_s(fleet, lines):
+    """Return member records a second that replacements cause."""
+    return assumptions.CHANGES_REPLACED * fleet.replaced_day / target.DAY_S
+
+
+def push_domain_loads_s(fleet, lines):
+    """Return seconds to load a lost domain's replicas once more."""
+    return fleet.replicas / fleet.failure_domains / grants.LOADS_PER_S
+
+
+def push_cut_s(fleet, lines):
+    """Return seconds until a region that heals has the new weights."""
+    region = fleet.replicas / fleet.regions
+    load_s = region / grants.LOADS_PER_S
+    return heal_s(fleet, lines) + load_s + rollout.swap_s(fleet, lines)
+
+
+_NEWS = "token bucket of 64 records/s, burst 128; leaving goes first"
+_SLOWER = (
+    "the data path sees a dead link by itself after at most 4 s; records"
+    " of a whole domain in one message would spread sooner"
+)
+
+FIGURES = (
+    rows.Figure(
+        ROLE,
+        "a rack lost: known at every daemon",
+        "s",
+        rack_s,
+        "2 s + (40 VMs x edges - 128) / 64/s",
+        (),
+        _NEWS,
+        3.0,
+        next_step=_SLOWER,
+    ),
+    rows.Figure(
+        ROLE,
+        "a failure domain lost: daemons gone",
+        "daemons",
+        domain_vms,
+        "daemons / failure domains",
+        (),
+        "subsets and rings span domains",
+        reading=rows.Reading.APART,
+    ),
+    rows.Figure(
+        ROLE,
+        "a failure domain lost: known at every daemon",
+        "s",
+        domain_s,
+        "2 s + (daemons / domains x edges - 128) / 64/s",
+        (),
+        _NEWS,
+        3.0,
+        rows.Reading.APART,
+        _SLOWER,
+    ),
+    rows.Figure(
+        ROLE,
+        "an entry's control bytes while news is at its bound",
+        "bytes/s",
+        storm_bytes_s,
+        "entry's control + 2 x 64/s x record",
+        ("membership.news.bytes", "entry.reports.bytes"),
+        _NEWS,
+        target.BUDGET.bytes_s,
+        rows.Reading.APART,
+        "fewer load reports, as above; then the bound itself",
+    ),
+    rows.Figure(
+        ROLE,
+        "an entry's control CPU while news is at its bound",
+        "cores",
+        storm_cpu_share,
+        "entry's control + 2 x 64/s x change",
+        ("membership.change.cpu", "control.messages.cpu"),
+        _NEWS,
+        target.BUDGET.cpu_share,
+        rows.Reading.APART,
+        entry.FEWER_REPORTS,
+    ),
+    rows.Figure(
+        ROLE,
+        "a region cut off: load on the others' replicas",
+        "times",
+        cut_load,
+        "regions / (regions - 1)",
+        (),
+        "both sides serve on; training gives way to live callers",
+    ),
+    rows.Figure(
+        ROLE,
+        "a region cut off for 5 minutes: changes refused",
+        "changes",
+        refused_changes,
+        "changes/s x 300 s",
+        (),
+        "refused with the names of the missing; nothing in force",
+    ),
+    rows.Figure(
+        ROLE,
+        "a region heals: both sides know each other",
+        "s",
+        heal_s,
+        "2 s + (daemons / regions x edges - 128) / 64/s",
+        (),
+        "table exchanges; a claim of death is tried before it counts",
+        60.0,
+        rows.Reading.APART,
+        "exchange whole buckets between sides once they meet",
+    ),
+    rows.Figure(
+        ROLE,
+        "key-value service down for an hour: daemons that start",
+        "daemons",
+        outage_starts,
+        "3,600 s x replaced a day / 86,400 s",
+        (),
+        "a sponsor answers for the configuration meanwhile",
+    ),
+    rows.Figure(
+        ROLE,
+        "the service is back: waiting writes",
+        "writes",
+        return_writes,
+        "starts + 2 x leaderships + 60 chunks a run",
+        (),
+        "daemons at rest write nothing; claims were refused as not run",
+    ),
+    rows.Figure(
+        ROLE,
+        "the service is back: leaders lead and writes are through",
+        "s",
+        return_s,
+        "15 s of lease and look + waiting writes / (300/s - usual)",
+        ("keyvalue.lease.writes", "claims.apart.writes"),
+        "random pauses that double; group commit",
+        60.0,
+    ),
+    rows.Figure(
+        ROLE,
+        "a whole domain starts at once: all are listed",
+        "s",
+        domain_restart_s,
+        "daemons of the largest list x 2 calls x 10 ms + 4 s",
+        ("keyvalue.join.calls",),
+        "compare-and-swap on one list, pauses up to 4 s",
+        60.0,
+        rows.Reading.APART,
+        "lists in shards: no two starts write the same key",
+    ),
+    rows.Figure(
+        ROLE,
+        "replacements: records",
+        "records/s",
+        replaced_s,
+        "3 x replaced a day / 86,400 s",
+        (),
+        "each crosses each edge once",
+        news.RATE_PER_S / _EDGES,
+    ),
+    rows.Figure(
+        ROLE,
+        "a weight push while a domain is replaced: loads once more",
+        "s",
+        push_domain_loads_s,
+        "replicas / domains / 20 loads/s",
+        (),
+        "the floor counts the domain as out of service; the rest swap",
+        28 * 60.0,
+    ),
+    rows.Figure(
+        ROLE,
+        "a weight push while a region is cut off: its replicas at last",
+        "s",
+        push_cut_s,
+        "heal + replicas / regions / 20 loads/s + swap",
+        ("control.messages.cpu",),
+        "samples name their true, older version; the bound decides",
+        28 * 60.0,
+        rows.Reading.APART,
+    ),
+    rows.Figure(
+        ROLE,
+        "a weight push while the key-value service is down: delay",
+        "s",
+        lambda fleet, lines: OUTAGE_S + return_s(fleet, lines),
+        "outage + the row on its return",
+        ("keyvalue.lease.writes",),
+        "no lease, no order: no version changes in the outage",
+    ),
+)
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/entry.py
@@ -0,0 +1,213 @@
+"""What an entry holds and spends."""
+
+from anvilwell_decisions.capacity import assumptions
+from anvilwell_decisions.capacity.roles import control
+from anvilwell_decisions.capacity import rows
+from anvilwell_decisions.capacity import target
+from anvilwell_decisions.requests import subsets
+
+ROLE = "entry"
+REPORTS_S = 2.0
+PING_INTERVAL_S = 2.0
+# A ping and its answer, from each side.
+_PINGS = 4
+_PING_BYTES = 4
+_US = 1e6
+SUBSET = float(subsets.SubsetSettings().size)
+
+
+def requests_s(fleet, lines):
+    """Return requests a second of one entry."""
+    return fleet.requests_s / fleet.entries
+
+
+def tokens_s(fleet, lines):
+    """Return tokens a second that one entry relays."""
+    return fleet.tokens_s / fleet.entries
+
+
+def open_streams(fleet, lines):
+    """Return streams open at a time at one entry."""
+    return tokens_s(fleet, lines) / assumptions.STREAM_TOKENS_S
+
+
+def link_bytes_s(links, lines):
+    """Return bytes a second of reports and pings of `links` links."""
+    report = lines["entry.reports.bytes"].slope + assumptions.HEADER_BYTES
+    ping = _PING_BYTES + assumptions.HEADER_BYTES
+    return links * (REPORTS_S * report + _PINGS * ping / PING_INTERVAL_S)
+
+
+def link_cpu_share(links, lines):
+    """Return the share of a core that reports and pings take."""
+    message_us = lines["control.messages.cpu"].slope / 2
+    report_us = lines["entry.reports.cpu"].slope + message_us
+    pings_s = _PINGS / PING_INTERVAL_S
+    # A ping is at most a message without a typed body.
+    return links * (REPORTS_S * report_us + pings_s * message_us) / _US
+
+
+def subset_links(fleet):
+    """Return how many agents one entry links to, with subsets.
+
+    A subset in all, but some agents of each service at least.
+    """
+    wanted = max(SUBSET, assumptions.LINKS_A_SERVICE * fleet.services)
+    return min(wanted, fleet.replicas)
+
+
+def control_bytes_s(fleet, lines):
+    """Return all control bytes a second of an entry."""
+    links = link_bytes_s(subset_links(fleet), lines)
+    return control.bytes_s(fleet, lines) + links
+
+
+def control_cpu_share(fleet, lines):
+    """Return all control CPU of an entry, in cores."""
+    links = link_cpu_share(subset_links(fleet), lines)
+    return control.cpu_share(fleet, lines) + links
+
+
+def memory_bytes(fleet, lines):
+    """Return the memory of an entry with its open streams."""
+    return (
+        control.memory_bytes(fleet, lines)
+        + lines["entry.replica.bytes"].at(subset_links(fleet))
+        + open_streams(fleet, lines) * lines["link.streams.bytes"].slope
+    )
+
+
+def data_path_cores(fleet, lines):
+    """Return cores for frames and events of the relayed tokens."""
+    messages_s = tokens_s(fleet, lines) / 25
+    answers_us = messages_s * lines["entry.messages.cpu"].slope
+    requests_us = requests_s(fleet, lines) * (
+        lines["link.request.cpu"].at(fleet.body_bytes)
+        + lines["entry.route.cpu"].at(subset_links(fleet))
+    )
+    return (answers_us + requests_us) / _US
+
+
+def all_links_bytes_s(fleet, lines):
+    """Return bytes a second of reports if all agents are linked."""
+    return link_bytes_s(fleet.replicas, lines)
+
+
+def all_links_cpu_share(fleet, lines):
+    """Return the CPU of reports if all agents are linked."""
+    return link_cpu_share(fleet.replicas, lines)
+
+
+_REPORT_SLOPES = (
+    "entry.reports.bytes",
+    "entry.reports.cpu",
+    "control.messages.cpu",
+)
+_SUBSET = (
+    "subsets by rendezvous hashing: 48 agents, or 3 of each service if"
+    " that is more"
+)
+FEWER_REPORTS = (
+    "report what changed only, and ping only where nothing else came"
+)
+
+FIGURES = (
+    rows.Figure(
+        ROLE,
+        "requests",
+        "requests/s",
+        requests_s,
+        "requests/s / entries",
+        (),
+        "the platform's balancer spreads callers",
+    ),
+    rows.Figure(
+        ROLE,
+        "tokens relayed",
+        "tokens/s",
+        tokens_s,
+        "tokens/s / entries",
+        (),
+        "one multiplexed link for each agent",
+    ),
+    rows.Figure(
+        ROLE,
+        "open streams",
+        "streams",
+        open_streams,
+        "tokens/s of an entry / tokens/s of a stream",
+        (),
+        "credits bound each stream's buffer",
+    ),
+    rows.Figure(
+        ROLE,
+        "data path: frames, checks and events (no sockets or threads)",
+        "cores",
+        data_path_cores,
+        "tokens/s / 25 x message + requests/s x (frame + route)",
+        ("entry.messages.cpu", "link.request.cpu", "entry.route.cpu"),
+        "the agent joins tokens; an entry pays for messages",
+        assumptions.DATA_PATH_CORES,
+        rows.Reading.SHARED,
+    ),
+    rows.Figure(
+        ROLE,
+        "load reports and pings, a link to every agent",
+        "bytes/s",
+        all_links_bytes_s,
+        "replicas x (2 reports/s + 2 pings/s)",
+        _REPORT_SLOPES[:1],
+        "none: what an entry without subsets would pay",
+        target.BUDGET.bytes_s,
+        rows.Reading.APART,
+        "link to a subset only, the rows below",
+    ),
+    rows.Figure(
+        ROLE,
+        "load reports and pings, a link to every agent",
+        "cores",
+        all_links_cpu_share,
+        "replicas x (2 reports/s x report + 2 pings/s x message / 2)",
+        _REPORT_SLOPES[1:],
+        "none: what an entry without subsets would pay",
+        target.BUDGET.cpu_share,
+        rows.Reading.APART,
+        "link to a subset only, the rows below",
+    ),
+    rows.Figure(
+        ROLE,
+        "all control bytes, with links to subsets",
+        "bytes/s",
+        control_bytes_s,
+        "control of every daemon + links x (2 reports/s + 2 pings/s)",
+        ("entry.reports.bytes", "membership.quiet.bytes"),
+        _SUBSET,
+        target.BUDGET.bytes_s,
+        rows.Reading.APART,
+        FEWER_REPORTS,
+    ),
+    rows.Figure(
+        ROLE,
+        "all control CPU, with links to subsets",
+        "cores",
+        control_cpu_share,
+        "control of every daemon + links x (reports + pings)",
+        (*_REPORT_SLOPES[1:], "membership.quiet.cpu"),
+        _SUBSET,
+        target.BUDGET.cpu_share,
+        rows.Reading.APART,
+        FEWER_REPORTS,
+    ),
+    rows.Figure(
+        ROLE,
+        "memory with its streams (no threads or socket buffers)",
+        "bytes",
+        memory_bytes,
+        "every daemon's + replica x links + streams x stream",
+        ("entry.replica.bytes", "link.streams.bytes", "daemon.base.bytes"),
+        "credits of 16 messages a stream; bounded answers",
+        target.BUDGET.memory_bytes,
+        rows.Reading.APART,
+        "streams of one entry in two processes",
+    ),
+)
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/ledger.py
@@ -0,0 +1,108 @@
+"""The daemon that holds a run's ledger."""
+
+from anvilwell_decisions.capacity import assumptions
+from anvilwell_decisions.capacity.roles import control
+from anvilwell_decisions.capacity import rows
+from anvilwell_decisions.capacity import target
+
+ROLE = "ledger"
+_US = 1e6
+
+
+def samples_s(fleet, lines):
+    """Return samples recorded a second by all runs."""
+    return fleet.samples_s
+
+
+def cpu_share(fleet, lines):
+    """Return the cores that one run's decisions take."""
+    step_us = lines["ledger.step.cpu"].at(fleet.samples_step)
+    return step_us / _US / fleet.step_s
+
+
+def step_burst_s(fleet, lines):
+    """Return CPU seconds of a step's decisions, were they all at once."""
+    return lines["ledger.step.cpu"].at(fleet.samples_step) / _US
+
+
+def memory_bytes(fleet, lines):
+    """Return memory of a holder with three steps and their texts."""
+    steps = 3
+    texts = fleet.samples_step * assumptions.SAMPLE_BYTES
+    held = steps * (lines["ledger.step.bytes"].at(fleet.samples_step) + texts)
+    return control.memory_bytes(fleet, lines) + held
+
+
+def copies_bytes_s(fleet, lines):
+    """Return bytes a second that a holder copies to another domain."""
+    a_run_s = fleet.samples_step / fleet.step_s
+    return a_run_s * assumptions.SAMPLE_BYTES
+
+
+def written_bytes_s(fleet, lines):
+    """Return bytes a second of all runs' chunks."""
+    step = lines["ledger.step.written"].at(fleet.samples_step)
+    return fleet.trainers * step / fleet.step_s
+
+
+FIGURES = (
+    rows.Figure(
+        ROLE,
+        "samples recorded",
+        "samples/s",
+        samples_s,
+        "trainers x samples a step / step time",
+        (),
+        "one holder a run, under a lease; runs are independent",
+    ),
+    rows.Figure(
+        ROLE,
+        "control CPU of one run",
+        "cores",
+        cpu_share,
+        "step(samples) / step time",
+        ("ledger.step.cpu", "ledger.replicas.cpu"),
+        "O(log n) for each sample; flat in the replicas",
+        target.BUDGET.cpu_share,
+    ),
+    rows.Figure(
+        ROLE,
+        "a whole step's decisions at once",
+        "s",
+        step_burst_s,
+        "step(samples)",
+        ("ledger.step.cpu",),
+        "a step is submitted in one call; results come spread",
+        3.0,
+    ),
+    rows.Figure(
+        ROLE,
+        "memory of a holder: three steps with texts",
+        "bytes",
+        memory_bytes,
+        "every daemon's + 3 x (step(samples) + samples x text)",
+        ("ledger.step.bytes", "daemon.base.bytes"),
+        "texts stay until acknowledged; two steps ahead at most",
+        target.BUDGET.memory_bytes,
+        rows.Reading.APART,
+        "texts on the few VMs with a disk only",
+    ),
+    rows.Figure(
+        ROLE,
+        "copies of texts to another domain (data path)",
+        "bytes/s",
+        copies_bytes_s,
+        "samples a step / step time x text",
+        (),
+        "two copies before a choice is written",
+    ),
+    rows.Figure(
+        ROLE,
+        "chunks written by all runs",
+        "bytes/s",
+        written_bytes_s,
+        "trainers x written(samples) / step time",
+        ("ledger.step.written",),
+        "group commit each 0.5 s",
+    ),
+)
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/rollout.py
@@ -0,0 +1,129 @@
+"""The daemon that leads a service's weight rollout, and the 25 s."""
+
+import math
+
+from anvilwell_decisions.capacity import assumptions
+from anvilwell_decisions.capacity import rows
+from anvilwell_decisions.capacity import target
+from anvilwell_decisions.rollout import grants
+
+ROLE = "rollout"
+LOOK_S = 0.25
+STATUS_S = 0.5
+RELAY_CONCURRENCY = 16
+_US = 1e6
+
+
+def orders_version(fleet, lines):
+    """Return orders for one version on all replicas."""
+    return lines["rollout.orders"].slope * fleet.replicas
+
+
+def leader_cpu_share(fleet, lines):
+    """Return cores of the largest service's leader in a rollout."""
+    replicas = fleet.replicas * assumptions.LARGEST_SERVICE
+    return lines["rollout.tick.cpu"].at(replicas) / _US / LOOK_S
+
+
+def settled_cpu_share(fleet, lines):
+    """Return cores of the same leader averaged over the period."""
+    share = leader_cpu_share(fleet, lines)
+    return share * (fleet.swap_s + _load_s(fleet)) / fleet.weights_s
+
+
+def leader_bytes_s(fleet, lines):
+    """Return bytes a second of the leader over the whole period."""
+    replicas = fleet.replicas * assumptions.LARGEST_SERVICE
+    orders = lines["rollout.orders"].slope * replicas
+    # An order out, and a report of about its size back.
+    order = 2 * lines["rollout.batch.bytes"].slope
+    return orders * order / fleet.weights_s
+
+
+def load_s(fleet, lines):
+    """Return seconds to load a version, one service of all replicas."""
+    return lines["rollout.load.time"].slope * fleet.replicas
+
+
+def swap_s(fleet, lines):
+    """Return seconds from the document to the last replica."""
+    waves = math.ceil(1 / (1 - assumptions.LIVE_FLOOR))
+    a_domain = fleet.replicas / fleet.failure_domains / waves
+    message_s = lines["control.messages.cpu"].slope / _US
+    relay_s = 2 * a_domain * message_s
+    wave_s = LOOK_S + relay_s + assumptions.ENGINE_SWAP_S + STATUS_S + relay_s
+    return fleet.spread_s + waves * wave_s
+
+
+def _load_s(fleet):
+    return fleet.replicas / grants.LOADS_PER_S
+
+
+FIGURES = (
+    rows.Figure(
+        ROLE,
+        "orders for one version",
+        "orders",
+        orders_version,
+        "orders x replicas",
+        ("rollout.orders",),
+        "level-triggered: status, load, activate",
+    ),
+    rows.Figure(
+        ROLE,
+        "leader's CPU while it rolls out, half of all replicas",
+        "cores",
+        leader_cpu_share,
+        "look(replicas / 2) / 0.25 s",
+        ("rollout.tick.cpu",),
+        "one leader a service, under a lease",
+        target.BUDGET.cpu_share,
+        rows.Reading.EITHER,
+        "look at replicas with news only, not at all each 0.25 s",
+    ),
+    rows.Figure(
+        ROLE,
+        "leader's CPU, averaged over 28 minutes",
+        "cores",
+        settled_cpu_share,
+        "the row above x (25 s + loading) / 28 min",
+        ("rollout.tick.cpu",),
+        "a settled leader looks each 2 s",
+        target.BUDGET.cpu_share,
+        rows.Reading.EITHER,
+        "look at replicas with news only, not at all each 0.25 s",
+    ),
+    rows.Figure(
+        ROLE,
+        "leader's bytes, averaged over 28 minutes",
+        "bytes/s",
+        leader_bytes_s,
+        "orders x replicas / 2 x 2 x order / 28 min",
+        ("rollout.orders", "rollout.batch.bytes"),
+        "one batch for each failure domain, passed on there",
+        target.BUDGET.bytes_s,
+    ),
+    rows.Figure(
+        ROLE,
+        "a version loaded ahead on all replicas",
+        "s",
+        load_s,
+        "load(replicas), one service",
+        ("rollout.load.time",),
+        "token buckets for each domain, 20 loads/s",
+        28 * 60.0,
+    ),
+    rows.Figure(
+        ROLE,
+        "new weights on all replicas, loaded ahead",
+        "s",
+        swap_s,
+        "spread + waves x (look + swap + status"
+        " + 4 x replicas / domains / waves x message)",
+        ("control.messages.cpu",),
+        "floor of live replicas; relays in each domain",
+        25.0,
+        rows.Reading.APART,
+        "not reached if a version is wanted before it is loaded",
+    ),
+)
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/stores.py
@@ -0,0 +1,123 @@
+"""The weight store and the links between regions."""
+
+from anvilwell_decisions.capacity import assumptions
+from anvilwell_decisions.capacity.roles import control
+from anvilwell_decisions.capacity.roles import entry
+from anvilwell_decisions.capacity import rows
+from anvilwell_decisions.rollout import grants
+
+WEIGHTS = "weight store"
+REGIONS = "links between regions"
+_AHEAD_PERIOD_S = 10.0
+
+
+def loads_s(fleet, lines):
+    """Return loads started a second while a version is loaded."""
+    return 1 / lines["rollout.load.time"].slope
+
+
+def mean_loads_s(fleet, lines):
+    """Return loads a second averaged over the time between versions."""
+    return fleet.replicas / fleet.weights_s
+
+
+def bytes_s(fleet, lines):
+    """Return GiB a second that the store gives, averaged."""
+    return mean_loads_s(fleet, lines) * assumptions.REPLICA_WEIGHT_GIB
+
+
+def list_reads_s(fleet, lines):
+    """Return reads a second of the list of versions."""
+    return fleet.services / _AHEAD_PERIOD_S
+
+
+def membership_bytes_s(fleet, lines):
+    """Return control bytes a second that leave one region."""
+    daemons = fleet.daemons / fleet.regions
+    abroad = 1 - 1 / fleet.regions
+    return daemons * abroad * control.bytes_s(fleet, lines) / 2
+
+
+def report_bytes_s(fleet, lines):
+    """Return report bytes a second that leave one region."""
+    links = fleet.entries * entry.subset_links(fleet) / fleet.regions
+    abroad = 1 - 1 / fleet.regions
+    return abroad * entry.link_bytes_s(links, lines) / 2
+
+
+def token_bytes_s(fleet, lines):
+    """Return token bytes a second that leave one region, at worst."""
+    abroad = 1 - 1 / fleet.regions
+    tokens_s = fleet.tokens_s / fleet.regions * abroad
+    return tokens_s / 25 * lines["link.tokens.bytes"].at(25)
+
+
+FIGURES = (
+    rows.Figure(
+        WEIGHTS,
+        "loads while a version is loaded ahead, one service",
+        "loads/s",
+        loads_s,
+        "1 / load time of a replica",
+        ("rollout.load.time",),
+        "grants; halved at each failure, recovering 5% a second",
+    ),
+    rows.Figure(
+        WEIGHTS,
+        "loads that a version each 28 minutes needs",
+        "loads/s",
+        mean_loads_s,
+        "replicas / time between versions",
+        (),
+        "ahead of the document, as soon as the store lists a version",
+        grants.LOADS_PER_S,
+        next_step="a higher rate, if the store's limit allows it",
+    ),
+    rows.Figure(
+        WEIGHTS,
+        "weights read, averaged",
+        "GiB/s",
+        bytes_s,
+        "the row above x weights of a replica",
+        (),
+        "engines read by themselves",
+    ),
+    rows.Figure(
+        WEIGHTS,
+        "reads of the list of versions",
+        "reads/s",
+        list_reads_s,
+        "services / 10 s",
+        (),
+        "leaders alone ask for new versions",
+    ),
+    rows.Figure(
+        REGIONS,
+        "control that leaves one region, without reports",
+        "bytes/s",
+        membership_bytes_s,
+        "daemons / regions x (1 - 1 / regions) x control bytes / 2",
+        ("membership.quiet.bytes",),
+        "neighbours from the whole fleet keep news at O(log n) hops",
+        reading=rows.Reading.APART,
+    ),
+    rows.Figure(
+        REGIONS,
+        "load reports that leave one region, at worst",
+        "bytes/s",
+        report_bytes_s,
+        "entries x subset / regions x (1 - 1 / regions) x link bytes / 2",
+        ("entry.reports.bytes",),
+        "up to half of a subset in the entry's own domain",
+        reading=rows.Reading.APART,
+    ),
+    rows.Figure(
+        REGIONS,
+        "tokens that leave one region, at worst (data path)",
+        "bytes/s",
+        token_bytes_s,
+        "tokens/s / regions x (1 - 1 / regions) / 25 x frame(25)",
+        ("link.tokens.bytes",),
+        "routing with no preference for near replicas; it has one",
+    ),
+)
--- a/packages/decisions/anvilwell_decisions/capacity/target.py
+++ b/packages/decisions/anvilwell_decisions/capacity/target.py
@@ -14,6 +14,8 @@
         Daemons before the replicas.
     replicas : int
         Model engine replicas; one agent stands beside each.
+    accelerators : int
+        Accelerators of all replicas.
     requests_s, tokens_s : float
         Requests and generated tokens a second.
     trainers, samples_step : int
@@ -35,6 +37,7 @@
 
     entries: int
     replicas: int
+    accelerators: int
     requests_s: float
     tokens_s: float
     trainers: int
@@ -78,6 +81,7 @@
 TARGET = Fleet(
     entries=850,
     replicas=5_100,
+    accelerators=41_000,
     requests_s=48_000,
     tokens_s=23e6,
     trainers=9,
@@ -95,3 +99,26 @@
     body_bytes=2_048,
 )
 BUDGET = Budget(cpu_share=0.025, memory_bytes=256 << 20, bytes_s=9_000)
+
+_GROWING = (
+    "entries",
+    "replicas",
+    "accelerators",
+    "requests_s",
+    "tokens_s",
+    "trainers",
+    "changes_day",
+    "services",
+    "failures_day",
+    "replaced_day",
+)
+
+
+def scaled(fleet, factor):
+    """Return `fleet` with its daemons and load `factor` times as large.
+
+    Regions, failure domains, the size of a step and the times stay.
+    """
+    return fleet._replace(
+        **{name: getattr(fleet, name) * factor for name in _GROWING}
+    )
