--- a/packages/daemon/anvilwell_daemon/entry/dispatcher.py
+++ b/packages/daemon/anvilwell_daemon/entry/dispatcher.py
@@ -1,5 +1,6 @@
 """The service ``dispatcher``: carries calls to replicas."""
 
+import asyncio
 import random
 import typing
 
@@ -9,6 +10,7 @@
 from anvilwell_daemon.entry import pace
 from anvilwell_daemon.entry import relay as relays
 from anvilwell_daemon.links import mailbox as mailboxes
+from anvilwell_decisions.requests import facts
 from anvilwell_kernel import services
 
 
@@ -109,9 +111,14 @@
 
     async def _advance(self):
         step = _next_step(self._steps, None)
-        while type(step) is calls.Wait:
-            event = await step.mailbox.get(step.timeout_s)
-            step = _next_step(self._steps, event)
+        try:
+            while type(step) is calls.Wait:
+                event = await step.mailbox.get(step.timeout_s)
+                step = _next_step(self._steps, event)
+        except asyncio.CancelledError:
+            # A reader that is gone must not hold the agent's buffers.
+            self._steps.close()
+            raise
         return step
 
 
@@ -183,7 +190,8 @@
         return await AsyncAnswer(relay).open()
 
     def _begin(self, call):
-        self._budgets.of_service(call.service).first_attempt()
+        priority = facts.Priority(call.priority)
+        self._budgets.of_service(call.service).first_attempt(priority)
 
 
 def _next_step(steps, event):
--- a/packages/daemon/anvilwell_daemon/rollout/leader.py
+++ b/packages/daemon/anvilwell_daemon/rollout/leader.py
@@ -12,7 +12,8 @@
 from anvilwell_kernel.telemetry import logs
 
 TICK_S = 0.25
-BATCH_TIMEOUT_S = 5.0
+SETTLED_TICK_S = 2.0
+BATCH_TIMEOUT_S = 15.0
 AHEAD_PERIOD_S = 10.0
 STORE_TIMEOUT_S = 2.0
 
@@ -43,14 +44,21 @@
         self._relay = kernel.get("order-relay")
         self._clock = clock
         self._weight_store = weight_store
+        self._lease = None
         self._reconciler = None
+        self._told = None
         self._turns_by_domain = collections.Counter()
         self._batches_by_domain = {}
 
+    @property
+    def leads(self):
+        """Whether it holds the lease and may act."""
+        return self._lease is not None and self._lease.is_valid
+
     @property
     def progress(self):
         """The `reconciler.Progress`, None while it does not lead."""
-        return self._reconciler and self._reconciler.progress()
+        return self._reconciler.progress() if self.leads else None
 
     async def run(self):
         """Stand for the lease and lead, again and again."""
@@ -60,12 +68,14 @@
             try:
                 await self._lead(lease)
             finally:
+                self._lease = None
                 self._reconciler = None
                 await self._cancel_batches()
                 await self._leases.release(lease)
 
     async def _lead(self, lease):
         self._reconciler = reconciler.Reconciler(self._service, lease.fencing)
+        self._lease = lease
         async with asyncio.TaskGroup() as group:
             ahead = group.create_task(self._load_ahead())
             with contextlib.suppress(exceptions.Fenced):
@@ -78,7 +88,9 @@
             orders_by_id = self._reconciler.tick(self._clock.monotonic())
             for domain, targets in self._by_domain(orders_by_id).items():
                 self._send(lease, domain, targets)
-            await asyncio.sleep(TICK_S)
+            self._tell_progress()
+            is_settled = self._reconciler.is_settled
+            await asyncio.sleep(SETTLED_TICK_S if is_settled else TICK_S)
 
     def _look(self):
         """Take in what the document and membership say now."""
@@ -101,6 +113,18 @@
                 reconciler.Desired(model.version, generation, model.live_floor)
             )
 
+    def _tell_progress(self):
+        """Log what stands in the way whenever it changes."""
+        progress = self._reconciler.progress()
+        told = (
+            progress.failed,
+            progress.is_blocked,
+            self._reconciler.is_settled,
+        )
+        if told != self._told:
+            self._told = told
+            _LOG.log("progress", service=self._service, **progress._asdict())
+
     def _by_domain(self, orders_by_id):
         targets_by_domain = collections.defaultdict(list)
         for vm_id, order in orders_by_id.items():
--- a/packages/standins/anvilwell_standins/programs/trainer.py
+++ b/packages/standins/anvilwell_standins/programs/trainer.py
@@ -83,9 +83,7 @@
         """
         began = time.monotonic()
         self._deadline = began + self._plan.limit_s
-        # A run is known from its first step on.
-        self._submit(self._state.step)
-        self._announce(self._state.version)
+        self._begin()
         while self._state.step < self._plan.steps:
             self._train_step(self._state.step)
         # The last collect acknowledges what was delivered before it.
@@ -99,6 +97,12 @@
             len(self._crashed),
         )
 
+    def _begin(self):
+        """Make the run known by its step, then tell the version."""
+        if self._state.step < self._plan.steps:
+            self._submit(self._state.step)
+            self._announce(self._state.version)
+
     def _train_step(self, step):
         until = min(step + self._plan.ahead, self._plan.steps - 1)
         for wanted in range(step, until + 1):
@@ -204,8 +208,7 @@
         """Forget what was not kept, as if started again."""
         self._submitted.clear()
         self._state = self._checkpoint.load()
-        self._announce(self._state.version)
-        self._submit(self._state.step)
+        self._begin()
 
     def _advance(self):
         version = self._state.version + 1
@@ -238,8 +241,9 @@
         """Call the entries in turn until one answers 2xx."""
         encoded = None if body is None else json.dumps(body).encode()
         while True:
+            entry = self._entries.take()
             reply = self._entries.call(
-                self._entries.take(),
+                entry,
                 method,
                 path,
                 body=encoded,
@@ -248,11 +252,12 @@
             )
             if 200 <= reply.status < 300:
                 return reply.body
-            self._pause(method, path, reply)
+            call = f"{method} {path} at {entry.name}"
+            self._pause(call, reply)
 
-    def _pause(self, method, path, reply):
+    def _pause(self, call, reply):
         told = reply.body[:300].decode(errors="replace")
-        message = f"{method} {path} answered {reply.status}: {told}"
+        message = f"{call} answered {reply.status}: {told}"
         if reply.status in _HOPELESS:
             raise Failed(message)
         self._check_limit(message)
