Tell the links every member's address, and end only own processes

Ruled out: leases (held), the trainer's polls (answered), the load of the machine. Besides, a log field named vm_id was hidden by the daemon's own, so that the log did not say which member changed.

Change: membership tells the links each member's address as it learns it; the scripts send a signal only to a pid that is still their child; the field is called member.

--- a/packages/daemon/anvilwell_daemon/configuration/exchanges.py
+++ b/packages/daemon/anvilwell_daemon/configuration/exchanges.py
@@ -50,7 +50,7 @@
         try:
             await self._exchange(partner)
         except exceptions.AnvilwellError as error:
-            _LOG.log("no-exchange", vm_id=partner.vm_id, cause=error.message)
+            _LOG.log("no-exchange", member=partner.vm_id, cause=error.message)
 
     async def _exchange(self, partner):
         documents = self._member.documents_by_service
--- a/packages/daemon/anvilwell_daemon/configuration/joining.py
+++ b/packages/daemon/anvilwell_daemon/configuration/joining.py
@@ -96,7 +96,7 @@
                 sponsor.vm_id, request, REQUEST_TIMEOUT_S
             )
         except exceptions.AnvilwellError as error:
-            _LOG.log("no-sponsor", vm_id=sponsor.vm_id, cause=error.message)
+            _LOG.log("no-sponsor", member=sponsor.vm_id, cause=error.message)
             return
         if not answer.granted:
             return
--- a/packages/daemon/anvilwell_daemon/configuration/resolver.py
+++ b/packages/daemon/anvilwell_daemon/configuration/resolver.py
@@ -98,7 +98,7 @@
             await self._peers.send(vm_id, message, timeout_s=SEND_TIMEOUT_S)
         except exceptions.AnvilwellError as error:
             # Exchanges repair it.
-            _LOG.log("not-told", vm_id=vm_id, cause=error.message)
+            _LOG.log("not-told", member=vm_id, cause=error.message)
 
     def _position(self, prepare):
         return self._fleet.position(prepare.attempt, prepare.document.service)
--- a/packages/daemon/anvilwell_daemon/membership/service.py
+++ b/packages/daemon/anvilwell_daemon/membership/service.py
@@ -190,8 +190,10 @@
         after = change.after
         if after.state is messages.State.DEAD:
             self._peers.forget(after.vm_id)
+        else:
+            self._peers.learn(after.vm_id, after.address)
         if change.before is None or change.before.state is not after.state:
-            _LOG.log("member", vm_id=after.vm_id, state=after.state.name)
+            _LOG.log("member", member=after.vm_id, state=after.state.name)
         for callback in list(self._callbacks):
             callback(change.before, after)
 
--- a/packages/daemon/tests/membership/test_service.py
+++ b/packages/daemon/tests/membership/test_service.py
@@ -112,3 +112,40 @@
                 await last.kernel.stop()
 
     asyncio.run(main())
+
+
+class RecordingPeers(peers_service.Peers):
+    """Peers that note whose address they were told."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.told = set()
+
+    def learn(self, vm_id, address):
+        super().learn(vm_id, address)
+        self.told.add(vm_id)
+
+
+def test_members_that_are_no_neighbours_can_be_reached(monkeypatch):
+    monkeypatch.setattr(peers_service, "Peers", RecordingPeers)
+
+    async def main():
+        async with fleet("vm0") as (daemon,):
+            known = []
+
+            def note(before, after):
+                known.append(after.vm_id in daemon.peers.told)
+
+            daemon.membership.subscribe(note)
+            far = messages.Member(
+                "vm9", "127.0.0.1:9", "d9", "agent", "lm", LIVE, 1
+            )
+            async with fleet("vm1") as (other,):
+                other.peers.learn("vm0", daemon.listener.address)
+                await other.peers.send(
+                    "vm0", messages.Difference([], [far], False)
+                )
+                await daemon.sees("vm9", LIVE)
+            assert all(known)
+
+    asyncio.run(main())
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -12,20 +12,26 @@
     cat "$RUN/pids/$1"
 }
 
+# is_child PID: whether it is (still) a process that this shell started.
+# A pid is soon taken by another process on a busy machine.
+is_child() {
+    [ "$(ps -o ppid= -p "$1" 2>/dev/null | tr -d ' ')" = "$$" ]
+}
+
 is_alive() {
-    kill -0 "$(pid_of "$1")" 2>/dev/null
+    is_child "$(pid_of "$1")"
 }
 
 # stop NAME [LIMIT_S]: SIGTERM and wait; sets CODE, 1 if it had to kill.
 stop() {
     local name=$1 limit_s=${2:-30} pid waited=0
     pid=$(pid_of "$name")
-    kill -TERM "$pid" 2>/dev/null || true
-    while kill -0 "$pid" 2>/dev/null && ((waited < limit_s * 10)); do
+    is_child "$pid" && kill -TERM "$pid" 2>/dev/null || true
+    while is_child "$pid" && ((waited < limit_s * 10)); do
         sleep 0.1
         waited=$((waited + 1))
     done
-    if kill -0 "$pid" 2>/dev/null; then
+    if is_child "$pid"; then
         echo "leftover: $name (pid $pid) did not end in ${limit_s} s" >&2
         kill -KILL "$pid"
         LEFTOVERS=$((LEFTOVERS + 1))
@@ -39,6 +45,7 @@
 crash() {
     local pid
     pid=$(pid_of "$1")
+    is_child "$pid" || fail "$1 (pid $pid) had ended before its crash"
     kill -KILL "$pid"
     wait "$pid" 2>/dev/null || true
     rm -f "$RUN/pids/$1"
@@ -49,7 +56,8 @@
     local path pid
     for path in "$RUN"/pids/*; do
         [ -e "$path" ] || continue
-        kill -TERM "$(cat "$path")" 2>/dev/null || true
+        pid=$(cat "$path")
+        is_child "$pid" && kill -TERM "$pid" 2>/dev/null || true
     done
     for path in "$RUN"/pids/*; do
         [ -e "$path" ] || continue
