Kill holders and agents in mid-step, in the golden deployment

Cause: no test cut a daemon off without a drain while a step ran.

Change: each daemon of the deployment has an event loop of its own, so that one can be killed: nothing of it runs any more and its connections are cut. New tests: an engine crashes and the holder of the runs drains; the holder is killed; an agent is killed.

--- a/packages/bench/tests/sessions/deployment.py
+++ b/packages/bench/tests/sessions/deployment.py
@@ -1,6 +1,7 @@
 """A small deployment in this process, on real sockets."""
 
 import contextlib
+import gc
 import pathlib
 import re
 import socket
@@ -19,6 +20,7 @@
 import urllib3
 
 LIMIT_S = 60.0
+LEASE_S = 3.0
 DOMAINS = ("ljubljana-hall", "kamnik-hall", "domzale-hall")
 TEMPLATES = pathlib.Path(__file__).parents[4] / "scripts" / "templates"
 _PLACEHOLDER = re.compile("@([A-Z]+)@")
@@ -42,11 +44,12 @@
 class Daemon:
     """One entry or agent: its kernel and its addresses."""
 
-    def __init__(self, name, text, loop):
+    def __init__(self, name, text):
         self.name = name
         self.settings = settings.loads(text, name)
-        self._loop = loop
-        self.kernel = factories.build(self.settings)
+        self._loop = loop_thread.LoopThread()
+        self._is_killed = False
+        self.kernel = self._build()
 
     @property
     def url(self):
@@ -66,9 +69,50 @@
         """Begin to drain; return a future of its end."""
         return self._loop.submit(self.kernel.drain())
 
+    def restart(self):
+        """Drain, stop and start again with the same settings."""
+        self.begin_drain().result(LIMIT_S)
+        self._loop.run(self.kernel.stop())
+        self.kernel = self._build()
+        self.start()
+
+    def kill(self):
+        """Let nothing more run, and cut every connection."""
+        self._is_killed = True
+        self._loop.pause()
+        for one in self._sockets():
+            with contextlib.suppress(OSError):
+                one.shutdown(socket.SHUT_RDWR)
+
     def stop(self):
-        """Stop every service."""
+        """Stop every service; also after a kill, to free its threads."""
+        if self._is_killed:
+            self._loop.resume()
         self._loop.run(self.kernel.stop())
+        self._loop.close()
+
+    def _build(self):
+        kernel = factories.build(self.settings)
+        # Tests wait for leases of the dead to lapse.
+        kernel.get("leases")._session.ttl_s = LEASE_S
+        return kernel
+
+    def _sockets(self):
+        """Return those at its ports, and those that it dialled."""
+        found = self.settings
+        listens = [found.listener, found.admin]
+        if found.is_entry:
+            listens.append(found.entry.listen)
+        ports = {one.port for one in listens}
+        dialled = set(self._loop.loop._selector.get_map())
+        return [
+            one
+            for one in gc.get_objects()
+            if issubclass(type(one), socket.socket)
+            and one.family == socket.AF_INET
+            and one.fileno() >= 0
+            and (one.getsockname()[1] in ports or one.fileno() in dialled)
+        ]
 
 
 class Deployment:
@@ -85,8 +129,6 @@
     def __init__(self, folder, engines_count=2, plains_count=1, entries=1):
         self._folder = folder
         self._stack = contextlib.ExitStack()
-        self._loop = loop_thread.LoopThread()
-        self._stack.callback(self._loop.close)
         self.http = urllib3.PoolManager(retries=False)
         self.keyvalue = self._standin(keyvalues.KeyValue())
         self.vmlist = self._standin(vmlist.VmList())
@@ -150,7 +192,7 @@
             PEERS=self._seeds[number - 1],
             **self._common(number),
         )
-        return Daemon(name, text, self._loop)
+        return Daemon(name, text)
 
     def _agents(self):
         for number, engine in enumerate(self.engines, start=1):
@@ -172,7 +214,7 @@
             FENCING="no",
             **self._common(len(name)),
         )
-        return Daemon(name, text, self._loop)
+        return Daemon(name, text)
 
 
 def wait_until(condition, limit_s=LIMIT_S):
--- a/packages/bench/tests/sessions/loop_thread.py
+++ b/packages/bench/tests/sessions/loop_thread.py
@@ -11,10 +11,7 @@
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(
-            target=self.loop.run_forever, daemon=True
-        )
-        self._thread.start()
+        self.resume()
 
     def submit(self, coroutine):
         """Start `coroutine`; return its concurrent future."""
@@ -24,8 +21,19 @@
         """Run `coroutine` to its end and return its result."""
         return self.submit(coroutine).result(LIMIT_S)
 
-    def close(self):
-        """Stop the loop."""
+    def pause(self):
+        """Let nothing more run, as a killed process."""
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join()
+
+    def resume(self):
+        """Run (again)."""
+        self._thread = threading.Thread(
+            target=self.loop.run_forever, daemon=True
+        )
+        self._thread.start()
+
+    def close(self):
+        """Stop the loop."""
+        self.pause()
         self.loop.close()
--- /dev/null
+++ b/packages/bench/tests/sessions/test_faults.py
@@ -0,0 +1,84 @@
+"""Steps and calls whole though daemons and systems around them fail."""
+
+from concurrent import futures
+
+from anvilwell_bench.audit.promises import exactly_once
+from anvilwell_bench.audit.promises import own_answer
+from anvilwell_bench.audit.promises import staleness
+from anvilwell_bench.audit.promises import versions
+import configuring
+import deployment as deployments
+import pytest
+import training
+
+# No new version: one waits for a dead daemon until its VM is known gone.
+PLAN = training.PLAN._replace(
+    groups=8, samples=4, max_tokens=60, version_every=9, limit_s=30.0
+)
+SAMPLES = 32
+TRAINING_PROMISES = (
+    versions.VersionsTrue(),
+    staleness.StalenessBound(),
+    exactly_once.ExactlyOnce(),
+    own_answer.OwnWholeAnswer(),
+)
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    with deployments.Deployment(tmp_path, entries=2) as running:
+        running.wait_ready()
+        configuring.configure(running)
+        yield running
+
+
+@pytest.fixture
+def pool():
+    with futures.ThreadPoolExecutor(4) as threads:
+        yield threads
+
+
+def holder(deployment):
+    """Return the entry that holds the runs, or None."""
+    for entry in deployment.entries:
+        if entry.kernel.get("runs").holds("planner-lm"):
+            return entry
+    return None
+
+
+def begin_step(deployment, pool):
+    """Begin to train; return when every engine generates."""
+    deployments.wait_until(lambda: holder(deployment))
+    training_end = pool.submit(training.train, deployment, PLAN)
+    for engine in deployment.engines:
+        engine.record.wait_for("token", 8)
+    return training_end
+
+
+def check_whole(deployment, training_end):
+    kept = training_end.result(deployments.LIMIT_S)
+    records = training.records(kept, deployment.engines)
+    for promise in TRAINING_PROMISES:
+        assert promise.check(records) == [], promise.name
+    assert len(training.samples(kept)) == SAMPLES
+
+
+def test_engine_crashes_and_the_holder_leaves(deployment, pool):
+    training_end = begin_step(deployment, pool)
+    deployment.engines[0].crash(60.0)
+    leaving = holder(deployment)
+    leaving.begin_drain().result(deployments.LIMIT_S)
+    check_whole(deployment, training_end)
+    assert holder(deployment) is not leaving
+
+
+def test_the_holder_is_killed(deployment, pool):
+    training_end = begin_step(deployment, pool)
+    holder(deployment).kill()
+    check_whole(deployment, training_end)
+
+
+def test_an_agent_is_killed(deployment, pool):
+    training_end = begin_step(deployment, pool)
+    deployment.agents[0].kill()
+    check_whole(deployment, training_end)
