Let the trainer and callers wait for an answer as long as they mean

Cause: the stand-in programs gave urllib3's total timeout the limit of connecting, 2 s.

Change: connecting has 2 s, reading the call's own limit.

Conclusion: a collect without samples is answered after its wait.

--- a/packages/standins/anvilwell_standins/programs/entries.py
+++ b/packages/standins/anvilwell_standins/programs/entries.py
@@ -86,7 +86,7 @@
             f"http://{entry.address}{path}",
             body=body,
             headers=headers,
-            timeout=urllib3.Timeout(CONNECT_TIMEOUT_S, timeout_s),
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             preload_content=False,
         )
 
