Keep an error's HTTP status over control links

Cause: an entry that passed a trainer's call to the holder of its run answered every refusal of the holder with status 500.

Change: a failure names its status too.

Figures: the extended test failed before (500) and passes after.

Conclusion: callers can tell a refusal to repeat from a fault.

--- a/packages/daemon/anvilwell_daemon/peers/link.py
+++ b/packages/daemon/anvilwell_daemon/peers/link.py
@@ -158,14 +158,20 @@
 
 def _failure(error):
     return messages.Failure(
-        error.verdict, error.reason, error.message, error.retry_after
+        error.verdict,
+        error.reason,
+        error.message,
+        error.retry_after,
+        error.status,
     )
 
 
 def _error(failure):
-    return exceptions.AnvilwellError(
+    error = exceptions.AnvilwellError(
         failure.message,
         reason=reasons.Refusal(failure.reason),
         verdict=verdicts.Verdict(failure.verdict),
         retry_after=failure.retry_after_s,
     )
+    error.status = failure.status
+    return error
--- a/packages/daemon/tests/peers/test_service.py
+++ b/packages/daemon/tests/peers/test_service.py
@@ -148,6 +148,7 @@
             with pytest.raises(exceptions.AnvilwellError) as fenced:
                 await a.request("b", Ask("x"), WAIT_S)
             assert fenced.value.reason is reasons.Refusal.FENCED
+            assert fenced.value.status == exceptions.Fenced.status
             with pytest.raises(exceptions.AnvilwellError) as unserved:
                 await a.request("b", Told("x"), WAIT_S)
             assert unserved.value.reason is reasons.Refusal.BAD_REQUEST
--- a/packages/kernel/anvilwell_kernel/messages/peers.py
+++ b/packages/kernel/anvilwell_kernel/messages/peers.py
@@ -30,6 +30,7 @@
     reason: str
     message: str
     retry_after_s: float | None = None
+    status: int = 500
 
 
 class Done(typing.NamedTuple):
