Take the key-value service away in mid-step in a test

Change: the stand-in is down until the holder of the runs has lost its lease, then back. Meanwhile look-ups are answered, a notice with a key is refused as not run and not run, and a change is not in force; after it the step of 32 samples ends whole by the auditor's promises and the same change comes into force once.

Conclusion: nothing was lost or doubled in the outage.

--- a/packages/bench/tests/sessions/deployment.py
+++ b/packages/bench/tests/sessions/deployment.py
@@ -1,14 +1,17 @@
 """A small deployment in this process, on real sockets."""
 
+import asyncio
 import contextlib
 import gc
 import pathlib
 import re
+import signal
 import socket
 import threading
 
 from anvilwell_daemon.config import settings
 from anvilwell_daemon.process import factories
+from anvilwell_daemon.process import runner
 from anvilwell_standins.engine import server as engines
 from anvilwell_standins.engine import weights
 from anvilwell_standins.keyvalue import server as keyvalues
@@ -70,11 +73,19 @@
         return self._loop.submit(self.kernel.drain())
 
     def restart(self):
-        """Drain, stop and start again with the same settings."""
-        self.begin_drain().result(LIMIT_S)
+        """Stop as by SIGTERM and start again; return the exit code."""
+        code = self._loop.run(self._serve_until_drained())
         self._loop.run(self.kernel.stop())
         self.kernel = self._build()
         self.start()
+        return code
+
+    async def _serve_until_drained(self):
+        signals = asyncio.Queue()
+        signals.put_nowait(signal.SIGTERM)
+        grace_s = runner.ENTRY_GRACE_S if self.settings.is_entry else 0.0
+        limit_s = self.settings.daemon.drain_limit_s
+        return await runner.serve(self.kernel, signals, limit_s, grace_s)
 
     def kill(self):
         """Let nothing more run, and cut every connection."""
--- a/packages/bench/tests/sessions/test_faults.py
+++ b/packages/bench/tests/sessions/test_faults.py
@@ -16,6 +16,7 @@
     groups=8, samples=4, max_tokens=60, version_every=9, limit_s=30.0
 )
 SAMPLES = 32
+CHANGED_STOPS = configuring.STOPS.replace("max_queue = 64", "max_queue = 32")
 TRAINING_PROMISES = (
     versions.VersionsTrue(),
     staleness.StalenessBound(),
@@ -82,3 +83,35 @@
     training_end = begin_step(deployment, pool)
     deployment.agents[0].kill()
     check_whole(deployment, training_end)
+
+
+def test_the_key_value_service_is_down_for_longer_than_a_lease(
+    deployment, pool
+):
+    training_end = begin_step(deployment, pool)
+    deployment.keyvalue.go_down(deployments.LIMIT_S)
+    deployments.wait_until(lambda: holder(deployment) is None)
+    lookup = call(deployment, "GET", "stops/1")
+    notice = call(
+        deployment,
+        "POST",
+        "notices",
+        body=b"bus 4 is late",
+        headers={"Idempotency-Key": "in-outage"},
+    )
+    change = ("stops-app", CHANGED_STOPS, "in-outage", 1)
+    refused = configuring.put(deployment, *change).json()
+    deployment.keyvalue.come_back()
+    assert lookup.status == 200
+    assert notice.status == 503
+    assert notice.headers["Anvilwell-Verdict"] == "not-run"
+    assert not deployment.plains[0].record.lines("run")
+    assert refused["outcome"] in ("refused", "unknown")
+    check_whole(deployment, training_end)
+    again = configuring.put(deployment, *change).json()
+    assert (again["outcome"], again["generation"]) == ("in-force", 2)
+
+
+def call(deployment, method, path, **options):
+    url = f"{deployment.entries[0].url}/services/stops-app/{path}"
+    return deployment.http.request(method, url, timeout=30, **options)
--- a/packages/bench/tests/sessions/training.py
+++ b/packages/bench/tests/sessions/training.py
@@ -43,14 +43,23 @@
 
 def records(trainer_record, engines):
     """Return what trainer and engines recorded, as the auditor reads it."""
-    kept = {"trainer": trainer_record}
-    kept.update(
-        (f"engine-{number}", engine.record)
-        for number, engine in enumerate(engines, start=1)
-    )
+    engines_by_name = named("engine", engines)
+    return joined({"trainer": trainer_record, **engines_by_name})
+
+
+def named(kind, standins):
+    """Return the records of stand-ins of one kind, by name."""
+    return {
+        f"{kind}-{number}": standin.record
+        for number, standin in enumerate(standins, start=1)
+    }
+
+
+def joined(records_by_name):
+    """Return `records_by_name`, as the auditor reads them."""
     parsed = [
         dict(line, who=who)
-        for who, one in kept.items()
+        for who, one in records_by_name.items()
         for line in reader.parse(one.encode().decode(), who)
     ]
     return reader.Records.from_lines(parsed)
