Let a daemon that drained and started again be live

Cause: a daemon that restarts under its id heard that its earlier start was leaving and took that for itself. Entries sent it nothing ever again: a rolling restart took each agent out of service for good, while its links and its readiness looked well.

Change: a record of an earlier start says nothing about this one; the VM list's word about this start counts as before. Incarnations are milliseconds, so that two starts within a second differ.

Figures: the new test of the membership failed before and passes after.

--- a/packages/daemon/anvilwell_daemon/membership/service.py
+++ b/packages/daemon/anvilwell_daemon/membership/service.py
@@ -13,6 +13,7 @@
 from anvilwell_kernel.telemetry import logs
 
 TICK_S = 0.1
+MS_PER_S = 1000
 SEND_TIMEOUT_S = 1.0
 
 _LOG = logs.get_logger(__name__)
@@ -115,7 +116,7 @@
             self._role,
             self._service,
             messages.State.LIVE,
-            int(self._clock.wall()),
+            int(self._clock.wall() * MS_PER_S),
         )
         self._node = nodes.Node(me, self._rng)
         for kind in messages.KINDS:
--- a/packages/decisions/anvilwell_decisions/membership/node.py
+++ b/packages/decisions/anvilwell_decisions/membership/node.py
@@ -46,13 +46,14 @@
     ----------
     member : messages.Member
         This daemon; ``incarnation`` must not be lower than at an
-        earlier start (the daemon passes wall-clock seconds).
+        earlier start (the daemon passes wall-clock milliseconds).
     rng : random.Random
         Source of jitter and choice.
     """
 
     def __init__(self, member, rng):
         self.me = member
+        self._born = member.incarnation
         self._rng = rng
         self._table = table.MemberTable()
         self._rings = rings.Rings()
@@ -158,6 +159,8 @@
 
     def _hear_of_me(self, member):
         leaving = messages.State.LEAVING
+        if member.incarnation < self._born:
+            return  # an earlier start's record; what it left is past
         if member.state is leaving and self.me.state is not leaving:
             top = max(member.incarnation, self.me.incarnation)
             self._restate(top + 1, leaving)
--- a/packages/decisions/tests/membership/test_node.py
+++ b/packages/decisions/tests/membership/test_node.py
@@ -91,6 +91,19 @@
     assert set(fleet.states_of("vm4").values()) == {LIVE}
 
 
+def test_daemon_that_left_and_started_again_is_live(formed):
+    fleet = formed(10)
+    fleet.carry("vm4", fleet.nodes_by_id["vm4"].leave(fleet.now))
+    fleet.run(0.2)
+    fleet.add("vm4", "d1", incarnation=3)
+    fleet.run(5.0)
+    assert set(fleet.states_of("vm4").values()) == {LIVE}
+    reader = fleet.nodes_by_id["vm1"]
+    fleet.carry("vm1", reader.mark_leaving(fleet.now, ["vm4"]))
+    fleet.run(5.0)
+    assert set(fleet.states_of("vm4").values()) == {LEAVING}
+
+
 @pytest.mark.parametrize("loses", [True, False])
 def test_paused_daemon_declares_nobody_dead_when_it_wakes(formed, loses):
     fleet = formed(20)
