Take only versions that have one place in the order

Cause: a holder ended its turn when the document's version was no number, and again at each turn after. A stream whose engine named an empty version ended in an IndexError, its sample was never generated again and the holder stepped down. A version of some thousand digits raised ValueError, which is no error of the product. 007 and 7 were two versions of the store with one place in the order.

Change: the document's schema refuses leading zeros besides what it refused before (no digits, over 18 digits), and names the key and the mend. A holder that meets an unusable version keeps the one before, logs it and goes on. A stream that names none is a failed attempt and is generated again. Numbers of versions are bounded at 18 digits everywhere.

Figures: before, the new tests for an empty name in a stream and for 19 and 5,000 digits failed. After, the tests of runs, configuration, kernel and versions pass, run once.

Conclusion: no version that reaches a holder ends its turn.

--- a/packages/daemon/anvilwell_daemon/runs/attempts.py
+++ b/packages/daemon/anvilwell_daemon/runs/attempts.py
@@ -85,6 +85,7 @@
         pieces = self._generator.stream(replica_id, attempt)
         async with contextlib.aclosing(pieces):
             async for piece in pieces:
+                versions.ordinal(piece.version)
                 stream.piece(piece, self._clock.monotonic())
                 self._tokens_by_attempt[number] += piece.tokens
                 if stream.is_doubtful:
--- a/packages/daemon/anvilwell_daemon/runs/fleet.py
+++ b/packages/daemon/anvilwell_daemon/runs/fleet.py
@@ -4,6 +4,9 @@
 from anvilwell_decisions.samples import versions
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import membership
+from anvilwell_kernel.telemetry import logs
+
+_LOG = logs.get_logger(__name__)
 
 
 class MemberNeighbours(copies.Neighbours):
@@ -61,6 +64,44 @@
         self._facts_by_id = facts_by_id
 
 
+class DocumentWatch:
+    """Tells a holder of changes of its service's document.
+
+    Parameters
+    ----------
+    read : callable
+        Returns the ``Document``; refuses while there is none.
+    holder : holder.Holder
+        Who is told.
+    """
+
+    def __init__(self, read, holder):
+        self._read = read
+        self._holder = holder
+        self._known = None
+
+    def look(self):
+        """Tell what changed; what can't be read or used leaves the rest."""
+        try:
+            document = self._read()
+        except exceptions.AnvilwellError:
+            return
+        if document == self._known:
+            return
+        self._known = document
+        self._holder.configure(document)
+        self._tell_version(document)
+
+    def _tell_version(self, document):
+        try:
+            version = versions.ordinal(document.model.version)
+        except exceptions.BadRequest as error:
+            name = document.service.name
+            _LOG.log("version-unusable", service=name, cause=error.message)
+            return
+        self._holder.published(version)
+
+
 def _facts(load):
     if load is None or load.limit < 1:
         return None
--- a/packages/daemon/anvilwell_daemon/runs/service.py
+++ b/packages/daemon/anvilwell_daemon/runs/service.py
@@ -1,6 +1,7 @@
 """The service ``runs``: holds runs, or passes calls to who does."""
 
 import asyncio
+import functools
 import json
 import traceback as tracebacks
 
@@ -13,7 +14,6 @@
 from anvilwell_daemon.runs import routes
 from anvilwell_decisions.leases import session as sessions
 from anvilwell_decisions.samples import schedule
-from anvilwell_decisions.samples import versions
 from anvilwell_kernel import clock as clocks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import samples as messages
@@ -247,23 +247,13 @@
     async def _follow(self, service, holder, lease):
         replicas = self._kernel.get("replicas")
         watch = fleet.ReplicaWatch(service, replicas, holder)
-        known = None
+        source = functools.partial(self._document, service)
+        document = fleet.DocumentWatch(source, holder)
         while lease.is_valid and not holder.lost.is_set():
             watch.look()
-            document = self._latest_document(service)
-            if document is not None and document != known:
-                known = document
-                holder.configure(document)
-                version = versions.ordinal(document.model.version)
-                holder.published(version)
+            document.look()
             await asyncio.sleep(TURN_PERIOD_S)
 
-    def _latest_document(self, service):
-        try:
-            return self._document(service)
-        except exceptions.AnvilwellError:
-            return None  # what was in force before stays
-
 
 def _not_held(service):
     return exceptions.Refused(
--- a/packages/daemon/tests/runs/test_holder.py
+++ b/packages/daemon/tests/runs/test_holder.py
@@ -216,6 +216,20 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("named", ["v7", "", "9" * 5000])
+def test_a_stream_that_names_no_number_is_generated_again(named):
+    async def scenario(world):
+        world.generator.scripts.append([named])
+        holder = await world.holder("a", 1)
+        await holder.submit(STEP)
+        rows, _ = await collect_all(holder)
+        assert names(rows) == [0, 1, 2]
+        assert all(row["versions"] == ["7"] for row in rows)
+        assert not holder.lost.is_set()
+
+    run(scenario)
+
+
 def test_another_entry_takes_over_with_the_same_bytes():
     async def scenario(world):
         first = await world.holder("a", 1)
--- a/packages/decisions/anvilwell_decisions/samples/versions.py
+++ b/packages/decisions/anvilwell_decisions/samples/versions.py
@@ -4,6 +4,9 @@
 
 from anvilwell_kernel import exceptions
 
+MAX_DIGITS = 18
+SHOWN = 40
+
 
 class TokenRun(typing.NamedTuple):
     """Consecutive tokens of one version."""
@@ -19,12 +22,14 @@
     Raises
     ------
     exceptions.BadRequest
-        If `version` is not a decimal number.
+        If `version` is not a decimal number of at most 18 digits.
     """
-    if not (version.isascii() and version.isdecimal()):
+    short = len(version) <= MAX_DIGITS
+    if not (short and version.isascii() and version.isdecimal()):
         raise exceptions.BadRequest(
-            f"version {version!r} is not a number; publish versions as "
-            "whole numbers that grow"
+            f"version {version[:SHOWN]!r} is not a number of at most "
+            f"{MAX_DIGITS} digits; publish versions as whole numbers that "
+            "grow"
         )
     return int(version)
 
@@ -77,7 +82,7 @@
 
     def piece(self, run, now):
         """Take a piece that the engine tagged with ``run.version``."""
-        if self.last == run.version:
+        if self._kept and self.last == run.version:
             self._kept[-1].extend(run)
             return
         if self._kept and now - self._kept[-1].first_at <= self._lag_s:
--- a/packages/kernel/anvilwell_kernel/config/options.py
+++ b/packages/kernel/anvilwell_kernel/config/options.py
@@ -8,6 +8,7 @@
 import pydantic
 
 _DIGITS = r"[0-9]+"
+_ORDERED = r"(0|[1-9][0-9]*)"
 _NAME = r"^[A-Za-z0-9]([A-Za-z0-9_.-]{0,61}[A-Za-z0-9])?$"
 
 
@@ -103,9 +104,10 @@
         "or digit at both ends"
     ),
 ]
+# Without leading zeros: two versions must not be the same number.
 Version = typing.Annotated[
     str,
-    pydantic.StringConstraints(pattern=rf"^{_DIGITS}$", max_length=18),
+    pydantic.StringConstraints(pattern=rf"^{_ORDERED}$", max_length=18),
     Mend("give the version's number, such as 7"),
 ]
 Flag = typing.Annotated[bool, Mend("give true or false")]
--- a/packages/kernel/tests/documents/test_parser.py
+++ b/packages/kernel/tests/documents/test_parser.py
@@ -80,3 +80,14 @@
 
 def test_digest_differs_for_differing_texts():
     assert documents.digest(WHOLE) != documents.digest(WHOLE + "\n")
+
+
+@pytest.mark.parametrize("version", ["v7", "1.5", "-1", "007", "9" * 19])
+def test_a_version_without_one_order_is_refused(version):
+    text = WHOLE.replace("version = 7 ", f"version = {version} ")
+
+    with pytest.raises(exceptions.ConfigurationError) as refused:
+        documents.parse(text, "planner-lm.ini")
+
+    assert "[model] version" in refused.value.message
+    assert "give the version's number, such as 7" in refused.value.message
