Hedge streams on slow replicas in slots that nothing else can use

Cause: with one of six engines three times slower, or stuck for long, a step waits for the streams on it while the other replicas fall idle.

Change: `Speeds` compares the replicas' tokens in windows of 10 s. One that makes under half of the median's in two windows in a row is slow; its streams get one second attempt each on another replica, while there are free slots. The first result cancels the other. A failed attempt of two, a lost replica and a cancel start a sample once only.

--- a/packages/bench/anvilwell_bench/commands/samples.py
+++ b/packages/bench/anvilwell_bench/commands/samples.py
@@ -46,6 +46,7 @@
         _sweep(deployment)
         _ablate(deployment)
         _stress(deployment)
+        _slow(deployment)
     report.print_costs([samples_cost.measure(n) for n in samples_cost.FLEETS])
     return os.EX_SOFTWARE if breaches else os.EX_OK
 
@@ -103,6 +104,17 @@
     )
 
 
+def _slow(deployment):
+    slower = deployment._replace(slow_engines=("e0",))
+    unhedged = worlds.Options(policy=schedule.Policy(hedge=False))
+    rows = [
+        _row("plain", slower, measures.PLAIN, False),
+        _row("anvilwell", slower, OURS, False),
+        _row("no hedge", slower, unhedged, False),
+    ]
+    report.print_rows(f"{deployment.name}, one engine slow", rows)
+
+
 def _with_preference(preference):
     policy = schedule.Policy(early_share=1.0 - preference)
     return worlds.Options(policy=policy)
--- a/packages/bench/anvilwell_bench/virtual/samples_measures.py
+++ b/packages/bench/anvilwell_bench/virtual/samples_measures.py
@@ -25,6 +25,7 @@
         affinity=False,
         cancel_doomed=False,
         early_share=0.0,
+        hedge=False,
     ),
     plain=True,
 )
--- a/packages/bench/anvilwell_bench/virtual/samples_workload.py
+++ b/packages/bench/anvilwell_bench/virtual/samples_workload.py
@@ -46,6 +46,9 @@
 BY_SAMPLE = Lengths(prompt_tail=0.0, sample_tail=0.02)
 
 
+SLOWER = 3.0
+
+
 class Deployment(typing.NamedTuple):
     """One deployment: replicas, runs, their steps and new weights."""
 
@@ -64,6 +67,15 @@
     engine: engines.EngineModel = engines.EngineModel(
         base_step_s=0.02, per_stream_step_s=0.0002, max_batch=32
     )
+    slow_engines: tuple[str, ...] = ()
+
+    def slow_model(self):
+        """Return the service times of a slow engine."""
+        model = self.engine
+        return model._replace(
+            base_step_s=model.base_step_s * SLOWER,
+            per_stream_step_s=model.per_stream_step_s * SLOWER,
+        )
 
     def capacity(self):
         """Return the tokens a second of all replicas with full batches."""
--- a/packages/bench/anvilwell_bench/virtual/samples_world.py
+++ b/packages/bench/anvilwell_bench/virtual/samples_world.py
@@ -165,9 +165,10 @@
         self.carry(self.coordinator.published(self.latest))
 
     def _add_engine(self, engine_id):
-        engine = engines.FakeEngine(
-            self.driver, engine_id, self.deployment.engine
-        )
+        model = self.deployment.engine
+        if engine_id in self.deployment.slow_engines:
+            model = self.deployment.slow_model()
+        engine = engines.FakeEngine(self.driver, engine_id, model)
         self.engines_by_id[engine_id] = engine
         self._history_by_engine[engine_id] = [(0.0, self.latest)]
 
@@ -185,9 +186,11 @@
     def _report_progress(self):
         if self.coordinator is None or self._options.plain:
             return
-        for work_id, (engine_id, attempt, _) in self._works.items():
-            tokens = self.engines_by_id[engine_id].progress(work_id)
-            self.coordinator.schedule.progress(attempt, tokens or 0)
+        tokens_by_attempt = {
+            attempt: self.engines_by_id[engine_id].progress(work_id) or 0
+            for work_id, (engine_id, attempt, _) in self._works.items()
+        }
+        self.carry(self.coordinator.progress(tokens_by_attempt, self.now))
 
     def _on_WriteChunk(self, run, action):
         self.driver.send(
--- a/packages/daemon/anvilwell_daemon/runs/holder.py
+++ b/packages/daemon/anvilwell_daemon/runs/holder.py
@@ -417,11 +417,12 @@
             await asyncio.sleep(MAX_TICK_S)
 
     async def _report_progress(self):
-        progress = self._coordinator.schedule.progress
         while not self.lost.is_set():
             await asyncio.sleep(PROGRESS_PERIOD_S)
-            for number, tokens in self._attempts.tokens_by_attempt.items():
-                progress(number, tokens)
+            tokens_by_attempt = self._attempts.tokens_by_attempt
+            self._carry(
+                self._coordinator.progress(tokens_by_attempt, self._now())
+            )
 
     def _spawn(self, work, told=()):
         """Start a task; errors of the classes `told` reach its waiters."""
--- a/packages/decisions/anvilwell_decisions/samples/coordinator.py
+++ b/packages/decisions/anvilwell_decisions/samples/coordinator.py
@@ -6,6 +6,7 @@
 from anvilwell_decisions.samples import identity
 from anvilwell_decisions.samples import ledger as ledgers
 from anvilwell_decisions.samples import schedule as schedules
+from anvilwell_decisions.samples import speeds
 
 
 class Addressed(typing.NamedTuple):
@@ -40,6 +41,7 @@
         self._groups_by_id = {}
         self._got_by_run = {}
         self._done_by_run = {}
+        self._speeds = speeds.Speeds()
         self.schedule = schedules.Schedule(bound, policy)
         self.ledgers_by_run = {}
 
@@ -103,6 +105,17 @@
         self.schedule.ended(attempt)
         return self._again([running.pending.sample])
 
+    def progress(self, tokens_by_attempt, now):
+        """Take all streams' tokens so far; hedge those that hardly move."""
+        for attempt, tokens in tokens_by_attempt.items():
+            self.schedule.progress(attempt, tokens)
+        replicas_by_attempt = {
+            attempt: running.replica
+            for attempt, running in self.schedule.running_by_attempt.items()
+        }
+        slow = self._speeds.look(tokens_by_attempt, replicas_by_attempt, now)
+        return _address_starts(self.schedule.hedge(slow) if slow else ())
+
     def replica_lost(self, replica_id, now):
         """Note that a replica is gone with all it was running."""
         return self._again(self.schedule.remove_replica(replica_id))
@@ -155,8 +168,9 @@
         self.schedule.expect_step(step.run, step.step, len(step.sample_ids()))
 
     def _again(self, samples):
-        for sample in samples:
-            if self.ledgers_by_run[sample.run].wants(sample):
+        for sample in dict.fromkeys(samples):
+            wanted = self.ledgers_by_run[sample.run].wants(sample)
+            if wanted and not self.schedule.is_running(sample):
                 self._add(sample)
         return self._starts()
 
@@ -223,7 +237,8 @@
         return cancels
 
     def _starts(self):
-        return [
-            Addressed(start.sample.run, start)
-            for start in self.schedule.assign()
-        ]
+        return _address_starts(self.schedule.assign())
+
+
+def _address_starts(starts):
+    return [Addressed(start.sample.run, start) for start in starts]
--- a/packages/decisions/anvilwell_decisions/samples/replicas.py
+++ b/packages/decisions/anvilwell_decisions/samples/replicas.py
@@ -49,6 +49,11 @@
             return preferred
         return self._free[0][1]
 
+    def choose_besides(self, avoided):
+        """Return the least loaded replica not in `avoided`, or None."""
+        others = (name for _, name in self._free if name not in avoided)
+        return next(others, None)
+
     def take(self, replica_id, attempt):
         """Put `attempt` into a slot; return the replica's version."""
         replica = self._by_id[replica_id]
--- a/packages/decisions/anvilwell_decisions/samples/schedule.py
+++ b/packages/decisions/anvilwell_decisions/samples/schedule.py
@@ -21,6 +21,7 @@
     affinity: bool = True
     cancel_doomed: bool = True
     early_share: float = 1.0
+    hedge: bool = True
 
 
 class Start(typing.NamedTuple):
@@ -153,6 +154,36 @@
             starts.append(self._start(run))
         return starts
 
+    def hedge(self, slow):
+        """Return a `Start` of a second attempt for streams on `slow`.
+
+        Only slots that nothing else can use are taken, on replicas that
+        are not slow.
+        """
+        if not self._policy.hedge or self._fairness.first() is not None:
+            return []
+        starts = []
+        for running in [
+            running
+            for running in self._running_by_attempt.values()
+            if running.replica in slow and not self._is_hedged(running)
+        ]:
+            replica_id = self.replicas.choose_besides(slow)
+            if replica_id is None:
+                break
+            pending = running.pending
+            run = pending.sample.run
+            start = self._launch(run, pending, replica_id, running.early)
+            starts.append(start)
+        return starts
+
+    def is_running(self, sample):
+        """Return whether an attempt at `sample` is under way."""
+        return sample in self._attempts_by_sample
+
+    def _is_hedged(self, running):
+        return len(self._attempts_by_sample[running.pending.sample]) > 1
+
     def ended(self, attempt, tokens=None):
         """Free the slot of `attempt`; `tokens` if its stream was whole."""
         running = self._running_by_attempt.get(attempt)
@@ -220,7 +251,9 @@
         early = queue.is_early()
         home = queue.home() if self._policy.affinity else None
         replica_id = self.replicas.choose(home)
-        pending = queue.take(replica_id)
+        return self._launch(run, queue.take(replica_id), replica_id, early)
+
+    def _launch(self, run, pending, replica_id, early):
         self._attempts += 1
         oldest = self.replicas.take(replica_id, self._attempts)
         running = Running(pending, replica_id, oldest, early)
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/samples/speeds.py
@@ -0,0 +1,67 @@
+"""Which replicas make tokens much slower than the others."""
+
+import collections
+import statistics
+
+WINDOW_S = 10.0
+SLOW_WINDOWS = 2
+SLOW_SHARE = 0.5
+
+
+class Speeds:
+    """Compares the replicas' streams, one window after another.
+
+    A replica is slow once its streams made less than `SLOW_SHARE` of the
+    median replica's tokens in `SLOW_WINDOWS` windows in a row: a pause
+    for new weights alone doesn't make it slow.
+    """
+
+    def __init__(self):
+        self._since = None
+        self._tokens_by_attempt = {}
+        self._slow_windows_by_id = {}
+
+    def look(self, tokens_by_attempt, replicas_by_attempt, now):
+        """Take all streams' tokens so far; return the slow replicas.
+
+        Parameters
+        ----------
+        tokens_by_attempt : dict of int to int
+            Tokens of each stream so far.
+        replicas_by_attempt : dict of int to str
+            Where each attempt under way runs.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        set of str
+            The slow replicas; empty within a window.
+        """
+        if self._since is not None and now - self._since < WINDOW_S:
+            return set()
+        gains_by_id = collections.defaultdict(list)
+        for attempt, before in self._tokens_by_attempt.items():
+            if attempt in tokens_by_attempt and attempt in replicas_by_attempt:
+                gain = tokens_by_attempt[attempt] - before
+                gains_by_id[replicas_by_attempt[attempt]].append(gain)
+        self._since = now
+        self._tokens_by_attempt = dict(tokens_by_attempt)
+        return self._compare(gains_by_id)
+
+    def _compare(self, gains_by_id):
+        speeds_by_id = {
+            replica_id: statistics.median(gains)
+            for replica_id, gains in gains_by_id.items()
+        }
+        usual = statistics.median(speeds_by_id.values() or [0])
+        self._slow_windows_by_id = {
+            replica_id: self._slow_windows_by_id.get(replica_id, 0) + 1
+            for replica_id, speed in speeds_by_id.items()
+            if speed < SLOW_SHARE * usual
+        }
+        return {
+            replica_id
+            for replica_id, windows in self._slow_windows_by_id.items()
+            if windows >= SLOW_WINDOWS
+        }
--- a/packages/decisions/tests/samples/test_coordinator.py
+++ b/packages/decisions/tests/samples/test_coordinator.py
@@ -102,3 +102,52 @@
     service.carry(version)
     batch = service.coordinator.collect("r", 0, 9, 9.0)
     assert batch.choices == ()
+
+
+def hedge():
+    """Return a service whose sample on "e" has a second attempt on "f"."""
+    service = Service(early_share=1.0)
+    coordinator = service.coordinator
+    coordinator.replica("e", 1, 1)
+    coordinator.replica("f", 1, 1)
+    service.submit(1)
+    service.carry(coordinator.replica("f", 2, 1))
+    assert [start.replica for start in service.started] == ["e", "f"]
+    for at in (0.0, 10.0, 20.0):
+        tokens = {
+            start.attempt: at if start.replica == "f" else 0
+            for start in service.started
+        }
+        service.carry(coordinator.progress(tokens, at))
+    slow, _, second = service.started
+    assert (second.sample, second.replica) == (slow.sample, "f")
+    return service, slow, second
+
+
+@pytest.mark.parametrize("failing", ["first", "second"])
+def test_one_failed_attempt_of_two_starts_no_third(failing):
+    service, slow, second = hedge()
+    failed, other = slow, second
+    if failing == "second":
+        failed, other = second, slow
+    service.carry(service.coordinator.failed(failed.attempt, 30.0))
+    assert len(service.started) == 3
+    service.carry(service.coordinator.failed(other.attempt, 30.0))
+    assert service.started[3].sample == slow.sample
+    assert len(service.started) == 4
+
+
+def test_the_first_result_of_two_cancels_the_other():
+    service, slow, second = hedge()
+    result = ledgers.Result("d", 4, ("1",))
+    found = service.coordinator.result(second.attempt, result, 30.0)
+    cancels = [a for _, a in found if isinstance(a, schedule.Cancel)]
+    assert [cancel.attempt for cancel in cancels] == [slow.attempt]
+    assert service.coordinator.result(slow.attempt, result, 30.0) == []
+
+
+def test_a_lost_replica_starts_each_sample_once():
+    service, slow, _ = hedge()
+    service.carry(service.coordinator.replica_lost("f", 30.0))
+    again = service.started[3:]
+    assert slow.sample not in [start.sample for start in again]
--- a/packages/decisions/tests/samples/test_schedule.py
+++ b/packages/decisions/tests/samples/test_schedule.py
@@ -133,3 +133,41 @@
     first, _ = schedule.assign()
     (cancel,) = schedule.settle(first.sample)
     assert cancel.attempt == first.attempt
+
+
+def hedged(schedule):
+    """Put a sample on each replica; return the hedges of those on a."""
+    add(schedule, count=2)
+    first = schedule.assign()
+    assert [start.replica for start in first] == ["a", "b"]
+    return first, schedule.hedge({"a"})
+
+
+def test_a_stream_on_a_slow_replica_gets_one_second_attempt():
+    schedule = make(schedules.Policy(affinity=False))
+    first, (second,) = hedged(schedule)
+    assert (second.sample, second.replica) == (first[0].sample, "b")
+    assert schedule.hedge({"a"}) == []
+    cancels = schedule.settle(second.sample)
+    assert {c.attempt for c in cancels} == {first[0].attempt, second.attempt}
+
+
+def test_no_slot_that_a_waiting_sample_can_use_is_taken():
+    schedule = make(schedules.Policy(affinity=False))
+    add(schedule, count=2)
+    schedule.assign()
+    schedule.add(*samples(count=3)[2:], GROUP)
+    assert schedule.hedge({"a"}) == []
+
+
+def test_without_another_replica_nothing_is_hedged():
+    schedule = make(schedules.Policy(affinity=False))
+    add(schedule, count=2)
+    schedule.assign()
+    assert schedule.hedge({"a", "b"}) == []
+
+
+def test_hedging_can_be_off():
+    policy = schedules.Policy(affinity=False, hedge=False)
+    _, found = hedged(make(policy))
+    assert found == []
