Let preference delay early work, not cut its share

Early samples began as soon as ever whatever the setting, so their age stayed, and the rest that began late made the step late.

Change: early work starts once `preference` of the training time has passed; at 1 there is none. The training time is learned from collects.

--- a/packages/bench/anvilwell_bench/commands/samples.py
+++ b/packages/bench/anvilwell_bench/commands/samples.py
@@ -116,7 +116,7 @@
 
 
 def _with_preference(preference):
-    policy = schedule.Policy(early_share=1.0 - preference)
+    policy = schedule.Policy().prefer(preference)
     return worlds.Options(policy=policy)
 
 
--- a/packages/daemon/anvilwell_daemon/runs/holder.py
+++ b/packages/daemon/anvilwell_daemon/runs/holder.py
@@ -199,7 +199,7 @@
         self._carry(
             self._coordinator.configure(
                 model.staleness_bound,
-                1.0 - model.preference,
+                model.preference,
                 document.trainers,
             )
         )
--- a/packages/daemon/anvilwell_daemon/runs/service.py
+++ b/packages/daemon/anvilwell_daemon/runs/service.py
@@ -223,7 +223,7 @@
     async def _hold(self, service, lease):
         """Hold the runs until the lease ends; return if by a fault."""
         model = self._document(service).model
-        policy = schedule.Policy(early_share=1.0 - model.preference)
+        policy = schedule.Policy().prefer(model.preference)
         holder = holders.Holder(
             service,
             self._vm_id,
--- a/packages/decisions/anvilwell_decisions/samples/coordinator.py
+++ b/packages/decisions/anvilwell_decisions/samples/coordinator.py
@@ -61,10 +61,10 @@
             self._learn(step)
         return self._address(run, found)
 
-    def configure(self, bound, early_share, weights_by_run):
+    def configure(self, bound, preference, weights_by_run):
         """Take what the service's document says now."""
         self._bound = bound
-        self.schedule.configure(bound, early_share)
+        self.schedule.configure(bound, preference)
         for run, ledger in self.ledgers_by_run.items():
             ledger.set_bound(bound)
             self.schedule.add_run(run, weights_by_run.get(run, 1.0))
@@ -138,12 +138,14 @@
 
     def collect(self, run, cursor, limit, now, *, waiting=False):
         """Return the batch at `cursor`; its actions are addressed."""
+        self.schedule.now = now
         batch = self.ledgers_by_run[run].collect(cursor, limit, now)
         self._note_need(run, batch, waiting)
         return batch._replace(actions=tuple(self._address(run, batch.actions)))
 
     def tick(self, now):
         """Return what is due in any run."""
+        self.schedule.now = now
         return [
             addressed
             for run, ledger in self.ledgers_by_run.items()
@@ -183,9 +185,12 @@
         A trainer that just got the last sample of a step trains on it;
         it needs the next one only when it collects again.
         """
+        training = self.schedule.training(run)
+        training.end(self.schedule.now)
         got = max(batch.steps_whole, default=identity.NO_STEP)
         if got > self._got_by_run.get(run, identity.NO_STEP):
             self._got_by_run[run] = got
+            training.begin(self.schedule.now)
             self._tell_needs(run, waiting=False)
             return
         self._done_by_run[run] = got
--- a/packages/decisions/anvilwell_decisions/samples/queues.py
+++ b/packages/decisions/anvilwell_decisions/samples/queues.py
@@ -7,6 +7,7 @@
 
 from anvilwell_decisions.samples import identity
 from anvilwell_decisions.samples import lengths
+from anvilwell_decisions.samples import training
 
 
 class Pending(typing.NamedTuple):
@@ -55,6 +56,7 @@
         self.needed_step = 0
         self.trainer_version = 0
         self.trainer_waits = False
+        self.training = training.Training()
         self.lengths = lengths.Lengths()
         self._longest_first = longest_first
         self._groups_by_id = {}
--- a/packages/decisions/anvilwell_decisions/samples/schedule.py
+++ b/packages/decisions/anvilwell_decisions/samples/schedule.py
@@ -13,7 +13,8 @@
     """Which mechanisms are on.
 
     ``early_share`` is the share of a step's samples that may start
-    before the trainer needs that step, 0 to 1.
+    before the trainer needs that step, 0 to 1; ``early_delay`` is the
+    share of the trainer's training time that passes before they do.
     """
 
     longest_first: bool = True
@@ -21,8 +22,14 @@
     affinity: bool = True
     cancel_doomed: bool = True
     early_share: float = 1.0
+    early_delay: float = 0.0
     hedge: bool = True
 
+    def prefer(self, preference):
+        """Return this policy with early work as `preference` wants it."""
+        share = 0.0 if preference >= 1 else 1.0
+        return self._replace(early_share=share, early_delay=preference)
+
 
 class Start(typing.NamedTuple):
     """Start an attempt of `sample` on `replica`."""
@@ -68,6 +75,7 @@
     def __init__(self, bound, policy=None):
         self.bound = bound
         self.latest = 0
+        self.now = 0.0
         self.replicas = replicas.Replicas()
         self._policy = policy or Policy()
         self._fairness = fairness.Fairness()
@@ -88,10 +96,10 @@
         """How many samples wait."""
         return sum(q.waiting for q in self._queues_by_run.values())
 
-    def configure(self, bound, early_share):
-        """Take another staleness bound and share of early work."""
+    def configure(self, bound, preference):
+        """Take another staleness bound and preference."""
         self.bound = bound
-        self._policy = self._policy._replace(early_share=early_share)
+        self._policy = self._policy.prefer(preference)
         for run in self._queues_by_run:
             self._refile(run)
 
@@ -122,6 +130,10 @@
         queue.trainer_waits = waiting
         self._refile(run)
 
+    def training(self, run):
+        """Return how long the trainer of `run` trains."""
+        return self._queues_by_run[run].training
+
     def trainer_waits(self, run):
         """Return whether the trainer of `run` was last seen waiting."""
         return self._queues_by_run[run].trainer_waits
@@ -242,6 +254,9 @@
     def _may_begin(self, run, queue):
         if not queue.is_early():
             return True
+        delay_s = self._policy.early_delay * queue.training.usual_s
+        if self.now < queue.training.since + delay_s:
+            return False
         step = (run, queue.head_step())
         allowed = self._policy.early_share * self._sizes_by_step[step]
         return self._early_by_step[step] < allowed
--- a/packages/decisions/tests/samples/test_coordinator.py
+++ b/packages/decisions/tests/samples/test_coordinator.py
@@ -95,7 +95,7 @@
     service.submit(1)
     service.submit(2)
     service.end_all()
-    configured = service.coordinator.configure(0, 1.0, {"r": 2.0})
+    configured = service.coordinator.configure(0, 0.0, {"r": 2.0})
     service.carry(configured)
     assert service.steps_started() == [2, 2]
     version = service.coordinator.trainer_version("r", "2", 9.0)
@@ -151,3 +151,16 @@
     service.carry(service.coordinator.replica_lost("f", 30.0))
     again = service.started[3:]
     assert slow.sample not in [start.sample for start in again]
+
+
+def test_training_is_learned_though_each_step_is_whole_when_asked():
+    service = Service(early_share=1.0)
+    service.submit(1)
+    service.submit(2)
+    service.end_all()
+    cursor = 0
+    for at in (10.0, 250.0):
+        batch = service.coordinator.collect("r", cursor, 2, at)
+        assert batch.steps_whole
+        cursor = batch.next_cursor
+    assert service.coordinator.schedule.training("r").usual_s == 240.0
--- a/packages/decisions/tests/samples/test_schedule.py
+++ b/packages/decisions/tests/samples/test_schedule.py
@@ -171,3 +171,40 @@
     policy = schedules.Policy(affinity=False, hedge=False)
     _, found = hedged(make(policy))
     assert found == []
+
+
+def early_schedule(preference):
+    """Return a schedule whose trainer trains for 100 s, from 200 on."""
+    schedule = make(schedules.Policy().prefer(preference))
+    training = schedule.training("r")
+    training.begin(0.0)
+    training.end(100.0)
+    training.begin(200.0)
+    add(schedule, step=2, count=1)
+    return schedule
+
+
+def starts_at(schedule, now):
+    schedule.now = now
+    schedule.need("r", 1, 7, waiting=False)
+    return len(schedule.assign())
+
+
+def test_early_work_waits_for_its_share_of_the_training():
+    schedule = early_schedule(0.25)
+    assert [starts_at(schedule, now) for now in (224.0, 225.0)] == [0, 1]
+
+
+def test_early_work_begins_at_once_where_idle_time_alone_counts():
+    assert starts_at(early_schedule(0.0), 200.0) == 1
+
+
+def test_no_work_is_early_where_staleness_alone_counts():
+    assert starts_at(early_schedule(1.0), 999.0) == 0
+
+
+def test_a_trainer_that_waits_ends_the_delay():
+    schedule = early_schedule(0.75)
+    schedule.now = 201.0
+    schedule.need("r", 2, 7, waiting=True)
+    assert len(schedule.assign()) == 1
