--- a/packages/decisions/anvilwell_decisions/samples/schedule.py
+++ b/packages/decisions/anvilwell_decisions/samples/schedule.py
@@ -13,7 +13,8 @@
     """Which mechanisms are on.
 
     ``early_share`` is the share of a step's samples that may start
-    before the trainer needs that step, 0 to 1.
+    before the trainer needs that step, 0 to 1; ``early_delay`` is the
+    share of the trainer's training time that passes before they do.
     """
 
     longest_first: bool = True
@@ -21,6 +22,13 @@
     affinity: bool = True
     cancel_doomed: bool = True
     early_share: float = 1.0
+    early_delay: float = 0.0
+    hedge: bool = True
+
+    def prefer(self, preference):
+        """Return this policy with early work as `preference` wants it."""
+        share = 0.0 if preference >= 1 else 1.0
+        return self._replace(early_share=share, early_delay=preference)
 
 
 class Start(typing.NamedTuple):
@@ -67,6 +75,7 @@
     def __init__(self, bound, policy=None):
         self.bound = bound
         self.latest = 0
+        self.now = 0.0
         self.replicas = replicas.Replicas()
         self._policy = policy or Policy()
         self._fairness = fairness.Fairness()
@@ -87,10 +96,10 @@
         """How many samples wait."""
         return sum(q.waiting for q in self._queues_by_run.values())
 
-    def configure(self, bound, early_share):
-        """Take another staleness bound and share of early work."""
+    def configure(self, bound, preference):
+        """Take another staleness bound and preference."""
         self.bound = bound
-        self._policy = self._policy._replace(early_share=early_share)
+        self._policy = self._policy.prefer(preference)
         for run in self._queues_by_run:
             self._refile(run)
 
@@ -121,6 +130,10 @@
         queue.trainer_waits = waiting
         self._refile(run)
 
+    def training(self, run):
+        """Return how long the trainer of `run` trains."""
+        return self._queues_by_run[run].training
+
     def trainer_waits(self, run):
         """Return whether the trainer of `run` was last seen waiting."""
         return self._queues_by_run[run].trainer_waits
@@ -153,6 +166,36 @@
             starts.append(self._start(run))
         return starts
 
+    def hedge(self, slow):
+        """Return a `Start` of a second attempt for streams on `slow`.
+
+        Only slots that nothing else can use are taken, on replicas that
+        are not slow.
+        """
+        if not self._policy.hedge or self._fairness.first() is not None:
+            return []
+        starts = []
+        for running in [
+            running
+            for running in self._running_by_attempt.values()
+            if running.replica in slow and not self._is_hedged(running)
+        ]:
+            replica_id = self.replicas.choose_besides(slow)
+            if replica_id is None:
+                break
+            pending = running.pending
+            run = pending.sample.run
+            start = self._launch(run, pending, replica_id, running.early)
+            starts.append(start)
+        return starts
+
+    def is_running(self, sample):
+        """Return whether an attempt at `sample` is under way."""
+        return sample in self._attempts_by_sample
+
+    def _is_hedged(self, running):
+        return len(self._attempts_by_sample[running.pending.sample]) > 1
+
     def ended(self, attempt, tokens=None):
         """Free the slot of `attempt`; `tokens` if its stream was whole."""
         running = self._running_by_attempt.get(attempt)
@@ -211,6 +254,9 @@
     def _may_begin(self, run, queue):
         if not queue.is_early():
             return True
+        delay_s = self._policy.early_delay * queue.training.usual_s
+        if self.now < queue.training.since + delay_s:
+            return False
         step = (run, queue.head_step())
         allowed = self._policy.early_share * self._sizes_by_step[step]
         return self._early_by_step[step] < allowed
@@ -220,7 +266,9 @@
         early = queue.is_early()
         home = queue.home() if self._policy.affinity else None
         replica_id = self.replicas.choose(home)
-        pending = queue.take(replica_id)
+        return self._launch(run, queue.take(replica_id), replica_id, early)
+
+    def _launch(self, run, pending, replica_id, early):
         self._attempts += 1
         oldest = self.replicas.take(replica_id, self._attempts)
         running = Running(pending, replica_id, oldest, early)
