Guard the member lists of a change without writing them

Cause: the write that accepts a change carried both member lists only to hold their revisions, so it grew with the service's members.

Change: the key-value port's swap takes Guards beside Swaps (in etcd a comparison without an operation). A proposal guards a list, and writes it only if it takes a member off. The slope act counts keys too.

--- a/packages/bench/anvilwell_bench/slopes/acts/configuration.py
+++ b/packages/bench/anvilwell_bench/slopes/acts/configuration.py
@@ -63,10 +63,12 @@
     sizes = _MEMBER_SIZES
 
     def measure(self, size):
-        """Return the bytes of all values written."""
+        """Return the bytes of all keys named and values written."""
         instances = _instances(size)
-        actions = _propose(_reading(instances), instances)
-        return sum(len(one.value) for one in actions[-1].writes)
+        swap = _propose(_reading(instances), instances)[-1]
+        keys = [one.key for one in (*swap.writes, *swap.guards)]
+        values = [one.value for one in swap.writes]
+        return len("".join(keys)) + len(b"".join(values))
 
 
 class ProposeCpu(act.Act):
--- a/packages/daemon/anvilwell_daemon/configuration/proposer.py
+++ b/packages/daemon/anvilwell_daemon/configuration/proposer.py
@@ -87,8 +87,8 @@
                 await self._read()
             case proposal.SendPrepare(prepare):
                 await self._spread.prepare(prepare, self._take)
-            case proposal.Swap(writes):
-                await self._swap(writes)
+            case proposal.Swap():
+                await self._swap(action)
             case proposal.SendCommit(message) | proposal.SendAbort(message):
                 await self._spread.tell(message)
 
@@ -105,8 +105,8 @@
         else:
             self._act(self._proposal.on_reading(reading, now))
 
-    async def _swap(self, writes):
-        answer = await self._store.swap(writes)
+    async def _swap(self, action):
+        answer = await self._store.swap(action)
         now = self._clock.monotonic()
         if answer.landed is None:
             lost = self._proposal.on_swap_lost(answer.never_sent, now)
--- a/packages/daemon/anvilwell_daemon/configuration/store.py
+++ b/packages/daemon/anvilwell_daemon/configuration/store.py
@@ -53,10 +53,11 @@
                 return stop.value
             result = await self._carry_out(action)
 
-    async def swap(self, writes):
-        """Apply `writes` and return a `SwapAnswer`."""
+    async def swap(self, action):
+        """Carry out a `proposal.Swap` and return a `SwapAnswer`."""
         swaps = [
-            ports.Swap(one.key, one.expected, one.value) for one in writes
+            *(ports.Swap(*write) for write in action.writes),
+            *(ports.Guard(*guard) for guard in action.guards),
         ]
         try:
             result = await self._keyvalue.swap(
@@ -92,7 +93,7 @@
     async def _carry_out(self, action):
         try:
             if isinstance(action, proposal.Swap):
-                return (await self.swap(action.writes)).landed
+                return (await self.swap(action)).landed
             if isinstance(action, flows.ReadKey):
                 return await self._read_key(action.key)
             return await self._read_records(action.service)
--- a/packages/daemon/anvilwell_daemon/keyvalue/facade.py
+++ b/packages/daemon/anvilwell_daemon/keyvalue/facade.py
@@ -52,7 +52,10 @@
         return await self._read(call, prefix, purpose, timeout_s)
 
     async def swap(self, swaps, *, purpose, timeout_s=None):
-        """Apply all `swaps` or none, and return a ``SwapResult``."""
+        """Apply all `swaps` or none, and return a ``SwapResult``.
+
+        `swaps` may hold the port's ``Guard``s too.
+        """
         return await self._write(self._port.swap, swaps, purpose, timeout_s)
 
     async def grant(self, ttl_s, *, purpose, timeout_s=None):
--- a/packages/decisions/anvilwell_decisions/configuration/proposal.py
+++ b/packages/decisions/anvilwell_decisions/configuration/proposal.py
@@ -43,6 +43,13 @@
     value: bytes
 
 
+class Guard(typing.NamedTuple):
+    """A key that must be at ``expected`` still; it is not written."""
+
+    key: str
+    expected: int
+
+
 class Read(typing.NamedTuple):
     """Action: read the keys of the service."""
 
@@ -54,9 +61,10 @@
 
 
 class Swap(typing.NamedTuple):
-    """Action: apply all `writes` or none."""
+    """Action: apply all `writes` if all `guards` hold, else none."""
 
     writes: list[Write]
+    guards: typing.Sequence[Guard] = ()
 
 
 class SendCommit(typing.NamedTuple):
@@ -280,9 +288,27 @@
         if self._swaps > self._bounds.swap_attempts and not self._is_in_doubt:
             return self._give_up(reasons.Refusal.CONFLICT)
         self.phase = Phase.SWAPPING
-        return [Swap(self._writes())]
+        return [self._accepting_swap()]
 
-    def _writes(self):
+    def _accepting_swap(self):
+        lists = (
+            self._list_condition(
+                registry.ENTRY_MEMBERS_KEY, self._reading.entries
+            ),
+            self._list_condition(
+                registry.agents_key(self.request.service),
+                self._reading.agents,
+            ),
+        )
+        return Swap(
+            [
+                self._accepting_write(),
+                *(one for one in lists if isinstance(one, Write)),
+            ],
+            [one for one in lists if isinstance(one, Guard)],
+        )
+
+    def _accepting_write(self):
         service = self.request.service
         record = records.decode(self._reading.record.value, service)
         document = self._prepare.document
@@ -294,20 +320,19 @@
             self.request.operator,
         )
         value = records.encode(records.accept(record, document, change))
-        return [
-            Write(
-                registry.record_key(service),
-                self._reading.record.revision,
-                value,
-            ),
-            self._guard(registry.ENTRY_MEMBERS_KEY, self._reading.entries),
-            self._guard(registry.agents_key(service), self._reading.agents),
-        ]
-
-    def _guard(self, key, slot):
-        kept = registry.prune(
-            registry.decode(slot.value), self._left_out_by_key.values()
+        return Write(
+            registry.record_key(service), self._reading.record.revision, value
         )
+
+    def _list_condition(self, key, slot):
+        """Return a `Write` if members are taken off the list, or a `Guard`.
+
+        Either way the change cannot land beside a member not asked.
+        """
+        listed = registry.decode(slot.value)
+        kept = registry.prune(listed, self._left_out_by_key.values())
+        if kept == listed:
+            return Guard(key, slot.revision)
         return Write(key, slot.revision, registry.encode(kept))
 
     def _tick_preparing(self, now):
--- a/packages/decisions/tests/configuration/configuration_world.py
+++ b/packages/decisions/tests/configuration/configuration_world.py
@@ -58,7 +58,7 @@
 
     def apply(self, action):
         if isinstance(action, proposal.Swap):
-            return self._swap(action.writes)
+            return self._swap(action)
         if isinstance(action, flows.ReadKey):
             return self.read(action.key)
         return [records.document_of(self.record())]
@@ -70,11 +70,14 @@
         slot = self.read(registry.record_key(SERVICE))
         return records.decode(slot.value, SERVICE)
 
-    def _swap(self, writes):
-        if any(self.read(one.key).revision != one.expected for one in writes):
+    def _swap(self, action):
+        conditions = [*action.writes, *action.guards]
+        if any(
+            self.read(one.key).revision != one.expected for one in conditions
+        ):
             return False
         self.revision += 1
-        for one in writes:
+        for one in action.writes:
             self.slots_by_key[one.key] = proposal.Slot(
                 self.revision, one.value
             )
@@ -253,6 +256,7 @@
         self.now = 0.0
         self.store = Store()
         self.wire = []
+        self.held = []
         self.cut = frozenset()
         self.without_store = frozenset()
         self.landed_at_by_generation = {}
@@ -331,6 +335,26 @@
                 self.step(index, fate)
                 return
 
+    def hold_swaps(self, most):
+        """Deliver in order until a conditional write is next; hold it."""
+        for _ in range(most):
+            swaps = [
+                one
+                for one in self.wire
+                if isinstance(one, Call)
+                and isinstance(one.action, proposal.Swap)
+            ]
+            if swaps:
+                self.held += swaps
+                self.wire = [one for one in self.wire if one not in swaps]
+                return
+            self.step(0, Fate.DELIVER)
+
+    def release(self):
+        """Put what was held back on its way."""
+        self.wire += self.held
+        self.held = []
+
     def advance(self, seconds):
         """Move time on and let each running node do what is due."""
         self.now += seconds
--- a/packages/decisions/tests/configuration/test_agreement.py
+++ b/packages/decisions/tests/configuration/test_agreement.py
@@ -104,6 +104,16 @@
         self.world.store.is_up = is_up
         self.world.cut = cut
 
+    @stateful.rule(vm_id=NODES, proposer=ENTRIES)
+    def join_beside_a_write(self, vm_id, proposer):
+        """Let a node start again while a write waits."""
+        self.changes += 1
+        self._propose(proposer, f"change-{self.changes}")
+        self.world.hold_swaps(20)
+        self.world.nodes_by_id[vm_id].start()
+        self._deliver(10)
+        self.world.release()
+
     @stateful.rule(sender=NODES, receiver=NODES)
     def exchange(self, sender, receiver):
         self.world.exchange(sender, receiver)
--- a/packages/decisions/tests/configuration/test_scenarios.py
+++ b/packages/decisions/tests/configuration/test_scenarios.py
@@ -1,10 +1,12 @@
 """Single failures, each step chosen."""
 
 import configuration_world as worlds
+import pytest
 
 from anvilwell_decisions.configuration import flows
 from anvilwell_decisions.configuration import outcomes
 from anvilwell_decisions.configuration import proposal
+from anvilwell_decisions.configuration import registry
 from anvilwell_kernel.messages import configuration as messages
 
 
@@ -163,6 +165,24 @@
     world.check()
 
 
+@pytest.mark.parametrize("vm_id", ["b1", "b2"])
+def test_guard_of_a_list_alone_names_who_joined_after_preparing(vm_id):
+    world = make_world()
+    propose(world, "a1", "second")
+    deliver_until(world, lambda: swap_waits(world))
+    swap = world.wire.pop()
+    assert [one.key for one in swap.action.writes] == [
+        registry.record_key(worlds.SERVICE)
+    ]
+    world.nodes_by_id[vm_id].start()
+    world.flush()
+    world.wire.append(swap)
+    deliver_until(world, lambda: 2 in world.landed_at_by_generation)
+    world.cut = frozenset((vm_id,))
+    world.advance(worlds.BOUNDS.fence_s)
+    world.check()
+
+
 def test_start_during_an_outage_is_sponsored_and_bound():
     world = make_world()
     world.store.is_up = False
--- a/packages/platform/anvilwell_platform/adapters/etcd.py
+++ b/packages/platform/anvilwell_platform/adapters/etcd.py
@@ -52,7 +52,7 @@
         )
 
     def swap(self, swaps, *, purpose, timeout_s):
-        """Apply all `swaps` or none, and return a `SwapResult`."""
+        """Apply all `swaps` or none if a `Guard` or swap fails."""
         body = etcd_wire.swap_txn(swaps)
         answer = self._call(
             "kv/txn", body, etcd_wire.TXN, purpose, _WRITE, timeout_s
--- a/packages/platform/anvilwell_platform/adapters/etcd_wire.py
+++ b/packages/platform/anvilwell_platform/adapters/etcd_wire.py
@@ -113,7 +113,10 @@
 
 
 def swap_txn(swaps):
-    """Return the body of a transaction that applies all `swaps` or none."""
+    """Return the body of a transaction that applies all `swaps` or none.
+
+    A `keyvalue.Guard` is a comparison without an operation.
+    """
     compare = [
         {
             "key": encode_key(swap.key),
@@ -123,8 +126,9 @@
         }
         for swap in swaps
     ]
-    reads = [{"request_range": {"key": encode_key(s.key)}} for s in swaps]
-    writes = [_write(swap) for swap in swaps]
+    applied = [one for one in swaps if not isinstance(one, keyvalue.Guard)]
+    reads = [{"request_range": {"key": encode_key(s.key)}} for s in applied]
+    writes = [_write(swap) for swap in applied]
     return {"compare": compare, "success": writes, "failure": reads}
 
 
--- a/packages/platform/anvilwell_platform/certain_swap.py
+++ b/packages/platform/anvilwell_platform/certain_swap.py
@@ -29,8 +29,8 @@
     ----------
     store : keyvalue.KeyValue
         The store.
-    swaps : list of keyvalue.Swap
-        The value of the first holds an id that is unique to this call.
+    swaps : list of keyvalue.Swap or keyvalue.Guard
+        The first is a swap; its value holds an id that is unique to this call.
     is_mine : callable
         Takes the `Entry` read back for the first swap's key; returns
         whether that id is in its value, as the last change or in the
--- a/packages/platform/anvilwell_platform/ports/keyvalue.py
+++ b/packages/platform/anvilwell_platform/ports/keyvalue.py
@@ -46,8 +46,21 @@
     lease: int = 0
 
 
+class Guard(typing.NamedTuple):
+    """A condition on a key that a `KeyValue.swap` leaves as it is.
+
+    ``expected`` is as in `Swap`.
+    """
+
+    key: str
+    expected: int
+
+
 class SwapResult(typing.NamedTuple):
-    """Whether all swaps landed, and the entries there are if not."""
+    """Whether all swaps landed, and the entries there are if not.
+
+    The entries of keys that were only guarded are not among them.
+    """
 
     landed: bool
     revision: int
@@ -95,7 +108,10 @@
 
     @abc.abstractmethod
     def swap(self, swaps, *, purpose, timeout_s):
-        """Apply all `swaps` or none, and return a `SwapResult`."""
+        """Apply all `swaps` or none, and return a `SwapResult`.
+
+        `swaps` may hold `Guard`s too: if one fails, nothing lands.
+        """
 
     @abc.abstractmethod
     def grant(self, ttl_s, *, purpose, timeout_s):
--- a/packages/platform/tests/adapters/test_etcd.py
+++ b/packages/platform/tests/adapters/test_etcd.py
@@ -57,6 +57,34 @@
     assert store.get("b", **ARGS) is None
 
 
+def test_guard_holds_a_key_and_writes_nothing(standin, store):
+    guarded = put(store, "list", b"members")
+    lines = len(standin.record.lines("write"))
+    swaps = [ports.Swap("doc", 0, b"1"), ports.Guard("list", guarded.revision)]
+    assert store.swap(swaps, **ARGS).landed
+    assert store.get("list", **ARGS).revision == guarded.revision
+    assert len(standin.record.lines("write")) == lines + 1
+
+
+def test_failed_guard_lets_nothing_land(store):
+    guarded = put(store, "list", b"members")
+    put(store, "list", b"more", expected=guarded.revision)
+    for guard in (
+        ports.Guard("list", guarded.revision),
+        ports.Guard("list", 0),
+    ):
+        result = store.swap([ports.Swap("doc", 0, b"1"), guard], **ARGS)
+        assert not result.landed
+        assert result.entries_by_key == {}
+    assert store.get("doc", **ARGS) is None
+
+
+def test_guard_of_an_absent_key(store):
+    swaps = [ports.Swap("doc", 0, b"1"), ports.Guard("list", 0)]
+    assert store.swap(swaps, **ARGS).landed
+    assert store.get("list", **ARGS) is None
+
+
 def test_prefix_reads_one_snapshot(store):
     for key in ("p/1", "p/2", "q/1"):
         last = put(store, key, key.encode())
