Refuse two control messages of one name

Cause: all control messages share one codec, keyed by class name; of two classes with one name the last silently took the other's frames.

Change: Codec and the registry's declare raise DuplicateKind with both modules and the mend; a refused declare declares nothing.

Figures: before, Codec([a.Told, b.Told]) was built; after, it raises.

--- a/packages/daemon/anvilwell_daemon/peers/registry.py
+++ b/packages/daemon/anvilwell_daemon/peers/registry.py
@@ -21,8 +21,16 @@
         return self._codec
 
     def declare(self, kinds):
-        """Let `kinds` (``NamedTuple`` classes) travel on the links."""
-        self._kinds.extend(k for k in kinds if k not in self._kinds)
+        """Let `kinds` (``NamedTuple`` classes) travel on the links.
+
+        Raises
+        ------
+        exceptions.DuplicateKind
+            If another class of one's name is declared; then none is.
+        """
+        new = [kind for kind in kinds if kind not in self._kinds]
+        codec.check_names([*self._kinds, *new])
+        self._kinds.extend(new)
         self._codec = None
 
     def on(self, kind, handler):
--- a/packages/kernel/anvilwell_kernel/exceptions.py
+++ b/packages/kernel/anvilwell_kernel/exceptions.py
@@ -84,6 +84,10 @@
     reason = reasons.Refusal.BAD_FRAME
 
 
+class DuplicateKind(AnvilwellError):
+    """Two classes of messages that share a codec have one name."""
+
+
 class LinkLost(AnvilwellError):
     """A link to a peer was lost; what it carried may have run."""
 
--- a/packages/kernel/anvilwell_kernel/messages/codec.py
+++ b/packages/kernel/anvilwell_kernel/messages/codec.py
@@ -20,9 +20,16 @@
     ----------
     kinds : iterable of type
         ``NamedTuple`` classes; the class name is the kind's name.
+
+    Raises
+    ------
+    exceptions.DuplicateKind
+        If two classes have one name.
     """
 
     def __init__(self, kinds):
+        kinds = list(kinds)
+        check_names(kinds)
         self._adapters_by_name = {
             kind.__name__: pydantic.TypeAdapter(kind, config=_CONFIG)
             for kind in kinds
@@ -78,6 +85,18 @@
             ) from error
 
 
+def check_names(kinds):
+    """Raise `exceptions.DuplicateKind` if two classes have one name."""
+    kinds_by_name = {}
+    for kind in kinds:
+        first = kinds_by_name.setdefault(kind.__name__, kind)
+        if first is not kind:
+            raise exceptions.DuplicateKind(
+                f"message {kind.__name__} is declared in {first.__module__} "
+                f"and in {kind.__module__}; rename one of them"
+            )
+
+
 def _load(frame):
     if len(frame) > MAX_FRAME_BYTES:
         raise exceptions.MalformedMessage(
--- a/packages/kernel/tests/messages/test_codec.py
+++ b/packages/kernel/tests/messages/test_codec.py
@@ -140,6 +140,24 @@
         CODEC.decode(frame)
 
 
+def make_kind(module):
+    class Told(typing.NamedTuple):
+        number: int
+
+    Told.__module__ = module
+    return Told
+
+
+def test_two_kinds_of_one_name_are_refused():
+    first, second = make_kind("leases"), make_kind("rollout")
+    codecs.Codec([first, first])
+    with pytest.raises(exceptions.DuplicateKind) as caught:
+        codecs.Codec([first, second])
+    assert caught.value.message == (
+        "message Told is declared in leases and in rollout; rename one of them"
+    )
+
+
 def test_older_peer_may_lack_a_later_field():
     class Old(typing.NamedTuple):
         stream_id: int
