--- a/packages/daemon/anvilwell_daemon/configuration/joining.py
+++ b/packages/daemon/anvilwell_daemon/configuration/joining.py
@@ -48,10 +48,9 @@
 
     async def join(self):
         """Try until this instance is listed and knows the documents."""
-        delay_s = FIRST_DELAY_S
+        delays_s = pauses(self._rng)
         while not await self._try():
-            await asyncio.sleep(self._rng.uniform(0, delay_s))
-            delay_s = min(2 * delay_s, LONGEST_DELAY_S)
+            await asyncio.sleep(next(delays_s))
         await self._exchange.exchange_once()
         self._member.standing.list()
 
@@ -103,3 +102,11 @@
         for document in answer.documents:
             self._member.learn(document)
         self._member.standing.hear(answer.sponsor, asked_at)
+
+
+def pauses(rng):
+    """Yield the pause in s after each try that failed, for ever."""
+    longest_s = FIRST_DELAY_S
+    while True:
+        yield rng.uniform(0, longest_s)
+        longest_s = min(2 * longest_s, LONGEST_DELAY_S)
