membership: daemons back from a cut bury nobody

Cause: the membership machine's new check found living members called dead right after a split had healed, in two ways. A daemon that was cut off stopped counting as cut off with the first message it heard, and then held the silences of its own cut against its other subjects. And a death that it had found as the cut began was still queued, and flooded when its neighbours could be reached again.

Change: with the end of a cut the silences are counted anew; a death that could not be told within 2 s is no longer flooded, the exchange of tables carries it as a claim that is tried first. Regression test test_few_who_were_cut_off_bury_nobody_when_they_are_back, and the check in the machine's split_for_long.

Not measured: the tick's cost after the change, and the spread of more deaths at once than the token bucket lets through in 2 s; beyond that the rest comes by each member's own observers and the exchange.

--- a/packages/decisions/anvilwell_decisions/membership/news.py
+++ b/packages/decisions/anvilwell_decisions/membership/news.py
@@ -1,5 +1,6 @@
 """What each neighbour has not yet acknowledged of the latest changes."""
 
+import itertools
 import typing
 
 from anvilwell_kernel.messages import membership as messages
@@ -8,6 +9,7 @@
 RATE_PER_S = 64.0
 BURST = 128.0
 RESEND_S = 1.0
+DEATH_LASTS_S = 2.0
 
 _URGENCY = {
     messages.State.LEAVING: 0,
@@ -35,6 +37,7 @@
     def __init__(self):
         self._waiting_by_neighbour = {}
         self._sent_by_neighbour = {}
+        self._died_at_by_id = {}
         self._tokens = BURST
         self._filled_at = None
 
@@ -45,8 +48,11 @@
         self._waiting_by_neighbour = {v: waiting.get(v, {}) for v in vm_ids}
         self._sent_by_neighbour = {v: sent[v] for v in vm_ids if v in sent}
 
-    def add(self, member, source=None):
+    def add(self, member, source=None, now=0.0):
         """Queue `member` for all neighbours but the one it came from."""
+        if member.state is messages.State.DEAD:
+            self._died_at_by_id.pop(member.vm_id, None)
+            self._died_at_by_id[member.vm_id] = now
         for vm_id, waiting in self._waiting_by_neighbour.items():
             if vm_id != source:
                 waiting[member.vm_id] = member
@@ -61,6 +67,7 @@
     def urgent(self, now):
         """Return the neighbours to tell before the next heartbeat."""
         self._fill(now)
+        self._drop_old_deaths(now)
         if self._tokens < 1.0:
             return []
         return [
@@ -74,6 +81,7 @@
         self._fill(now)
         if self._is_sending(neighbour, now):
             return []
+        self._drop_old_deaths(now)
         waiting = self._waiting_by_neighbour.get(neighbour, {})
         room = min(MAX_MEMBERS, int(self._tokens))
         ordered = sorted(waiting.values(), key=lambda m: _URGENCY[m.state])
@@ -91,6 +99,24 @@
             for member in sent.members:
                 self.heard(neighbour, member)
 
+    def _drop_old_deaths(self, now):
+        """Forget to tell of deaths found long ago.
+
+        Who could not tell of them may have been cut off itself. What
+        is true of them reaches others by the exchange of tables, where
+        a claim of death is tried first.
+        """
+        old = itertools.takewhile(
+            lambda vm_id: now - self._died_at_by_id[vm_id] > DEATH_LASTS_S,
+            self._died_at_by_id,
+        )
+        for vm_id in list(old):
+            del self._died_at_by_id[vm_id]
+            for waiting in self._waiting_by_neighbour.values():
+                queued = waiting.get(vm_id)
+                if queued and queued.state is messages.State.DEAD:
+                    del waiting[vm_id]
+
     def _is_sending(self, neighbour, now):
         sent = self._sent_by_neighbour.get(neighbour)
         return sent is not None and now - sent.at < RESEND_S
--- a/packages/decisions/anvilwell_decisions/membership/node.py
+++ b/packages/decisions/anvilwell_decisions/membership/node.py
@@ -176,7 +176,7 @@
         self._settle(member)
         self._place(member)
         if is_news:
-            self._news.add(member, source)
+            self._news.add(member, source, self._now)
         return True
 
     def _settle(self, member):
@@ -249,8 +249,13 @@
     # Failure detection
 
     def _judge(self):
+        was_isolated = self.is_isolated
         silences_s = self._watch.neighbour_silences_s(self._now)
         self._health.measure(silences_s, self._now)
+        if was_isolated and not self.is_isolated:
+            # The silences were our own: count them anew.
+            self._watch.forgive()
+            return
         for vm_id, subject in self._watch.subjects_by_id.items():
             finding = self._health.find(subject.silence_s(self._now))
             self._act_on(self.members_by_id[vm_id], finding)
--- a/packages/decisions/tests/membership/test_fleet_machine.py
+++ b/packages/decisions/tests/membership/test_fleet_machine.py
@@ -17,6 +17,7 @@
 DEAD_WITHIN_S = 4.0
 CALM_S = 6.0
 SPLIT_S = 8.0
+MEET_S = 15.0
 HEALED_WITHIN_S = 60.0
 LOOK_S = 4.0
 WHO = st.sampled_from([f"vm{n}" for n in range(DAEMONS)])
@@ -98,10 +99,20 @@
 
     @stateful.rule(east=st.sets(WHO, min_size=1))
     def split_for_long(self, east):
-        """Sides that call each other dead meet again."""
+        """Sides that call each other dead meet, and bury nobody."""
+        self.calm_down()
         self.split(east)
         self.fleet.run(SPLIT_S)
         self.heal()
+        self.fleet.changes.clear()
+        self.fleet.run(MEET_S)
+        buried = {
+            change.after.vm_id
+            for _, _, change in self.fleet.changes
+            if change.before and change.before.state is LIVE
+            if change.after.state is DEAD
+        }
+        assert buried <= self.fleet.down
 
     def calm_down(self):
         """Let a disturbed fleet come to rest."""
--- a/packages/decisions/tests/membership/test_node.py
+++ b/packages/decisions/tests/membership/test_node.py
@@ -166,6 +166,27 @@
     assert buried_own == []
 
 
+@pytest.mark.parametrize("cut_off", [["vm0"], ["vm1"], ["vm0", "vm5"]])
+def test_few_who_were_cut_off_bury_nobody_when_they_are_back(
+    make_fleet, cut_off
+):
+    """A silence of their own, and old news of deaths, are not told."""
+    fleet = make_fleet(6)
+    fleet.run(8.0)
+    fleet.group_by_id.update(dict.fromkeys(cut_off, "east"))
+    fleet.run(8.0)
+    fleet.group_by_id.clear()
+    healed_at = fleet.now
+    fleet.run(15.0)
+    buried = [
+        change
+        for at, _, change in fleet.changes
+        if at > healed_at and change.before and change.before.state is LIVE
+        if change.after.state is DEAD
+    ]
+    assert buried == []
+
+
 def test_rate_of_news_stays_bounded_during_a_split_and_its_healing(formed):
     fleet = formed(40)
     east = {f"vm{n}" for n in range(20)}
