--- a/packages/decisions/anvilwell_decisions/capacity/assumptions.py
+++ b/packages/decisions/anvilwell_decisions/capacity/assumptions.py
@@ -33,6 +33,8 @@
 RACK_VMS = 40.0
 # Bytes of a generated sample.
 SAMPLE_BYTES = 32_000.0
+# Bytes of a token's text.
+TOKEN_BYTES = 4.0
 # Members of the largest service, as a share of the replicas.
 LARGEST_SERVICE = 0.5
 # One GiB of weights for each accelerator of a replica.
--- a/packages/decisions/anvilwell_decisions/capacity/roles/bad_days.py
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/bad_days.py
@@ -55,6 +55,13 @@
     return entry.control_cpu_share(fleet, lines) + heard_s * change_us / 1e6
 
 
+def delayed_changes(fleet, lines):
+    """Return changes a day that meet an entry that has just failed."""
+    entries_share = fleet.entries / fleet.daemons
+    unknown_s = lines["membership.loss.time"].at(1)
+    return fleet.failures_day * entries_share * unknown_s * fleet.changes_s
+
+
 def cut_load(fleet, lines):
     """Return the load on what is left when a region is cut off."""
     if fleet.regions == 1:
@@ -188,6 +195,16 @@
         rows.Reading.APART,
         entry.FEWER_REPORTS,
     ),
+    rows.Figure(
+        ROLE,
+        "an ordinary day's failures: changes that meet a failed entry",
+        "changes/day",
+        delayed_changes,
+        "failures a day x entries / daemons x loss(1) x changes/s",
+        ("membership.loss.time",),
+        "refused by name, unless the VM is known to be gone in time",
+        reading=rows.Reading.APART,
+    ),
     rows.Figure(
         ROLE,
         "a region cut off: load on the others' replicas",
--- a/packages/decisions/anvilwell_decisions/capacity/roles/ledger.py
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/ledger.py
@@ -14,6 +14,12 @@
     return fleet.samples_s
 
 
+def tokens_share(fleet, lines):
+    """Return the share of all tokens that the samples need."""
+    tokens = assumptions.SAMPLE_BYTES / assumptions.TOKEN_BYTES
+    return fleet.samples_s * tokens / fleet.tokens_s
+
+
 def cpu_share(fleet, lines):
     """Return the cores that one run's decisions take."""
     step_us = lines["ledger.step.cpu"].at(fleet.samples_step)
@@ -55,6 +61,17 @@
         (),
         "one holder a run, under a lease; runs are independent",
     ),
+    rows.Figure(
+        ROLE,
+        "share of all tokens that whole steps need",
+        "share",
+        tokens_share,
+        "samples/s x bytes of a sample / bytes of a token / tokens/s",
+        (),
+        "training is scheduled beside live callers; a slow sample is run"
+        " again elsewhere",
+        1.0,
+    ),
     rows.Figure(
         ROLE,
         "control CPU of one run",
