Count a settled leader's looks in its mean CPU

Cause: the row left out the looks between rollouts, for which there is a slope now. Change: the mean adds them for the rest of the 28 minutes. Figures: see the row, worked out from the committed slopes.

--- a/packages/decisions/anvilwell_decisions/capacity/roles/rollout.py
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/rollout.py
@@ -9,6 +9,7 @@
 
 ROLE = "rollout"
 LOOK_S = 0.25
+SETTLED_LOOK_S = 2.0
 STATUS_S = 0.5
 RELAY_CONCURRENCY = 16
 _US = 1e6
@@ -27,8 +28,12 @@
 
 def settled_cpu_share(fleet, lines):
     """Return cores of the same leader averaged over the period."""
+    replicas = fleet.replicas * assumptions.LARGEST_SERVICE
+    rolling = min(1.0, (fleet.swap_s + _load_s(fleet)) / fleet.weights_s)
+    settled_us = lines["rollout.settled.cpu"].at(replicas)
+    settled = settled_us / _US / SETTLED_LOOK_S
     share = leader_cpu_share(fleet, lines)
-    return share * (fleet.swap_s + _load_s(fleet)) / fleet.weights_s
+    return share * rolling + settled * (1 - rolling)
 
 
 def leader_bytes_s(fleet, lines):
@@ -86,8 +91,9 @@
         "leader's CPU, averaged over 28 minutes",
         "cores",
         settled_cpu_share,
-        "the row above x (25 s + loading) / 28 min",
-        ("rollout.tick.cpu",),
+        "the row above x (25 s + loading) / 28 min"
+        " + settled(replicas / 2) / 2 s for the rest",
+        ("rollout.tick.cpu", "rollout.settled.cpu"),
         "a settled leader looks each 2 s",
         target.BUDGET.cpu_share,
         rows.Reading.EITHER,
