Give no work to a replica that is too old for the trainer

`staleness.may_start` stood there and nobody called it.

Change: a replica whose version is too old for every run is left out of the free ones; one that is too old for a run is passed over for that run, and the run waits while others go on.

--- a/packages/bench/anvilwell_bench/virtual/samples_world.py
+++ b/packages/bench/anvilwell_bench/virtual/samples_world.py
@@ -42,7 +42,7 @@
         super().__init__()
         self._turn = 0
 
-    def choose(self, preferred=None):
+    def choose(self, oldest, preferred=None):
         """Return the next replica, whatever its load."""
         self._turn += 1
         names = sorted(name for _, name in self._free)
--- a/packages/decisions/anvilwell_decisions/samples/replicas.py
+++ b/packages/decisions/anvilwell_decisions/samples/replicas.py
@@ -21,6 +21,7 @@
     def __init__(self):
         self._by_id = {}
         self._free = sortedcontainers.SortedList()
+        self._oldest = 0
 
     @property
     def free(self):
@@ -42,16 +43,36 @@
         self._unfile(replica)
         return sorted(replica.attempts)
 
-    def choose(self, preferred=None):
-        """Return `preferred` if it has a free slot, else the least loaded."""
+    def set_oldest(self, version):
+        """Leave out replicas with a version before `version`."""
+        if version == self._oldest:
+            return
+        self._oldest = version
+        for replica_id, replica in self._by_id.items():
+            self._refile(replica_id, replica)
+
+    def choose(self, oldest, preferred=None):
+        """Return a replica with a free slot, or None.
+
+        Parameters
+        ----------
+        oldest : int
+            The oldest version that will do.
+        preferred : str, optional
+            The replica to take if it will do; else the least loaded.
+        """
         replica = self._by_id.get(preferred)
-        if replica is not None and replica.key is not None:
+        if replica is not None and replica.key and replica.version >= oldest:
             return preferred
-        return self._free[0][1]
+        return self.choose_besides((), oldest)
 
-    def choose_besides(self, avoided):
+    def choose_besides(self, avoided, oldest):
         """Return the least loaded replica not in `avoided`, or None."""
-        others = (name for _, name in self._free if name not in avoided)
+        others = (
+            name
+            for _, name in self._free
+            if name not in avoided and self._by_id[name].version >= oldest
+        )
         return next(others, None)
 
     def take(self, replica_id, attempt):
@@ -75,6 +96,6 @@
     def _refile(self, replica_id, replica):
         self._unfile(replica)
         used = len(replica.attempts)
-        if used < replica.slots:
+        if used < replica.slots and replica.version >= self._oldest:
             replica.key = (used / replica.slots, replica_id)
             self._free.add(replica.key)
--- a/packages/decisions/anvilwell_decisions/samples/schedule.py
+++ b/packages/decisions/anvilwell_decisions/samples/schedule.py
@@ -102,6 +102,7 @@
         self._policy = self._policy.prefer(preference)
         for run in self._queues_by_run:
             self._refile(run)
+        self._leave_out_old()
 
     def remove_replica(self, replica_id):
         """Forget a replica; return the samples it was running."""
@@ -129,6 +130,7 @@
         queue.trainer_version = trainer_version
         queue.trainer_waits = waiting
         self._refile(run)
+        self._leave_out_old()
 
     def training(self, run):
         """Return how long the trainer of `run` trains."""
@@ -158,12 +160,20 @@
 
     def assign(self):
         """Return a `Start` for each sample that can run now."""
-        starts = []
+        starts, blocked = [], []
         while self.replicas.free:
             run = self._fairness.first()
             if run is None:
                 break
-            starts.append(self._start(run))
+            start = self._start(run)
+            if start is None:
+                # What is free is too old for this run, maybe not for others.
+                self._fairness.file(run, False, early=False)
+                blocked.append(run)
+            else:
+                starts.append(start)
+        for run in blocked:
+            self._refile(run)
         return starts
 
     def hedge(self, slow):
@@ -180,11 +190,12 @@
             for running in self._running_by_attempt.values()
             if running.replica in slow and not self._is_hedged(running)
         ]:
-            replica_id = self.replicas.choose_besides(slow)
-            if replica_id is None:
-                break
             pending = running.pending
             run = pending.sample.run
+            oldest = self._oldest_start(self._queues_by_run[run])
+            replica_id = self.replicas.choose_besides(slow, oldest)
+            if replica_id is None:
+                break
             start = self._launch(run, pending, replica_id, running.early)
             starts.append(start)
         return starts
@@ -265,9 +276,18 @@
         queue = self._queues_by_run[run]
         early = queue.is_early()
         home = queue.home() if self._policy.affinity else None
-        replica_id = self.replicas.choose(home)
+        replica_id = self.replicas.choose(self._oldest_start(queue), home)
+        if replica_id is None:
+            return None
         return self._launch(run, queue.take(replica_id), replica_id, early)
 
+    def _oldest_start(self, queue):
+        return staleness.oldest_start(queue.trainer_version, self.bound)
+
+    def _leave_out_old(self):
+        oldest = map(self._oldest_start, self._queues_by_run.values())
+        self.replicas.set_oldest(min(oldest, default=0))
+
     def _launch(self, run, pending, replica_id, early):
         self._attempts += 1
         oldest = self.replicas.take(replica_id, self._attempts)
--- a/packages/decisions/anvilwell_decisions/samples/staleness.py
+++ b/packages/decisions/anvilwell_decisions/samples/staleness.py
@@ -14,9 +14,9 @@
     return age(sample_versions, trainer_version) > bound
 
 
-def may_start(engine_version, trainer_version, bound):
-    """Return whether work begun now on an engine is within `bound`."""
-    return trainer_version - engine_version <= bound
+def oldest_start(trainer_version, bound):
+    """Return the oldest version on which work may begin now."""
+    return trainer_version - bound
 
 
 def is_doomed(oldest, expected_version, bound):
--- a/packages/decisions/tests/samples/test_schedule.py
+++ b/packages/decisions/tests/samples/test_schedule.py
@@ -208,3 +208,24 @@
     schedule.now = 201.0
     schedule.need("r", 2, 7, waiting=True)
     assert len(schedule.assign()) == 1
+
+
+def test_replica_too_old_for_the_trainer_gets_no_work():
+    schedule = make(bound=2)
+    schedule.need("r", 1, 10, waiting=True)
+    schedule.replicas.set("b", 2, 8)
+    add(schedule)
+    assert [s.replica for s in schedule.assign()] == ["b", "b"]
+    assert schedule.waiting == 2
+    schedule.replicas.set("a", 2, 9)
+    assert [s.replica for s in schedule.assign()] == ["a", "a"]
+
+
+def test_replica_too_old_for_one_run_serves_another():
+    schedule = make(bound=2, replicas=[("a", 4)], runs=("ahead", "behind"))
+    schedule.need("ahead", 1, 10, waiting=True)
+    add(schedule, run="ahead", count=2)
+    add(schedule, run="behind", count=2)
+    assert {s.sample.run for s in schedule.assign()} == {"behind"}
+    schedule.replicas.set("a", 4, 10)
+    assert {s.sample.run for s in schedule.assign()} == {"ahead"}
