--- a/packages/daemon/tests/keyvalue/test_facade.py
+++ b/packages/daemon/tests/keyvalue/test_facade.py
@@ -7,11 +7,28 @@
 
 from anvilwell_daemon.keyvalue import facade
 from anvilwell_kernel import exceptions
+from anvilwell_platform.adapters import etcd
+from anvilwell_platform.adapters import http_client
 from anvilwell_platform.ports import keyvalue as port
+from anvilwell_standins.keyvalue import server
 
 PURPOSE = port.Purpose.LEASE
 
 
+class FakeWatch(port.Watch):
+    """Iterates over `changes`; its end opens the gate they wait at."""
+
+    def __init__(self, changes, gate):
+        self._changes = changes
+        self._gate = gate
+
+    def __next__(self):
+        return next(self._changes)
+
+    def close(self):
+        self._gate.set()
+
+
 class FakePort:
     """Answers from lists; only what the tests call."""
 
@@ -26,6 +43,10 @@
         return port.Entry(key, b"v", 1)
 
     def watch(self, prefix, from_revision, *, purpose, timeout_s):
+        changes = self._changes(prefix, from_revision, timeout_s)
+        return FakeWatch(changes, self.gate)
+
+    def _changes(self, prefix, from_revision, timeout_s):
         yield port.Change(prefix, b"1", from_revision)
         if prefix == "fails":
             raise exceptions.KeyValueUnavailable("cut")
@@ -85,3 +106,36 @@
                 pass
 
     run(work)
+
+
+@pytest.mark.parametrize("is_stopped", [True, False])
+def test_no_watch_waits_at_the_service_after_its_end(is_stopped, monkeypatch):
+    """Neither of a stopped daemon nor of a consumer that left."""
+    # The stand-in finds a lost connection by its next progress line.
+    monkeypatch.setattr(server, "PROGRESS_S", 0.2)
+
+    async def wait_for(standin, count):
+        async with asyncio.timeout(30.0):
+            while standin.counts_by_call()["watches waiting"] != count:
+                await asyncio.sleep(0.01)
+
+    async def consume(service):
+        async for _ in service.watch("p", 1, purpose=PURPOSE, timeout_s=600.0):
+            pass
+
+    async def main(standin, store):
+        service = facade.KeyValueFacade(store)
+        consumer = asyncio.create_task(consume(service))
+        await wait_for(standin, 1)
+        if is_stopped:
+            await service.stop()
+        else:
+            consumer.cancel()
+        await asyncio.gather(consumer, return_exceptions=True)
+        await wait_for(standin, 0)
+        await service.stop()
+
+    with server.KeyValue() as standin:
+        store = etcd.Etcd(http_client.HttpClient(standin.address))
+        asyncio.run(main(standin, store))
+        store.close()
