--- a/packages/decisions/anvilwell_decisions/samples/coordinator.py
+++ b/packages/decisions/anvilwell_decisions/samples/coordinator.py
@@ -6,6 +6,7 @@
 from anvilwell_decisions.samples import identity
 from anvilwell_decisions.samples import ledger as ledgers
 from anvilwell_decisions.samples import schedule as schedules
+from anvilwell_decisions.samples import speeds
 
 
 class Addressed(typing.NamedTuple):
@@ -40,6 +41,7 @@
         self._groups_by_id = {}
         self._got_by_run = {}
         self._done_by_run = {}
+        self._speeds = speeds.Speeds()
         self.schedule = schedules.Schedule(bound, policy)
         self.ledgers_by_run = {}
 
@@ -59,10 +61,10 @@
             self._learn(step)
         return self._address(run, found)
 
-    def configure(self, bound, early_share, weights_by_run):
+    def configure(self, bound, preference, weights_by_run):
         """Take what the service's document says now."""
         self._bound = bound
-        self.schedule.configure(bound, early_share)
+        self.schedule.configure(bound, preference)
         for run, ledger in self.ledgers_by_run.items():
             ledger.set_bound(bound)
             self.schedule.add_run(run, weights_by_run.get(run, 1.0))
@@ -103,6 +105,17 @@
         self.schedule.ended(attempt)
         return self._again([running.pending.sample])
 
+    def progress(self, tokens_by_attempt, now):
+        """Take all streams' tokens so far; hedge those that hardly move."""
+        for attempt, tokens in tokens_by_attempt.items():
+            self.schedule.progress(attempt, tokens)
+        replicas_by_attempt = {
+            attempt: running.replica
+            for attempt, running in self.schedule.running_by_attempt.items()
+        }
+        slow = self._speeds.look(tokens_by_attempt, replicas_by_attempt, now)
+        return _address_starts(self.schedule.hedge(slow) if slow else ())
+
     def replica_lost(self, replica_id, now):
         """Note that a replica is gone with all it was running."""
         return self._again(self.schedule.remove_replica(replica_id))
@@ -125,12 +138,14 @@
 
     def collect(self, run, cursor, limit, now, *, waiting=False):
         """Return the batch at `cursor`; its actions are addressed."""
+        self.schedule.now = now
         batch = self.ledgers_by_run[run].collect(cursor, limit, now)
         self._note_need(run, batch, waiting)
         return batch._replace(actions=tuple(self._address(run, batch.actions)))
 
     def tick(self, now):
         """Return what is due in any run."""
+        self.schedule.now = now
         return [
             addressed
             for run, ledger in self.ledgers_by_run.items()
@@ -155,8 +170,9 @@
         self.schedule.expect_step(step.run, step.step, len(step.sample_ids()))
 
     def _again(self, samples):
-        for sample in samples:
-            if self.ledgers_by_run[sample.run].wants(sample):
+        for sample in dict.fromkeys(samples):
+            wanted = self.ledgers_by_run[sample.run].wants(sample)
+            if wanted and not self.schedule.is_running(sample):
                 self._add(sample)
         return self._starts()
 
@@ -169,9 +185,12 @@
         A trainer that just got the last sample of a step trains on it;
         it needs the next one only when it collects again.
         """
+        training = self.schedule.training(run)
+        training.end(self.schedule.now)
         got = max(batch.steps_whole, default=identity.NO_STEP)
         if got > self._got_by_run.get(run, identity.NO_STEP):
             self._got_by_run[run] = got
+            training.begin(self.schedule.now)
             self._tell_needs(run, waiting=False)
             return
         self._done_by_run[run] = got
@@ -223,7 +242,8 @@
         return cancels
 
     def _starts(self):
-        return [
-            Addressed(start.sample.run, start)
-            for start in self.schedule.assign()
-        ]
+        return _address_starts(self.schedule.assign())
+
+
+def _address_starts(starts):
+    return [Addressed(start.sample.run, start) for start in starts]
--- a/packages/decisions/tests/samples/test_schedule.py
+++ b/packages/decisions/tests/samples/test_schedule.py
@@ -133,3 +133,78 @@
     first, _ = schedule.assign()
     (cancel,) = schedule.settle(first.sample)
     assert cancel.attempt == first.attempt
+
+
+def hedged(schedule):
+    """Put a sample on each replica; return the hedges of those on a."""
+    add(schedule, count=2)
+    first = schedule.assign()
+    assert [start.replica for start in first] == ["a", "b"]
+    return first, schedule.hedge({"a"})
+
+
+def test_a_stream_on_a_slow_replica_gets_one_second_attempt():
+    schedule = make(schedules.Policy(affinity=False))
+    first, (second,) = hedged(schedule)
+    assert (second.sample, second.replica) == (first[0].sample, "b")
+    assert schedule.hedge({"a"}) == []
+    cancels = schedule.settle(second.sample)
+    assert {c.attempt for c in cancels} == {first[0].attempt, second.attempt}
+
+
+def test_no_slot_that_a_waiting_sample_can_use_is_taken():
+    schedule = make(schedules.Policy(affinity=False))
+    add(schedule, count=2)
+    schedule.assign()
+    schedule.add(*samples(count=3)[2:], GROUP)
+    assert schedule.hedge({"a"}) == []
+
+
+def test_without_another_replica_nothing_is_hedged():
+    schedule = make(schedules.Policy(affinity=False))
+    add(schedule, count=2)
+    schedule.assign()
+    assert schedule.hedge({"a", "b"}) == []
+
+
+def test_hedging_can_be_off():
+    policy = schedules.Policy(affinity=False, hedge=False)
+    _, found = hedged(make(policy))
+    assert found == []
+
+
+def early_schedule(preference):
+    """Return a schedule whose trainer trains for 100 s, from 200 on."""
+    schedule = make(schedules.Policy().prefer(preference))
+    training = schedule.training("r")
+    training.begin(0.0)
+    training.end(100.0)
+    training.begin(200.0)
+    add(schedule, step=2, count=1)
+    return schedule
+
+
+def starts_at(schedule, now):
+    schedule.now = now
+    schedule.need("r", 1, 7, waiting=False)
+    return len(schedule.assign())
+
+
+def test_early_work_waits_for_its_share_of_the_training():
+    schedule = early_schedule(0.25)
+    assert [starts_at(schedule, now) for now in (224.0, 225.0)] == [0, 1]
+
+
+def test_early_work_begins_at_once_where_idle_time_alone_counts():
+    assert starts_at(early_schedule(0.0), 200.0) == 1
+
+
+def test_no_work_is_early_where_staleness_alone_counts():
+    assert starts_at(early_schedule(1.0), 999.0) == 0
+
+
+def test_a_trainer_that_waits_ends_the_delay():
+    schedule = early_schedule(0.75)
+    schedule.now = 201.0
+    schedule.need("r", 2, 7, waiting=True)
+    assert len(schedule.assign()) == 1
