--- a/packages/bench/anvilwell_bench/slopes/plot.py
+++ b/packages/bench/anvilwell_bench/slopes/plot.py
@@ -24,7 +24,7 @@
     sheet = figure.Figure(
         figsize=(COLUMNS * WIDTH_IN, rows * HEIGHT_IN), layout="constrained"
     )
-    axes = sheet.subplots(rows, COLUMNS, squeeze=False).flat
+    axes = list(sheet.subplots(rows, COLUMNS, squeeze=False).flat)
     for axis in axes:
         axis.set_visible(False)
     for axis, line in zip(axes, lines_by_name.values(), strict=False):
