--- a/packages/daemon/anvilwell_daemon/keyvalue/facade.py
+++ b/packages/daemon/anvilwell_daemon/keyvalue/facade.py
@@ -71,8 +71,8 @@
     async def watch(self, prefix, from_revision, *, purpose, timeout_s):
         """Yield each change under `prefix`; end on `timeout_s` idle.
 
-        The port's thread lives until its idle timeout even when the
-        consumer has left, so `timeout_s` bounds what a restart leaves.
+        When the consumer leaves or the facade stops, the watch ends at
+        the service too.
         """
         blocking = functools.partial(
             self._port.watch,
--- a/packages/daemon/anvilwell_daemon/keyvalue/watches.py
+++ b/packages/daemon/anvilwell_daemon/keyvalue/watches.py
@@ -14,7 +14,7 @@
     Parameters
     ----------
     blocking : callable
-        Returns the port's blocking iterator of changes.
+        Returns the port's ``Watch``, which blocks its reader.
     purpose : keyvalue.Purpose
         What the meter counts it for.
     """
@@ -25,6 +25,8 @@
         self._loop = asyncio.get_running_loop()
         self._queue = asyncio.Queue()
         self._closed = threading.Event()
+        self._lock = threading.Lock()
+        self._reader = None
 
     async def changes(self):
         """Yield each change; raise what the port raised."""
@@ -38,17 +40,18 @@
             yield item
 
     def close(self):
-        """Take no more changes."""
-        self._closed.set()
+        """End the watch, at the service too; the thread ends soon."""
+        with self._lock:
+            self._closed.set()
+            reader = self._reader
+        if reader is not None:
+            reader.close()
         self._queue.put_nowait(_END)
 
     def _run(self):
         meter.count_watch(self._purpose, 1)
         try:
-            for change in self._blocking():
-                if self._closed.is_set():
-                    break
-                self._put(change)
+            self._read()
             self._put(_END)
             outcome = meter.Outcome.ANSWERED
         except Exception as error:
@@ -57,6 +60,18 @@
         meter.count_call(self._purpose, meter.Access.WATCH, outcome)
         meter.count_watch(self._purpose, -1)
 
+    def _read(self):
+        reader = self._blocking()
+        with self._lock:
+            self._reader = reader
+        try:
+            while not self._closed.is_set():
+                self._put(next(reader))
+        except StopIteration:
+            return
+        finally:
+            reader.close()
+
     def _put(self, item):
         try:
             self._loop.call_soon_threadsafe(self._queue.put_nowait, item)
