--- a/packages/decisions/anvilwell_decisions/membership/node.py
+++ b/packages/decisions/anvilwell_decisions/membership/node.py
@@ -46,13 +46,14 @@
     ----------
     member : messages.Member
         This daemon; ``incarnation`` must not be lower than at an
-        earlier start (the daemon passes wall-clock seconds).
+        earlier start (the daemon passes wall-clock milliseconds).
     rng : random.Random
         Source of jitter and choice.
     """
 
     def __init__(self, member, rng):
         self.me = member
+        self._born = member.incarnation
         self._rng = rng
         self._table = table.MemberTable()
         self._rings = rings.Rings()
@@ -158,6 +159,8 @@
 
     def _hear_of_me(self, member):
         leaving = messages.State.LEAVING
+        if member.incarnation < self._born:
+            return  # an earlier start's record; what it left is past
         if member.state is leaving and self.me.state is not leaving:
             top = max(member.incarnation, self.me.incarnation)
             self._restate(top + 1, leaving)
@@ -176,7 +179,7 @@
         self._settle(member)
         self._place(member)
         if is_news:
-            self._news.add(member, source)
+            self._news.add(member, source, self._now)
         return True
 
     def _settle(self, member):
@@ -249,8 +252,13 @@
     # Failure detection
 
     def _judge(self):
+        was_isolated = self.is_isolated
         silences_s = self._watch.neighbour_silences_s(self._now)
         self._health.measure(silences_s, self._now)
+        if was_isolated and not self.is_isolated:
+            # The silences were our own: count them anew.
+            self._watch.forgive()
+            return
         for vm_id, subject in self._watch.subjects_by_id.items():
             finding = self._health.find(subject.silence_s(self._now))
             self._act_on(self.members_by_id[vm_id], finding)
--- a/packages/decisions/tests/membership/test_node.py
+++ b/packages/decisions/tests/membership/test_node.py
@@ -91,6 +91,19 @@
     assert set(fleet.states_of("vm4").values()) == {LIVE}
 
 
+def test_daemon_that_left_and_started_again_is_live(formed):
+    fleet = formed(10)
+    fleet.carry("vm4", fleet.nodes_by_id["vm4"].leave(fleet.now))
+    fleet.run(0.2)
+    fleet.add("vm4", "d1", incarnation=3)
+    fleet.run(5.0)
+    assert set(fleet.states_of("vm4").values()) == {LIVE}
+    reader = fleet.nodes_by_id["vm1"]
+    fleet.carry("vm1", reader.mark_leaving(fleet.now, ["vm4"]))
+    fleet.run(5.0)
+    assert set(fleet.states_of("vm4").values()) == {LEAVING}
+
+
 @pytest.mark.parametrize("loses", [True, False])
 def test_paused_daemon_declares_nobody_dead_when_it_wakes(formed, loses):
     fleet = formed(20)
@@ -166,6 +179,27 @@
     assert buried_own == []
 
 
+@pytest.mark.parametrize("cut_off", [["vm0"], ["vm1"], ["vm0", "vm5"]])
+def test_few_who_were_cut_off_bury_nobody_when_they_are_back(
+    make_fleet, cut_off
+):
+    """A silence of their own, and old news of deaths, are not told."""
+    fleet = make_fleet(6)
+    fleet.run(8.0)
+    fleet.group_by_id.update(dict.fromkeys(cut_off, "east"))
+    fleet.run(8.0)
+    fleet.group_by_id.clear()
+    healed_at = fleet.now
+    fleet.run(15.0)
+    buried = [
+        change
+        for at, _, change in fleet.changes
+        if at > healed_at and change.before and change.before.state is LIVE
+        if change.after.state is DEAD
+    ]
+    assert buried == []
+
+
 def test_rate_of_news_stays_bounded_during_a_split_and_its_healing(formed):
     fleet = formed(40)
     east = {f"vm{n}" for n in range(20)}
