Refuse leading zeros of a version wherever one comes in

Cause: the document refused 007, a trainer's or an engine's version didn't, though both are one place in the order.

Change: `versions.ordinal` refuses leading zeros.

The tests of samples, runs and the stand-ins ran once.

Conclusion: one rule for versions everywhere.

--- a/packages/decisions/anvilwell_decisions/samples/versions.py
+++ b/packages/decisions/anvilwell_decisions/samples/versions.py
@@ -22,7 +22,8 @@
     Raises
     ------
     exceptions.BadRequest
-        If `version` is not a decimal number of at most 18 digits.
+        If `version` is not a decimal number of at most 18 digits, or
+        has leading zeros.
     """
     short = len(version) <= MAX_DIGITS
     if not (short and version.isascii() and version.isdecimal()):
@@ -31,6 +32,10 @@
             f"{MAX_DIGITS} digits; publish versions as whole numbers that "
             "grow"
         )
+    if version != str(int(version)):
+        raise exceptions.BadRequest(
+            f"version {version!r} has leading zeros; write {int(version)}"
+        )
     return int(version)
 
 
