--- a/packages/decisions/tests/samples/test_versions.py
+++ b/packages/decisions/tests/samples/test_versions.py
@@ -38,7 +38,9 @@
     assert stream.is_doubtful
 
 
-@pytest.mark.parametrize("text", ["", "v7", "-1", "٣", "007", "9" * 19, "9" * 5000])
+@pytest.mark.parametrize(
+    "text", ["", "v7", "-1", "٣", "007", "9" * 19, "9" * 5000]
+)
 def test_a_version_that_is_no_number_is_refused(text):
     with pytest.raises(exceptions.BadRequest):
         versions.ordinal(text)
