--- a/packages/daemon/tests/entry/test_data_path.py
+++ b/packages/daemon/tests/entry/test_data_path.py
@@ -69,7 +69,7 @@
     async def scenario():
         kept = []
         task = asyncio.create_task(read(kept))
-        while engine.produced < 3:
+        while engine.produced < 3 or not kept:
             await asyncio.sleep(0.005)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
