--- a/packages/decisions/anvilwell_decisions/capacity/roles/entry.py
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/entry.py
@@ -47,8 +47,14 @@
     return links * (REPORTS_S * report_us + pings_s * message_us) / _US
 
 
+def service_links(fleet):
+    """Return how many agents one entry links to: a subset a service."""
+    service = fleet.replicas / fleet.services
+    return fleet.services * min(SUBSET, service)
+
+
 def subset_links(fleet):
-    """Return how many agents one entry links to, with subsets.
+    """Return how many agents one entry would link to, bounded in all.
 
     A subset in all, but some agents of each service at least.
     """
@@ -88,14 +94,14 @@
     return (answers_us + requests_us) / _US
 
 
-def all_links_bytes_s(fleet, lines):
-    """Return bytes a second of reports if all agents are linked."""
-    return link_bytes_s(fleet.replicas, lines)
+def service_links_bytes_s(fleet, lines):
+    """Return bytes a second of reports with a subset of each service."""
+    return link_bytes_s(service_links(fleet), lines)
 
 
-def all_links_cpu_share(fleet, lines):
-    """Return the CPU of reports if all agents are linked."""
-    return link_cpu_share(fleet.replicas, lines)
+def service_links_cpu_share(fleet, lines):
+    """Return the CPU of reports with a subset of each service."""
+    return link_cpu_share(service_links(fleet), lines)
 
 
 _REPORT_SLOPES = (
@@ -107,9 +113,9 @@
     "subsets by rendezvous hashing: 48 agents, or 3 of each service if"
     " that is more"
 )
-_SUBSET_FIRST = (
-    "link to a subset, the rows below; a run's holder must then reach the"
-    " other replicas through other entries"
+_BOUND_IN_ALL = (
+    "bound the links over all services, the rows below; a holder of runs"
+    " links to all replicas of its own service besides"
 )
 FEWER_REPORTS = (
     "on links without a request of the entry's own, report and ping"
@@ -157,31 +163,31 @@
     ),
     rows.Figure(
         ROLE,
-        "load reports and pings, a link to every agent",
+        "load reports and pings, links to 48 agents a service",
         "bytes/s",
-        all_links_bytes_s,
-        "replicas x (2 reports/s + 2 pings/s)",
+        service_links_bytes_s,
+        "services x min(48, replicas / services) x (2 reports/s + 2 pings/s)",
         _REPORT_SLOPES[:1],
-        "none; this is what runs today",
+        "subsets by rendezvous hashing; this is what runs today",
         target.BUDGET.bytes_s,
         rows.Reading.APART,
-        _SUBSET_FIRST,
+        _BOUND_IN_ALL,
     ),
     rows.Figure(
         ROLE,
-        "load reports and pings, a link to every agent",
+        "load reports and pings, links to 48 agents a service",
         "cores",
-        all_links_cpu_share,
-        "replicas x (2 reports/s x report + 2 pings/s x message / 2)",
+        service_links_cpu_share,
+        "those links x (2 reports/s x report + 2 pings/s x message / 2)",
         _REPORT_SLOPES[1:],
-        "none; this is what runs today",
+        "subsets by rendezvous hashing; this is what runs today",
         target.BUDGET.cpu_share,
         rows.Reading.APART,
-        _SUBSET_FIRST,
+        _BOUND_IN_ALL,
     ),
     rows.Figure(
         ROLE,
-        "all control bytes, with links to subsets",
+        "all control bytes, links bounded over all services",
         "bytes/s",
         control_bytes_s,
         "control of every daemon + links x (2 reports/s + 2 pings/s)",
@@ -193,7 +199,7 @@
     ),
     rows.Figure(
         ROLE,
-        "all control CPU, with links to subsets",
+        "all control CPU, links bounded over all services",
         "cores",
         control_cpu_share,
         "control of every daemon + links x (reports + pings)",
