Give the store of the configuration tests a module of its own

Change: the store stands in configuration_store.py, word for word; two imports that the world no longer needs are gone. No test, bound or rule of the state machine changed.

--- /dev/null
+++ b/packages/decisions/tests/configuration/configuration_store.py
@@ -0,0 +1,44 @@
+"""The key-value service that the driven instances share."""
+
+from anvilwell_decisions.configuration import flows
+from anvilwell_decisions.configuration import proposal
+from anvilwell_decisions.configuration import record as records
+from anvilwell_decisions.configuration import registry
+
+SERVICE = "s"
+
+
+class Store:
+    """The key-value service, linearizable."""
+
+    def __init__(self):
+        self.slots_by_key = {}
+        self.revision = 0
+        self.is_up = True
+
+    def apply(self, action):
+        if isinstance(action, proposal.Swap):
+            return self._swap(action)
+        if isinstance(action, flows.ReadKey):
+            return self.read(action.key)
+        return [records.document_of(self.record())]
+
+    def read(self, key):
+        return self.slots_by_key.get(key, proposal.Slot(0, None))
+
+    def record(self):
+        slot = self.read(registry.record_key(SERVICE))
+        return records.decode(slot.value, SERVICE)
+
+    def _swap(self, action):
+        conditions = [*action.writes, *action.guards]
+        if any(
+            self.read(one.key).revision != one.expected for one in conditions
+        ):
+            return False
+        self.revision += 1
+        for one in action.writes:
+            self.slots_by_key[one.key] = proposal.Slot(
+                self.revision, one.value
+            )
+        return True
--- a/packages/decisions/tests/configuration/configuration_world.py
+++ b/packages/decisions/tests/configuration/configuration_world.py
@@ -5,17 +5,17 @@
 import math
 import typing
 
+import configuration_store
+
 from anvilwell_decisions.configuration import flows
 from anvilwell_decisions.configuration import limits
 from anvilwell_decisions.configuration import member
 from anvilwell_decisions.configuration import outcomes
 from anvilwell_decisions.configuration import proposal
-from anvilwell_decisions.configuration import record as records
-from anvilwell_decisions.configuration import registry
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import configuration as messages
 
-SERVICE = "s"
+SERVICE = configuration_store.SERVICE
 BOUNDS = limits.Limits()
 # Times are multiples of 1/8 s, which floats hold exactly: else a bound
 # and its check may round to different sides.
@@ -48,42 +48,6 @@
     take: object
 
 
-class Store:
-    """The key-value service, linearizable."""
-
-    def __init__(self):
-        self.slots_by_key = {}
-        self.revision = 0
-        self.is_up = True
-
-    def apply(self, action):
-        if isinstance(action, proposal.Swap):
-            return self._swap(action)
-        if isinstance(action, flows.ReadKey):
-            return self.read(action.key)
-        return [records.document_of(self.record())]
-
-    def read(self, key):
-        return self.slots_by_key.get(key, proposal.Slot(0, None))
-
-    def record(self):
-        slot = self.read(registry.record_key(SERVICE))
-        return records.decode(slot.value, SERVICE)
-
-    def _swap(self, action):
-        conditions = [*action.writes, *action.guards]
-        if any(
-            self.read(one.key).revision != one.expected for one in conditions
-        ):
-            return False
-        self.revision += 1
-        for one in action.writes:
-            self.slots_by_key[one.key] = proposal.Slot(
-                self.revision, one.value
-            )
-        return True
-
-
 class Node:
     """One VM; a restart gives it a new incarnation."""
 
@@ -254,7 +218,7 @@
 
     def __init__(self):
         self.now = 0.0
-        self.store = Store()
+        self.store = configuration_store.Store()
         self.wire = []
         self.held = []
         self.cut = frozenset()
