Start items before weights load, and move runs off slow replicas

Cause: engines refuse new items for 0.9 s while they load, and loaded just as a step began; items of 195 events ran on replicas a third slower, or three times slower, than others; items that came again in a later step began anew when another entry accepted it. Ruled out: capacity (slots are a third used) and the store (4 ms a call). Change: agents load 0.3 s after the naming, two replicas at a time; the longest items get the fastest replicas; a run moves when that saves 0.3 s; unfinished texts of an ended batch wait in the store for the route's next one; changes seen by a watch share a call.

--- a/packages/decisions/anvilwell_decisions/batches/book.py
+++ b/packages/decisions/anvilwell_decisions/batches/book.py
@@ -28,9 +28,12 @@
         The batch.
     max_failures : int
         Failed runs after which an item is given up.
+    one_version : bool
+        Whether a text must come from one version alone.
     """
 
-    def __init__(self, submission, max_failures):
+    def __init__(self, submission, max_failures, one_version=False):
+        self._one_version = one_version
         self.submission = submission
         self.listed = []
         self.is_ended = False
@@ -67,12 +70,15 @@
             self._note_listed(result)
             self._states_by_id[result.item_id] = State.DONE
         for one in saved:
-            if self._states_by_id.get(one.item_id) is State.WAITING:
-                self.carry(progresses.Progress.from_saved(one))
-
-    def carry(self, progress):
-        """Use an earlier text of a waiting item."""
-        progress.failures = 0
+            self._use(progresses.Progress.from_saved(one))
+
+    def _use(self, progress):
+        """Use an earlier text of a waiting item if the bounds allow it."""
+        state = self._states_by_id.get(progress.item_id)
+        if state is not State.WAITING or not progress.fits(
+            self.submission.min_version, self._one_version
+        ):
+            return
         self.progress_by_id[progress.item_id] = progress
         if progress.is_complete:
             self._states_by_id[progress.item_id] = State.DONE
--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -1,30 +1,29 @@
 """Which waiting item runs next, and at which replica."""
 
-import statistics
 import typing
 
-# A replica that refused an item, or that loads weights, gets no other
-# for so long; engines take about a second to load.
-REFUSED_PAUSE_S = 0.2
+# A replica that refused an item gets no other for so long. Engines that
+# load weights refuse for about a second.
+REFUSED_PAUSE_S = 0.3
 # A replica that fell silent or broke a run gets none for so long.
 BROKEN_PAUSE_S = 2.0
 # Weight of a new event gap in a replica's pace.
 PACE_WEIGHT = 0.1
 # Events after which a replica's pace is believed.
 PACE_EVENTS = 8
-# A replica whose pace is over this many times the median is slow.
-SLOW_RATIO = 2.0
-# A group's items stay together, so that their shared prompt is read
-# once, while that costs at most this share of a replica's slots.
-AFFINITY_SLACK = 0.34
-
-
-class Assignment(typing.NamedTuple):
-    """One item to run at one replica."""
-
-    batch_id: str
-    item_id: str
-    replica_id: str
+# A pace that nothing has confirmed for so long is believed no more, so
+# that a replica that was slow is tried again.
+PACE_AGE_S = 5.0
+# Paces within a sixth of each other count as even; replicas of one
+# service differ by about a third, slow ones by a factor of three.
+PACE_STEPS = 6
+# A run moves if that saves so much of its time. A move costs a prompt
+# to be read again, some 10 ms, and the gain is an estimate.
+MOVE_GAIN_S = 0.3
+# Paces closer than this are noise: they differ by 3% with the load.
+MOVE_RATIO = 1.2
+# Events that a run is expected to have left at most.
+MOST_EVENTS_LEFT = 100
 
 
 class Work(typing.NamedTuple):
@@ -48,6 +47,7 @@
         self.not_before = 0.0
         self.pace_s = 0.0
         self.events = 0
+        self.paced_at = 0.0
         self.version = replica.version
 
     @property
@@ -56,15 +56,35 @@
         return (self.running + self.others) / max(1, self.replica.slots)
 
     @property
-    def has_room(self):
-        """Whether one more item would start at once."""
-        return self.running < max(1, self.replica.slots)
+    def room(self):
+        """How many more items would start at once."""
+        return max(1, self.replica.slots) - self.running
 
-    def saw_gap(self, gap_s):
+    def saw_gap(self, gap_s, now):
         """Take in the time between two events of one run."""
+        if now - self.paced_at > PACE_AGE_S:
+            self.events = 0
         weight = max(PACE_WEIGHT, 1.0 / (self.events + 1))
         self.pace_s += (gap_s - self.pace_s) * weight
         self.events += 1
+        self.paced_at = now
+
+    def pace(self, now):
+        """Return seconds for an event, or None if that is not known."""
+        if self.events < PACE_EVENTS or now - self.paced_at > PACE_AGE_S:
+            return None
+        return self.pace_s
+
+
+class Run(typing.NamedTuple):
+    """A run under way; ``events`` is what it has made itself."""
+
+    batch_id: str
+    item_id: str
+    replica_id: str
+    events: int
+    service: str
+    min_version: int
 
 
 class Dispatch:
@@ -72,7 +92,6 @@
 
     def __init__(self):
         self._workers_by_id = {}
-        self._last_by_group = {}
 
     def worker(self, replica_id):
         """Return the `Worker` of a replica, or None."""
@@ -97,62 +116,76 @@
         return worker
 
     def choose(self, work, now):
-        """Return the replica's id for one `Work`, or None for now."""
+        """Return the replica's id for one `Work`, or None for now.
+
+        Work comes with the longest items first, so these get the fast
+        replicas, and the short ones what is left.
+        """
         able = [
             worker
             for worker in self._workers_by_id.values()
-            if self._may_take(worker, work, now)
+            if _may_take(worker, work, now)
         ]
         if not able:
             return None
-        sound = [one for one in able if not self.is_slow(one)] or able
-        best = min(sound, key=self._cost)
-        home = self._last_by_group.get((work.batch_id, work.group))
-        worker = next(
-            (
-                one
-                for one in sound
-                if one.replica.replica_id == home
-                and one.load <= best.load + AFFINITY_SLACK
-            ),
-            best,
-        )
-        self._last_by_group[work.batch_id, work.group] = (
-            worker.replica.replica_id
-        )
-        return worker.replica.replica_id
-
-    def forget(self, batch_id):
-        """Forget the groups of a batch."""
-        self._last_by_group = {
-            key: value
-            for key, value in self._last_by_group.items()
-            if key[0] != batch_id
-        }
-
-    def is_slow(self, worker):
-        """Return whether a replica makes events far slower than others."""
-        paces = [
-            one.pace_s
-            for one in self._workers_by_id.values()
-            if one.events >= PACE_EVENTS
+        paces = [worker.pace(now) for worker in able]
+        fastest_s = min((p for p in paces if p is not None), default=0.0)
+        best = min(able, key=lambda one: _cost(one, fastest_s, now))
+        return best.replica.replica_id
+
+    def moves(self, runs, now):
+        """Return the `Run`s that should go on at a faster replica.
+
+        What a run has left is not known. Lengths have a long tail, so
+        it is taken to be as much as it has made.
+        """
+        found = []
+        rooms_by_id = {}
+        for run in sorted(runs, key=lambda one: -one.events):
+            worker = self._workers_by_id.get(run.replica_id)
+            pace_s = worker and worker.pace(now)
+            if not pace_s:
+                continue
+            target = self._faster(run, now, rooms_by_id)
+            if target is None:
+                continue
+            faster_s = target.pace(now)
+            left = min(run.events, MOST_EVENTS_LEFT)
+            is_worth = left * (pace_s - faster_s) > MOVE_GAIN_S
+            if is_worth and pace_s > MOVE_RATIO * faster_s:
+                rooms_by_id[target.replica.replica_id] -= 1
+                found.append(run)
+        return found
+
+    def _faster(self, run, now, rooms_by_id):
+        """Return the fastest replica with room for `run`, or None."""
+        able = [
+            worker
+            for worker in self._workers_by_id.values()
+            if worker.replica.replica_id != run.replica_id
+            and worker.pace(now)
+            and _may_take(worker, run, now)
+            and rooms_by_id.setdefault(worker.replica.replica_id, worker.room)
+            > 0
         ]
-        if len(paces) < 3 or worker.events < PACE_EVENTS:
-            return False
-        return worker.pace_s > SLOW_RATIO * statistics.median(paces)
-
-    @staticmethod
-    def _may_take(worker, work, now):
-        replica = worker.replica
-        is_fresh = not worker.version or worker.version >= work.min_version
-        return (
-            replica.service == work.service
-            and not replica.is_draining
-            and worker.has_room
-            and worker.not_before <= now
-            and is_fresh
-        )
-
-    @staticmethod
-    def _cost(worker):
-        return (worker.load, worker.pace_s, worker.replica.replica_id)
+        return min(able, key=lambda one: one.pace(now), default=None)
+
+
+def _may_take(worker, work, now):
+    replica = worker.replica
+    is_fresh = not worker.version or worker.version >= work.min_version
+    return (
+        replica.service == work.service
+        and not replica.is_draining
+        and worker.room > 0
+        and worker.not_before <= now
+        and is_fresh
+    )
+
+
+def _cost(worker, fastest_s, now):
+    pace_s = worker.pace(now)
+    step = PACE_STEPS
+    if pace_s is not None and fastest_s:
+        step = int(pace_s / fastest_s * PACE_STEPS)
+    return (step, worker.load, worker.replica.replica_id)
--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import re
 
 from anvilwell_gateway import engine as engines
 from anvilwell_gateway import following
@@ -17,9 +16,10 @@
 # load takes 0.9 s.
 PAIR = 2
 WAVE_S = 1.0
-# An engine at work gets so long to become idle before it loads anyway;
-# its runs go on under the new version.
-IDLE_WAIT_S = 1.0
+# Trainers submit a step as they name a version. Its items start on the
+# version before, which they may, and go on while the weights load; an
+# engine that loads first keeps them waiting for a second.
+SETTLE_S = 0.3
 POLL_S = 0.1
 # Between tries of an order that failed.
 RETRY_S = 0.3
@@ -71,7 +71,11 @@
 
     def __init__(self, settings, platform):
         self._vm_id = settings.daemon.vm_id
+        self._backend = settings.agent.backend
+        self._service = settings.agent.service
         self._engine = platform.engine
+        self._store = platform.store
+        self._codec = platform.codec
         self._versions = Versions(platform.store, platform.codec)
         self._task = None
 
@@ -95,26 +99,44 @@
             await self._versions.news.wait()
             self._versions.news.clear()
             for model in list(self._versions.wanted_by_model):
-                await asyncio.sleep(WAVE_S * self._wave())
+                wave = await self._wave()
+                await asyncio.sleep(SETTLE_S + WAVE_S * wave)
                 await self._move(model)
 
-    def _wave(self):
-        """Return which pair of replicas this one belongs to."""
-        digits = re.findall(r"\d+$", self._vm_id)
-        return (int(digits[0]) - 1) // PAIR if digits else 0
+    async def _wave(self):
+        """Return which pair of the service's replicas this one is in."""
+        try:
+            snapshot = await self._store.get_prefix(
+                self._codec.replicas_prefix, may_be_stale=True
+            )
+        except exceptions.AnvilwellError as error:
+            _LOG.log("replicas-not-read", cause=error.message)
+            return 0
+        addresses = sorted(
+            str(replica.address)
+            for replica in map(self._read, snapshot.entries_by_key.values())
+            if replica and replica.service == self._service
+        )
+        mine = str(self._backend)
+        rank = addresses.index(mine) if mine in addresses else 0
+        return rank // PAIR
+
+    def _read(self, entry):
+        try:
+            return self._codec.read_replica(entry.key, entry.value)
+        except exceptions.ConfigurationError as error:
+            _LOG.log("replica-unreadable", key=entry.key, cause=str(error))
+            return None
 
     async def _move(self, model):
         """Order until the engine has the version wanted now."""
-        loop = asyncio.get_running_loop()
-        order_at = loop.time() + IDLE_WAIT_S
         while True:
             wanted = self._versions.wanted_by_model[model]
             try:
                 report = await self._engine.report()
                 if report.version_by_model.get(model, wanted) >= wanted:
                     return
-                is_idle = not report.running or loop.time() >= order_at
-                if not report.is_busy and is_idle:
+                if not report.is_busy:
                     await self._order(report, model, wanted)
             except exceptions.AnvilwellError as error:
                 _LOG.log("engine-unreachable", cause=error.message)
--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -106,6 +106,13 @@
             return
         total, results = found
         page = _page(results)
+        _LOG.log(
+            "batch-read",
+            batch_id=call.batch_id,
+            after=call.after,
+            results=len(page),
+            is_owner=held is not None,
+        )
         body = self._dialect.write_page(total, page, call.after + len(page))
         await responder.send(200, (_JSON,), body)
 
--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -25,11 +25,14 @@
         self.route = route
         self.submission = submission
         self.give_up_at = give_up_at
-        self.book = books.Book(submission, route.max_replicas)
+        self.book = books.Book(
+            submission, route.max_replicas, route.one_version
+        )
         self.chunks = 0
         self.sequence = 0
         self.service = ""
         self.tasks_by_item = {}
+        self.runs_by_item = {}
         self.committer = None
         self.has_ready = asyncio.Event()
         self._listed = asyncio.Event()
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -5,7 +5,6 @@
 
 from anvilwell_decisions.batches import dispatch as dispatches
 from anvilwell_decisions.traffic import table
-from anvilwell_gateway.batches import carried
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import runner as runners
 from anvilwell_kernel import exceptions
@@ -16,9 +15,10 @@
 # Results that come within this time share one write. It delays a group
 # by at most as much, and saves about half of the writes.
 GATHER_S = 0.06
-# Look again for a replica after so long if nothing else happens.
+# Look again at what waits and what runs after so long if nothing else
+# happens: a tenth of the shortest stall.
 RETRY_S = 0.1
-# Groups with some text from before go first.
+# Items with some text from before go first.
 _CARRIED, _NEW = 0, 1
 
 _LOG = logs.get_logger(__name__)
@@ -45,10 +45,9 @@
         self._configuration = configuration
         self._runner = runner
         self._dispatch = dispatches.Dispatch()
-        self._carried = carried.Carried()
         self._sequence = 0
         self._timer = None
-        self._dropping = None
+        self._tasks = set()
         self.held_by_id = {}
         directory.listen(self._replicas_changed)
         configuration.listen(self.schedule)
@@ -62,7 +61,6 @@
         self._sequence += 1
         held.sequence = self._sequence
         self.held_by_id[held.batch_id] = held
-        self._use_carried(held)
         held.committer = asyncio.create_task(self._commit(held))
         held.has_ready.set()
         loop = asyncio.get_running_loop()
@@ -83,9 +81,7 @@
             return
         held.book.end()
         held.cancel_runs()
-        for progress in held.book.unfinished():
-            self._carried.keep(progress)
-        self._dispatch.forget(batch_id)
+        self._keep_task(self._carry(held))
         _LOG.log(
             "batch-ended",
             batch_id=batch_id,
@@ -94,6 +90,29 @@
         )
         self.schedule()
 
+    def _keep_task(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry(self, held):
+        """Keep what the batch left unfinished.
+
+        A trainer submits groups that were not whole again, and items of
+        them then need only what they lack.
+        """
+        saved = [one.save() for one in held.book.unfinished()]
+        if not saved:
+            return
+        try:
+            await self._store.carry(held.route, saved)
+        except exceptions.AnvilwellError as error:
+            _LOG.log(
+                "texts-not-carried",
+                batch_id=held.batch_id,
+                cause=error.message,
+            )
+
     async def drop(self, batch_id, cause):
         """Forget a batch that is another's now."""
         held = self.held_by_id.pop(batch_id, None)
@@ -128,15 +147,31 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         self._dispatch.set_replicas(self._directory.usable())
+        self._move(now)
         waiting = sorted(
             work
             for held in self.held_by_id.values()
             for work in self._works(held)
         )
-        started = sum(self._start(work, now) for work in waiting)
-        if started < len(waiting):
+        for work in waiting:
+            self._start(work, now)
+        has_runs = any(h.runs_by_item for h in self.held_by_id.values())
+        if waiting or has_runs:
             self._timer = loop.call_later(RETRY_S, self.schedule)
 
+    def _move(self, now):
+        """Stop runs that should go on at a faster replica."""
+        runs = [
+            run._replace(events=self._made(held, run))
+            for held in self.held_by_id.values()
+            if not held.book.is_ended
+            for run in held.runs_by_item.values()
+        ]
+        for run in self._dispatch.moves(runs, now):
+            held = self.held_by_id[run.batch_id]
+            held.tasks_by_item[run.item_id].cancel()
+            counters.count_retry(reasons.Retry.HEDGE, run.service)
+
     def _works(self, held):
         """Return a `Work` for each item of `held` that should run."""
         book = held.book
@@ -162,6 +197,12 @@
             for item in items
         ]
 
+    @staticmethod
+    def _made(held, run):
+        """Return how many events the run itself has made."""
+        progress = held.book.progress_by_id[run.item_id]
+        return progress.last_number - run.events
+
     @staticmethod
     def _has_text(held, item):
         return bool(held.book.progress_by_id[item.item_id].events)
@@ -180,16 +221,24 @@
         return held.service
 
     def _start(self, work, now):
-        """Start one item if a replica takes it; return whether."""
+        """Start one item if a replica takes it now."""
         replica_id = self._dispatch.choose(work, now)
         if replica_id is None:
-            return False
+            return
         held = self.held_by_id[work.batch_id]
         held.book.started(work.item_id)
         self._dispatch.worker(replica_id).running += 1
+        progress = held.book.progress_by_id[work.item_id]
+        held.runs_by_item[work.item_id] = dispatches.Run(
+            work.batch_id,
+            work.item_id,
+            replica_id,
+            progress.last_number,
+            work.service,
+            work.min_version,
+        )
         task = asyncio.create_task(self._run(held, work, replica_id))
         held.tasks_by_item[work.item_id] = task
-        return True
 
     async def _run(self, held, work, replica_id):
         worker = self._dispatch.worker(replica_id)
@@ -213,6 +262,7 @@
         finally:
             worker.running -= 1
             held.tasks_by_item.pop(work.item_id, None)
+            held.runs_by_item.pop(work.item_id, None)
             held.book.stopped(work.item_id)
             _LOG.log(
                 "item-run",
@@ -253,18 +303,9 @@
 
     @staticmethod
     def _restart(held, item_id):
-        """Forget a text that the batch's bounds no longer allow."""
-        progress = held.book.progress_by_id[item_id]
-        min_version = held.submission.min_version
-        if not progress.fits(min_version, held.route.one_version):
-            progress.restart()
-
-    def _use_carried(self, held):
-        bounds = (held.submission.min_version, held.route.one_version)
-        for item_id in held.book.waiting():
-            progress = self._carried.take(item_id)
-            if progress is not None and progress.fits(*bounds):
-                held.book.carry(progress)
+        """Forget a text that no replica can go on with."""
+        if held.route.one_version:
+            held.book.progress_by_id[item_id].restart()
 
     async def _commit(self, held):
         """List whole groups as they come, a write at a time."""
@@ -294,8 +335,7 @@
                 )
                 return True
             except records.Taken as error:
-                drop = self.drop(held.batch_id, error.message)
-                self._dropping = asyncio.create_task(drop)
+                self._keep_task(self.drop(held.batch_id, error.message))
                 return False
             except exceptions.AnvilwellError as error:
                 _LOG.log(
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -98,14 +98,22 @@
         nobody else would run it.
         """
         batch_id = submission.batch_id
-        claimed = await self._store.accept(
-            batch_id, owner, raw, RESOLVE_TIMEOUT_S
+        claimed, carried = await asyncio.gather(
+            self._store.accept(batch_id, owner, raw, RESOLVE_TIMEOUT_S),
+            self._carried(route),
         )
         mine = claimed.owner.life == self._presence.life
         if mine and batch_id not in self._holder.held_by_id:
-            self._open(route, submission, claimed)
+            self._open(route, submission, claimed, ((), 0, carried))
         return claimed
 
+    async def _carried(self, route):
+        try:
+            return await self._store.carried(route)
+        except exceptions.AnvilwellError as error:
+            _LOG.log("texts-not-read", cause=error.message)
+            return ()
+
     def _resolved(self, task):
         self._resolving.discard(task)
         if not task.cancelled() and task.exception():
@@ -117,14 +125,13 @@
             presence.vm_id, presence.life, total, digest, submitted_at, parts
         )
 
-    def _open(self, route, submission, claimed, adopted=None):
+    def _open(self, route, submission, claimed, adopted):
         loop = asyncio.get_running_loop()
         age_s = max(0.0, time.time() - claimed.owner.submitted_at)
         give_up_at = loop.time() + route.max_queue_s - age_s
         held = helds.Held(claimed, route, submission, give_up_at)
-        if adopted:
-            results, held.chunks, saved = adopted
-            held.book.adopt(results, saved)
+        results, held.chunks, saved = adopted
+        held.book.adopt(results, saved)
         self._holder.open(held)
         if submission.batch_id in self._news.ended:
             self._holder.end(submission.batch_id)
@@ -237,4 +244,4 @@
 
 
 def _weight(batch_id, vm_id):
-    return xxhash.xxh3_64_intdigest(f"{batch_id}/{vm_id}")
+    return xxhash.xxh3_64_intdigest(f"{batch_id}/{vm_id}".encode())
--- a/packages/gateway/anvilwell_gateway/batches/records.py
+++ b/packages/gateway/anvilwell_gateway/batches/records.py
@@ -5,6 +5,7 @@
 
 import cbor2
 import pydantic
+import xxhash
 
 from anvilwell_decisions.batches import progress
 from anvilwell_decisions.traffic import facts
@@ -17,6 +18,7 @@
 RECORD_PREFIX = "anvilwell/record/"
 RESULTS_PREFIX = "anvilwell/results/"
 SAVED_PREFIX = "anvilwell/saved/"
+CARRIED_PREFIX = "anvilwell/carried/"
 # A value may have 1 MB in the store; the rest is room for its coding.
 MAX_VALUE_BYTES = 700 << 10
 # Entries of one conditional write, less the owner's.
@@ -195,21 +197,23 @@
 
     async def save(self, batch_id, saved):
         """Keep the texts of unlisted items for the next owner."""
-        value = _dump(tuple(saved))
-        if len(value) > MAX_VALUE_BYTES:
-            saved = sorted(saved, key=lambda one: -len(one.events))
-            return await self.save(batch_id, saved[: len(saved) // 2])
-        key = f"{SAVED_PREFIX}{batch_id}"
-        entry = await self._store.get(key)
-        revision = entry.revision if entry else 0
-        await self._store.swap([keyvalue.Swap(key, revision, value)])
-        return None
+        value = _dump(_fitting(saved))
+        await self._store.put(f"{SAVED_PREFIX}{batch_id}", value)
 
     async def saved(self, batch_id):
         """Return what an earlier owner kept."""
         entry = await self._store.get(f"{SAVED_PREFIX}{batch_id}")
         return _load(_SAVED, entry.value) if entry else ()
 
+    async def carry(self, route, saved):
+        """Keep the texts of an ended batch for the route's next one."""
+        await self._store.put(_carried_key(route), _dump(_fitting(saved)))
+
+    async def carried(self, route):
+        """Return what the route's last ended batch left unfinished."""
+        entry = await self._store.get(_carried_key(route))
+        return _load(_SAVED, entry.value) if entry else ()
+
     async def end(self, batch_id, timeout_s):
         """Note for all processes that the trainer ended the batch."""
         key = f"{presence.ENDED_PREFIX}{batch_id}"
@@ -235,6 +239,24 @@
     return Claimed(_load(_OWNER, entry.value), entry.revision)
 
 
+def _carried_key(route):
+    place = f"{route.host}{route.path_prefix}"
+    name = xxhash.xxh3_64_hexdigest(place.encode())
+    return f"{CARRIED_PREFIX}{name}"
+
+
+def _fitting(saved):
+    """Return the longest texts that fit into one value together."""
+    found = []
+    room = MAX_VALUE_BYTES
+    for one in sorted(saved, key=lambda one: -len(one.events)):
+        room -= sum(map(len, one.events)) + len(one.events) * 8 + 200
+        if room < 0:
+            break
+        found.append(one)
+    return tuple(found)
+
+
 def _part_key(batch_id, number):
     return f"{RECORD_PREFIX}{batch_id}/{number:04}"
 
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -9,9 +9,11 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 
-# A run without an event for so long goes on elsewhere. Engines pause for
-# about a second while they load weights; a token takes under a ms.
-STALL_S = 1.6
+# Without a head for so long, an item is tried elsewhere.
+HEAD_S = 1.6
+# Without an event for so long, a run goes on elsewhere. Events come every
+# 40 ms, every 150 ms from a slow replica, also while it loads weights.
+STALL_S = 0.8
 # Each event is a block of lines that a blank line ends.
 BLOCK_END = b"\n\n"
 MAX_BLOCK_BYTES = 1 << 20
@@ -67,7 +69,7 @@
     async def run(self, order, replica, saw_gap):
         """Run `order` at `replica` and return how that `Ended`.
 
-        ``saw_gap(seconds)`` is told the time between two events. The
+        ``saw_gap(seconds, now)`` is told the time between two events. The
         order's progress has all whole events, whatever the end.
         """
         try:
@@ -99,7 +101,7 @@
             order.progress.last_number,
         )
         connection.send("POST", order.item.target, headers, order.item.body)
-        async with asyncio.timeout(STALL_S):
+        async with asyncio.timeout(HEAD_S):
             reply = await connection.read_head()
         outcome = self._dialect.read_outcome(reply)
         ended = _judge(reply, outcome, order)
@@ -136,7 +138,7 @@
                 _add(order.progress, event, version)
                 now = loop.time()
                 if last_at is not None:
-                    saw_gap(now - last_at)
+                    saw_gap(now - last_at, now)
                 last_at = now
         if buffered.strip():
             raise client.failed(
--- a/packages/gateway/anvilwell_gateway/following.py
+++ b/packages/gateway/anvilwell_gateway/following.py
@@ -7,8 +7,12 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
-# A waiting watch counts as one call; longer waits make fewer calls.
-WATCH_WAIT_S = 25.0
+# A waiting watch counts as one call, so longer waits make fewer calls.
+# The store keeps 20 s of history; a quiet watch has to return within it.
+WATCH_WAIT_S = 15.0
+# Changes that come within this time share one call. It is a quarter of
+# what a change may take at most, and saves about a third of the calls.
+GATHER_S = 0.25
 # Between tries while the store gives no answer: well under the two
 # seconds within which a change has to be in force.
 RETRY_S = 0.25
@@ -65,6 +69,7 @@
                 revision = await self._watch(revision)
                 self._revision = revision
                 self._regained()
+                await asyncio.sleep(GATHER_S)
             except stores.HistoryGone:
                 _LOG.log("history-gone", prefix=self._prefix)
                 revision = None
--- a/packages/gateway/anvilwell_gateway/http/server.py
+++ b/packages/gateway/anvilwell_gateway/http/server.py
@@ -279,12 +279,25 @@
             )
             if not handler.done():
                 raise CallerGone("the caller closed its connection")
-            handler.result()
+            await self._take_result(handler, responder)
         finally:
             for task in (handler, watcher):
                 task.cancel()
             await asyncio.gather(handler, watcher, return_exceptions=True)
 
+    @staticmethod
+    async def _take_result(handler, responder):
+        """Answer for a handler that failed in a way nobody foresaw."""
+        error = handler.exception()
+        if error is None:
+            return
+        if isinstance(error, exceptions.AnvilwellError | ConnectionError):
+            raise error
+        _LOG.log("handler-failed", cause=repr(error))
+        if responder.has_started:
+            raise CallerGone("the answer can't be ended") from error
+        await responder.send(500)
+
     async def _watch(self):
         """Return once the caller has closed its connection."""
         waiting = 0
--- a/packages/gateway/anvilwell_gateway/store.py
+++ b/packages/gateway/anvilwell_gateway/store.py
@@ -38,8 +38,11 @@
         """Return the `Entry` of `key`, or None."""
 
     @abc.abstractmethod
-    async def get_prefix(self, prefix, after=""):
-        """Return the `Snapshot` of keys with `prefix` behind `after`."""
+    async def get_prefix(self, prefix, after="", may_be_stale=False):
+        """Return the `Snapshot` of keys with `prefix` behind `after`.
+
+        A stale read costs a tenth; it may be seconds old.
+        """
 
     @abc.abstractmethod
     async def watch(self, prefix, revision, wait_s):
@@ -63,6 +66,10 @@
             If a swap names a lease that has ended.
         """
 
+    @abc.abstractmethod
+    async def put(self, key, value):
+        """Write `value`, whatever was there."""
+
     @abc.abstractmethod
     async def remove(self, keys):
         """Delete `keys`, whatever their revision."""
