Take over only from the dead, and refuse truly while the store refuses

Cause: found by the new tests. An entry that had not yet heard of a peer's registration took its batch over; a store that refused every write made a 504 where 503 was true; a run that broke kept its replica out for 2 s; a write that landed after this process gave up on it belonged to nobody.

--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -5,8 +5,11 @@
 # A replica that refused an item gets no other for so long. Engines that
 # load weights refuse for about a second.
 REFUSED_PAUSE_S = 0.3
-# A replica that fell silent or broke a run gets none for so long.
-BROKEN_PAUSE_S = 2.0
+# A replica that broke a run gets none for so long: it goes on elsewhere
+# if it can, and one bad answer in fifty is no reason to leave a replica.
+BROKEN_PAUSE_S = 0.1
+# A replica that can't be reached or fell silent gets none for so long.
+SILENT_PAUSE_S = 1.0
 # Weight of a new event gap in a replica's pace.
 PACE_WEIGHT = 0.1
 # Events after which a replica's pace is believed.
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -48,6 +48,7 @@
         self._sequence = 0
         self._timer = None
         self._tasks = set()
+        self.on_lost = _nothing
         self.held_by_id = {}
         directory.listen(self._replicas_changed)
         configuration.listen(self.schedule)
@@ -119,6 +120,7 @@
         if held is not None:
             _LOG.log("batch-dropped", batch_id=batch_id, cause=cause)
             await held.stop()
+            self.on_lost()
 
     async def let_go(self):
         """Stop all batches and keep their texts for the next owner."""
@@ -126,6 +128,14 @@
         self.held_by_id.clear()
         await asyncio.gather(*(self._save(held) for held in held_now))
 
+    async def stop(self):
+        """Stop all that runs."""
+        if self._timer:
+            self._timer.cancel()
+        for held in list(self.held_by_id.values()):
+            await held.stop()
+        self.held_by_id.clear()
+
     async def _save(self, held):
         await held.stop()
         if held.book.is_settled:
@@ -297,8 +307,10 @@
             worker.not_before = now + dispatches.REFUSED_PAUSE_S
         elif ended.end is runners.End.TOO_OLD:
             self._restart(held, work.item_id)
-        else:
+        elif ended.end is runners.End.BROKEN:
             worker.not_before = now + dispatches.BROKEN_PAUSE_S
+        else:
+            worker.not_before = now + dispatches.SILENT_PAUSE_S
         held.has_ready.set()
 
     @staticmethod
@@ -355,6 +367,10 @@
         self.schedule()
 
 
+def _nothing():
+    """Be told and do nothing."""
+
+
 def _fitting(results):
     """Return the first of `results` that fit into one value."""
     size = 0
@@ -372,5 +388,6 @@
     runners.End.FAILED: reasons.Retry.BACKEND_FAILED,
     runners.End.IMPOSSIBLE: reasons.Retry.BACKEND_FAILED,
     runners.End.BROKEN: reasons.Retry.STREAM_RESUMED,
+    runners.End.UNREACHABLE: reasons.Retry.CONNECT_FAILED,
     runners.End.STALLED: reasons.Retry.STREAM_RESUMED,
 }
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -15,6 +15,8 @@
 # How long a submission waits for a store that gives no answer. Half of
 # what trainers wait for a new connection before they turn elsewhere.
 ACCEPT_TIMEOUT_S = 1.0
+# How long a submission waits for a store that refuses its calls.
+REFUSED_TIMEOUT_S = 0.8
 # How long an acceptance of unknown outcome is looked after, in seconds:
 # longer than the store takes over late writes and its outages.
 RESOLVE_TIMEOUT_S = 30.0
@@ -48,10 +50,12 @@
         self._news = news
         self._dialect = dialect
         self._resolving = set()
+        self._accepting = set()
         self._review = None
         self._review_again = False
         self.is_draining = False
         news.listen(self._heard)
+        holder.on_lost = self.review
 
     async def accept(self, route, request):
         """Accept the batch in `request`; it is durable on return.
@@ -75,6 +79,12 @@
             raise exceptions.Refused(
                 "this VM is stopping", reason=reasons.Refusal.DRAINING
             )
+        if not self._presence.is_registered:
+            # Others would take the batch for a dead process's.
+            raise exceptions.Refused(
+                "this VM is not registered in the store",
+                reason=reasons.Refusal.KEY_VALUE_UNAVAILABLE,
+            )
         owner = self._owner(len(submission.items), digest, time.time())
         raw = records.Raw(request.target, request.headers, request.body)
         accepting = asyncio.create_task(
@@ -98,15 +108,26 @@
         nobody else would run it.
         """
         batch_id = submission.batch_id
-        claimed, carried = await asyncio.gather(
-            self._store.accept(batch_id, owner, raw, RESOLVE_TIMEOUT_S),
-            self._carried(route),
-        )
+        self._accepting.add(batch_id)
+        try:
+            claimed, carried = await self._store_batch(
+                route, batch_id, owner, raw
+            )
+        finally:
+            self._accepting.discard(batch_id)
         mine = claimed.owner.life == self._presence.life
         if mine and batch_id not in self._holder.held_by_id:
             self._open(route, submission, claimed, ((), 0, carried))
         return claimed
 
+    async def _store_batch(self, route, batch_id, owner, raw):
+        return await asyncio.gather(
+            self._store.accept(
+                batch_id, owner, raw, RESOLVE_TIMEOUT_S, REFUSED_TIMEOUT_S
+            ),
+            self._carried(route),
+        )
+
     async def _carried(self, route):
         try:
             return await self._store.carried(route)
@@ -118,6 +139,7 @@
         self._resolving.discard(task)
         if not task.cancelled() and task.exception():
             _LOG.log("batch-not-accepted", cause=str(task.exception()))
+            self.review()
 
     def _owner(self, total, digest, submitted_at, parts=0):
         presence = self._presence
@@ -162,15 +184,21 @@
                 return
 
     async def _take_orphans(self):
+        # In this order: whoever owned a batch at the first read and is
+        # not there at the second is gone.
         claimed_by_id = await self._store.owners()
+        lives_by_vm = await self._news.read_lives()
         await self._drop_lost(claimed_by_id)
         orphans = {
             batch_id: claimed
             for batch_id, claimed in claimed_by_id.items()
-            if self._is_orphan(batch_id, claimed.owner)
+            if self._is_orphan(batch_id, claimed.owner, lives_by_vm)
         }
         await asyncio.gather(
-            *(self._take(*orphan) for orphan in orphans.items())
+            *(
+                self._take(batch_id, claimed, lives_by_vm)
+                for batch_id, claimed in orphans.items()
+            )
         )
 
     async def _drop_lost(self, claimed_by_id):
@@ -179,27 +207,29 @@
             if claimed and claimed.revision > held.claimed.revision:
                 await self._holder.drop(batch_id, "another process owns it")
 
-    def _is_orphan(self, batch_id, owner):
-        if batch_id in self._news.ended:
+    def _is_orphan(self, batch_id, owner, lives_by_vm):
+        if batch_id in self._news.ended or batch_id in self._accepting:
             return False
         if owner.vm_id == self._presence.vm_id:
-            return owner.life != self._presence.life
-        return self._news.lives_by_vm.get(owner.vm_id) != owner.life
+            # Also if it is this life's: a write that was given up may
+            # land late, and only this process can know of it.
+            return batch_id not in self._holder.held_by_id
+        return lives_by_vm.get(owner.vm_id) != owner.life
 
-    def _rank(self, batch_id, owner):
+    def _rank(self, batch_id, owner, lives_by_vm):
         """Return how many live processes should try before this one."""
         mine = self._presence.vm_id
         if owner.vm_id == mine:
             return 0
-        others = set(self._news.lives_by_vm) | {mine}
+        others = set(lives_by_vm) | {mine}
         ranked = sorted(others, key=lambda vm_id: _weight(batch_id, vm_id))
         return ranked.index(mine) + (owner.vm_id in others)
 
-    async def _take(self, batch_id, claimed):
-        if self.is_draining:
-            return
-        await asyncio.sleep(RANK_DELAY_S * self._rank(batch_id, claimed.owner))
-        if not self._is_orphan(batch_id, claimed.owner):
+    async def _take(self, batch_id, claimed, lives_by_vm):
+        rank = self._rank(batch_id, claimed.owner, lives_by_vm)
+        await asyncio.sleep(RANK_DELAY_S * rank)
+        is_orphan = self._is_orphan(batch_id, claimed.owner, lives_by_vm)
+        if self.is_draining or not is_orphan:
             return
         owner = claimed.owner
         mine = owner._replace(
--- a/packages/gateway/anvilwell_gateway/batches/records.py
+++ b/packages/gateway/anvilwell_gateway/batches/records.py
@@ -94,10 +94,11 @@
             for key, entry in snapshot.entries_by_key.items()
         }
 
-    async def accept(self, batch_id, owner, raw, timeout_s):
+    async def accept(self, batch_id, owner, raw, timeout_s, refused_s):
         """Write a new batch whole; return the `Claimed` that is there.
 
-        It is another's if that was accepted before.
+        It is another's if that was accepted before. The times are those
+        of `stores.swap_until_known`.
 
         Raises
         ------
@@ -118,7 +119,9 @@
             keyvalue.Swap(_part_key(batch_id, number), 0, part)
             for number, part in enumerate(parts)
         ]
-        result = await stores.swap_until_known(self._store, swaps, timeout_s)
+        result = await stores.swap_until_known(
+            self._store, swaps, timeout_s, refused_s
+        )
         if result.landed:
             return Claimed(owner, result.revision)
         return _claimed(result.entries_by_key[key])
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -29,6 +29,7 @@
     FAILED = "failed"
     IMPOSSIBLE = "impossible"
     BROKEN = "broken"
+    UNREACHABLE = "unreachable"
     STALLED = "stalled"
 
 
@@ -77,7 +78,7 @@
                 replica.replica_id, replica.address
             )
         except exceptions.AnvilwellError as error:
-            return Ended(End.BROKEN, cause=error.message)
+            return Ended(End.UNREACHABLE, cause=error.message)
         reply = None
         ended = Ended(End.BROKEN, cause="cancelled")
         try:
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -88,6 +88,31 @@
         self._is_draining = False
         self._configuration.listen(self._configured)
 
+    @property
+    def vm_id(self):
+        """The id of this entry's VM."""
+        return self._presence.vm_id
+
+    @property
+    def batches(self):
+        """The batches that this entry owns, as held_by_id."""
+        return self._holder.held_by_id
+
+    @property
+    def directory(self):
+        """The replicas that are known here."""
+        return self._directory
+
+    @property
+    def port(self):
+        """The port that callers connect to."""
+        return self._front.port
+
+    @property
+    def health_port(self):
+        """The port of readiness and metrics."""
+        return self._health.port
+
     async def start(self):
         """Listen and begin to follow the store."""
         await self._front.start()
@@ -124,6 +149,9 @@
         self._starting.cancel()
         for follower in self._followers:
             await follower.stop()
+        await self._presence.stop()
+        await self._intake.stop()
+        await self._holder.stop()
         await self._front.stop()
         await self._health.stop()
         self._pool.close()
--- a/packages/gateway/anvilwell_gateway/http/server.py
+++ b/packages/gateway/anvilwell_gateway/http/server.py
@@ -153,7 +153,11 @@
         self._connections.add(connection)
         try:
             await connection.serve()
-        except (ConnectionError, exceptions.AnvilwellError):
+        except (
+            ConnectionError,
+            asyncio.CancelledError,
+            exceptions.AnvilwellError,
+        ):
             # A reset: what was sent so far must not look whole.
             writer.transport.abort()
         finally:
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -47,16 +47,22 @@
 
     async def stop(self):
         """End the lease: others take over at once."""
-        if self._task is None:
+        task, self._task = self._task, None
+        if task is None:
             return
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
         if self._lease:
             try:
                 await self._store.revoke(self._lease)
             except exceptions.AnvilwellError as error:
                 _LOG.log("lease-not-ended", cause=error.message)
 
+    @property
+    def is_registered(self):
+        """Whether the live key was written and is not known to be lost."""
+        return self._lease != 0
+
     def is_in_touch(self):
         """Return whether the store answered lately."""
         now = asyncio.get_running_loop().time()
@@ -113,13 +119,17 @@
         """Call ``callback(lost_vms, ended_batches)`` on news."""
         self._listeners.append(callback)
 
+    async def read_lives(self):
+        """Return lives_by_vm as the store has them now.
+
+        What this follower knows may be older than what else was read.
+        """
+        snapshot = await self._store.get_prefix(LIVE_PREFIX)
+        return _lives(snapshot.entries_by_key)
+
     def load(self, entries_by_key):
         """Take all that is there now."""
-        lives = {
-            key.removeprefix(LIVE_PREFIX): entry.value.decode()
-            for key, entry in entries_by_key.items()
-            if key.startswith(LIVE_PREFIX)
-        }
+        lives = _lives(entries_by_key)
         ended = {
             key.removeprefix(ENDED_PREFIX)
             for key in entries_by_key
@@ -163,3 +173,11 @@
                 self._presence.key_lost()
         for callback in self._listeners:
             callback(lost, ended)
+
+
+def _lives(entries_by_key):
+    return {
+        key.removeprefix(LIVE_PREFIX): entry.value.decode()
+        for key, entry in entries_by_key.items()
+        if key.startswith(LIVE_PREFIX)
+    }
--- a/packages/gateway/anvilwell_gateway/store.py
+++ b/packages/gateway/anvilwell_gateway/store.py
@@ -6,6 +6,7 @@
 
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
+from anvilwell_kernel import verdict as verdicts
 
 # Wait between repeats of a write whose answer was lost, in seconds.
 # Many times the service's usual answer (4 ms), few of them in the two
@@ -87,7 +88,7 @@
         """End `lease` and delete its keys."""
 
 
-async def swap_until_known(store, swaps, timeout_s):
+async def swap_until_known(store, swaps, timeout_s, refused_s=None):
     """Apply `swaps`, and repeat them while their outcome is unknown.
 
     Each swap must expect a revision that its own landing changes, so
@@ -95,22 +96,31 @@
     lost, the repeat finds that entry: the caller tells its own value
     from another's.
 
+    Parameters
+    ----------
+    timeout_s : float
+        Longest time that the outcome may be unknown.
+    refused_s : float, optional
+        Give up after so long already if no try can ever land.
+
     Raises
     ------
     exceptions.KeyValueUnavailable
-        If the outcome is still not known after `timeout_s`; with
-        ``NOT_RUN`` only if no try may ever land.
+        If the outcome is still not known; with ``NOT_RUN`` only if no
+        try may ever land.
     """
     loop = asyncio.get_running_loop()
-    deadline = loop.time() + timeout_s
+    started_at = loop.time()
+    refused_s = timeout_s if refused_s is None else refused_s
     may_land = None
     while True:
         try:
             return await store.swap(swaps)
         except exceptions.KeyValueUnavailable as error:
-            if error.verdict != "not-run":
+            if error.verdict is not verdicts.Verdict.NOT_RUN:
                 may_land = error
-            if loop.time() + REPEAT_S >= deadline:
+            limit_s = timeout_s if may_land else refused_s
+            if loop.time() + REPEAT_S >= started_at + limit_s:
                 raise may_land or error from None
             _LOG.log("write-repeated", key=swaps[0].key, cause=error.message)
         await asyncio.sleep(REPEAT_S)
--- /dev/null
+++ b/packages/gateway/tests/test_following.py
@@ -0,0 +1,152 @@
+"""A follower over a store whose answers are scripted."""
+
+import asyncio
+
+from anvilwell_gateway import following
+from anvilwell_gateway import store as stores
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import verdict as verdicts
+from anvilwell_outside.ports import keyvalue
+import pytest
+
+
+class _Scripted:
+    """Gives scripted answers in turn, then waits for ever."""
+
+    def __init__(self, **answers):
+        self.answers = answers
+        self.calls = []
+
+    async def _next(self, name, *args):
+        self.calls.append((name, *args))
+        answers = self.answers.get(name)
+        if not answers:
+            await asyncio.get_running_loop().create_future()
+        answer = answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def get_prefix(self, prefix, after="", may_be_stale=False):
+        return await self._next("get_prefix")
+
+    async def watch(self, prefix, revision, wait_s):
+        return await self._next("watch", revision)
+
+    async def swap(self, swaps):
+        return await self._next("swap")
+
+
+class _Follower(following.Follower):
+    def __init__(self, store):
+        super().__init__(store, "p/")
+        self.seen = []
+
+    def load(self, entries_by_key):
+        self.seen.append(sorted(entries_by_key))
+
+    def change(self, change):
+        self.seen.append(change.key)
+
+
+def _snapshot(revision, *keys):
+    entries = {key: keyvalue.Entry(key, b"", revision) for key in keys}
+    return keyvalue.Snapshot(entries, revision)
+
+
+def _changes(revision, *changes):
+    return stores.Changes(
+        tuple(keyvalue.Change(key, b"", rev) for key, rev in changes),
+        revision,
+    )
+
+
+def _lost(verdict=verdicts.Verdict.MAY_HAVE_RUN):
+    return exceptions.KeyValueUnavailable("lost", verdict=verdict)
+
+
+def _follow(monkeypatch, count, **answers):
+    monkeypatch.setattr(following, "GATHER_S", 0.0)
+    monkeypatch.setattr(following, "RETRY_S", 0.0)
+
+    async def run():
+        store = _Scripted(**answers)
+        follower = _Follower(store)
+        follower.start()
+        while len(store.calls) < count:
+            await asyncio.sleep(0)
+        await follower.stop()
+        return follower.seen, store.calls
+
+    return asyncio.run(run())
+
+
+def test_changes_follow_the_whole_read(monkeypatch):
+    seen, calls = _follow(
+        monkeypatch,
+        3,
+        get_prefix=[_snapshot(5, "a")],
+        watch=[_changes(7, ("a", 6), ("b", 7))],
+    )
+
+    assert seen == [["a"], "a", "b"]
+    assert calls[1:] == [("watch", 5), ("watch", 7)]
+
+
+def test_a_forgotten_history_is_read_anew(monkeypatch):
+    seen, _ = _follow(
+        monkeypatch,
+        4,
+        get_prefix=[_snapshot(5, "a"), _snapshot(9, "b")],
+        watch=[stores.HistoryGone("gone")],
+    )
+
+    assert seen == [["a"], ["b"]]
+
+
+def test_an_older_read_is_not_believed(monkeypatch):
+    seen, _ = _follow(
+        monkeypatch,
+        5,
+        get_prefix=[_snapshot(5, "a"), _snapshot(4), _snapshot(6, "c")],
+        watch=[stores.HistoryGone("gone")],
+    )
+
+    assert seen == [["a"], ["c"]]
+
+
+def test_a_change_that_was_seen_is_not_seen_again(monkeypatch):
+    seen, _ = _follow(
+        monkeypatch,
+        4,
+        get_prefix=[_snapshot(5, "a")],
+        watch=[_lost(), _changes(6, ("a", 5), ("b", 6))],
+    )
+
+    assert seen == [["a"], "b"]
+
+
+LANDED = keyvalue.SwapResult(True, 3, {})
+SWAPS = [keyvalue.Swap("k", 0, b"v")]
+
+
+def _swap(monkeypatch, answers, **kwargs):
+    monkeypatch.setattr(stores, "REPEAT_S", 0.01)
+    store = _Scripted(swap=answers)
+    return asyncio.run(stores.swap_until_known(store, SWAPS, **kwargs))
+
+
+def test_a_lost_write_is_repeated_until_it_is_known(monkeypatch):
+    answers = [_lost(), _lost(verdicts.Verdict.NOT_RUN), LANDED]
+
+    assert _swap(monkeypatch, answers, timeout_s=9.0, refused_s=0.0) == LANDED
+
+
+@pytest.mark.parametrize("verdict", list(verdicts.Verdict)[:2])
+def test_a_write_says_not_run_only_if_no_try_may_land(monkeypatch, verdict):
+    answers = [_lost(verdict)] + [_lost(verdicts.Verdict.NOT_RUN)] * 50
+
+    with pytest.raises(exceptions.KeyValueUnavailable) as caught:
+        _swap(monkeypatch, answers, timeout_s=0.05, refused_s=0.02)
+
+    assert caught.value.verdict is verdict
