Measure a replica's pace by the median gap

Cause: engines pause all their runs for about 0.4 s while they load weights; in a mean that made them look three times slower, and runs moved, some back to where they were, some to a slower replica. Ruled out: the least ratio of paces (a pause exceeds any ratio). Change: the pace is the median of the last 32 gaps; no head for 0.8 s is a stall like no event.

--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -1,5 +1,7 @@
 """Which waiting item runs next, and at which replica."""
 
+import collections
+import statistics
 import typing
 
 # A replica that refused an item gets no other for so long. Engines that
@@ -10,10 +12,12 @@
 BROKEN_PAUSE_S = 0.1
 # A replica that can't be reached or fell silent gets none for so long.
 SILENT_PAUSE_S = 1.0
-# Weight of a new event gap in a replica's pace.
-PACE_WEIGHT = 0.1
-# Events after which a replica's pace is believed.
-PACE_EVENTS = 8
+# A replica's pace is the median of so many gaps between events. Pauses of
+# all its runs at once, as for new weights, are few gaps and do not count;
+# a replica that turns slow shows within about half a second.
+PACE_GAPS = 32
+# Gaps after which a replica's pace is believed.
+PACE_LEAST_GAPS = 8
 # A pace that nothing has confirmed for so long is believed no more, so
 # that a replica that was slow is tried again.
 PACE_AGE_S = 5.0
@@ -48,9 +52,9 @@
         self.running = 0
         self.others = 0
         self.not_before = 0.0
-        self.pace_s = 0.0
-        self.events = 0
-        self.paced_at = 0.0
+        self._gaps = collections.deque(maxlen=PACE_GAPS)
+        self._paced_at = 0.0
+        self._pace_s = None
         self.version = replica.version
 
     @property
@@ -65,18 +69,20 @@
 
     def saw_gap(self, gap_s, now):
         """Take in the time between two events of one run."""
-        if now - self.paced_at > PACE_AGE_S:
-            self.events = 0
-        weight = max(PACE_WEIGHT, 1.0 / (self.events + 1))
-        self.pace_s += (gap_s - self.pace_s) * weight
-        self.events += 1
-        self.paced_at = now
+        if now - self._paced_at > PACE_AGE_S:
+            self._gaps.clear()
+        self._gaps.append(gap_s)
+        self._paced_at = now
+        self._pace_s = None
 
     def pace(self, now):
         """Return seconds for an event, or None if that is not known."""
-        if self.events < PACE_EVENTS or now - self.paced_at > PACE_AGE_S:
+        is_old = now - self._paced_at > PACE_AGE_S
+        if is_old or len(self._gaps) < PACE_LEAST_GAPS:
             return None
-        return self.pace_s
+        if self._pace_s is None:
+            self._pace_s = statistics.median(self._gaps)
+        return self._pace_s
 
 
 class Run(typing.NamedTuple):
--- a/packages/decisions/tests/batches/test_dispatch.py
+++ b/packages/decisions/tests/batches/test_dispatch.py
@@ -22,7 +22,7 @@
 
 def _pace(dispatch, replica_id, pace_s, now=NOW):
     worker = dispatch.worker(replica_id)
-    for _ in range(dispatches.PACE_EVENTS):
+    for _ in range(dispatches.PACE_LEAST_GAPS):
         worker.saw_gap(pace_s, now)
 
 
@@ -108,3 +108,25 @@
     later = NOW + dispatches.PACE_AGE_S + 1
     assert dispatch.worker("r0").pace(NOW) == pytest.approx(SLOW_S)
     assert dispatch.worker("r0").pace(later) is None
+
+
+def test_a_pause_of_all_runs_is_not_a_slow_replica():
+    dispatch = _dispatch()
+    for _ in range(2):
+        _pace(dispatch, "r0", FAST_S)
+    _pace(dispatch, "r1", FAST_S)
+    for _ in range(6):
+        dispatch.worker("r0").saw_gap(10 * FAST_S, NOW)
+
+    assert not dispatch.moves([_run("r0", 100)], NOW)
+
+
+def test_a_replica_that_turns_slow_is_known_after_half_its_gaps():
+    dispatch = _dispatch()
+    for _ in range(4):
+        _pace(dispatch, "r0", FAST_S)
+    _pace(dispatch, "r1", FAST_S)
+    for _ in range(dispatches.PACE_GAPS // 2 + 1):
+        dispatch.worker("r0").saw_gap(SLOW_S, NOW)
+
+    assert dispatch.moves([_run("r0", 100)], NOW)
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -9,10 +9,9 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 
-# Without a head for so long, an item is tried elsewhere.
-HEAD_S = 1.6
-# Without an event for so long, a run goes on elsewhere. Events come every
-# 40 ms, every 150 ms from a slow replica, also while it loads weights.
+# Without a head or an event for so long, a run goes on elsewhere. Events
+# come every 40 ms, every 150 ms from a slow replica, and pause for about
+# 0.4 s while it loads weights.
 STALL_S = 0.8
 # Each event is a block of lines that a blank line ends.
 BLOCK_END = b"\n\n"
@@ -102,7 +101,7 @@
             order.progress.last_number,
         )
         connection.send("POST", order.item.target, headers, order.item.body)
-        async with asyncio.timeout(HEAD_S):
+        async with asyncio.timeout(STALL_S):
             reply = await connection.read_head()
         outcome = self._dialect.read_outcome(reply)
         ended = _judge(reply, outcome, order)
