Read anew after a watch was lost

An entry whose watch was cut while the store dropped its history watched again 28 ms later from its last revision. The store took that watch and neither told the change it had missed nor that the history was gone for 5 s. Ruled out: the restart itself (the peer that watched again 80 ms later was told at once), node_cut (another entry), a failing read (none was made). Change: a watch that ends badly is followed by a whole read, not by a watch from the last revision.

--- a/packages/gateway/anvilwell_gateway/following.py
+++ b/packages/gateway/anvilwell_gateway/following.py
@@ -57,24 +57,27 @@
             await asyncio.gather(task, return_exceptions=True)
 
     def restart(self):
-        """Give up a watch that may hang, and go on from where it was."""
+        """Give up a watch that may hang, and read anew."""
         if self._task:
             self._task.cancel()
-            self._task = asyncio.create_task(self._follow(self._revision))
+            self._task = asyncio.create_task(self._follow())
             self.regained()
 
-    async def _follow(self, revision=None):
+    async def _follow(self):
+        """Read the whole, then watch, until a watch ends badly.
+
+        A watch that follows a lost one could miss what changed while the
+        store was in trouble; a whole read can't.
+        """
         while True:
             try:
-                if revision is None:
-                    revision = await self._load()
-                revision = await self._watch(revision)
-                self._revision = revision
-                self._regained()
-                await asyncio.sleep(GATHER_S)
+                revision = await self._load()
+                while True:
+                    revision = await self._watch(revision)
+                    self._revision = revision
+                    await asyncio.sleep(GATHER_S)
             except stores.HistoryGone:
                 _LOG.log("history-gone", prefix=self._prefix)
-                revision = None
             except exceptions.AnvilwellError as error:
                 self._lost(error)
                 await asyncio.sleep(RETRY_S)
