Log without waiting, tell an id's story from logs, read settings anew

Cause: a full pipe could stop an entry, log volume had no bound, a reader of logs had to find the lines of an id by hand, SIGHUP did nothing.

--- a/packages/client/anvilwell_client/commands/__init__.py
+++ b/packages/client/anvilwell_client/commands/__init__.py
@@ -48,6 +48,13 @@
     "File with the operators' token, if entries want one.",
     flag_values=_FLAGS,
 )
+flags.DEFINE_multi_string(
+    "log_file",
+    [],
+    "Log to read in place of asking an entry, - for standard input; give"
+    " several (explain).",
+    flag_values=_FLAGS,
+)
 flags.DEFINE_string(
     "change_id",
     None,
--- /dev/null
+++ b/packages/client/tests/test_stories.py
@@ -0,0 +1,57 @@
+"""The story of an id, from the lines of several daemons."""
+
+import json
+
+from anvilwell_client import stories
+
+
+def _text(at, event, vm="e1", prefix="", **fields):
+    message = {
+        "timestamp": at,
+        "vm": vm,
+        "message_type": f"anvilwell_gateway.some:{event}",
+        "task_uuid": "u",
+        "task_level": [1],
+    }
+    return prefix + json.dumps(message | fields)
+
+
+TEXTS = [
+    _text(1.0, "started"),
+    _text(90.0, "store-lost", prefix="x"),
+    _text(91.0, "replica-gone", vm="e2", replica_id="r1"),
+    _text(92.0, "replica-gone", vm="e2", replica_id="r2"),
+    _text(99.0, "batch-accepted", request_id="b1"),
+    _text(99.1, "batch-read", batch_id="b1", after=0),
+    _text(100.0, "item-run", batch_id="b1", item_id="i1", replica="r1"),
+    _text(100.5, "item-run", batch_id="b1", item_id="i2", replica="r2"),
+    _text(101.0, "batch-ended", batch_id="b1"),
+    _text(101.0, "store-lost", vm="e9"),
+    "no JSON at all",
+    "{broken",
+]
+
+
+def _events(wanted):
+    lines, _ = stories.read(TEXTS)
+    return [(line.event, line.at) for line in stories.tell(lines, wanted)]
+
+
+def test_an_item_s_story_has_its_runs_its_batch_and_what_was_believed():
+    assert _events("i1") == [
+        ("store-lost", 90.0),
+        ("replica-gone", 91.0),
+        ("batch-accepted", 99.0),
+        ("item-run", 100.0),
+        ("batch-ended", 101.0),
+    ]
+
+
+def test_an_unknown_id_has_no_story():
+    assert _events("nobody") == []
+
+
+def test_lines_that_are_none_are_counted():
+    lines, unreadable = stories.read(TEXTS)
+
+    assert (len(lines), unreadable) == (10, 1)
--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -106,7 +106,7 @@
             return
         total, results = found
         page = _page(results)
-        _LOG.log(
+        _LOG.routine(
             "batch-read",
             batch_id=call.batch_id,
             after=call.after,
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -274,7 +274,9 @@
             held.tasks_by_item.pop(work.item_id, None)
             held.runs_by_item.pop(work.item_id, None)
             held.book.stopped(work.item_id)
-            _LOG.log(
+            is_whole = ended.end is runners.End.WHOLE
+            write = _LOG.routine if is_whole else _LOG.log
+            write(
                 "item-run",
                 batch_id=held.batch_id,
                 item_id=work.item_id,
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -75,7 +75,7 @@
             timer.cancel()
         known = self.replicas_by_id.get(replica.replica_id)
         if known != replica:
-            _LOG.log("replica-known", **_fields(replica))
+            _LOG.routine("replica-known", **_fields(replica))
         self.replicas_by_id[replica.replica_id] = replica
 
     def _remove(self, replica_id):
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -56,7 +56,10 @@
             store, platform.codec, self._news, settings.daemon.vm_id
         )
         self._forwarder = forwarding.Forwarder(
-            self._dialect, self._directory, self._pool
+            self._dialect,
+            self._directory,
+            self._pool,
+            self._configuration,
         )
         batch_store = records.BatchStore(store)
         self._holder = holders.Holder(
@@ -201,9 +204,11 @@
 
     async def _fail(self, call, error, responder):
         counters.count_refusal(error.reason)
+        current = self._configuration.current
         _LOG.log(
             "request-refused",
             request_id=call.request_id,
+            configuration=current.version if current else None,
             status=error.status,
             reason=str(error.reason),
             cause=error.message,
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -49,9 +49,12 @@
         Which replicas there are.
     pool : client.Pool
         Connections to them.
+    configuration : configuration.ConfigurationFollower
+        What decided the route; its version is logged.
     """
 
-    def __init__(self, dialect, directory, pool, rng=None):
+    def __init__(self, dialect, directory, pool, configuration, rng=None):
+        self._configuration = configuration
         self._dialect = dialect
         self._directory = directory
         self._pool = pool
@@ -67,10 +70,11 @@
         except exceptions.AnvilwellError as error:
             await self._fail(route, call, error, responder)
             return
-        _LOG.log(
+        _LOG.routine(
             "request-answered",
             request_id=call.request_id,
             route=route.name,
+            configuration=self._configuration.current.version,
             status=held.status,
             replicas=attempt.tried,
             took_s=round(attempt.age_s(), 4),
@@ -87,6 +91,7 @@
             "request-failed",
             request_id=call.request_id,
             route=route.name,
+            configuration=self._configuration.current.version,
             status=status,
             reason=str(error.reason),
             verdict=str(error.verdict),
--- a/packages/gateway/anvilwell_gateway/process.py
+++ b/packages/gateway/anvilwell_gateway/process.py
@@ -12,7 +12,7 @@
 _LOG = logs.get_logger(__name__)
 
 
-async def run(part, drain_limit_s, reload=None):
+async def run(part, drain_limit_s, reloader):
     """Run `part` until SIGTERM or SIGINT and return an exit code.
 
     Parameters
@@ -21,14 +21,15 @@
         What starts, drains and stops.
     drain_limit_s : float
         Longest drain, in seconds.
-    reload : callable, optional
-        Called on SIGHUP.
+    reloader : reloading.Reloader
+        Reads the settings on SIGHUP and when their file changes.
     """
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
     for number in SIGNALS:
         loop.add_signal_handler(number, told.set)
-    loop.add_signal_handler(signal.SIGHUP, reload or _ignore_hangup)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    watch = asyncio.create_task(reloader.watch())
     try:
         await part.start()
         _LOG.log("started")
@@ -39,6 +40,7 @@
         _LOG.log("cannot-start", cause=error.message)
         return os.EX_CONFIG
     finally:
+        watch.cancel()
         await part.stop()
         _LOG.log("stopped")
 
@@ -54,10 +56,6 @@
     return os.EX_OK
 
 
-def _ignore_hangup():
-    _LOG.log("reload", changed=[])
-
-
 class Idle:
     """A process whose VM has nothing to do; it only starts and stops."""
 
--- /dev/null
+++ b/packages/kernel/anvilwell_kernel/telemetry/bounded.py
@@ -0,0 +1,108 @@
+"""A log destination that never waits and never grows without bound."""
+
+import collections
+import contextlib
+import os
+import time
+
+import orjson
+
+ROUTINE = "routine"
+# Routine lines a second, and how many may come at once. A line has about
+# 300 bytes, so that is 60 KB a second at most.
+ROUTINE_RATE = 200.0
+ROUTINE_BURST = 400
+# Bytes that wait while nobody reads; a hundredth of the smallest VM.
+MAX_WAITING_BYTES = 1 << 20
+# Of these, routine lines may take half: lines on failures outlast them.
+MAX_ROUTINE_BYTES = MAX_WAITING_BYTES // 2
+# At most one note a second says how many lines were left out.
+NOTE_S = 1.0
+
+
+class BoundedDestination:
+    """Writes messages as JSON lines to a file descriptor.
+
+    Lines on failures are written before all else; lines marked as
+    routine are left out above a rate, and first when nobody reads.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where to write; it is set to not block.
+    clock : callable, optional
+        Source of monotonic seconds.
+    """
+
+    def __init__(self, descriptor, clock=time.monotonic):
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._clock = clock
+        self._waiting = collections.deque()
+        self._waiting_bytes = 0
+        self._tokens = float(ROUTINE_BURST)
+        self._refilled_at = clock()
+        self._left_out = 0
+        self._noted_at = clock()
+
+    def __call__(self, message):
+        """Write one message, or leave it out."""
+        is_routine = message.pop(ROUTINE, False)
+        now = self._clock()
+        if is_routine and not self._take_token(now):
+            self._left_out += 1
+            return
+        self._note(now)
+        self._add(_line(message), is_routine)
+        self.flush()
+
+    def flush(self):
+        """Write what can be written without waiting."""
+        while self._waiting:
+            data = self._waiting[0]
+            try:
+                written = os.write(self._descriptor, data)
+            except BlockingIOError:
+                return
+            self._waiting_bytes -= written
+            if written < len(data):
+                self._waiting[0] = data[written:]
+                return
+            self._waiting.popleft()
+
+    def close(self):
+        """Write what can be written, and let the descriptor block again."""
+        with contextlib.suppress(OSError):
+            self.flush()
+            os.set_blocking(self._descriptor, True)
+
+    def _add(self, data, is_routine):
+        most = MAX_ROUTINE_BYTES if is_routine else MAX_WAITING_BYTES
+        if self._waiting_bytes + len(data) > most:
+            self._left_out += 1
+            return
+        self._waiting.append(data)
+        self._waiting_bytes += len(data)
+
+    def _take_token(self, now):
+        refill = (now - self._refilled_at) * ROUTINE_RATE
+        self._tokens = min(ROUTINE_BURST, self._tokens + refill)
+        self._refilled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _note(self, now):
+        if self._left_out and now - self._noted_at >= NOTE_S:
+            note = {
+                "message_type": f"{__name__}:lines-left-out",
+                "lines": self._left_out,
+            }
+            self._noted_at = now
+            self._left_out = 0
+            self._add(_line(note), False)
+
+
+def _line(message):
+    return orjson.dumps(message, default=str) + b"\n"
--- a/packages/kernel/anvilwell_kernel/telemetry/logs.py
+++ b/packages/kernel/anvilwell_kernel/telemetry/logs.py
@@ -6,6 +6,8 @@
 import eliot
 from eliot import stdlib
 
+from anvilwell_kernel.telemetry import bounded
+
 
 class Logger:
     """Writes messages and actions of one module.
@@ -23,6 +25,10 @@
         """Write one message of type ``module:event``."""
         eliot.log_message(message_type=f"{self._name}:{event}", **fields)
 
+    def routine(self, event, **fields):
+        """Write one message that may be left out under load."""
+        self.log(event, **fields, **{bounded.ROUTINE: True})
+
     def action(self, event, **fields):
         """Return a context that holds what happens inside it."""
         return eliot.start_action(
@@ -87,6 +93,22 @@
     return stop
 
 
+def start_bounded(**fields):
+    """Write the log to stdout without ever waiting for its reader.
+
+    Returns what stops it. **fields** are added to every message.
+    """
+    destination = bounded.BoundedDestination(sys.stdout.fileno())
+    eliot.add_global_fields(**fields)
+    eliot.add_destinations(destination)
+
+    def stop():
+        eliot.remove_destination(destination)
+        destination.close()
+
+    return stop
+
+
 def capture_libraries():
     """Have the warnings of libraries written to the log, not to stderr."""
     logging.basicConfig(
