Show what is new also to a read from an earlier position

Ruled out: the owner's commit (0.1 s), the trainer's own wait (0.5 s always). Change: an entry reads the store on as long as a batch has results to come.

--- a/packages/gateway/anvilwell_gateway/batches/reader.py
+++ b/packages/gateway/anvilwell_gateway/batches/reader.py
@@ -47,7 +47,8 @@
             if claimed is None:
                 return None
             kept = Kept(claimed.owner.total, [], 0, claimed.owner.parts)
-        if after >= len(kept.results) and len(kept.results) < kept.total:
+        # Also for an earlier position: a trainer goes on with what is new.
+        if len(kept.results) < kept.total:
             more, chunks = await self._store.results(batch_id, kept.chunks)
             kept = kept._replace(results=kept.results + more, chunks=chunks)
         self._keep(self._kept_by_id, batch_id, kept)
