Do not count replicas that took no connection, and name what was tried

Change: a replica that took no connection was sent nothing and does not count; lines on failures name replicas, times and the configuration.

--- a/packages/client/anvilwell_client/stories.py
+++ b/packages/client/anvilwell_client/stories.py
@@ -109,6 +109,7 @@
 def _tells(line, batches, replicas, vms):
     if line.event.startswith("batch-") and _names(line, batches):
         return line.event != "batch-read"
-    if line.fields.get("replica_id") in replicas:
-        return True
-    return line.vm in vms and line.event in _BELIEFS
+    if line.vm not in vms:
+        return False
+    is_replica = line.fields.get("replica_id") in replicas
+    return is_replica or line.event in _BELIEFS
--- a/packages/client/tests/test_stories.py
+++ b/packages/client/tests/test_stories.py
@@ -19,8 +19,9 @@
 TEXTS = [
     _text(1.0, "started"),
     _text(90.0, "store-lost", prefix="x"),
+    _text(91.0, "replica-gone", replica_id="r1"),
     _text(91.0, "replica-gone", vm="e2", replica_id="r1"),
-    _text(92.0, "replica-gone", vm="e2", replica_id="r2"),
+    _text(92.0, "replica-gone", replica_id="r2"),
     _text(99.0, "batch-accepted", request_id="b1"),
     _text(99.1, "batch-read", batch_id="b1", after=0),
     _text(100.0, "item-run", batch_id="b1", item_id="i1", replica="r1"),
@@ -54,4 +55,4 @@
 def test_lines_that_are_none_are_counted():
     lines, unreadable = stories.read(TEXTS)
 
-    assert (len(lines), unreadable) == (10, 1)
+    assert (len(lines), unreadable) == (11, 1)
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -68,7 +68,7 @@
         try:
             held = await attempt.run()
         except exceptions.AnvilwellError as error:
-            await self._fail(route, call, error, responder)
+            await self._fail(attempt, route, call, error, responder)
             return
         _LOG.routine(
             "request-answered",
@@ -82,7 +82,7 @@
         headers = messages.end_to_end(held.headers)
         await responder.send(held.status, headers, held.body)
 
-    async def _fail(self, route, call, error, responder):
+    async def _fail(self, attempt, route, call, error, responder):
         not_run = error.verdict is verdicts.Verdict.NOT_RUN
         is_late = error.reason is reasons.Refusal.DEADLINE
         status = 503 if not_run else 504 if is_late else 502
@@ -96,6 +96,8 @@
             reason=str(error.reason),
             verdict=str(error.verdict),
             cause=error.message,
+            replicas=attempt.tried,
+            took_s=round(attempt.age_s(), 4),
         )
         retry_after_s = RETRY_AFTER_S if not_run else None
         headers = self._dialect.failure_headers(call.request_id, retry_after_s)
@@ -195,13 +197,14 @@
         self._request = request
         self._service = table.choose_service(route, random)
         self._loop = asyncio.get_running_loop()
-        limit_s = min(
+        self._limit_s = min(
             route.timeout_s,
             call.timeout_s if call.timeout_s is not None else route.timeout_s,
         )
-        self._deadline = request.received_at + limit_s
+        self._deadline = request.received_at + self._limit_s
         self._verdict = verdicts.Verdict.NOT_RUN
         self._last_error = None
+        self._unreached = 0
         self.tried = []
 
     def age_s(self):
@@ -225,7 +228,7 @@
             if self.tried:
                 verdict = verdicts.Verdict.MAY_HAVE_RUN
             raise exceptions.Timeout(
-                "the time is up", verdict=verdict
+                f"no whole answer in {self._limit_s:g} s", verdict=verdict
             ) from None
         finally:
             for task in tasks:
@@ -250,10 +253,18 @@
                 error = task.exception()
                 if error is None:
                     return task.result()
-                self._note(error)
+                self._note(error, task.get_name())
+
+    @property
+    def _sent(self):
+        """How many replicas the request was sent to, or is being sent to.
+
+        A replica that took no connection was sent nothing.
+        """
+        return len(self.tried) - self._unreached
 
     def _hedge_s(self, tasks):
-        may_more = len(self.tried) < self._route.max_replicas
+        may_more = self._sent < self._route.max_replicas
         if not self._route.is_idempotent or not may_more or len(tasks) > 1:
             return None
         return HEDGE_SHARE * self._route.target_latency_s
@@ -264,7 +275,7 @@
             self._route.is_idempotent
             or self._verdict is verdicts.Verdict.NOT_RUN
         )
-        if len(self.tried) >= self._route.max_replicas or not may_repeat:
+        if self._sent >= self._route.max_replicas or not may_repeat:
             return False
         now = self._loop.time()
         policy = self._forwarder.policy(self._service)
@@ -280,7 +291,8 @@
                 reasons.Retry.HEDGE if tasks else reasons.Retry.BACKEND_FAILED
             )
         self.tried.append(replica_id)
-        tasks.add(asyncio.create_task(self._attempt(replica, policy)))
+        attempt = self._attempt(replica, policy)
+        tasks.add(asyncio.create_task(attempt, name=replica_id))
         return True
 
     async def _attempt(self, replica, policy):
@@ -309,15 +321,16 @@
                 request_facts.Ended(replica_id, failed, now - started_at), now
             )
 
-    def _note(self, error):
+    def _note(self, error, replica_id):
         if not isinstance(error, exceptions.AnvilwellError):
             raise error
         self._last_error = error
+        self._unreached += error.reason is reasons.Refusal.CONNECT_FAILED
         self._verdict = verdicts.combine(self._verdict, error.verdict)
         _LOG.log(
             "attempt-failed",
             request_id=self._call.request_id,
-            replica=self.tried[-1],
+            replica=replica_id,
             reason=str(error.reason),
             verdict=str(error.verdict),
             cause=error.message,
