Know versions by model, and load by parts of a service

A pair at a time would take 13 s for 26 replicas. Change: replicas, batches and runs know the version of each model; the fence is the sum of all wanted versions, which never falls, also over restarts; two fifths of a service's replicas load together; an agent moves its models beside each other. A refused replica is tried again after 0.15 s.

--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -6,7 +6,7 @@
 
 # A replica that refused an item gets no other for so long. Engines that
 # load weights refuse for about a second.
-REFUSED_PAUSE_S = 0.3
+REFUSED_PAUSE_S = 0.15
 # A replica that broke a run gets none for so long: it goes on elsewhere
 # if it can, and one bad answer in fifty is no reason to leave a replica.
 BROKEN_PAUSE_S = 0.1
@@ -41,6 +41,7 @@
     item_id: str
     group: str
     service: str
+    model: str
     min_version: int
 
 
@@ -55,7 +56,8 @@
         self._gaps = collections.deque(maxlen=PACE_GAPS)
         self._paced_at = 0.0
         self._pace_s = None
-        self.version = replica.version
+        self._version_by_model = {}
+        self.saw_versions(replica.versions)
 
     @property
     def load(self):
@@ -67,6 +69,17 @@
         """How many more items would start at once."""
         return max(1, self.replica.slots) - self.running
 
+    def saw_versions(self, versions):
+        """Take in `facts.ModelVersion`s; they only rise."""
+        for model, version in versions:
+            known = self._version_by_model.get(model, 0)
+            self._version_by_model[model] = max(known, version)
+
+    def may_have(self, model, min_version):
+        """Return whether `model` is not known to be too old here."""
+        known = self._version_by_model.get(model, 0)
+        return not known or known >= min_version
+
     def saw_gap(self, gap_s, now):
         """Take in the time between two events of one run."""
         if now - self._paced_at > PACE_AGE_S:
@@ -93,6 +106,7 @@
     replica_id: str
     events: int
     service: str
+    model: str
     min_version: int
 
 
@@ -121,7 +135,7 @@
         if worker is None:
             return Worker(replica)
         worker.replica = replica
-        worker.version = max(worker.version, replica.version)
+        worker.saw_versions(replica.versions)
         return worker
 
     def choose(self, work, now):
@@ -182,13 +196,12 @@
 
 def _may_take(worker, work, now):
     replica = worker.replica
-    is_fresh = not worker.version or worker.version >= work.min_version
     return (
         replica.service == work.service
         and not replica.is_draining
         and worker.room > 0
         and worker.not_before <= now
-        and is_fresh
+        and worker.may_have(work.model, work.min_version)
     )
 
 
--- a/packages/decisions/anvilwell_decisions/traffic/facts.py
+++ b/packages/decisions/anvilwell_decisions/traffic/facts.py
@@ -58,10 +58,17 @@
     limits: CallerLimits
 
 
+class ModelVersion(typing.NamedTuple):
+    """A model and the version of its weights."""
+
+    model: str
+    version: int
+
+
 class Replica(typing.NamedTuple):
     """One life of one replica, as it registered itself.
 
-    ``version`` is the weight version, 0 if it has none.
+    ``versions`` holds the weight version of each of its models.
     """
 
     replica_id: str
@@ -70,7 +77,7 @@
     failure_domain: str
     slots: int
     is_draining: bool = False
-    version: int = 0
+    versions: tuple[ModelVersion, ...] = ()
 
 
 class Item(typing.NamedTuple):
@@ -91,6 +98,7 @@
     host: str
     path: str
     items: tuple[Item, ...]
+    model: str = ""
     min_version: int = 0
     wanted_groups: int = 0
 
--- a/packages/decisions/tests/batches/test_book.py
+++ b/packages/decisions/tests/batches/test_book.py
@@ -18,7 +18,7 @@
         for group in range(GROUPS)
         for number in range(SIZE)
     )
-    return facts.Submission("b", "host", "/", items, min_version, GROUPS)
+    return facts.Submission("b", "host", "/", items, "m", min_version)
 
 
 def _book(**kwargs):
--- a/packages/decisions/tests/batches/test_dispatch.py
+++ b/packages/decisions/tests/batches/test_dispatch.py
@@ -13,7 +13,14 @@
     dispatch = dispatches.Dispatch()
     dispatch.set_replicas(
         [
-            facts.Replica(f"r{n}", "lm", None, "a", slots, version=version)
+            facts.Replica(
+                f"r{n}",
+                "lm",
+                None,
+                "a",
+                slots,
+                versions=(facts.ModelVersion("m", version),),
+            )
             for n, version in enumerate(versions)
         ]
     )
@@ -27,11 +34,11 @@
 
 
 def _work(min_version=1, item_id="i"):
-    return dispatches.Work((0,), "b", item_id, "g", "lm", min_version)
+    return dispatches.Work((0,), "b", item_id, "g", "lm", "m", min_version)
 
 
 def _run(replica_id, events):
-    return dispatches.Run("b", f"i{events}", replica_id, events, "lm", 1)
+    return dispatches.Run("b", f"i{events}", replica_id, events, "lm", "m", 1)
 
 
 def test_the_least_loaded_replica_is_chosen():
@@ -69,6 +76,21 @@
     assert dispatch.choose(_work()._replace(service="x"), NOW) is None
 
 
+def test_a_new_version_of_another_model_says_nothing():
+    dispatch = _dispatch(versions=(1, 1, 2))
+    dispatch.worker("r0").saw_versions([facts.ModelVersion("other", 9)])
+
+    assert dispatch.choose(_work(min_version=2), NOW) == "r2"
+
+
+def test_a_refused_replica_gets_nothing_until_its_pause_is_over():
+    dispatch = _dispatch(versions=(1,))
+    dispatch.worker("r0").not_before = NOW + dispatches.REFUSED_PAUSE_S
+
+    assert dispatch.choose(_work(), NOW) is None
+    assert dispatch.choose(_work(), NOW + 1.0) == "r0"
+
+
 @pytest.mark.parametrize(
     ("events", "moves"), [(1, False), (2, False), (20, True)]
 )
--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -11,10 +11,10 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
-# Engines that load weights take no new work, and load slower the more
-# load at a time: so replicas load in pairs, a pair after the other. A
-# load takes 0.9 s.
-PAIR = 2
+# Engines that load weights take no new work for that model, and load
+# slower if more than two fifths of them load at a time. So that many load
+# together, one part of them after the other. A load takes 0.9 s.
+PART_SHARE = 0.4
 WAVE_S = 1.0
 # Trainers submit a step as they name a version. Its items start on the
 # version before, which they may, and go on while the weights load; an
@@ -39,6 +39,15 @@
         self.wanted_by_model = {}
         self.news = asyncio.Event()
 
+    @property
+    def fencing(self):
+        """A number that never falls, whatever models are ordered when.
+
+        Each version only rises, so their sum does, also over restarts;
+        and nobody else gives this engine orders.
+        """
+        return sum(self.wanted_by_model.values())
+
     def load(self, entries_by_key):
         """Take all versions that are there."""
         for entry in entries_by_key.values():
@@ -81,6 +90,7 @@
         self._codec = platform.codec
         self._versions = Versions(platform.store, platform.codec)
         self._tasks = []
+        self._moves_by_model = {}
 
     async def start(self):
         """Begin to follow and order."""
@@ -93,9 +103,10 @@
     async def drain(self):
         """Give no order any more."""
         await self._versions.stop()
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._moves_by_model.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def stop(self):
         """Release everything."""
@@ -111,16 +122,18 @@
                 _LOG.log("store-not-reached", cause=error.message)
 
     async def _run(self):
+        """Have one task for each model whose version has changed."""
         while True:
             await self._versions.news.wait()
             self._versions.news.clear()
-            for model in list(self._versions.wanted_by_model):
-                wave = await self._wave()
-                await asyncio.sleep(SETTLE_S + WAVE_S * wave)
-                await self._move(model)
+            for model in self._versions.wanted_by_model:
+                known = self._moves_by_model.get(model)
+                if known is None or known.done():
+                    move = asyncio.create_task(self._move(model))
+                    self._moves_by_model[model] = move
 
     async def _wave(self):
-        """Return which pair of the service's replicas this one is in."""
+        """Return which part of the service's replicas this one is in."""
         try:
             snapshot = await self._store.get_prefix(
                 self._codec.replicas_prefix, may_be_stale=True
@@ -135,7 +148,7 @@
         )
         mine = str(self._backend)
         rank = addresses.index(mine) if mine in addresses else 0
-        return rank // PAIR
+        return rank // max(1, int(PART_SHARE * len(addresses)))
 
     def _read(self, entry):
         try:
@@ -146,6 +159,7 @@
 
     async def _move(self, model):
         """Order until the engine has the version wanted now."""
+        await asyncio.sleep(SETTLE_S + WAVE_S * await self._wave())
         while True:
             wanted = self._versions.wanted_by_model[model]
             try:
@@ -165,8 +179,7 @@
             model,
             wanted,
             self._vm_id,
-            # Versions only rise, and nobody else orders this engine.
-            wanted,
+            self._versions.fencing,
             report.orders_taken,
         )
         end = await self._engine.order(order)
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -4,6 +4,7 @@
 import random
 
 from anvilwell_decisions.batches import dispatch as dispatches
+from anvilwell_decisions.traffic import facts
 from anvilwell_decisions.traffic import table
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import runner as runners
@@ -202,6 +203,7 @@
                 item.item_id,
                 item.group,
                 service,
+                held.submission.model,
                 held.submission.min_version,
             )
             for item in items
@@ -245,6 +247,7 @@
             replica_id,
             progress.last_number,
             work.service,
+            work.model,
             work.min_version,
         )
         task = asyncio.create_task(self._run(held, work, replica_id))
@@ -294,7 +297,9 @@
     def _note(self, held, work, worker, ended):
         """Take in how a run ended."""
         now = asyncio.get_running_loop().time()
-        worker.version = max(worker.version, ended.version)
+        if ended.version:
+            seen = facts.ModelVersion(work.model, ended.version)
+            worker.saw_versions([seen])
         book = held.book
         if ended.end is runners.End.WHOLE:
             book.done(work.item_id)
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -108,5 +108,5 @@
         "service": replica.service,
         "address": str(replica.address),
         "is_draining": replica.is_draining,
-        "version": replica.version,
+        "versions": dict(replica.versions),
     }
