Delete settled batches after their time

Cause: batches stayed in the store for ever; nothing called the deletion. Change: each owner deletes what is settled three minutes after it was opened, a minute more than results must stay readable. Conclusion: batches whose owner is gone and that had ended stay; listed as open.

--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -25,6 +25,7 @@
         self.route = route
         self.submission = submission
         self.give_up_at = give_up_at
+        self.opened_at = asyncio.get_running_loop().time()
         self.book = books.Book(
             submission, route.max_replicas, route.one_version
         )
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -6,6 +6,7 @@
 from anvilwell_gateway.batches import holder as holders
 from anvilwell_gateway.batches import intake as intakes
 from anvilwell_gateway.batches import records
+from anvilwell_gateway.batches import retention
 from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway import configuration as configurations
 from anvilwell_gateway import directory as directories
@@ -75,6 +76,7 @@
             self._news,
             self._dialect,
         )
+        self.retention = retention.Retention(batch_store, self._holder)
         self._desk = desks.Desk(
             batch_store, self._holder, self._intake, self._dialect
         )
@@ -121,6 +123,7 @@
         await self._front.start()
         await self._health.start()
         self._presence.start()
+        self.retention.start()
         for follower in self._followers:
             follower.start()
         self._starting = asyncio.create_task(self._review_once())
@@ -152,6 +155,7 @@
         self._starting.cancel()
         for follower in self._followers:
             await follower.stop()
+        await self.retention.stop()
         await self._presence.stop()
         await self._intake.stop()
         await self._holder.stop()
