Save the longer texts under way each 1.5 s

Ruled out: the takeover (a new life takes its batches back within 0.1 s) and saving all texts (short ones are made again in less than a second).

--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -35,6 +35,7 @@
         self.tasks_by_item = {}
         self.runs_by_item = {}
         self.committer = None
+        self.saver = None
         self.has_ready = asyncio.Event()
         self._listed = asyncio.Event()
 
@@ -66,8 +67,7 @@
     async def stop(self):
         """Stop all that runs for the batch."""
         tasks = list(self.tasks_by_item.values())
-        if self.committer:
-            tasks.append(self.committer)
+        tasks += [task for task in (self.committer, self.saver) if task]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -8,6 +8,7 @@
 from anvilwell_decisions.traffic import table
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import runner as runners
+from anvilwell_gateway.batches import saving
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import counters
@@ -64,6 +65,8 @@
         held.sequence = self._sequence
         self.held_by_id[held.batch_id] = held
         held.committer = asyncio.create_task(self._commit(held))
+        saver = saving.Saver(self._store, held)
+        held.saver = asyncio.create_task(saver.run())
         held.has_ready.set()
         loop = asyncio.get_running_loop()
         loop.call_at(held.give_up_at, self._give_up, held)
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/batches/saving.py
@@ -0,0 +1,59 @@
+"""Saves texts under way, so that an owner's death costs little."""
+
+import asyncio
+
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.telemetry import logs
+
+# A new owner repeats at most so much of a text, plus what is too short.
+SAVE_S = 1.5
+# Texts of fewer events are made again in less than a second; saving them
+# too would triple the bytes written.
+LEAST_EVENTS = 20
+
+_LOG = logs.get_logger(__name__)
+
+
+class Saver:
+    """Writes the longer unlisted texts of one batch now and then.
+
+    Parameters
+    ----------
+    batch_store : records.BatchStore
+        Where batches lie.
+    held : held.Held
+        The batch.
+    """
+
+    def __init__(self, batch_store, held):
+        self._store = batch_store
+        self._held = held
+        self._saved_events = 0
+
+    async def run(self):
+        """Save until nothing of the batch runs any more."""
+        while not self._held.book.is_settled:
+            await asyncio.sleep(SAVE_S)
+            await self._save()
+
+    async def _save(self):
+        texts = [
+            progress
+            for progress in self._held.book.unfinished()
+            if len(progress.events) >= LEAST_EVENTS
+        ]
+        events = sum(len(progress.events) for progress in texts)
+        if self._held.book.is_settled or events == self._saved_events:
+            return
+        try:
+            await self._store.save(
+                self._held.batch_id, [progress.save() for progress in texts]
+            )
+        except exceptions.AnvilwellError as error:
+            _LOG.log(
+                "texts-not-saved",
+                batch_id=self._held.batch_id,
+                cause=error.message,
+            )
+            return
+        self._saved_events = events
