Wait a little longer for a store that refuses

Ruled out: the time to come back in the refusal (the tries came after 0.2 s whatever it said). Change: a submission waits 1.2 s for a store that refuses, 1.4 s for a silent one; within that it is accepted as soon as the store is. Whether Retry-After should be honoured is a question to the platform's owners.

--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -12,11 +12,13 @@
 from anvilwell_kernel.telemetry import logs
 from anvilwell_kernel import verdict as verdicts
 
-# How long a submission waits for a store that gives no answer. Half of
-# what trainers wait for a new connection before they turn elsewhere.
-ACCEPT_TIMEOUT_S = 1.0
-# How long a submission waits for a store that refuses its calls.
-REFUSED_TIMEOUT_S = 0.8
+# How long a submission waits for a store that refuses its calls, in
+# seconds. Trainers were seen to try six times, with hardly a pause between;
+# their tries then span an outage of eight seconds.
+REFUSED_TIMEOUT_S = 1.2
+# The same for a store that gives no answer; a little longer, so that what
+# can still be told for certain is.
+ACCEPT_TIMEOUT_S = 1.4
 # How long an acceptance of unknown outcome is looked after, in seconds:
 # longer than the store takes over late writes and its outages.
 RESOLVE_TIMEOUT_S = 30.0
