Split commits and attempts off, and keep one list of hop-by-hop headers

Change: committing.py, attempts.py, kernel/hop_by_hop.py; the server takes the limits of the configuration as they are. Behaviour is unchanged.

--- a/packages/daemon/anvilwell_daemon/links/headers.py
+++ b/packages/daemon/anvilwell_daemon/links/headers.py
@@ -1,24 +1,10 @@
 """Which HTTP headers pass from hop to hop."""
 
+from anvilwell_kernel import hop_by_hop
 from anvilwell_kernel import web
 
-_HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "content-length",
-        "date",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "server",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
+# Those that each hop writes itself go too.
+_DROPPED = hop_by_hop.HOP_BY_HOP | {"content-length", "date", "host", "server"}
 
 _RESERVED = frozenset(
     (web.REQUEST_ID.lower(), web.VERDICT.lower(), web.REASON.lower())
@@ -49,7 +35,7 @@
         if name.lower() == "connection"
         for token in value.split(",")
     }
-    dropped = _HOP_BY_HOP | _RESERVED | named
+    dropped = _DROPPED | _RESERVED | named
     return [
         (name, value) for name, value in headers if name.lower() not in dropped
     ]
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -6,7 +6,7 @@
 from anvilwell_decisions.batches import dispatch as dispatches
 from anvilwell_decisions.traffic import facts
 from anvilwell_decisions.traffic import table
-from anvilwell_gateway.batches import records
+from anvilwell_gateway.batches import committing
 from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway.batches import saving
 from anvilwell_kernel import exceptions
@@ -14,9 +14,6 @@
 from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
 
-# Results that come within this time share one write. It delays a group
-# by at most as much, and saves about half of the writes.
-GATHER_S = 0.06
 # Look again at what waits and what runs after so long if nothing else
 # happens: a tenth of the shortest stall.
 RETRY_S = 0.1
@@ -64,7 +61,8 @@
         self._sequence += 1
         held.sequence = self._sequence
         self.held_by_id[held.batch_id] = held
-        held.committer = asyncio.create_task(self._commit(held))
+        committer = committing.Committer(self._store, held, self._taken)
+        held.committer = asyncio.create_task(committer.run())
         saver = saving.Saver(self._store, held)
         held.saver = asyncio.create_task(saver.run())
         held.has_ready.set()
@@ -329,42 +327,8 @@
         if held.route.one_version:
             held.book.progress_by_id[item_id].restart()
 
-    async def _commit(self, held):
-        """List whole groups as they come, a write at a time."""
-        while True:
-            await held.has_ready.wait()
-            await asyncio.sleep(GATHER_S)
-            held.has_ready.clear()
-            results = _fitting(held.book.ready())
-            if not results:
-                continue
-            if not await self._append(held, results):
-                return
-            held.chunks += 1
-            held.list(results)
-            held.has_ready.set()
-
-    async def _append(self, held, results):
-        """Write one chunk; return whether the batch is still ours.
-
-        A write whose outcome is unknown may land late, so nothing else
-        is written under its number.
-        """
-        while True:
-            try:
-                await self._store.append(
-                    held.batch_id, held.claimed, held.chunks, results
-                )
-                return True
-            except records.Taken as error:
-                self._keep_task(self.drop(held.batch_id, error.message))
-                return False
-            except exceptions.AnvilwellError as error:
-                _LOG.log(
-                    "results-not-committed",
-                    batch_id=held.batch_id,
-                    cause=error.message,
-                )
+    def _taken(self, held, cause):
+        self._keep_task(self.drop(held.batch_id, cause))
 
     def _give_up(self, held):
         if self.held_by_id.get(held.batch_id) is held:
@@ -381,16 +345,6 @@
     """Be told and do nothing."""
 
 
-def _fitting(results):
-    """Return the first of `results` that fit into one value."""
-    size = 0
-    for number, result in enumerate(results):
-        size += len(result.text) + 200
-        if number and size > records.MAX_VALUE_BYTES:
-            return results[:number]
-    return results
-
-
 _RETRIES_BY_END = {
     runners.End.REFUSED: reasons.Retry.REFUSED_NOT_RUN,
     runners.End.OTHER_REPLICA: reasons.Retry.DRAINED,
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -164,8 +164,7 @@
         self._pool.close()
 
     def _configured(self):
-        limits = self._configuration.current.limits
-        self._front.limits = servers.Limits(*limits)
+        self._front.limits = self._configuration.current.limits
 
     def _is_ready(self):
         return (
--- a/packages/gateway/anvilwell_gateway/http/messages.py
+++ b/packages/gateway/anvilwell_gateway/http/messages.py
@@ -2,22 +2,9 @@
 
 import typing
 
-Headers = tuple[tuple[str, str], ...]
+from anvilwell_kernel import hop_by_hop
 
-# Headers that concern one connection only (RFC 9110, section 7.6.1).
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
+Headers = tuple[tuple[str, str], ...]
 
 
 class Request(typing.NamedTuple):
@@ -67,7 +54,7 @@
     named = {
         name.strip().lower() for name in find(headers, "connection").split(",")
     }
-    return without(headers, HOP_BY_HOP | named)
+    return without(headers, hop_by_hop.HOP_BY_HOP | named)
 
 
 def decode_headers(pairs):
--- a/packages/gateway/anvilwell_gateway/http/server.py
+++ b/packages/gateway/anvilwell_gateway/http/server.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import contextlib
-import typing
 
+from anvilwell_decisions.traffic import facts
 import h11
 
 from anvilwell_gateway.http import messages
@@ -22,16 +22,13 @@
 _LOG = logs.get_logger(__name__)
 
 
-class Limits(typing.NamedTuple):
-    """What a caller may send, in bytes, and how long it may take.
-
-    The defaults hold until the first configuration names others.
-    """
-
-    max_header_bytes: int = 16 << 10
-    max_body_bytes: int = 1 << 20
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+# These hold until the first configuration names others.
+FIRST_LIMITS = facts.CallerLimits(
+    max_header_bytes=16 << 10,
+    max_body_bytes=1 << 20,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
 
 
 class CallerGone(exceptions.AnvilwellError):
@@ -104,7 +101,7 @@
         self._listener = None
         self._buffered_bytes = 0
         self._connections = set()
-        self.limits = Limits()
+        self.limits = FIRST_LIMITS
         self.is_draining = False
 
     @property
--- a/packages/outside/anvilwell_outside/adapters/http_plain.py
+++ b/packages/outside/anvilwell_outside/adapters/http_plain.py
@@ -2,25 +2,14 @@
 
 import time
 
+from anvilwell_kernel import hop_by_hop
+
 from anvilwell_outside.adapters import answers
 from anvilwell_outside.adapters import http_adapter
 from anvilwell_outside.ports import plain
 
 MAX_ANSWER_BYTES = 64 << 20
 
-_HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 _SET_HERE = frozenset(("host", "content-length"))
 
 
@@ -35,7 +24,7 @@
     def call(self, request, *, timeout_s):
         """Return the `Response` to `request`; close its chunks."""
         deadline = time.monotonic() + timeout_s
-        dropped = _HOP_BY_HOP | _SET_HERE
+        dropped = hop_by_hop.HOP_BY_HOP | _SET_HERE
         response = self._client.open(
             request.method,
             request.path,
@@ -45,7 +34,7 @@
             fresh=not request.idempotent,
         )
         chunks = self._client.chunks(response, deadline, MAX_ANSWER_BYTES)
-        headers = _without(_HOP_BY_HOP, response.headers.items())
+        headers = _without(hop_by_hop.HOP_BY_HOP, response.headers.items())
         return plain.Response(response.status, list(headers.items()), chunks)
 
 
