--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -26,7 +26,7 @@
 PACE_STEPS = 6
 # A run moves if that saves so much of its time. A move costs a prompt
 # to be read again, some 10 ms, and the gain is an estimate.
-MOVE_GAIN_S = 0.3
+MOVE_GAIN_S = 0.2
 # Paces closer than this are noise: they differ by 3% with the load.
 MOVE_RATIO = 1.2
 # Events that a run is expected to have left at most.
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -181,9 +181,16 @@
         ]
         for run in self._dispatch.moves(runs, now):
             held = self.held_by_id[run.batch_id]
-            held.tasks_by_item[run.item_id].cancel()
+            task = held.tasks_by_item[run.item_id]
+            # Not at the next look only: that would cost 0.05 s a move.
+            task.add_done_callback(self._moved)
+            task.cancel()
             counters.count_retry(reasons.Retry.HEDGE, run.service)
 
+    def _moved(self, task):
+        """Start a run again that was stopped to be moved."""
+        self.schedule()
+
     def _works(self, held):
         """Return a `Work` for each item of `held` that should run."""
         book = held.book
