Free slot and item of a run however it ends

Cause: found by reading. A run cancelled before its first step never reached its clean-up: its replica lost a slot for good, and so did each item of a batch that ended as it was opened. A replica that went between choice and start made the run fail before its clean-up too, and its item ran nowhere any more. Change: the release is the task's done callback, and looks for work once after many ends; the run gets its worker, not a name to look up; a fault of ours that ends a run is logged as run-fault and the item runs again. A change of replicas calls the look for work itself, without a method that said it moved work.

--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -1,6 +1,7 @@
 """Runs the batches that this process owns."""
 
 import asyncio
+import functools
 import random
 
 from anvilwell_decisions.batches import dispatch as dispatches
@@ -49,7 +50,7 @@
         self._tasks = set()
         self.on_lost = _nothing
         self.held_by_id = {}
-        directory.listen(self._replicas_changed)
+        directory.listen(self.schedule)
         configuration.listen(self.schedule)
 
     def routes(self):
@@ -132,11 +133,12 @@
 
     async def stop(self):
         """Stop all that runs."""
+        held_now = list(self.held_by_id.values())
+        self.held_by_id.clear()
+        for held in held_now:
+            await held.stop()
         if self._timer:
             self._timer.cancel()
-        for held in list(self.held_by_id.values()):
-            await held.stop()
-        self.held_by_id.clear()
 
     async def _save(self, held):
         await held.stop()
@@ -181,16 +183,9 @@
         ]
         for run in self._dispatch.moves(runs, now):
             held = self.held_by_id[run.batch_id]
-            task = held.tasks_by_item[run.item_id]
-            # Not at the next look only: that would cost 0.05 s a move.
-            task.add_done_callback(self._moved)
-            task.cancel()
+            held.tasks_by_item[run.item_id].cancel()
             counters.count_retry(reasons.Retry.HEDGE, run.service)
 
-    def _moved(self, task):
-        """Start a run again that was stopped to be moved."""
-        self.schedule()
-
     def _works(self, held):
         """Return a `Work` for each item of `held` that should run."""
         book = held.book
@@ -247,7 +242,8 @@
             return
         held = self.held_by_id[work.batch_id]
         held.book.started(work.item_id)
-        self._dispatch.worker(replica_id).running += 1
+        worker = self._dispatch.worker(replica_id)
+        worker.running += 1
         progress = held.book.progress_by_id[work.item_id]
         held.runs_by_item[work.item_id] = dispatches.Run(
             work.batch_id,
@@ -258,11 +254,34 @@
             work.model,
             work.min_version,
         )
-        task = asyncio.create_task(self._run(held, work, replica_id))
+        task = asyncio.create_task(self._run(held, work, worker))
+        # Not in the task: one that is cancelled early never runs at all.
+        task.add_done_callback(
+            functools.partial(self._release, held, work, worker)
+        )
         held.tasks_by_item[work.item_id] = task
 
-    async def _run(self, held, work, replica_id):
-        worker = self._dispatch.worker(replica_id)
+    def _release(self, held, work, worker, task):
+        """Free the slot and the item of a run that is over."""
+        worker.running -= 1
+        if held.tasks_by_item.get(work.item_id) is task:
+            del held.tasks_by_item[work.item_id]
+            del held.runs_by_item[work.item_id]
+            held.book.stopped(work.item_id)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            now = asyncio.get_running_loop().time()
+            worker.not_before = now + dispatches.SILENT_PAUSE_S
+            _LOG.log("run-fault", item_id=work.item_id, cause=repr(error))
+        self._schedule_soon()
+
+    def _schedule_soon(self):
+        """Look once after all that happens now, such as many ends."""
+        if self._timer:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_soon(self.schedule)
+
+    async def _run(self, held, work, worker):
         progress = held.book.progress_by_id[work.item_id]
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -281,17 +300,13 @@
                 order, worker.replica, worker.saw_gap
             )
         finally:
-            worker.running -= 1
-            held.tasks_by_item.pop(work.item_id, None)
-            held.runs_by_item.pop(work.item_id, None)
-            held.book.stopped(work.item_id)
             is_whole = ended.end is runners.End.WHOLE
             write = _LOG.routine if is_whole else _LOG.log
             write(
                 "item-run",
                 batch_id=held.batch_id,
                 item_id=work.item_id,
-                replica=replica_id,
+                replica=worker.replica.replica_id,
                 end=str(ended.end),
                 cause=ended.cause,
                 version=ended.version,
@@ -300,7 +315,6 @@
                 took_s=round(loop.time() - started_at, 3),
             )
         self._note(held, work, worker, ended)
-        self.schedule()
 
     def _note(self, held, work, worker, ended):
         """Take in how a run ended."""
@@ -343,10 +357,6 @@
             held.cancel_runs()
             held.has_ready.set()
 
-    def _replicas_changed(self):
-        """Move work off replicas that leave, and look for new ones."""
-        self.schedule()
-
 
 def _nothing():
     """Be told and do nothing."""
--- /dev/null
+++ b/packages/gateway/tests/batches/test_holder.py
@@ -0,0 +1,85 @@
+"""Runs give back their slot and their item, however they end."""
+
+import asyncio
+import types
+
+from anvilwell_decisions.traffic import facts
+from anvilwell_decisions.traffic import table
+from anvilwell_gateway.batches import held as helds
+from anvilwell_gateway.batches import holder as holders
+from anvilwell_gateway.batches import records
+from anvilwell_gateway.batches import runner as runners
+
+ROUTE = facts.Route("r", "h", "/", (facts.Weighted("lm", 1.0),), True)
+REPLICA = facts.Replica("r0", "lm", None, "a", 2)
+OWNER = records.Owner("vm", "life", 2, "", 0.0, 1)
+
+
+class _Directory:
+    def __init__(self):
+        self.replicas = [REPLICA]
+
+    def listen(self, callback):
+        self.changed = callback
+
+    def usable(self):
+        return self.replicas
+
+
+class _Runner:
+    def __init__(self):
+        self.asked = []
+
+    async def run(self, order, replica, saw_gap):
+        self.asked.append((order.item.item_id, replica.replica_id))
+        return runners.Ended(runners.End.WHOLE)
+
+
+def _held(batch_id):
+    items = tuple(
+        facts.Item(f"{batch_id}-{n}", "/", (), b"", "g") for n in range(2)
+    )
+    submission = facts.Submission(batch_id, "h", "/", items)
+    now = asyncio.get_running_loop().time()
+    return helds.Held(records.Claimed(OWNER, 1), ROUTE, submission, now + 60)
+
+
+def _run(scenario):
+    async def run():
+        configuration = types.SimpleNamespace(
+            routes=table.RouteTable([ROUTE]), listen=lambda callback: None
+        )
+        directory, runner = _Directory(), _Runner()
+        holder = holders.Holder(None, directory, configuration, runner)
+        try:
+            return await scenario(holder, directory, runner)
+        finally:
+            await holder.stop()
+
+    return asyncio.run(run())
+
+
+async def _until(condition):
+    while not condition():
+        await asyncio.sleep(0)
+
+
+def test_a_run_that_is_cancelled_before_it_began_frees_its_slot():
+    async def scenario(holder, directory, runner):
+        holder.open(_held("b1"))
+        holder.end("b1")
+        holder.open(_held("b2"))
+        await _until(lambda: len(runner.asked) == 2)
+        assert {item_id for item_id, _ in runner.asked} == {"b2-0", "b2-1"}
+
+    _run(scenario)
+
+
+def test_a_replica_that_goes_before_its_run_began_keeps_no_item():
+    async def scenario(holder, directory, runner):
+        holder.open(_held("b1"))
+        directory.replicas = []
+        directory.changed()
+        await _until(lambda: len(runner.asked) == 2)
+
+    _run(scenario)
