Have one way to fit results and to read a replica's entry; drop dead state

Cause: found by reading. Fitting results into a page and into a value was one loop written twice, reading a replica's entry too; a worker's load of others, a text's size and a connection's has_served were never set or never read. Behaviour stays as it is.

--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -51,7 +51,6 @@
     def __init__(self, replica):
         self.replica = replica
         self.running = 0
-        self.others = 0
         self.not_before = 0.0
         self._gaps = collections.deque(maxlen=PACE_GAPS)
         self._paced_at = 0.0
@@ -61,8 +60,8 @@
 
     @property
     def load(self):
-        """Share of the slots that is taken, by us and by others."""
-        return (self.running + self.others) / max(1, self.replica.slots)
+        """Share of the slots that our own runs take."""
+        return self.running / max(1, self.replica.slots)
 
     @property
     def room(self):
--- a/packages/decisions/anvilwell_decisions/batches/progress.py
+++ b/packages/decisions/anvilwell_decisions/batches/progress.py
@@ -48,11 +48,6 @@
         """Number of the last event that is known; 0 for none."""
         return len(self.events) + FIRST_NUMBER - 1
 
-    @property
-    def size(self):
-        """Characters of the text."""
-        return sum(map(len, self.events))
-
     def add(self, event, version):
         """Add the next `facts.Event`, made under `version`.
 
--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from anvilwell_gateway import directory
 from anvilwell_gateway import engine as engines
 from anvilwell_gateway import following
 from anvilwell_kernel import exceptions
@@ -141,22 +142,19 @@
         except exceptions.AnvilwellError as error:
             _LOG.log("replicas-not-read", cause=error.message)
             return 0
+        replicas = [
+            directory.read(self._codec, entry.key, entry.value)
+            for entry in snapshot.entries_by_key.values()
+        ]
         addresses = sorted(
             str(replica.address)
-            for replica in map(self._read, snapshot.entries_by_key.values())
+            for replica in replicas
             if replica and replica.service == self._service
         )
         mine = str(self._backend)
         rank = addresses.index(mine) if mine in addresses else 0
         return rank // max(1, int(PART_SHARE * len(addresses)))
 
-    def _read(self, entry):
-        try:
-            return self._codec.read_replica(entry.key, entry.value)
-        except exceptions.ConfigurationError as error:
-            _LOG.log("replica-unreadable", key=entry.key, cause=str(error))
-            return None
-
     async def _move(self, model):
         """Order until the engine has the version wanted now."""
         await asyncio.sleep(SETTLE_S + WAVE_S * await self._wave())
--- a/packages/gateway/anvilwell_gateway/batches/committing.py
+++ b/packages/gateway/anvilwell_gateway/batches/committing.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from anvilwell_gateway.batches import records
+from anvilwell_gateway.batches import sizes
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -38,7 +39,7 @@
             await held.has_ready.wait()
             await asyncio.sleep(GATHER_S)
             held.has_ready.clear()
-            results = _fitting(held.book.ready())
+            results = sizes.fitting(held.book.ready(), records.MAX_VALUE_BYTES)
             if not results:
                 continue
             if not await self._append(results):
@@ -69,13 +70,3 @@
                     batch_id=held.batch_id,
                     cause=error.message,
                 )
-
-
-def _fitting(results):
-    """Return the first of `results` that fit into one value."""
-    size = 0
-    for number, result in enumerate(results):
-        size += len(result.text) + 200
-        if number and size > records.MAX_VALUE_BYTES:
-            return results[:number]
-    return results
--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -1,6 +1,7 @@
 """Answers the calls on batches."""
 
 from anvilwell_gateway.batches import reader as readers
+from anvilwell_gateway.batches import sizes
 from anvilwell_gateway import dialect as dialects
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import counters
@@ -105,7 +106,7 @@
             await self._not_found(call, responder)
             return
         total, results = found
-        page = _page(results)
+        page = sizes.fitting(results, MAX_PAGE_BYTES)
         _LOG.routine(
             "batch-read",
             batch_id=call.batch_id,
@@ -142,13 +143,3 @@
     async def _not_found(self, call, responder):
         _LOG.log("batch-unknown", batch_id=call.batch_id, verb=call.verb.value)
         await responder.send(404)
-
-
-def _page(results):
-    """Return the first results that make at most one page."""
-    size = 0
-    for number, result in enumerate(results):
-        size += len(result.text) + 200
-        if number and size > MAX_PAGE_BYTES:
-            return results[:number]
-    return results
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -40,7 +40,10 @@
 
     def load(self, entries_by_key):
         """Take all entries; those missing get time to come back."""
-        found = [self._read(e.key, e.value) for e in entries_by_key.values()]
+        found = [
+            read(self._codec, entry.key, entry.value)
+            for entry in entries_by_key.values()
+        ]
         present = {r.replica_id: r for r in found if r is not None}
         for replica_id in set(self.replicas_by_id) - set(present):
             self._remove(replica_id)
@@ -53,7 +56,7 @@
         if change.value is None:
             self._remove(change.key.removeprefix(self._prefix))
         else:
-            replica = self._read(change.key, change.value)
+            replica = read(self._codec, change.key, change.value)
             if replica is not None:
                 self._put(replica)
         self._tell()
@@ -62,13 +65,6 @@
         """Give lapsed entries time to come back."""
         self._regained_at = asyncio.get_running_loop().time()
 
-    def _read(self, key, value):
-        try:
-            return self._codec.read_replica(key, value)
-        except exceptions.ConfigurationError as error:
-            _LOG.log("replica-unreadable", key=key, cause=error.message)
-            return None
-
     def _put(self, replica):
         timer = self._returns_by_id.pop(replica.replica_id, None)
         if timer:
@@ -102,6 +98,15 @@
             callback()
 
 
+def read(codec, key, value):
+    """Return the replica in an entry, or None if it can't be understood."""
+    try:
+        return codec.read_replica(key, value)
+    except exceptions.ConfigurationError as error:
+        _LOG.log("replica-unreadable", key=key, cause=error.message)
+        return None
+
+
 def _fields(replica):
     return {
         "replica_id": replica.replica_id,
--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -41,7 +41,6 @@
         )
         self._idle_watch = None
         self.keep_until = 0.0
-        self.has_served = False
 
     @classmethod
     async def open(cls, address, timeout_s=CONNECT_TIMEOUT_S):
@@ -136,7 +135,6 @@
         conn.start_next_cycle()
         keep_s = _keep_s(reply) - KEEP_MARGIN_S
         self.keep_until = now + keep_s
-        self.has_served = True
         return keep_s > 0
 
     def watch_idle(self, on_event):
