Name the known generation on the status page while draining

Cause: the status page turned the refusal of a daemon that drains into generation 0, an error that became a zero. Ruled out: a service asked after its stop (the page answered 404 or 500 then, not 0), and requests that met the state (documents of a daemon that drains are refused with 503 "draining", never 404). Change: configuration names the newest generation apart from whether new work is taken; the page shows that and the reason as the kind. Before: three new tests fail. After: they pass.

--- a/packages/daemon/anvilwell_daemon/admin/changes.py
+++ b/packages/daemon/anvilwell_daemon/admin/changes.py
@@ -100,11 +100,11 @@
 
 
 def _summary(bridge, configuration, name):
+    generation = bridge.run(configuration.newest_generation, name)
     try:
         kind = bridge.run(configuration.document, name).service.kind
-        generation = bridge.run(configuration.generation, name)
     except exceptions.Refused as error:
-        kind, generation = str(error.reason), 0
+        kind = str(error.reason)
     return operators.ServiceSummary(
         service=name, kind=kind, generation=generation
     )
--- a/packages/daemon/anvilwell_daemon/configuration/service.py
+++ b/packages/daemon/anvilwell_daemon/configuration/service.py
@@ -104,6 +104,17 @@
         """Return the generation of `document`; raises the same."""
         return self._in_force(service).generation
 
+    def newest_generation(self, service):
+        """Return the newest generation known here, 0 if none is.
+
+        Unlike `generation` it also tells while no new work is taken, as
+        during a drain.
+        """
+        if self._member is None:
+            return 0
+        document = self._member.documents_by_service.get(service)
+        return document.generation if document else 0
+
     def services(self):
         """Return the names of the services with a document here."""
         if self._member is None:
--- a/packages/daemon/anvilwell_daemon/entry/documents.py
+++ b/packages/daemon/anvilwell_daemon/entry/documents.py
@@ -48,6 +48,10 @@
         """Return the generation of the document of `service`."""
         return GENERATION
 
+    def newest_generation(self, service):
+        """Return the only generation there is."""
+        return GENERATION
+
     def services(self):
         """Return the names of the services with a document."""
         return sorted(self._documents_by_service)
--- a/packages/daemon/tests/admin/test_service.py
+++ b/packages/daemon/tests/admin/test_service.py
@@ -15,6 +15,7 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.messages import membership
 from anvilwell_kernel.messages import operators
+from anvilwell_kernel import reasons
 from anvilwell_kernel import services
 from anvilwell_kernel import web
 
@@ -56,14 +57,23 @@
         self.outcome = "in-force"
         self.is_down = False
         self.is_slow = False
+        self.is_draining = False
 
     def services(self):
         return ["planner-lm"]
 
     def document(self, service):
+        if self.is_draining:
+            raise exceptions.Refused(
+                "this daemon is leaving", reason=reasons.Refusal.DRAINING
+            )
         return documents.parse(TEXT, service)
 
+    def newest_generation(self, service):
+        return 3
+
     def generation(self, service):
+        self.document(service)
         return 3
 
     async def record(self, service):
@@ -200,6 +210,13 @@
     assert json.dumps(answer.json(), indent=2) == snapshot
 
 
+def test_status_names_the_generation_while_draining(ask, configuration):
+    configuration.is_draining = True
+    (service,) = ask("GET", "/admin/status").json()["services"]
+    assert service["kind"] == "draining"
+    assert service["generation"] == 3
+
+
 @pytest.mark.parametrize(
     ("outcome", "status", "verdict"),
     [
--- a/packages/daemon/tests/configuration/test_service.py
+++ b/packages/daemon/tests/configuration/test_service.py
@@ -5,6 +5,7 @@
 import pytest
 
 from anvilwell_bench.configuration import fleet as fleets
+from anvilwell_daemon.configuration import service as configuration
 from anvilwell_decisions.configuration import limits
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -263,3 +264,17 @@
         await agree(fleet, 3)
 
     run(keyvalue, scenario)
+
+
+def test_draining_daemon_still_names_its_generation(keyvalue):
+    async def scenario(fleet, daemons):
+        await daemons[1].configuration.drain()
+        assert generation(daemons[1]) is reasons.Refusal.DRAINING
+        assert daemons[1].configuration.newest_generation(SERVICE) == 1
+
+    run(keyvalue, scenario)
+
+
+def test_daemon_that_has_not_started_names_generation_none():
+    waiting = configuration.Configuration("entry", "", "kamnik-hall")
+    assert waiting.newest_generation(SERVICE) == 0
