Ask another replica when one fails an idempotent call itself

Cause: a sealed 5xx of a replica ended a live call, though the call may repeat and a sound replica was there. With a replica that fails 40% of its requests while its health check is good, callers got its 500. Ruled out: ejection, which needs three failures in a row. Change: for idempotent routes a status from 500 on is kept and another replica asked; the failure is passed on whole, with its seal, if none does better or time runs out. Retries are counted by the reason of the attempt before them, with the service.

--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -16,6 +16,13 @@
 HEDGE_SHARE = 0.45
 # Time kept for the answer's way back, in seconds.
 RETURN_MARGIN_S = 0.005
+# Statuses from here on say that the replica failed the request.
+_FAILED = 500
+_RETRIES_BY_REFUSAL = {
+    reasons.Refusal.CONNECT_FAILED: reasons.Retry.CONNECT_FAILED,
+    reasons.Refusal.OVERLOADED: reasons.Retry.REFUSED_NOT_RUN,
+    reasons.Refusal.ANSWER_CUT: reasons.Retry.ANSWER_CUT,
+}
 
 _LOG = logs.get_logger(__name__)
 
@@ -49,6 +56,9 @@
         self._deadline = request.received_at + self._limit_s
         self._verdict = verdicts.Verdict.NOT_RUN
         self._last_error = None
+        # The answer of a replica that failed the request itself: passed
+        # on if no other replica does better.
+        self._failure = None
         self._unreached = 0
         self.tried = []
 
@@ -69,6 +79,8 @@
             async with asyncio.timeout_at(self._deadline - RETURN_MARGIN_S):
                 return await self._race(tasks)
         except TimeoutError:
+            if self._failure:
+                return self._failure
             verdict = self._verdict
             if self.tried:
                 verdict = verdicts.Verdict.MAY_HAVE_RUN
@@ -84,7 +96,7 @@
         """Ask replicas until one has answered whole."""
         while True:
             if not tasks and not self._start(tasks):
-                raise self._exhausted()
+                return self._last_resort()
             done, _ = await asyncio.wait(
                 tasks,
                 timeout=self._hedge_s(tasks),
@@ -95,10 +107,9 @@
                 continue
             for task in done:
                 tasks.discard(task)
-                error = task.exception()
-                if error is None:
-                    return task.result()
-                self._note(error, task.get_name())
+                held = self._take(task)
+                if held:
+                    return held
 
     @property
     def _sent(self):
@@ -132,9 +143,7 @@
         if not replica:
             return False
         if self.tried:
-            counters.count_retry(
-                reasons.Retry.HEDGE if tasks else reasons.Retry.BACKEND_FAILED
-            )
+            counters.count_retry(self._retry_reason(tasks), self._service)
         self.tried.append(replica_id)
         attempt = self._attempt(replica, policy)
         tasks.add(asyncio.create_task(attempt, name=replica_id))
@@ -153,7 +162,7 @@
                 self._request,
                 self._deadline - started_at,
             )
-            failed = held.status >= 500
+            failed = held.status >= _FAILED
             return held
         except asyncio.CancelledError:
             # Slower than a second replica that was asked later.
@@ -166,6 +175,39 @@
                 request_facts.Ended(replica_id, failed, now - started_at), now
             )
 
+    def _take(self, task):
+        """Return the answer of an attempt that is over, if it counts.
+
+        A replica's own failure counts at once only where the request may
+        not be repeated; else another replica may do better.
+        """
+        error = task.exception()
+        replica_id = task.get_name()
+        if error is not None:
+            self._note(error, replica_id)
+            return None
+        held = task.result()
+        if held.status < _FAILED or not self._route.is_idempotent:
+            return held
+        self._failure = held
+        self._note(
+            exceptions.BackendFailed(
+                f"the replica answered {held.status}",
+                reason=reasons.Refusal.BACKEND_FAILED,
+                verdict=verdicts.Verdict.RAN,
+            ),
+            replica_id,
+        )
+        return None
+
+    def _retry_reason(self, tasks):
+        """Return why another replica is asked."""
+        if tasks:
+            return reasons.Retry.HEDGE
+        return _RETRIES_BY_REFUSAL.get(
+            self._last_error.reason, reasons.Retry.BACKEND_FAILED
+        )
+
     def _note(self, error, replica_id):
         if not isinstance(error, exceptions.AnvilwellError):
             raise error
@@ -181,13 +223,16 @@
             cause=error.message,
         )
 
-    def _exhausted(self):
+    def _last_resort(self):
+        """Return a replica's own failure, or raise why there is none."""
+        if self._failure:
+            return self._failure
         if self._last_error is None:
-            return exceptions.Refused(
+            raise exceptions.Refused(
                 f"no replica of {self._service}",
                 reason=reasons.Refusal.NO_REPLICA,
             )
-        return exceptions.BackendFailed(
+        raise exceptions.BackendFailed(
             self._last_error.message,
             reason=self._last_error.reason,
             verdict=self._verdict,
--- a/packages/kernel/anvilwell_kernel/reasons.py
+++ b/packages/kernel/anvilwell_kernel/reasons.py
@@ -45,6 +45,7 @@
     REFUSED_NOT_RUN = "refused-not-run"
     LINK_LOST = "link-lost"
     BACKEND_FAILED = "backend-failed"
+    ANSWER_CUT = "answer-cut"
     STREAM_RESUMED = "stream-resumed"
     HEDGE = "hedge"
     DRAINED = "drained"
