Reach the store through a peer while a VM alone is cut off from it

Agents cut off kept their version. Ruled out: readiness (two misses of the balancer, and an outage for all would take all entries out), passing on submissions alone (batches under way would still start anew). Change: a pure choice of the path (two failures in a row lead to a peer, any direct answer leads back), a transport below the platform's adapter, and a relay at each entry for its peers. Rate limits (429) are not gone round. A timeout drops a peer's idle connections: those of a cut path are silent too.

--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/outages/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about what to do while a part of the platform is away."""
--- /dev/null
+++ b/packages/decisions/tests/outages/test_paths.py
@@ -0,0 +1,134 @@
+"""Which way to the key-value service is taken after which failures."""
+
+import random
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from anvilwell_decisions.outages import paths
+
+VMS = ("entry-1", "entry-2", "entry-3")
+
+
+def _choice(*peers):
+    choice = paths.PathChoice(random.Random(1))
+    choice.set_peers(peers)
+    return choice
+
+
+def _leave_direct(choice, now=0.0):
+    for _ in range(paths.FAILURES):
+        choice.failed(paths.DIRECT, now)
+
+
+def test_one_lost_answer_changes_nothing():
+    choice = _choice("entry-1")
+    assert not choice.failed(paths.DIRECT, 0.0)
+    choice.answered(paths.DIRECT)
+    assert not choice.failed(paths.DIRECT, 0.1)
+    assert choice.current == paths.DIRECT
+
+
+def test_failures_in_a_row_lead_through_a_peer():
+    choice = _choice("entry-1")
+    assert not choice.failed(paths.DIRECT, 0.0)
+    assert choice.failed(paths.DIRECT, 0.1)
+    assert choice.current == "entry-1"
+
+
+def test_without_peers_the_direct_path_stays():
+    choice = _choice()
+    _leave_direct(choice)
+    assert choice.current == paths.DIRECT
+
+
+def test_a_peer_that_fails_is_left_for_another():
+    choice = _choice("entry-1", "entry-2")
+    _leave_direct(choice)
+    first = choice.current
+    assert choice.failed(first, 0.2)
+    assert choice.current in {"entry-1", "entry-2"} - {first}
+
+
+def test_once_all_peers_failed_the_direct_path_is_tried():
+    choice = _choice("entry-1")
+    _leave_direct(choice)
+    assert choice.failed("entry-1", 0.2)
+    assert choice.current == paths.DIRECT
+
+
+def test_an_answer_on_the_direct_path_ends_the_detour():
+    choice = _choice("entry-1")
+    _leave_direct(choice)
+    assert choice.answered(paths.DIRECT)
+    assert choice.current == paths.DIRECT
+
+
+def test_late_failures_of_a_path_that_was_left_change_nothing():
+    choice = _choice("entry-1", "entry-2")
+    _leave_direct(choice)
+    taken = choice.current
+    assert not choice.failed(paths.DIRECT, 0.3)
+    assert choice.current == taken
+
+
+def test_a_peer_that_is_gone_is_not_used():
+    choice = _choice("entry-1")
+    _leave_direct(choice)
+    assert choice.set_peers(())
+    assert choice.current == paths.DIRECT
+
+
+class PathMachine(stateful.RuleBasedStateMachine):
+    """Paths that work and fail in any order, and peers that change."""
+
+    def __init__(self):
+        super().__init__()
+        self.choice = _choice(*VMS)
+        self.peers = set(VMS)
+        self.works = {paths.DIRECT: True} | dict.fromkeys(VMS, True)
+        self.now = 0.0
+
+    @stateful.rule(path=st.sampled_from((paths.DIRECT, *VMS)))
+    def toggle(self, path):
+        self.works[path] = not self.works[path]
+
+    @stateful.rule(peers=st.sets(st.sampled_from(VMS)))
+    def replace_peers(self, peers):
+        self.peers = peers
+        self.choice.set_peers(peers)
+
+    @stateful.rule()
+    def call(self):
+        path = self.choice.current
+        if self.works[path]:
+            assert not self.choice.answered(path)
+        else:
+            self.choice.failed(path, self.now)
+        self.now += 0.1
+
+    @stateful.rule()
+    def probe(self):
+        if self.works[paths.DIRECT]:
+            self.choice.answered(paths.DIRECT)
+            assert self.choice.current == paths.DIRECT
+
+    @stateful.rule()
+    def a_working_path_is_found(self):
+        usable = {p for p in self.peers | {paths.DIRECT} if self.works[p]}
+        if not usable:
+            return
+        # Time for each peer to be paused and tried again.
+        for _ in range(100):
+            if self.choice.current in usable:
+                return
+            self.choice.failed(self.choice.current, self.now)
+            self.now += paths.PAUSE_S / 4
+        raise AssertionError(f"stuck on {self.choice.current!r}")
+
+    @stateful.invariant()
+    def only_known_peers_are_used(self):
+        assert self.choice.current in self.peers | {paths.DIRECT}
+
+
+TestPathMachine = PathMachine.TestCase
--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -9,6 +9,7 @@
 from anvilwell_gateway import directory
 from anvilwell_gateway import engine as engines
 from anvilwell_gateway import following
+from anvilwell_gateway import presence
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -27,6 +28,10 @@
 # Between the calls that show whether the store is there, in seconds. A
 # version is to be in force two seconds after it was named.
 PING_S = 1.0
+# Entries register within a second of their start, and few come or go: an
+# agent reads anew so often where they can be asked for help, in seconds.
+FIRST_PEERS_S = 2.0
+PEERS_S = 20.0
 
 _LOG = logs.get_logger(__name__)
 
@@ -88,6 +93,7 @@
         self._service = settings.agent.service
         self._engine = platform.engine
         self._store = platform.store
+        self._paths = platform.paths
         self._codec = platform.codec
         self._versions = Versions(platform.store, platform.codec)
         self._tasks = []
@@ -99,6 +105,7 @@
         self._tasks = [
             asyncio.create_task(self._run()),
             asyncio.create_task(self._ping()),
+            asyncio.create_task(self._learn_peers()),
         ]
 
     async def drain(self):
@@ -112,6 +119,7 @@
     async def stop(self):
         """Release everything."""
         await self.drain()
+        await self._paths.close()
 
     async def _ping(self):
         """Have the store notice when it is lost and back."""
@@ -122,6 +130,26 @@
             except exceptions.AnvilwellError as error:
                 _LOG.log("store-not-reached", cause=error.message)
 
+    async def _learn_peers(self):
+        """Keep the addresses of the entries for when the store is cut off.
+
+        They may be old: a stale read costs a tenth of another.
+        """
+        wait_s = FIRST_PEERS_S
+        while True:
+            await asyncio.sleep(wait_s)
+            wait_s = PEERS_S
+            try:
+                snapshot = await self._store.get_prefix(
+                    presence.LIVE_PREFIX, may_be_stale=True
+                )
+            except exceptions.AnvilwellError as error:
+                _LOG.log("peers-not-read", cause=error.message)
+                continue
+            live_by_vm = presence.read_live(snapshot.entries_by_key)
+            if live_by_vm:
+                self._paths.set_peers(presence.peer_addresses(live_by_vm))
+
     async def _run(self):
         """Have one task for each model whose version has changed."""
         while True:
--- a/packages/gateway/anvilwell_gateway/config.py
+++ b/packages/gateway/anvilwell_gateway/config.py
@@ -42,6 +42,9 @@
     ready: typing.Annotated[
         options.AddressOption, Doc("Where the balancer asks for readiness")
     ]
+    peers: typing.Annotated[
+        options.AddressOption, Doc("Where other VMs ask it for help")
+    ]
     metrics_path: typing.Annotated[
         str, Doc("Path of the metrics page, beside readiness")
     ] = "/metrics"
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -13,8 +13,10 @@
 from anvilwell_gateway import forwarding
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import server as servers
+from anvilwell_gateway import paths
 from anvilwell_gateway import presence as presences
 from anvilwell_gateway import retirement
+from anvilwell_kernel.config import options
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
@@ -52,7 +54,11 @@
         )
         self._directory = directories.Directory(store, platform.codec)
         self._presence = presences.Presence(store, settings.daemon.vm_id)
-        self._news = presences.News(store, self._presence)
+        self._paths = platform.paths
+        self._news = presences.News(store, self._presence, self._paths)
+        self._relay = paths.RelayServer(
+            settings.entry.peers, self._paths.direct
+        )
         self._retirement = retirement.Retirement(
             store, platform.codec, self._news, settings.daemon.vm_id
         )
@@ -113,6 +119,17 @@
         """The port that callers connect to."""
         return self._front.port
 
+    @property
+    def peer_address(self):
+        """Where other VMs ask this one for help."""
+        host = self._settings.entry.peers.host
+        return options.Address(host, self._relay.port)
+
+    @property
+    def lives_by_vm(self):
+        """The life of each entry that is known here."""
+        return self._news.lives_by_vm
+
     @property
     def health_port(self):
         """The port of readiness and metrics."""
@@ -122,7 +139,8 @@
         """Listen and begin to follow the store."""
         await self._front.start()
         await self._health.start()
-        self._presence.start()
+        await self._relay.start()
+        self._presence.start(self.peer_address)
         self.retention.start()
         for follower in self._followers:
             follower.start()
@@ -161,6 +179,8 @@
         await self._holder.stop()
         await self._front.stop()
         await self._health.stop()
+        await self._relay.stop()
+        await self._paths.close()
         self._pool.close()
 
     def _configured(self):
--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -195,6 +195,41 @@
             connection.close()
         return await Connection.open(address, timeout_s)
 
+    async def ask(self, key, address, question, timeout_s, max_bytes):
+        """Send a `messages.Request`; return its `Reply` and whole body.
+
+        After a timeout the idle connections go too: those of a peer that
+        is cut off stay silent, and each would cost another timeout.
+
+        Raises
+        ------
+        exceptions.BackendFailed
+            With ``NOT_RUN`` only if nothing was sent.
+        """
+        connection = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self.take(key, address)
+                connection.send(
+                    question.method,
+                    question.target,
+                    question.headers,
+                    question.body,
+                )
+                reply = await connection.read_head()
+                body = await connection.read_body(max_bytes)
+        except BaseException as error:
+            if connection:
+                connection.close()
+            if not isinstance(error, TimeoutError):
+                raise
+            self.forget(key)
+            verdict = None if connection else verdicts.Verdict.NOT_RUN
+            message = f"no answer in {timeout_s:g} s"
+            raise failed(message, verdict=verdict) from error
+        self.give(key, connection, reply)
+        return reply, body
+
     def give(self, key, connection, reply):
         """Keep `connection` for another request if its peer will."""
         idle = self._idle_by_key[key]
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/paths.py
@@ -0,0 +1,294 @@
+"""Ways to the platform's key-value service: direct, or through a peer.
+
+A VM that is cut off from the service alone, or turned away by it, goes on
+through an entry that still reaches it. Without this its lease lapses, its
+batches start anew elsewhere, and those that reach it are refused.
+"""
+
+import abc
+import asyncio
+import itertools
+import random
+import typing
+
+import cbor2
+
+from anvilwell_decisions.outages import paths as choices
+from anvilwell_gateway.http import client
+from anvilwell_gateway.http import messages
+from anvilwell_gateway.http import server as servers
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.telemetry import logs
+from anvilwell_kernel import verdict as verdicts
+
+# Pages of a range hold about 1 MB; a watch may bring more at once.
+MAX_ANSWER_BYTES = 32 << 20
+# Between looks whether the direct path works again, in seconds: a detour
+# costs a peer's processor time, a look a tenth of a call.
+PROBE_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+# A peer waits as long as the direct path would; this is for the way there.
+PEER_MARGIN_S = 0.2
+_RELAY_TARGET = "/key-value"
+_POOL_KEY = "key-value"
+# The service refuses this VM, or all.
+_BUSY = 503
+_UNKNOWN = 504
+
+_LOG = logs.get_logger(__name__)
+
+
+class Call(typing.NamedTuple):
+    """One call to the service, as the platform's adapter spells it."""
+
+    method: str
+    target: str
+    headers: tuple = ()
+    body: bytes = b""
+    timeout_s: float = 1.0
+
+
+class Answer(typing.NamedTuple):
+    """The service's answer to a `Call`."""
+
+    status: int
+    body: bytes
+
+
+class Path(abc.ABC):
+    """A way to the service."""
+
+    @abc.abstractmethod
+    async def send(self, call):
+        """Return the `Answer` to a `Call`.
+
+        Raises
+        ------
+        exceptions.KeyValueUnavailable
+            With ``NOT_RUN`` only if the service never got the call.
+        """
+
+
+class DirectPath(Path):
+    """Calls the service itself.
+
+    Parameters
+    ----------
+    address : options.Address
+        Where the service listens.
+    """
+
+    def __init__(self, address):
+        self._address = address
+        self._pool = client.Pool(asyncio.get_running_loop().time)
+
+    def move(self, address):
+        """Take a changed address of the service."""
+        self._address = address
+        self._pool.forget(_POOL_KEY)
+
+    async def send(self, call):
+        """Return the `Answer` to a `Call`."""
+        question = messages.Request(
+            call.method,
+            call.target,
+            (("Host", str(self._address)), *call.headers),
+            call.body,
+        )
+        reply, body = await _ask(
+            self._pool, _POOL_KEY, self._address, question, call.timeout_s
+        )
+        return Answer(reply.status, body)
+
+
+class PeerPath(Path):
+    """Has a peer make the call.
+
+    Parameters
+    ----------
+    vm_id : str
+        The peer.
+    address : options.Address
+        Where it serves its peers.
+    pool : client.Pool
+        Connections to peers.
+    """
+
+    def __init__(self, vm_id, address, pool):
+        self._vm_id = vm_id
+        self._address = address
+        self._pool = pool
+
+    async def send(self, call):
+        """Return the `Answer` that the peer got."""
+        question = messages.Request(
+            "POST",
+            _RELAY_TARGET,
+            (("Host", str(self._address)),),
+            cbor2.dumps(call),
+        )
+        reply, body = await _ask(
+            self._pool,
+            self._vm_id,
+            self._address,
+            question,
+            call.timeout_s + PEER_MARGIN_S,
+        )
+        if reply.status == 200:
+            return Answer(*cbor2.loads(body))
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        if reply.status == _BUSY:
+            verdict = verdicts.Verdict.NOT_RUN
+        raise exceptions.KeyValueUnavailable(
+            f"{self._vm_id} does not reach the service: {reply.status}",
+            verdict=verdict,
+        )
+
+
+async def _ask(pool, key, address, question, timeout_s):
+    try:
+        return await pool.ask(
+            key, address, question, timeout_s, MAX_ANSWER_BYTES
+        )
+    except exceptions.BackendFailed as error:
+        path = question.target.partition("?")[0]
+        raise exceptions.KeyValueUnavailable(
+            f"{path}: {error.message}", verdict=error.verdict
+        ) from error
+
+
+class Paths(Path):
+    """Takes the direct path, or one through a peer while that fails.
+
+    A call that failed is not made again here: only who made it knows
+    whether it may be. Its next try takes the better path.
+
+    Parameters
+    ----------
+    direct : DirectPath
+        The path that is taken while it works.
+    probe : Call
+        The cheapest call there is; shows that the direct path works.
+    """
+
+    def __init__(self, direct, probe, rng=None):
+        self.direct = direct
+        self._probe_call = probe
+        self._choice = choices.PathChoice(rng or random.Random())
+        self._pool = client.Pool(asyncio.get_running_loop().time)
+        self._paths_by_name = {choices.DIRECT: direct}
+        self._listeners = []
+        self._probing = None
+
+    def listen(self, callback):
+        """Call `callback` when another path is taken than before.
+
+        What waits on the path before may wait in vain.
+        """
+        self._listeners.append(callback)
+
+    def set_peers(self, addresses_by_vm):
+        """Take in which peers may help, and where they are."""
+        self._paths_by_name = {choices.DIRECT: self.direct} | {
+            vm_id: PeerPath(vm_id, address, self._pool)
+            for vm_id, address in addresses_by_vm.items()
+        }
+        if self._choice.set_peers(addresses_by_vm):
+            self._changed("the peer is gone")
+
+    async def send(self, call):
+        """Return the `Answer` to a `Call`."""
+        name = self._choice.current
+        try:
+            answer = await self._paths_by_name[name].send(call)
+        except exceptions.KeyValueUnavailable as error:
+            self._failed(name, error.message)
+            raise
+        if answer.status == _BUSY:
+            self._failed(name, "the service turns this VM away")
+        else:
+            self._answered(name)
+        return answer
+
+    async def close(self):
+        """Probe no more and close the connections to peers."""
+        if self._probing:
+            self._probing.cancel()
+            await asyncio.gather(self._probing, return_exceptions=True)
+        self._pool.close()
+
+    def _failed(self, name, cause):
+        now = asyncio.get_running_loop().time()
+        if self._choice.failed(name, now):
+            self._changed(cause)
+
+    def _answered(self, name):
+        if self._choice.answered(name):
+            self._changed("the direct path works again")
+
+    def _changed(self, cause):
+        path = self._choice.current
+        _LOG.log("path-changed", path=path or "direct", cause=cause)
+        if path and (self._probing is None or self._probing.done()):
+            self._probing = asyncio.create_task(self._probe())
+        for callback in self._listeners:
+            callback()
+
+    async def _probe(self):
+        """Look for the direct path until it works again."""
+        call = self._probe_call._replace(timeout_s=PROBE_TIMEOUT_S)
+        for tries in itertools.count(1):
+            await asyncio.sleep(PROBE_S)
+            try:
+                answer = await self.direct.send(call)
+            except exceptions.KeyValueUnavailable as error:
+                _LOG.routine("path-probed", tries=tries, cause=error.message)
+                continue
+            if answer.status != _BUSY:
+                self._answered(choices.DIRECT)
+                return
+
+
+class RelayServer:
+    """Makes calls for peers that don't reach the service themselves.
+
+    Only by the direct path: a call never takes a second hop.
+
+    Parameters
+    ----------
+    address : options.Address
+        Where to listen.
+    direct : DirectPath
+        The way to the service.
+    """
+
+    def __init__(self, address, direct):
+        self._direct = direct
+        self._server = servers.Server(address, self._answer)
+        self._server.limits = servers.FIRST_LIMITS._replace(
+            max_body_bytes=MAX_ANSWER_BYTES
+        )
+
+    @property
+    def port(self):
+        """The port that was bound."""
+        return self._server.port
+
+    async def start(self):
+        """Bind and listen."""
+        await self._server.start()
+
+    async def stop(self):
+        """Stop listening and close all connections."""
+        await self._server.stop()
+
+    async def _answer(self, request, responder):
+        call = Call(*cbor2.loads(request.body))
+        _LOG.routine("call-relayed", target=call.target.partition("?")[0])
+        try:
+            answer = await self._direct.send(call)
+        except exceptions.KeyValueUnavailable as error:
+            not_run = error.verdict is verdicts.Verdict.NOT_RUN
+            await responder.send(_BUSY if not_run else _UNKNOWN)
+            return
+        await responder.send(200, (), cbor2.dumps(answer))
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -1,9 +1,14 @@
 """The process's lease, its live key, and the news of the others."""
 
 import asyncio
+import typing
 import uuid
 
+import cbor2
+import pydantic
+
 from anvilwell_gateway import following
+from anvilwell_kernel.config import options
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 from anvilwell_outside.ports import keyvalue
@@ -23,6 +28,16 @@
 _LOG = logs.get_logger(__name__)
 
 
+class Live(typing.NamedTuple):
+    """What a live key says; ``peers`` is where its VM helps others."""
+
+    life: str
+    peers: str
+
+
+_LIVE = pydantic.TypeAdapter(Live)
+
+
 class Presence:
     """Keeps this process's live key while the store is in reach.
 
@@ -41,11 +56,13 @@
         self._granted = 0
         self._answered_at = float("-inf")
         self._rewrite = asyncio.Event()
+        self._peers = ""
         self.vm_id = vm_id
         self.life = uuid.uuid4().hex
 
-    def start(self):
-        """Begin to register and renew."""
+    def start(self, peers):
+        """Begin to register and renew; `peers` is where others ask us."""
+        self._peers = str(peers)
         self._task = asyncio.create_task(self._keep())
 
     async def stop(self):
@@ -112,7 +129,8 @@
         _LOG.log("registered", lease=self._lease)
 
     async def _write(self, key, revision):
-        swap = keyvalue.Swap(key, revision, self.life.encode(), self._granted)
+        value = cbor2.dumps(Live(self.life, self._peers))
+        swap = keyvalue.Swap(key, revision, value, self._granted)
         try:
             result = await self._store.swap([swap])
         except exceptions.NotFound:
@@ -123,15 +141,31 @@
 
 
 class News(following.Follower):
-    """Knows which lives are there and which batches have ended."""
+    """Knows which lives are there and which batches have ended.
+
+    Parameters
+    ----------
+    store : store.AsyncStore
+        Where the news lie.
+    presence : Presence
+        This process.
+    ways : paths.Paths
+        Told of the peers that may help.
+    """
 
-    def __init__(self, store, presence):
+    def __init__(self, store, presence, ways):
         super().__init__(store, NEWS_PREFIX)
         self._presence = presence
+        self._paths = ways
         self._listeners = []
-        self.lives_by_vm = {}
+        self._live_by_vm = {}
         self.ended = set()
 
+    @property
+    def lives_by_vm(self):
+        """The life of each VM that is there."""
+        return _lives(self._live_by_vm)
+
     def listen(self, callback):
         """Call ``callback(lost_vms, ended_batches)`` on news."""
         self._listeners.append(callback)
@@ -142,11 +176,12 @@
         What this follower knows may be older than what else was read.
         """
         snapshot = await self._store.get_prefix(LIVE_PREFIX)
-        return _lives(snapshot.entries_by_key)
+        return _lives(read_live(snapshot.entries_by_key))
 
     def load(self, entries_by_key):
         """Take all that is there now."""
-        lives = _lives(entries_by_key)
+        live_by_vm = read_live(entries_by_key)
+        lives = _lives(live_by_vm)
         ended = {
             key.removeprefix(ENDED_PREFIX)
             for key in entries_by_key
@@ -158,7 +193,8 @@
             if lives.get(vm_id) != life
         }
         fresh = ended - self.ended
-        self.lives_by_vm = lives
+        self._live_by_vm = live_by_vm
+        self._tell_paths()
         self.ended |= ended
         self._tell(lost, fresh)
 
@@ -176,9 +212,11 @@
 
     def _live(self, change):
         vm_id = change.key.removeprefix(LIVE_PREFIX)
-        before = self.lives_by_vm.pop(vm_id, None)
+        before = self.lives_by_vm.get(vm_id)
+        self._live_by_vm.pop(vm_id, None)
         if change.value is not None:
-            self.lives_by_vm[vm_id] = change.value.decode()
+            self._live_by_vm[vm_id] = _read(change.value)
+        self._tell_paths()
         _LOG.log("peer", peer=vm_id, is_live=change.value is not None)
         if before and before != self.lives_by_vm.get(vm_id):
             self._tell({vm_id}, set())
@@ -191,10 +229,32 @@
         for callback in self._listeners:
             callback(lost, ended)
 
+    def _tell_paths(self):
+        addresses_by_vm = peer_addresses(self._live_by_vm)
+        addresses_by_vm.pop(self._presence.vm_id, None)
+        self._paths.set_peers(addresses_by_vm)
+
 
-def _lives(entries_by_key):
+def peer_addresses(live_by_vm):
+    """Return where each VM helps others, as addresses_by_vm."""
     return {
-        key.removeprefix(LIVE_PREFIX): entry.value.decode()
+        vm_id: options.parse_address(live.peers)
+        for vm_id, live in live_by_vm.items()
+    }
+
+
+def read_live(entries_by_key):
+    """Return the `Live` in each live key, as live_by_vm."""
+    return {
+        key.removeprefix(LIVE_PREFIX): _read(entry.value)
         for key, entry in entries_by_key.items()
         if key.startswith(LIVE_PREFIX)
     }
+
+
+def _read(value):
+    return _LIVE.validate_python(cbor2.loads(value))
+
+
+def _lives(live_by_vm):
+    return {vm_id: live.life for vm_id, live in live_by_vm.items()}
