--- a/packages/decisions/anvilwell_decisions/outages/paths.py
+++ b/packages/decisions/anvilwell_decisions/outages/paths.py
@@ -24,6 +24,7 @@
         self._peers = frozenset()
         self._paused_until_by_vm = {}
         self._failures = 0
+        self._failed_at = float("-inf")
         self.current = DIRECT
 
     def set_peers(self, vm_ids):
@@ -48,20 +49,26 @@
         self._failures = 0
         return True
 
-    def failed(self, path, now):
+    def failed(self, path, began_at, now):
         """Note a failure on `path`; return whether the path changed.
 
+        Calls that were under way together and end together, such as the
+        watches that a service cuts, are one failure.
+
         Parameters
         ----------
         path : str
             `DIRECT` or the id of a peer.
+        began_at : float
+            When the call was made; monotonic time, s.
         now : float
             Monotonic time, s.
         """
         if path != DIRECT:
             self._paused_until_by_vm[path] = now + PAUSE_S
-        if path != self.current:
+        if path != self.current or began_at < self._failed_at:
             return False
+        self._failed_at = now
         self._failures += 1
         if path == DIRECT and self._failures < FAILURES:
             return False
--- a/packages/decisions/tests/outages/test_paths.py
+++ b/packages/decisions/tests/outages/test_paths.py
@@ -16,23 +16,36 @@
     return choice
 
 
-def _leave_direct(choice, now=0.0):
-    for _ in range(paths.FAILURES):
-        choice.failed(paths.DIRECT, now)
+def _fail(choice, path, now):
+    """Have a call fail that began and ended at `now`."""
+    return choice.failed(path, now, now)
+
+
+def _leave_direct(choice):
+    for number in range(paths.FAILURES):
+        _fail(choice, paths.DIRECT, number * 0.1)
 
 
 def test_one_lost_answer_changes_nothing():
     choice = _choice("entry-1")
-    assert not choice.failed(paths.DIRECT, 0.0)
+    assert not _fail(choice, paths.DIRECT, 0.0)
     choice.answered(paths.DIRECT)
-    assert not choice.failed(paths.DIRECT, 0.1)
+    assert not _fail(choice, paths.DIRECT, 0.1)
+    assert choice.current == paths.DIRECT
+
+
+def test_calls_that_end_together_are_one_failure():
+    choice = _choice("entry-1")
+    for _ in range(4):
+        # Four watches that wait since 0.0 s are cut.
+        assert not choice.failed(paths.DIRECT, 0.0, 1.0)
     assert choice.current == paths.DIRECT
 
 
 def test_failures_in_a_row_lead_through_a_peer():
     choice = _choice("entry-1")
-    assert not choice.failed(paths.DIRECT, 0.0)
-    assert choice.failed(paths.DIRECT, 0.1)
+    assert not _fail(choice, paths.DIRECT, 0.0)
+    assert _fail(choice, paths.DIRECT, 0.1)
     assert choice.current == "entry-1"
 
 
@@ -46,14 +59,14 @@
     choice = _choice("entry-1", "entry-2")
     _leave_direct(choice)
     first = choice.current
-    assert choice.failed(first, 0.2)
+    assert _fail(choice, first, 0.2)
     assert choice.current in {"entry-1", "entry-2"} - {first}
 
 
 def test_once_all_peers_failed_the_direct_path_is_tried():
     choice = _choice("entry-1")
     _leave_direct(choice)
-    assert choice.failed("entry-1", 0.2)
+    assert _fail(choice, "entry-1", 0.2)
     assert choice.current == paths.DIRECT
 
 
@@ -68,7 +81,7 @@
     choice = _choice("entry-1", "entry-2")
     _leave_direct(choice)
     taken = choice.current
-    assert not choice.failed(paths.DIRECT, 0.3)
+    assert not _fail(choice, paths.DIRECT, 0.3)
     assert choice.current == taken
 
 
@@ -104,7 +117,7 @@
         if self.works[path]:
             assert not self.choice.answered(path)
         else:
-            self.choice.failed(path, self.now)
+            _fail(self.choice, path, self.now)
         self.now += 0.1
 
     @stateful.rule()
@@ -122,7 +135,7 @@
         for _ in range(100):
             if self.choice.current in usable:
                 return
-            self.choice.failed(self.choice.current, self.now)
+            _fail(self.choice, self.choice.current, self.now)
             self.now += paths.PAUSE_S / 4
         raise AssertionError(f"stuck on {self.choice.current!r}")
 
--- a/packages/gateway/anvilwell_gateway/paths.py
+++ b/packages/gateway/anvilwell_gateway/paths.py
@@ -199,13 +199,15 @@
     async def send(self, call):
         """Return the `Answer` to a `Call`."""
         name = self._choice.current
+        began_at = asyncio.get_running_loop().time()
         try:
             answer = await self._paths_by_name[name].send(call)
         except exceptions.KeyValueUnavailable as error:
-            self._failed(name, error.message)
+            self._failed(name, began_at, error.message)
             raise
         if answer.status == _BUSY:
-            self._failed(name, "the service turns this VM away")
+            cause = "the service turns this VM away"
+            self._failed(name, began_at, cause)
         else:
             self._answered(name)
         return answer
@@ -217,9 +219,9 @@
             await asyncio.gather(self._probing, return_exceptions=True)
         self._pool.close()
 
-    def _failed(self, name, cause):
+    def _failed(self, name, began_at, cause):
         now = asyncio.get_running_loop().time()
-        if self._choice.failed(name, now):
+        if self._choice.failed(name, began_at, now):
             self._changed(cause)
 
     def _answered(self, name):
