Serve metrics on a page of their own, and say why a run was stopped

Cause: durations and beliefs were not measured, agents had no page at all, and retries and refusals had no rows in the operators' page. In ten failed requests drawn at random, "broken, cancelled" did not tell a move to a faster replica from the end of a batch. In an outage of the store for all, each VM changed its path ten times a second, each with a line. Change: [metrics] listen; histograms of live calls, submissions, runs and store calls; gauges of what a process goes by; tables of reasons and metrics that tests compare with the code. A run that is stopped names why. After every peer has failed, the direct path is kept for 3 s.

--- a/packages/decisions/anvilwell_decisions/outages/paths.py
+++ b/packages/decisions/anvilwell_decisions/outages/paths.py
@@ -8,6 +8,10 @@
 # A peer that failed is left out for so long, in seconds: about what it
 # takes to try two others, so that each is tried before it again.
 PAUSE_S = 1.0
+# Once every peer has failed too, the outage is everybody's: the direct path
+# is kept for so long, in seconds. Without this a VM takes ten paths a second
+# while the service is down, each with its line in the log.
+HOLD_S = 3.0
 
 
 class PathChoice:
@@ -25,6 +29,7 @@
         self._paused_until_by_vm = {}
         self._failures = 0
         self._failed_at = float("-inf")
+        self._held_until = float("-inf")
         self.current = DIRECT
 
     def set_peers(self, vm_ids):
@@ -70,10 +75,13 @@
             return False
         self._failed_at = now
         self._failures += 1
-        if path == DIRECT and self._failures < FAILURES:
+        is_kept = self._failures < FAILURES or now < self._held_until
+        if path == DIRECT and is_kept:
             return False
         self._failures = 0
         self.current = self._next(now)
+        if self.current == DIRECT:
+            self._held_until = now + HOLD_S
         return self.current != path
 
     def _next(self, now):
--- a/packages/decisions/tests/outages/test_paths.py
+++ b/packages/decisions/tests/outages/test_paths.py
@@ -70,6 +70,15 @@
     assert choice.current == paths.DIRECT
 
 
+def test_in_an_outage_of_all_the_direct_path_is_kept_for_a_while():
+    choice = _choice("entry-1")
+    _leave_direct(choice)
+    _fail(choice, "entry-1", 0.2)
+    for number in range(20):
+        assert not _fail(choice, paths.DIRECT, 0.3 + number * 0.1)
+    assert _fail(choice, paths.DIRECT, 0.2 + paths.HOLD_S)
+
+
 def test_an_answer_on_the_direct_path_ends_the_detour():
     choice = _choice("entry-1")
     _leave_direct(choice)
--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -9,6 +9,8 @@
 from anvilwell_gateway import directory
 from anvilwell_gateway import engine as engines
 from anvilwell_gateway import following
+from anvilwell_gateway import measures
+from anvilwell_gateway import metrics_page
 from anvilwell_gateway import presence
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
@@ -96,11 +98,15 @@
         self._paths = platform.paths
         self._codec = platform.codec
         self._versions = Versions(platform.store, platform.codec)
+        self._metrics = metrics_page.MetricsPage(
+            settings.metrics, self._beliefs
+        )
         self._tasks = []
         self._moves_by_model = {}
 
     async def start(self):
         """Begin to follow and order."""
+        await self._metrics.start()
         self._versions.start()
         self._tasks = [
             asyncio.create_task(self._run()),
@@ -119,8 +125,17 @@
     async def stop(self):
         """Release everything."""
         await self.drain()
+        await self._metrics.stop()
         await self._paths.close()
 
+    def _beliefs(self):
+        """Return each `measures.Belief` as of now."""
+        wanted = [
+            measures.Belief("versions_wanted", version, model)
+            for model, version in self._versions.wanted_by_model.items()
+        ]
+        return [*self._paths.beliefs(), *wanted]
+
     async def _ping(self):
         """Have the store notice when it is lost and back."""
         while True:
--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -1,8 +1,11 @@
 """Answers the calls on batches."""
 
+import asyncio
+
 from anvilwell_gateway.batches import reader as readers
 from anvilwell_gateway.batches import sizes
 from anvilwell_gateway import dialect as dialects
+from anvilwell_gateway import measures
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
@@ -45,9 +48,10 @@
         try:
             await self._intake.accept(route, request)
         except exceptions.AnvilwellError as error:
-            await self._refuse(call, error, responder)
+            await self._refuse(call, request, error, responder)
             return
         _LOG.log("batch-accepted", request_id=call.request_id)
+        _measure(request, 202)
         await responder.send(202, (), b"")
 
     async def answer(self, call, request_id, responder):
@@ -75,7 +79,7 @@
             )
             await responder.send(503, headers)
 
-    async def _refuse(self, call, error, responder):
+    async def _refuse(self, call, request, error, responder):
         counters.count_refusal(error.reason)
         not_run = error.verdict is verdicts.Verdict.NOT_RUN
         is_caller_fault = isinstance(
@@ -90,6 +94,7 @@
             verdict=str(error.verdict),
             cause=error.message,
         )
+        _measure(request, status)
         retry_after_s = STORE_RETRY_AFTER_S if status == 503 else None
         headers = self._dialect.failure_headers(call.request_id, retry_after_s)
         await responder.send(status, headers)
@@ -143,3 +148,8 @@
     async def _not_found(self, call, responder):
         _LOG.log("batch-unknown", batch_id=call.batch_id, verb=call.verb.value)
         await responder.send(404)
+
+
+def _measure(request, status):
+    took_s = asyncio.get_running_loop().time() - request.received_at
+    measures.record(measures.SUBMISSIONS, took_s, status=str(status))
--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -59,15 +59,15 @@
         except TimeoutError:
             return
 
-    def cancel_runs(self):
-        """Cancel all runs under way."""
+    def cancel_runs(self, cause):
+        """Cancel all runs under way; `cause` says why in the log."""
         for task in self.tasks_by_item.values():
-            task.cancel()
+            task.cancel(cause)
 
-    async def stop(self):
-        """Stop all that runs for the batch."""
+    async def stop(self, cause):
+        """Stop all that runs for the batch; `cause` says why in the log."""
         tasks = list(self.tasks_by_item.values())
         tasks += [task for task in (self.committer, self.saver) if task]
         for task in tasks:
-            task.cancel()
+            task.cancel(cause)
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -10,6 +10,7 @@
 from anvilwell_gateway.batches import committing
 from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway.batches import saving
+from anvilwell_gateway import measures
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import counters
@@ -21,6 +22,8 @@
 # Items with some text from before go first.
 _CARRIED, _NEW = 0, 1
 
+_LEAVING = "this entry stops"
+
 _LOG = logs.get_logger(__name__)
 
 
@@ -53,6 +56,17 @@
         directory.listen(self.schedule)
         configuration.listen(self.schedule)
 
+    def beliefs(self):
+        """Return how many batches and items this entry has."""
+        held_now = self.held_by_id.values()
+        waiting = sum(len(held.book.waiting()) for held in held_now)
+        running = sum(len(held.runs_by_item) for held in held_now)
+        return [
+            measures.Belief("batches", len(held_now)),
+            measures.Belief("items_waiting", waiting),
+            measures.Belief("items_running", running),
+        ]
+
     def routes(self):
         """Return the routes in force."""
         return self._configuration.routes
@@ -84,7 +98,7 @@
         if held is None or held.book.is_ended:
             return
         held.book.end()
-        held.cancel_runs()
+        held.cancel_runs("the batch ended")
         self._keep_task(self._carry(held))
         _LOG.log(
             "batch-ended",
@@ -122,7 +136,7 @@
         held = self.held_by_id.pop(batch_id, None)
         if held is not None:
             _LOG.log("batch-dropped", batch_id=batch_id, cause=cause)
-            await held.stop()
+            await held.stop(cause)
             self.on_lost()
 
     async def let_go(self):
@@ -136,12 +150,12 @@
         held_now = list(self.held_by_id.values())
         self.held_by_id.clear()
         for held in held_now:
-            await held.stop()
+            await held.stop(_LEAVING)
         if self._timer:
             self._timer.cancel()
 
     async def _save(self, held):
-        await held.stop()
+        await held.stop(_LEAVING)
         if held.book.is_settled:
             return
         saved = [one.save() for one in held.book.unfinished()]
@@ -183,7 +197,7 @@
         ]
         for run in self._dispatch.moves(runs, now):
             held = self.held_by_id[run.batch_id]
-            held.tasks_by_item[run.item_id].cancel()
+            held.tasks_by_item[run.item_id].cancel("a faster replica is free")
             counters.count_retry(reasons.Retry.HEDGE, run.service)
 
     def _works(self, held):
@@ -294,12 +308,17 @@
             held.route.one_version,
             max(0.0, held.give_up_at - started_at),
         )
-        ended = runners.Ended(runners.End.BROKEN, cause="cancelled")
+        ended = runners.Ended(runners.End.STOPPED)
         try:
             ended = await self._runner.run(
                 order, worker.replica, worker.saw_gap
             )
+        except asyncio.CancelledError as error:
+            ended = ended._replace(cause=" ".join(error.args))
+            raise
         finally:
+            took_s = loop.time() - started_at
+            measures.record(measures.RUNS, took_s, end=str(ended.end))
             is_whole = ended.end is runners.End.WHOLE
             write = _LOG.routine if is_whole else _LOG.log
             write(
@@ -312,7 +331,7 @@
                 version=ended.version,
                 first=known,
                 last=progress.last_number,
-                took_s=round(loop.time() - started_at, 3),
+                took_s=round(took_s, 3),
             )
         self._note(held, work, worker, ended)
 
@@ -354,7 +373,7 @@
     def _give_up(self, held):
         if self.held_by_id.get(held.batch_id) is held:
             held.book.give_up_rest()
-            held.cancel_runs()
+            held.cancel_runs("the batch's time is over")
             held.has_ready.set()
 
 
--- a/packages/gateway/anvilwell_gateway/batches/retention.py
+++ b/packages/gateway/anvilwell_gateway/batches/retention.py
@@ -64,5 +64,5 @@
                 )
                 return
             self._holder.held_by_id.pop(held.batch_id, None)
-            await held.stop()
+            await held.stop("the batch is deleted")
             _LOG.log("batch-deleted", batch_id=held.batch_id)
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -30,6 +30,7 @@
     BROKEN = "broken"
     UNREACHABLE = "unreachable"
     STALLED = "stalled"
+    STOPPED = "stopped"
 
 
 class Ended(typing.NamedTuple):
--- a/packages/gateway/anvilwell_gateway/config.py
+++ b/packages/gateway/anvilwell_gateway/config.py
@@ -45,9 +45,6 @@
     peers: typing.Annotated[
         options.AddressOption, Doc("Where other VMs ask it for help")
     ]
-    metrics_path: typing.Annotated[
-        str, Doc("Path of the metrics page, beside readiness")
-    ] = "/metrics"
 
 
 class AgentSection(typing.NamedTuple):
@@ -61,11 +58,19 @@
     ]
 
 
+class MetricsSection(typing.NamedTuple):
+    """``[metrics]``: where a collector reads this process's metrics."""
+
+    listen: typing.Annotated[options.AddressOption, Doc("Its address")]
+    path: typing.Annotated[str, Doc("Path of the page")] = "/metrics"
+
+
 class Settings(typing.NamedTuple):
     """All settings of a gateway process, checked."""
 
     daemon: DaemonSection
     keyvalue: KeyValueSection
+    metrics: MetricsSection
     entry: EntrySection | None = None
     agent: AgentSection | None = None
 
--- a/packages/gateway/anvilwell_gateway/configuration.py
+++ b/packages/gateway/anvilwell_gateway/configuration.py
@@ -1,7 +1,10 @@
 """The operators' configuration that is in force here."""
 
+import asyncio
+
 from anvilwell_decisions.traffic import table
 from anvilwell_gateway import following
+from anvilwell_gateway import measures
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -16,6 +19,7 @@
         self._codec = codec
         self._newest = table.Newest()
         self._listeners = []
+        self._taken_at = 0.0
         self.routes = table.RouteTable()
 
     @property
@@ -38,6 +42,16 @@
         if change.key == self._prefix and change.value is not None:
             self._take(change.value)
 
+    def beliefs(self):
+        """Return the version in force and its age, if there is one."""
+        if self.current is None:
+            return []
+        age_s = asyncio.get_running_loop().time() - self._taken_at
+        return [
+            measures.Belief("configuration_version", self.current.version),
+            measures.Belief("configuration_age_s", age_s),
+        ]
+
     def _take(self, value):
         try:
             configuration = self._codec.read_configuration(value)
@@ -48,6 +62,7 @@
             _LOG.log("configuration-older", version=configuration.version)
             return
         self.routes = table.RouteTable(configuration.routes)
+        self._taken_at = asyncio.get_running_loop().time()
         _LOG.log(
             "configuration-in-force",
             version=configuration.version,
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -1,8 +1,10 @@
 """The replicas that may be given work, as they registered themselves."""
 
 import asyncio
+import collections
 
 from anvilwell_gateway import following
+from anvilwell_gateway import measures
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -38,6 +40,14 @@
             and (service is None or replica.service == service)
         ]
 
+    def beliefs(self):
+        """Return how many replicas each service has."""
+        counts = collections.Counter(one.service for one in self.usable())
+        return [
+            measures.Belief("replicas", count, service)
+            for service, count in counts.items()
+        ]
+
     def load(self, entries_by_key):
         """Take all entries; those missing get time to come back."""
         found = [
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -13,6 +13,8 @@
 from anvilwell_gateway import forwarding
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import server as servers
+from anvilwell_gateway import measures
+from anvilwell_gateway import metrics_page
 from anvilwell_gateway import paths
 from anvilwell_gateway import presence as presences
 from anvilwell_gateway import retirement
@@ -20,7 +22,6 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
-from anvilwell_kernel.telemetry import provider
 
 # After SIGTERM: the balancer asks once a second and needs two misses, so
 # for so long new connections still come.
@@ -90,6 +91,9 @@
         self._health = servers.Server(
             settings.entry.ready, self._answer_health
         )
+        self._metrics = metrics_page.MetricsPage(
+            settings.metrics, self._beliefs
+        )
         self._followers = (
             self._configuration,
             self._directory,
@@ -130,9 +134,14 @@
         """The life of each entry that is known here."""
         return self._news.lives_by_vm
 
+    @property
+    def metrics_port(self):
+        """The port of the metrics page."""
+        return self._metrics.port
+
     @property
     def health_port(self):
-        """The port of readiness and metrics."""
+        """The port of readiness."""
         return self._health.port
 
     async def start(self):
@@ -140,6 +149,7 @@
         await self._front.start()
         await self._health.start()
         await self._relay.start()
+        await self._metrics.start()
         self._presence.start(self.peer_address)
         self.retention.start()
         for follower in self._followers:
@@ -180,6 +190,7 @@
         await self._front.stop()
         await self._health.stop()
         await self._relay.stop()
+        await self._metrics.stop()
         await self._paths.close()
         self._pool.close()
 
@@ -195,11 +206,18 @@
         )
 
     async def _answer_health(self, request, responder):
-        if request.path == self._settings.entry.metrics_path:
-            kind = ("Content-Type", provider.CONTENT_TYPE)
-            await responder.send(200, (kind,), provider.page())
-        else:
-            await responder.send(200 if self._is_ready() else 503)
+        await responder.send(200 if self._is_ready() else 503)
+
+    def _beliefs(self):
+        """Return each `measures.Belief` as of now."""
+        return [
+            *self._configuration.beliefs(),
+            *self._presence.beliefs(),
+            *self._paths.beliefs(),
+            *self._directory.beliefs(),
+            *self._holder.beliefs(),
+            measures.Belief("peers", len(self._news.lives_by_vm)),
+        ]
 
     async def _answer(self, request, responder):
         call = self._dialect.read_call(request.headers)
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -10,6 +10,7 @@
 from anvilwell_gateway import attempts
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
+from anvilwell_gateway import measures
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import counters
@@ -65,6 +66,7 @@
         except exceptions.AnvilwellError as error:
             await self._fail(attempt, route, call, error, responder)
             return
+        self._measure(attempt, route, held.status)
         _LOG.routine(
             "request-answered",
             request_id=call.request_id,
@@ -82,6 +84,7 @@
         is_late = error.reason is reasons.Refusal.DEADLINE
         status = 503 if not_run else 504 if is_late else 502
         counters.count_refusal(error.reason, route.name)
+        self._measure(attempt, route, status)
         _LOG.log(
             "request-failed",
             request_id=call.request_id,
@@ -98,6 +101,15 @@
         headers = self._dialect.failure_headers(call.request_id, retry_after_s)
         await responder.send(status, headers)
 
+    @staticmethod
+    def _measure(attempt, route, status):
+        measures.record(
+            measures.LIVE_CALLS,
+            attempt.age_s(),
+            route=route.name,
+            status=str(status),
+        )
+
     def policy(self, service):
         """Return the policy that chooses replicas of `service`."""
         known = self._policies_by_service.get(service)
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/measures.py
@@ -0,0 +1,64 @@
+"""What a gateway process measures: times of its work, and its beliefs."""
+
+import typing
+
+from opentelemetry import metrics
+
+_METER = metrics.get_meter("anvilwell")
+
+LIVE_CALLS = _METER.create_histogram(
+    "anvilwell_live_call_duration",
+    unit="s",
+    description="Time until a live call is answered, by route and status",
+)
+SUBMISSIONS = _METER.create_histogram(
+    "anvilwell_submission_duration",
+    unit="s",
+    description="Time until a batch is accepted or refused, by status",
+)
+RUNS = _METER.create_histogram(
+    "anvilwell_item_run_duration",
+    unit="s",
+    description="Time of one run of an item at a replica, by its end",
+)
+STORE_CALLS = _METER.create_histogram(
+    "anvilwell_store_call_duration",
+    unit="s",
+    description="Time of a call to the key-value service, by kind and path",
+)
+GAUGES_BY_NAME = {
+    name: _METER.create_gauge(f"anvilwell_{name}", description=description)
+    for name, description in (
+        ("configuration_version", "Version of the configuration in force"),
+        ("configuration_age_s", "Seconds since that version was taken"),
+        ("registered", "Whether the live key is believed to be there"),
+        ("store_in_touch", "Whether the store answered lately"),
+        ("store_through_peer", "Whether the store is called by a peer"),
+        ("peers", "Entries that are known to live"),
+        ("replicas", "Replicas that may take new work, by service"),
+        ("batches", "Batches that this entry owns"),
+        ("items_waiting", "Items of those that wait for a replica"),
+        ("items_running", "Items of those that run"),
+        ("versions_wanted", "Newest version that was asked for, by model"),
+    )
+}
+
+
+class Belief(typing.NamedTuple):
+    """One value that a process goes by now; ``of`` tells of what."""
+
+    name: str
+    value: float
+    of: str = ""
+
+
+def record(histogram, seconds, **labels):
+    """Record a duration, in seconds."""
+    histogram.record(seconds, labels)
+
+
+def show(beliefs):
+    """Set the gauges to each `Belief`."""
+    for belief in beliefs:
+        labels = {"of": belief.of} if belief.of else {}
+        GAUGES_BY_NAME[belief.name].set(belief.value, labels)
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/metrics_page.py
@@ -0,0 +1,44 @@
+"""Serves the metrics of one process."""
+
+from anvilwell_gateway.http import server as servers
+from anvilwell_gateway import measures
+from anvilwell_kernel.telemetry import provider
+
+_TYPE = ("Content-Type", provider.CONTENT_TYPE)
+
+
+class MetricsPage:
+    """The page that a collector reads.
+
+    Parameters
+    ----------
+    section : config.MetricsSection
+        Where to listen, and the page's path.
+    beliefs : callable
+        Returns each `measures.Belief` of the process as of now.
+    """
+
+    def __init__(self, section, beliefs):
+        self._path = section.path
+        self._beliefs = beliefs
+        self._server = servers.Server(section.listen, self._answer)
+
+    @property
+    def port(self):
+        """The port that was bound."""
+        return self._server.port
+
+    async def start(self):
+        """Bind and listen."""
+        await self._server.start()
+
+    async def stop(self):
+        """Stop listening."""
+        await self._server.stop()
+
+    async def _answer(self, request, responder):
+        if request.path != self._path:
+            await responder.send(404)
+            return
+        measures.show(self._beliefs())
+        await responder.send(200, (_TYPE,), provider.page())
--- a/packages/gateway/anvilwell_gateway/paths.py
+++ b/packages/gateway/anvilwell_gateway/paths.py
@@ -17,6 +17,7 @@
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
 from anvilwell_gateway.http import server as servers
+from anvilwell_gateway import measures
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 from anvilwell_kernel import verdict as verdicts
@@ -39,8 +40,12 @@
 
 
 class Call(typing.NamedTuple):
-    """One call to the service, as the platform's adapter spells it."""
+    """One call to the service, as the platform's adapter spells it.
 
+    ``kind`` is the product's own name for what the call does.
+    """
+
+    kind: str
     method: str
     target: str
     headers: tuple = ()
@@ -198,13 +203,24 @@
 
     async def send(self, call):
         """Return the `Answer` to a `Call`."""
+        loop = asyncio.get_running_loop()
         name = self._choice.current
-        began_at = asyncio.get_running_loop().time()
+        began_at = loop.time()
+        status = "none"
         try:
             answer = await self._paths_by_name[name].send(call)
+            status = str(answer.status)
         except exceptions.KeyValueUnavailable as error:
             self._failed(name, began_at, error.message)
             raise
+        finally:
+            measures.record(
+                measures.STORE_CALLS,
+                loop.time() - began_at,
+                kind=call.kind,
+                path="peer" if name else "direct",
+                status=status,
+            )
         if answer.status == _BUSY:
             cause = "the service turns this VM away"
             self._failed(name, began_at, cause)
@@ -212,6 +228,11 @@
             self._answered(name)
         return answer
 
+    def beliefs(self):
+        """Return whether a peer makes the calls."""
+        is_detour = self._choice.current != choices.DIRECT
+        return [measures.Belief("store_through_peer", is_detour)]
+
     async def close(self):
         """Probe no more and close the connections to peers."""
         if self._probing:
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -8,6 +8,7 @@
 import pydantic
 
 from anvilwell_gateway import following
+from anvilwell_gateway import measures
 from anvilwell_kernel.config import options
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
@@ -88,6 +89,13 @@
         now = asyncio.get_running_loop().time()
         return now - self._answered_at < AWAY_S
 
+    def beliefs(self):
+        """Return whether the live key is there and the store in touch."""
+        return [
+            measures.Belief("registered", self.is_registered),
+            measures.Belief("store_in_touch", self.is_in_touch()),
+        ]
+
     def key_lost(self):
         """Note that the live key is gone; it is written again."""
         self._lease = 0
--- a/packages/gateway/tests/test_operations_page.py
+++ b/packages/gateway/tests/test_operations_page.py
@@ -4,6 +4,11 @@
 import pathlib
 import re
 
+from anvilwell_gateway import measures
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+import pytest
+
 ROOT = pathlib.Path(__file__).parents[3]
 PACKAGE = ROOT / "packages" / "gateway" / "anvilwell_gateway"
 PAGE = ROOT / "docs" / "OPERATIONS.md"
@@ -19,7 +24,45 @@
                 yield ast.literal_eval(node.args[0])
 
 
+def _rows(title):
+    """Return the first cells of the table under a heading."""
+    _, _, rest = PAGE.read_text().partition(f"## {title}\n")
+    section, _, _ = rest.partition("\n## ")
+    return sorted(re.findall(r"^\| `([a-z_-]+)` \|", section, re.MULTILINE))
+
+
+def _used(enumeration):
+    """Return the members of an enumeration that the gateway names.
+
+    Those that its errors carry by default count too.
+    """
+    sources = [path.read_text() for path in PACKAGE.rglob("*.py")]
+    text = "\n".join(sources)
+    found = set(re.findall(rf"reasons\.{enumeration}\.([A-Z_]+)", text))
+    raised = set(re.findall(r"exceptions\.([A-Z][A-Za-z]+)", text))
+    members = getattr(reasons, enumeration)
+    if members is reasons.Refusal:
+        classes = (getattr(exceptions, name) for name in raised)
+        found |= {one.reason.name for one in classes}
+    return sorted(str(members[name]) for name in found)
+
+
 def test_each_event_has_its_row_and_each_row_its_event():
-    rows = re.findall(r"^\| `([a-z-]+)` \|", PAGE.read_text(), re.MULTILINE)
+    assert _rows("Events") == sorted(set(_logged()))
+
+
+@pytest.mark.parametrize(
+    ("title", "enumeration"),
+    [("Reasons of refusals", "Refusal"), ("Reasons of retries", "Retry")],
+)
+def test_each_reason_has_its_row_and_each_row_its_reason(title, enumeration):
+    assert _rows(title) == _used(enumeration)
+
 
-    assert sorted(rows) == sorted(set(_logged()))
+def test_each_metric_has_its_row_and_each_row_its_metric():
+    named = re.findall(
+        r'"(anvilwell_[a-z_]+)"', (PACKAGE / "measures.py").read_text()
+    )
+    gauges = [f"anvilwell_{name}" for name in measures.GAUGES_BY_NAME]
+    counters = ["anvilwell_refusals_total", "anvilwell_retries_total"]
+    assert _rows("Metrics") == sorted([*named, *gauges, *counters])
--- a/packages/gateway/tests/test_reloading.py
+++ b/packages/gateway/tests/test_reloading.py
@@ -6,6 +6,9 @@
 TEXT = """[daemon]
 vm_id = side-1
 failure_domain = a
+[metrics]
+listen = 10.0.0.7:9464
+
 [keyvalue]
 endpoint = 127.0.0.1:{port}
 """
