Pass a replica's events on to live callers as they come

Change: a route's kind says whether it streams; such a request is asked of one replica after another, whole events are passed on at once, and a resumable one goes on elsewhere after its last event when its replica breaks off or falls silent. One that may not resume is cut, and looks so. The attempts at whole answers and at streams share choice, limits, verdicts and reasons.

--- a/packages/decisions/anvilwell_decisions/traffic/facts.py
+++ b/packages/decisions/anvilwell_decisions/traffic/facts.py
@@ -14,8 +14,10 @@
     """Where requests of one host and path go.
 
     ``is_batch`` routes take batches; ``is_idempotent`` requests may run
-    more than once. ``max_replicas`` bounds the replicas that one request
-    may be sent to. Times are in seconds.
+    more than once. Answers of ``is_stream`` routes are events, passed on
+    as they come; ``is_resumable`` ones may go on at another replica.
+    ``max_replicas`` bounds the replicas that one request may be sent to.
+    Times are in seconds.
     """
 
     name: str
@@ -31,6 +33,7 @@
     max_replicas: int = 1
     max_queue_s: float = 60.0
     one_version: bool = False
+    is_stream: bool = False
 
 
 class ServiceFacts(typing.NamedTuple):
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import typing
 
 from anvilwell_decisions.requests import facts as request_facts
 from anvilwell_decisions.traffic import table
@@ -17,7 +18,7 @@
 # Time kept for the answer's way back, in seconds.
 RETURN_MARGIN_S = 0.005
 # Statuses from here on say that the replica failed the request.
-_FAILED = 500
+FAILED = 500
 _RETRIES_BY_REFUSAL = {
     reasons.Refusal.CONNECT_FAILED: reasons.Retry.CONNECT_FAILED,
     reasons.Refusal.OVERLOADED: reasons.Retry.REFUSED_NOT_RUN,
@@ -27,6 +28,14 @@
 _LOG = logs.get_logger(__name__)
 
 
+class Held(typing.NamedTuple):
+    """A whole answer of a replica."""
+
+    status: int
+    headers: tuple
+    body: bytes
+
+
 class Attempts:
     """The attempts at one request.
 
@@ -127,30 +136,42 @@
 
     def _start(self, tasks):
         """Start an attempt at another replica; return whether one is."""
-        may_repeat = (
+        replica = self._choose(is_hedge=bool(tasks))
+        if replica is None:
+            return False
+        attempt = self._attempt(replica)
+        task = asyncio.create_task(attempt, name=replica.replica_id)
+        tasks.add(task)
+        return True
+
+    @property
+    def _may_repeat(self):
+        return (
             self._route.is_idempotent
             or self._verdict is verdicts.Verdict.NOT_RUN
         )
-        if self._sent >= self._route.max_replicas or not may_repeat:
-            return False
-        now = self._loop.time()
-        policy = self._forwarder.policy(self._service)
+
+    def _choose(self, is_hedge=False):
+        """Return the next replica to ask, None if there may be no more."""
+        if self._sent >= self._route.max_replicas or not self._may_repeat:
+            return None
         wanted = request_facts.RequestFacts(
             self._call.request_id, excluded=frozenset(self.tried)
         )
-        replica_id = policy.choose(wanted, now)
+        policy = self._forwarder.policy(self._service)
+        replica_id = policy.choose(wanted, self._loop.time())
         replica = replica_id and self._forwarder.replica(replica_id)
         if not replica:
-            return False
+            return None
         if self.tried:
-            counters.count_retry(self._retry_reason(tasks), self._service)
+            reason = self._retry_reason(is_hedge)
+            counters.count_retry(reason, self._service)
         self.tried.append(replica_id)
-        attempt = self._attempt(replica, policy)
-        tasks.add(asyncio.create_task(attempt, name=replica_id))
-        return True
+        return replica
 
-    async def _attempt(self, replica, policy):
+    async def _attempt(self, replica):
         replica_id = replica.replica_id
+        policy = self._forwarder.policy(self._service)
         started_at = self._loop.time()
         policy.started(replica_id, started_at)
         failed = True
@@ -162,7 +183,7 @@
                 self._request,
                 self._deadline - started_at,
             )
-            failed = held.status >= _FAILED
+            failed = held.status >= FAILED
             return held
         except asyncio.CancelledError:
             # Slower than a second replica that was asked later.
@@ -187,7 +208,7 @@
             self._note(error, replica_id)
             return None
         held = task.result()
-        if held.status < _FAILED or not self._route.is_idempotent:
+        if held.status < FAILED or not self._route.is_idempotent:
             return held
         self._failure = held
         self._note(
@@ -200,9 +221,9 @@
         )
         return None
 
-    def _retry_reason(self, tasks):
+    def _retry_reason(self, is_hedge):
         """Return why another replica is asked."""
-        if tasks:
+        if is_hedge:
             return reasons.Retry.HEDGE
         return _RETRIES_BY_REFUSAL.get(
             self._last_error.reason, reasons.Retry.BACKEND_FAILED
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -240,6 +240,8 @@
             raise exceptions.NotFound("no route takes this path")
         if route.is_batch:
             await self._desk.submit(route, call, request, responder)
+        elif route.is_stream:
+            await self._forwarder.stream(route, call, request, responder)
         else:
             await self._forwarder.forward(route, call, request, responder)
 
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import typing
 
 from anvilwell_decisions.requests import ejection
 from anvilwell_decisions.requests import facts as request_facts
@@ -11,6 +10,7 @@
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
 from anvilwell_gateway import measures
+from anvilwell_gateway import streams
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import counters
@@ -26,14 +26,6 @@
 _LOG = logs.get_logger(__name__)
 
 
-class Held(typing.NamedTuple):
-    """A whole answer of a replica."""
-
-    status: int
-    headers: tuple
-    body: bytes
-
-
 class Forwarder:
     """Sends requests of plain routes to replicas.
 
@@ -79,6 +71,42 @@
         headers = messages.end_to_end(held.headers)
         await responder.send(held.status, headers, held.body)
 
+    async def stream(self, route, call, request, responder):
+        """Pass the events of a replica on as they come."""
+        attempt = streams.StreamAttempts(self, route, call, request, responder)
+        try:
+            await attempt.run()
+        except exceptions.AnvilwellError as error:
+            if responder.has_started:
+                self._log_cut(attempt, route, call, error)
+                raise
+            await self._fail(attempt, route, call, error, responder)
+            return
+        self._measure(attempt, route, responder.status)
+        _LOG.routine(
+            "stream-answered",
+            request_id=call.request_id,
+            route=route.name,
+            configuration=self._configuration.current.version,
+            status=responder.status,
+            replicas=attempt.tried,
+            took_s=round(attempt.age_s(), 4),
+        )
+
+    def _log_cut(self, attempt, route, call, error):
+        """Note a stream that ends early; its connection is reset."""
+        counters.count_refusal(error.reason, route.name)
+        _LOG.log(
+            "stream-cut",
+            request_id=call.request_id,
+            route=route.name,
+            configuration=self._configuration.current.version,
+            reason=str(error.reason),
+            cause=error.message,
+            replicas=attempt.tried,
+            took_s=round(attempt.age_s(), 4),
+        )
+
     async def _fail(self, attempt, route, call, error, responder):
         not_run = error.verdict is verdicts.Verdict.NOT_RUN
         is_late = error.reason is reasons.Refusal.DEADLINE
@@ -146,27 +174,56 @@
         exceptions.BackendFailed
             With the verdict of what happened.
         """
-        key = replica.replica_id
-        connection = await self._pool.take(key, replica.address)
+        connection = await self.connect(replica)
         try:
-            connection.send(
-                request.method,
-                request.target,
-                self._dialect.to_replica(
-                    messages.end_to_end(request.headers), key, timeout_s
-                ),
-                request.body,
+            reply = await self.ask(
+                connection, replica, call, request, timeout_s
             )
-            reply = await connection.read_head()
-            outcome = self._dialect.read_outcome(reply)
-            self._check(call, reply, outcome)
             body = await connection.read_body(MAX_HELD_BYTES)
         except BaseException:
             connection.close()
             raise
-        self._report(replica, route, outcome)
-        self._pool.give(key, connection, reply)
-        return Held(reply.status, reply.headers, body)
+        self.release(replica, connection, reply)
+        return attempts.Held(reply.status, reply.headers, body)
+
+    async def connect(self, replica):
+        """Return a connection to `replica`."""
+        return await self._pool.take(replica.replica_id, replica.address)
+
+    def release(self, replica, connection, reply):
+        """Keep a connection whose answer was read whole."""
+        self._pool.give(replica.replica_id, connection, reply)
+
+    def read_event(self, block):
+        """Return the `facts.Event` in one block of a stream, or None."""
+        return self._dialect.read_event(block)
+
+    async def ask(
+        self, connection, replica, call, request, timeout_s, resume_after=0
+    ):
+        """Send a request; return the `Reply` that is its answer's head.
+
+        Raises
+        ------
+        exceptions.BackendFailed
+            With the verdict of what happened.
+        """
+        connection.send(
+            request.method,
+            request.target,
+            self._dialect.to_replica(
+                messages.end_to_end(request.headers),
+                replica.replica_id,
+                timeout_s,
+                resume_after,
+            ),
+            request.body,
+        )
+        reply = await connection.read_head()
+        outcome = self._dialect.read_outcome(reply)
+        self._check(call, reply, outcome)
+        self._report(replica, outcome)
+        return reply
 
     @staticmethod
     def _check(call, reply, outcome):
@@ -182,7 +239,7 @@
         if reply.status < 300 and not outcome.is_sealed:
             raise client.failed("the answer has no seal")
 
-    def _report(self, replica, route, outcome):
+    def _report(self, replica, outcome):
         if outcome.slots:
             report = request_facts.LoadReport(
                 replica.replica_id,
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -0,0 +1,218 @@
+"""Passes a replica's events to a live caller as they come."""
+
+import asyncio
+
+from anvilwell_decisions.requests import facts as request_facts
+from anvilwell_gateway import attempts
+from anvilwell_gateway.http import client
+from anvilwell_gateway.http import messages
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+from anvilwell_kernel import verdict as verdicts
+
+# Each event is a block of lines that a blank line ends.
+BLOCK_END = b"\n\n"
+MAX_BLOCK_BYTES = 1 << 20
+MAX_FAILURE_BYTES = 1 << 20
+# A resumable stream whose replica is silent for so long goes on elsewhere,
+# in seconds: events come every 40 ms, every 150 ms from a slow replica,
+# and pause for about 0.4 s while it loads weights.
+STALL_S = 0.8
+# The same before the first event, as a share of the target latency, so
+# that a second replica can still keep it; an engine needs about 30 ms.
+FIRST_STALL_SHARE = 0.5
+_LAST_EVENT = "last-event-id"
+
+
+class StreamAttempts(attempts.Attempts):
+    """The attempts at one stream, one after another.
+
+    The caller gets the head of the first replica that sent an event, and
+    then whole events only, whichever replica makes them.
+
+    Parameters
+    ----------
+    forwarder, route, call, request
+        As for `attempts.Attempts`.
+    responder : server.Responder
+        Where the events go.
+    """
+
+    def __init__(self, forwarder, route, call, request, responder):
+        super().__init__(forwarder, route, call, request)
+        self._responder = responder
+        known = messages.find(request.headers, _LAST_EVENT)
+        # The number of the last event that the caller has.
+        self._last_number = int(known) if known.isdecimal() else 0
+
+    async def run(self):
+        """Pass the stream on until its end.
+
+        Raises
+        ------
+        exceptions.AnvilwellError
+            With the verdict of all attempts together; if an answer has
+            begun, it is not whole.
+        """
+        try:
+            async with asyncio.timeout_at(
+                self._deadline - attempts.RETURN_MARGIN_S
+            ):
+                await self._run()
+        except TimeoutError:
+            verdict = verdicts.Verdict.MAY_HAVE_RUN
+            raise exceptions.Timeout(
+                f"no whole stream in {self._limit_s:g} s",
+                verdict=verdict if self.tried else self._verdict,
+            ) from None
+
+    @property
+    def _may_repeat(self):
+        return (
+            self._route.is_resumable
+            or self._verdict is verdicts.Verdict.NOT_RUN
+        )
+
+    async def _run(self):
+        while True:
+            replica = self._choose()
+            if replica is None:
+                await self._send_failure(self._last_resort())
+                return
+            try:
+                held = await self._attempt(replica)
+            except exceptions.AnvilwellError as error:
+                self._note(error, replica.replica_id)
+                continue
+            if held is None:
+                return
+            # The replica failed the request itself.
+            self._failure = held
+            if not self._route.is_resumable:
+                await self._send_failure(held)
+                return
+            self._note(
+                client.failed(f"the replica answered {held.status}"),
+                replica.replica_id,
+            )
+
+    def _last_resort(self):
+        if self._responder.has_started:
+            raise client.failed(
+                f"the stream ended early: {self._last_error.message}",
+                reasons.Refusal.ANSWER_CUT,
+            )
+        return super()._last_resort()
+
+    async def _send_failure(self, held):
+        headers = messages.end_to_end(held.headers)
+        await self._responder.send(held.status, headers, held.body)
+
+    async def _attempt(self, replica):
+        """Pass on what one replica sends; return a failure it answers."""
+        policy = self._forwarder.policy(self._service)
+        started_at = self._loop.time()
+        policy.started(replica.replica_id, started_at)
+        connection = await self._connected(replica, policy, started_at)
+        failed = True
+        is_whole = False
+        reply = None
+        try:
+            reply = await self._head(connection, replica)
+            if reply.status >= 300:
+                body = await connection.read_body(MAX_FAILURE_BYTES)
+                is_whole = True
+                failed = reply.status >= attempts.FAILED
+                return attempts.Held(reply.status, reply.headers, body)
+            await self._pass_on(connection, reply)
+            is_whole = True
+            failed = False
+            return None
+        except TimeoutError:
+            raise client.failed(
+                "the replica fell silent", reasons.Refusal.DEADLINE
+            ) from None
+        except asyncio.CancelledError:
+            failed = False
+            raise
+        finally:
+            if is_whole:
+                self._forwarder.release(replica, connection, reply)
+            else:
+                connection.close()
+            self._ended(replica, policy, started_at, failed)
+
+    async def _connected(self, replica, policy, started_at):
+        try:
+            return await self._forwarder.connect(replica)
+        except BaseException:
+            self._ended(replica, policy, started_at, True)
+            raise
+
+    def _ended(self, replica, policy, started_at, failed):
+        now = self._loop.time()
+        ended = request_facts.Ended(
+            replica.replica_id, failed, now - started_at
+        )
+        policy.ended(ended, now)
+
+    async def _head(self, connection, replica):
+        async with asyncio.timeout(self._stall_s()):
+            return await self._forwarder.ask(
+                connection,
+                replica,
+                self._call,
+                self._request,
+                self._deadline - self._loop.time(),
+                self._last_number,
+            )
+
+    def _stall_s(self):
+        """Return how long a replica may be silent, None for ever."""
+        if not self._route.is_resumable:
+            return None
+        if self._responder.has_started:
+            return STALL_S
+        return FIRST_STALL_SHARE * self._route.target_latency_s
+
+    async def _pass_on(self, connection, reply):
+        """Send each whole event on until the stream ends."""
+        buffered = b""
+        while True:
+            async with asyncio.timeout(self._stall_s()):
+                part = await connection.read_part()
+            if not part:
+                break
+            whole, end, buffered = (buffered + part).rpartition(BLOCK_END)
+            if len(buffered) > MAX_BLOCK_BYTES:
+                raise client.failed("an event is too large")
+            if end:
+                await self._send_events(reply, whole + end)
+        if buffered.strip():
+            raise client.failed(
+                "the stream ends within an event", reasons.Refusal.ANSWER_CUT
+            )
+        await self._begin(reply)
+        await self._responder.finish()
+
+    async def _begin(self, reply):
+        if not self._responder.has_started:
+            headers = messages.end_to_end(reply.headers)
+            kept = messages.without(headers, {"content-length"})
+            await self._responder.start(reply.status, kept)
+
+    async def _send_events(self, reply, data):
+        """Send whole events, after making sure that none is missing."""
+        number = self._last_number
+        for block in data.split(BLOCK_END):
+            event = self._forwarder.read_event(block) if block else None
+            if event is None:
+                continue
+            if event.number != number + 1:
+                raise client.failed(
+                    f"event {event.number} came after event {number}"
+                )
+            number = event.number
+        await self._begin(reply)
+        await self._responder.write(data)
+        self._last_number = number
