Begin items anew on routes whose streams may not resume

Cause: items were resumed by their last event on every route. Where the route says that streams may not resume, replicas begin at event 1, which was taken for a gap; the item ran again at once and never ended. Change: on such routes a run begins with no text, none is moved to a faster replica, and no text is saved or carried over.

--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -120,7 +120,7 @@
         them then need only what they lack.
         """
         saved = [one.save() for one in held.book.unfinished()]
-        if not saved:
+        if not (saved and held.route.is_resumable):
             return
         try:
             await self._store.carry(held.route, saved)
@@ -156,7 +156,7 @@
 
     async def _save(self, held):
         await held.stop(_LEAVING)
-        if held.book.is_settled:
+        if held.book.is_settled or not held.route.is_resumable:
             return
         saved = [one.save() for one in held.book.unfinished()]
         try:
@@ -192,7 +192,7 @@
         runs = [
             run._replace(events=self._made(held, run))
             for held in self.held_by_id.values()
-            if not held.book.is_ended
+            if not held.book.is_ended and held.route.is_resumable
             for run in held.runs_by_item.values()
         ]
         for run in self._dispatch.moves(runs, now):
@@ -259,6 +259,8 @@
         worker = self._dispatch.worker(replica_id)
         worker.running += 1
         progress = held.book.progress_by_id[work.item_id]
+        if not held.route.is_resumable:
+            progress.restart()
         held.runs_by_item[work.item_id] = dispatches.Run(
             work.batch_id,
             work.item_id,
--- a/packages/gateway/anvilwell_gateway/batches/saving.py
+++ b/packages/gateway/anvilwell_gateway/batches/saving.py
@@ -32,10 +32,14 @@
 
     async def run(self):
         """Save until nothing of the batch runs any more."""
-        while not self._held.book.is_settled:
+        while self._held.route.is_resumable and not self._is_settled:
             await asyncio.sleep(SAVE_S)
             await self._save()
 
+    @property
+    def _is_settled(self):
+        return self._held.book.is_settled
+
     async def _save(self):
         texts = [
             progress
@@ -43,7 +47,7 @@
             if len(progress.events) >= LEAST_EVENTS
         ]
         events = sum(len(progress.events) for progress in texts)
-        if self._held.book.is_settled or events == self._saved_events:
+        if self._is_settled or events == self._saved_events:
             return
         try:
             await self._store.save(
