--- a/packages/decisions/anvilwell_decisions/requests/admission.py
+++ b/packages/decisions/anvilwell_decisions/requests/admission.py
@@ -179,10 +179,6 @@
                 refused.append(self._refusal(ticket, reasons.Refusal.DEADLINE))
         return [*refused, *self._fill(now)] if refused else []
 
-    def next_expiry(self):
-        """Return when `expire` next has work, or None."""
-        return self._expiries[0][0] if self._expiries else None
-
     def drain(self):
         """Take no more; refuse all that waits, so that it goes elsewhere."""
         self._is_draining = True
--- a/packages/decisions/anvilwell_decisions/requests/grants.py
+++ b/packages/decisions/anvilwell_decisions/requests/grants.py
@@ -113,10 +113,6 @@
     def _lapse_s(self):
         return self._settings.ttl_s + self._settings.margin_s
 
-    def set_limit(self, limit_s):
-        """Change the limit; a lower one holds once old grants lapse."""
-        self._limit_s = limit_s
-
     def ask(self, demand, now):
         """Return the `Grant` that answers a `Demand`."""
         self._lapse(now)
--- /dev/null
+++ b/packages/gateway/tests/conftest.py
@@ -0,0 +1,32 @@
+"""An event loop whose time passes only as its timers are due."""
+
+import asyncio
+
+import pytest
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Jumps to the next timer whenever nothing else is to be done."""
+
+    def __init__(self):
+        super().__init__()
+        self._now = 0.0
+
+    def time(self):
+        return self._now
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self._now = max(self._now, self._scheduled[0].when())
+        super()._run_once()
+
+
+@pytest.fixture(scope="session")
+def run_virtual():
+    """Return what runs a coroutine in virtual time."""
+
+    def run(coroutine):
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            return runner.run(coroutine)
+
+    return run
--- /dev/null
+++ b/packages/gateway/tests/test_store.py
@@ -0,0 +1,164 @@
+"""Writes whose answers are lost, refused or late land once, or never."""
+
+import asyncio
+import enum
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from anvilwell_gateway import store as stores
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import verdict as verdicts
+from anvilwell_outside.ports import keyvalue
+
+KEY = "owner/b1"
+TIMEOUT_S = 5.0
+REFUSED_S = 1.2
+NOT_RUN = verdicts.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+
+
+class Fate(enum.Enum):
+    """What becomes of one call."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    ANSWER_LOST = "answer-lost"
+    NEVER_ARRIVES = "never-arrives"
+    ARRIVES_LATE = "arrives-late"
+
+
+class FakeStore:
+    """One key, and a script of what becomes of each call."""
+
+    def __init__(self, fates=(), late_s=2.0):
+        self._fates = list(fates)
+        self._late_s = late_s
+        self.entry = None
+        self.landed = []
+
+    async def swap(self, swaps):
+        fate = self._fates.pop(0) if self._fates else Fate.ANSWERED
+        if fate is Fate.REFUSED:
+            raise exceptions.KeyValueUnavailable("busy", verdict=NOT_RUN)
+        if fate is Fate.ANSWERED:
+            return self._apply(swaps[0])
+        if fate is Fate.ANSWER_LOST:
+            self._apply(swaps[0])
+        if fate is Fate.ARRIVES_LATE:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._late_s, self._apply, swaps[0])
+        raise exceptions.KeyValueUnavailable("lost", verdict=MAY_HAVE_RUN)
+
+    def _apply(self, swap):
+        revision = self.entry.revision if self.entry else 0
+        if swap.expected != revision:
+            found = {KEY: self.entry} if self.entry else {}
+            return keyvalue.SwapResult(False, 0, found)
+        self.entry = keyvalue.Entry(KEY, swap.value, revision + 1)
+        self.landed.append(swap.value)
+        return keyvalue.SwapResult(True, revision + 1, {})
+
+
+async def _write(store, value=b"mine", refused_s=REFUSED_S):
+    """Return whose value is there, or the verdict of a failure."""
+    swap = keyvalue.Swap(KEY, 0, value)
+    try:
+        result = await stores.swap_until_known(
+            store, [swap], TIMEOUT_S, refused_s
+        )
+    except exceptions.KeyValueUnavailable as error:
+        return error.verdict
+    return value if result.landed else result.entries_by_key[KEY].value
+
+
+@pytest.mark.parametrize(
+    "fates",
+    [
+        [],
+        [Fate.ANSWER_LOST],
+        [Fate.NEVER_ARRIVES],
+        [Fate.NEVER_ARRIVES, Fate.ANSWER_LOST],
+        [Fate.REFUSED, Fate.ANSWER_LOST, Fate.REFUSED],
+        [Fate.ARRIVES_LATE],
+    ],
+)
+def test_a_write_lands_once_whatever_is_lost(fates, run_virtual):
+    store = FakeStore(fates)
+
+    async def scenario():
+        outcome = await _write(store)
+        # What arrives late finds the key written.
+        await asyncio.sleep(TIMEOUT_S)
+        return outcome
+
+    assert run_virtual(scenario()) == b"mine"
+    assert store.landed == [b"mine"]
+
+
+def test_another_write_instead_of_mine_is_told(run_virtual):
+    store = FakeStore([Fate.NEVER_ARRIVES])
+    store._apply(keyvalue.Swap(KEY, 0, b"theirs"))
+    assert run_virtual(_write(store)) == b"theirs"
+
+
+def test_a_store_that_refuses_each_try_has_done_nothing(run_virtual):
+    store = FakeStore([Fate.REFUSED] * 100)
+
+    async def scenario():
+        outcome = await _write(store)
+        return outcome, asyncio.get_running_loop().time()
+
+    outcome, took_s = run_virtual(scenario())
+    assert outcome is NOT_RUN
+    assert took_s <= REFUSED_S
+    assert store.entry is None
+
+
+@pytest.mark.parametrize(
+    "unknown", [Fate.ANSWER_LOST, Fate.NEVER_ARRIVES, Fate.ARRIVES_LATE]
+)
+def test_one_unknown_try_forbids_the_promise(unknown, run_virtual):
+    store = FakeStore([Fate.REFUSED, unknown, *[Fate.REFUSED] * 100])
+
+    async def scenario():
+        outcome = await _write(store)
+        return outcome, asyncio.get_running_loop().time()
+
+    outcome, took_s = run_virtual(scenario())
+    assert outcome is MAY_HAVE_RUN
+    # An outcome that is unknown is looked after for longer.
+    assert REFUSED_S < took_s <= TIMEOUT_S
+
+
+@hypothesis.given(
+    fates=st.lists(st.sampled_from(Fate), max_size=60),
+    late_s=st.floats(0.01, 20.0),
+    gap_s=st.floats(0.0, 3.0),
+)
+def test_two_entries_that_are_given_one_batch(
+    fates, late_s, gap_s, run_virtual
+):
+    """A trainer that heard nothing asks another entry.
+
+    Whatever becomes of the calls: one value lands at most, whoever was
+    told of an owner was told of that one, and a write that was promised
+    never to land has not landed.
+    """
+    store = FakeStore(fates, late_s)
+
+    async def scenario():
+        first = asyncio.create_task(_write(store, b"first"))
+        await asyncio.sleep(gap_s)
+        second = asyncio.create_task(_write(store, b"second"))
+        outcomes = await asyncio.gather(first, second)
+        await asyncio.sleep(2 * late_s)
+        return outcomes
+
+    outcomes = run_virtual(scenario())
+    assert len(store.landed) <= 1
+    told = {one for one in outcomes if isinstance(one, bytes)}
+    assert told <= set(store.landed)
+    for value, outcome in zip((b"first", b"second"), outcomes, strict=True):
+        assert outcome is not NOT_RUN or value not in store.landed
