--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -1,34 +1,21 @@
-"""Runs the batches that this process owns."""
+"""Owns batches: opens and ends them, and lets go of them."""
 
 import asyncio
-import functools
-import random
 
-from anvilwell_decisions.batches import dispatch as dispatches
-from anvilwell_decisions.traffic import facts
-from anvilwell_decisions.traffic import table
 from anvilwell_gateway.batches import committing
-from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway.batches import saving
+from anvilwell_gateway.batches import scheduler as schedulers
 from anvilwell_gateway import measures
 from anvilwell_kernel import exceptions
-from anvilwell_kernel import reasons
-from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
 
-# Look again at what waits and what runs after so long if nothing else
-# happens: a tenth of the shortest stall.
-RETRY_S = 0.1
-# Items with some text from before go first.
-_CARRIED, _NEW = 0, 1
-
 _LEAVING = "this entry stops"
 
 _LOG = logs.get_logger(__name__)
 
 
 class Holder:
-    """Runs items, commits whole groups, and lets go when told.
+    """Keeps the batches that this process owns, and what runs for each.
 
     Parameters
     ----------
@@ -44,17 +31,14 @@
 
     def __init__(self, batch_store, directory, configuration, runner):
         self._store = batch_store
-        self._directory = directory
         self._configuration = configuration
-        self._runner = runner
-        self._dispatch = dispatches.Dispatch()
         self._sequence = 0
-        self._timer = None
         self._tasks = set()
         self.on_lost = _nothing
         self.held_by_id = {}
-        directory.listen(self.schedule)
-        configuration.listen(self.schedule)
+        self._scheduler = schedulers.Scheduler(
+            directory, configuration, runner, self.held_by_id
+        )
 
     def beliefs(self):
         """Return how many batches and items this entry has."""
@@ -90,7 +74,7 @@
             listed=len(held.book.listed),
             min_version=held.submission.min_version,
         )
-        self.schedule()
+        self._scheduler.schedule()
 
     def end(self, batch_id):
         """Stop a batch that its trainer has ended."""
@@ -106,7 +90,7 @@
             listed=len(held.book.listed),
             items=held.book.total,
         )
-        self.schedule()
+        self._scheduler.schedule()
 
     def _keep_task(self, coroutine):
         task = asyncio.create_task(coroutine)
@@ -151,8 +135,7 @@
         self.held_by_id.clear()
         for held in held_now:
             await held.stop(_LEAVING)
-        if self._timer:
-            self._timer.cancel()
+        self._scheduler.stop()
 
     async def _save(self, held):
         await held.stop(_LEAVING)
@@ -167,208 +150,6 @@
             )
         _LOG.log("batch-let-go", batch_id=held.batch_id, texts=len(saved))
 
-    def schedule(self):
-        """Start whatever can start now."""
-        if self._timer:
-            self._timer.cancel()
-            self._timer = None
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        self._dispatch.set_replicas(self._directory.usable())
-        self._move(now)
-        waiting = sorted(
-            work
-            for held in self.held_by_id.values()
-            for work in self._works(held)
-        )
-        for work in waiting:
-            self._start(work, now)
-        has_runs = any(h.runs_by_item for h in self.held_by_id.values())
-        if waiting or has_runs:
-            self._timer = loop.call_later(RETRY_S, self.schedule)
-
-    def _move(self, now):
-        """Stop runs that should go on at a faster replica."""
-        runs = [
-            run._replace(events=self._made(held, run))
-            for held in self.held_by_id.values()
-            if not held.book.is_ended and held.route.is_resumable
-            for run in held.runs_by_item.values()
-        ]
-        for run in self._dispatch.moves(runs, now):
-            held = self.held_by_id[run.batch_id]
-            held.tasks_by_item[run.item_id].cancel("a faster replica is free")
-            counters.count_retry(reasons.Retry.HEDGE, run.service)
-
-    def _works(self, held):
-        """Return a `Work` for each item of `held` that should run."""
-        book = held.book
-        items = [book.items_by_id[item_id] for item_id in book.waiting()]
-        if not items:
-            return []
-        service = self._service(held)
-        if service is None:
-            return []
-        return [
-            dispatches.Work(
-                (
-                    held.sequence,
-                    _CARRIED if self._has_text(held, item) else _NEW,
-                    -item.expected_tokens,
-                ),
-                held.batch_id,
-                item.item_id,
-                item.group,
-                service,
-                held.submission.model,
-                held.submission.min_version,
-            )
-            for item in items
-        ]
-
-    @staticmethod
-    def _made(held, run):
-        """Return how many events the run itself has made."""
-        progress = held.book.progress_by_id[run.item_id]
-        return progress.last_number - run.events
-
-    @staticmethod
-    def _has_text(held, item):
-        return bool(held.book.progress_by_id[item.item_id].events)
-
-    def _service(self, held):
-        """Return the service that takes the batch's items now."""
-        route = self._configuration.routes.find(
-            held.submission.host, held.submission.path
-        )
-        if route is None:
-            held.book.give_up_rest()
-            held.has_ready.set()
-            return None
-        if not table.may_take(route, held.service):
-            held.service = table.choose_service(route, random)
-        return held.service
-
-    def _start(self, work, now):
-        """Start one item if a replica takes it now."""
-        replica_id = self._dispatch.choose(work, now)
-        if replica_id is None:
-            return
-        held = self.held_by_id[work.batch_id]
-        held.book.started(work.item_id)
-        worker = self._dispatch.worker(replica_id)
-        worker.running += 1
-        progress = held.book.progress_by_id[work.item_id]
-        if not held.route.is_resumable:
-            progress.restart()
-        held.runs_by_item[work.item_id] = dispatches.Run(
-            work.batch_id,
-            work.item_id,
-            replica_id,
-            progress.last_number,
-            work.service,
-            work.model,
-            work.min_version,
-        )
-        task = asyncio.create_task(self._run(held, work, worker))
-        # Not in the task: one that is cancelled early never runs at all.
-        task.add_done_callback(
-            functools.partial(self._release, held, work, worker)
-        )
-        held.tasks_by_item[work.item_id] = task
-
-    def _release(self, held, work, worker, task):
-        """Free the slot and the item of a run that is over."""
-        worker.running -= 1
-        if held.tasks_by_item.get(work.item_id) is task:
-            del held.tasks_by_item[work.item_id]
-            del held.runs_by_item[work.item_id]
-            held.book.stopped(work.item_id)
-        error = None if task.cancelled() else task.exception()
-        if error is not None:
-            now = asyncio.get_running_loop().time()
-            worker.not_before = now + dispatches.SILENT_PAUSE_S
-            _LOG.log("run-fault", item_id=work.item_id, cause=repr(error))
-        self._schedule_soon()
-
-    def _schedule_soon(self):
-        """Look once after all that happens now, such as many ends."""
-        if self._timer:
-            self._timer.cancel()
-        self._timer = asyncio.get_running_loop().call_soon(self.schedule)
-
-    async def _run(self, held, work, worker):
-        progress = held.book.progress_by_id[work.item_id]
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        known = progress.last_number
-        order = runners.Order(
-            held.book.items_by_id[work.item_id],
-            held.submission.host,
-            progress,
-            held.submission.min_version,
-            held.route.one_version,
-            max(0.0, held.give_up_at - started_at),
-        )
-        ended = runners.Ended(runners.End.STOPPED)
-        try:
-            ended = await self._runner.run(
-                order, worker.replica, worker.saw_gap
-            )
-        except asyncio.CancelledError as error:
-            ended = ended._replace(cause=" ".join(error.args))
-            raise
-        finally:
-            took_s = loop.time() - started_at
-            measures.record(measures.RUNS, took_s, end=str(ended.end))
-            is_whole = ended.end is runners.End.WHOLE
-            write = _LOG.routine if is_whole else _LOG.log
-            write(
-                "item-run",
-                batch_id=held.batch_id,
-                item_id=work.item_id,
-                replica=worker.replica.replica_id,
-                end=str(ended.end),
-                cause=ended.cause,
-                version=ended.version,
-                first=known,
-                last=progress.last_number,
-                took_s=round(took_s, 3),
-            )
-        self._note(held, work, worker, ended)
-
-    def _note(self, held, work, worker, ended):
-        """Take in how a run ended."""
-        now = asyncio.get_running_loop().time()
-        if ended.version:
-            seen = facts.ModelVersion(work.model, ended.version)
-            worker.saw_versions([seen])
-        book = held.book
-        if ended.end is runners.End.WHOLE:
-            book.done(work.item_id)
-            held.has_ready.set()
-            return
-        counters.count_retry(_RETRIES_BY_END[ended.end], work.service)
-        if ended.end is runners.End.FAILED:
-            book.failed(work.item_id)
-        elif ended.end is runners.End.IMPOSSIBLE:
-            book.give_up(work.item_id)
-        elif ended.end is runners.End.REFUSED:
-            worker.not_before = now + dispatches.REFUSED_PAUSE_S
-        elif ended.end is runners.End.TOO_OLD:
-            self._restart(held, work.item_id)
-        elif ended.end is runners.End.BROKEN:
-            worker.not_before = now + dispatches.BROKEN_PAUSE_S
-        else:
-            worker.not_before = now + dispatches.SILENT_PAUSE_S
-        held.has_ready.set()
-
-    @staticmethod
-    def _restart(held, item_id):
-        """Forget a text that no replica can go on with."""
-        if held.route.one_version:
-            held.book.progress_by_id[item_id].restart()
-
     def _taken(self, held, cause):
         self._keep_task(self.drop(held.batch_id, cause))
 
@@ -381,15 +162,3 @@
 
 def _nothing():
     """Be told and do nothing."""
-
-
-_RETRIES_BY_END = {
-    runners.End.REFUSED: reasons.Retry.REFUSED_NOT_RUN,
-    runners.End.OTHER_REPLICA: reasons.Retry.DRAINED,
-    runners.End.TOO_OLD: reasons.Retry.STALE_VERSION,
-    runners.End.FAILED: reasons.Retry.BACKEND_FAILED,
-    runners.End.IMPOSSIBLE: reasons.Retry.BACKEND_FAILED,
-    runners.End.BROKEN: reasons.Retry.STREAM_RESUMED,
-    runners.End.UNREACHABLE: reasons.Retry.CONNECT_FAILED,
-    runners.End.STALLED: reasons.Retry.STREAM_RESUMED,
-}
