Answer submissions that are under way when an entry is told to stop

Cause: draining cancelled acceptances at once, so a trainer whose submission waited for a slow answer of the store had its connection cut, though its request had been read.

--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -258,8 +258,13 @@
         return submission, routes.find(submission.host, submission.path)
 
     async def stop(self):
-        """Take nothing over any more."""
+        """Take nothing over any more, once who waits has an answer.
+
+        No submission waits for longer than `ACCEPT_TIMEOUT_S`.
+        """
         self.is_draining = True
+        if self._resolving:
+            await asyncio.wait(self._resolving, timeout=ACCEPT_TIMEOUT_S)
         tasks = [*self._resolving]
         if self._review:
             tasks.append(self._review)
