Probe the store and peers on connections that are silent

Cause: a channel may go silent for good while new ones work. A watch on such a channel would hang for 17 s, longer than a configuration may take; nothing noticed if the renewals' channel went on working. Change: connections to the store and to peers are probed each second and break after three seconds of silence. Those to replicas are not: a replica that stands still may go on with its request. Ruled out: shorter waits of watches (each return is a paid call).

--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import itertools
+import socket
 
 import h11
 
@@ -22,6 +23,16 @@
 # For peers that do not say how long they keep an idle connection.
 DEFAULT_KEEP_S = 4.0
 MAX_IDLE_PER_PEER = 32
+# A connection whose peer answers no probe is broken after three seconds:
+# a waiting watch would otherwise hang for its 17 s on a path that is cut.
+_PROBES = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    # In milliseconds: the same for bytes that nobody acknowledges.
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
+)
 
 
 def failed(message, reason=reasons.Refusal.BACKEND_FAILED, verdict=None):
@@ -43,8 +54,8 @@
         self.keep_until = 0.0
 
     @classmethod
-    async def open(cls, address, timeout_s=CONNECT_TIMEOUT_S):
-        """Connect to `address`.
+    async def open(cls, address, timeout_s=CONNECT_TIMEOUT_S, is_probed=False):
+        """Connect to `address`; a probed peer may not go silent.
 
         Raises
         ------
@@ -62,6 +73,10 @@
                 reasons.Refusal.CONNECT_FAILED,
                 verdicts.Verdict.NOT_RUN,
             ) from error
+        if is_probed:
+            probed = writer.get_extra_info("socket")
+            for option in _PROBES:
+                probed.setsockopt(*option)
         return cls(reader, writer)
 
     def send(self, method, target, headers, body=b""):
@@ -178,10 +193,19 @@
 
     A peer's key names its process, not only its address, so that no
     connection outlives the process that it was opened to.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns monotonic time, in seconds.
+    is_probed : bool
+        Whether peers are probed while they are silent. Those that may
+        stand still and then go on with a request must not be.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, is_probed=False):
         self._clock = clock
+        self._is_probed = is_probed
         self._idle_by_key = collections.defaultdict(collections.deque)
 
     async def take(self, key, address, timeout_s=CONNECT_TIMEOUT_S):
@@ -193,7 +217,7 @@
             if await connection.stop_watching() and is_fresh:
                 return connection
             connection.close()
-        return await Connection.open(address, timeout_s)
+        return await Connection.open(address, timeout_s, self._is_probed)
 
     async def ask(self, key, address, question, timeout_s, max_bytes):
         """Send a `messages.Request`; return its `Reply` and whole body.
--- a/packages/gateway/anvilwell_gateway/paths.py
+++ b/packages/gateway/anvilwell_gateway/paths.py
@@ -85,7 +85,8 @@
 
     def __init__(self, address):
         self._address = address
-        self._pool = client.Pool(asyncio.get_running_loop().time)
+        clock = asyncio.get_running_loop().time
+        self._pool = client.Pool(clock, is_probed=True)
 
     def move(self, address):
         """Take a changed address of the service."""
@@ -180,7 +181,8 @@
         self.direct = direct
         self._probe_call = probe
         self._choice = choices.PathChoice(rng or random.Random())
-        self._pool = client.Pool(asyncio.get_running_loop().time)
+        clock = asyncio.get_running_loop().time
+        self._pool = client.Pool(clock, is_probed=True)
         self._paths_by_name = {choices.DIRECT: direct}
         self._listeners = []
         self._probing = None
--- /dev/null
+++ b/packages/gateway/tests/http/test_client.py
@@ -0,0 +1,86 @@
+"""Connections that are probed, and what a timeout does to idle ones."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from anvilwell_gateway.http import client
+from anvilwell_gateway.http import messages
+from anvilwell_gateway.http import server as servers
+from anvilwell_kernel.config import options
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import verdict as verdicts
+
+QUESTION = messages.Request("GET", "/", (("Host", "x"),), b"")
+
+
+@contextlib.asynccontextmanager
+async def _served(handle):
+    server = servers.Server(options.Address("127.0.0.1", 0), handle)
+    await server.start()
+    try:
+        yield options.Address("127.0.0.1", server.port)
+    finally:
+        await server.stop()
+
+
+async def _at_once(request, responder):
+    await responder.send(200)
+
+
+@pytest.mark.parametrize("is_probed", [False, True])
+def test_only_peers_that_are_to_be_probed_are(is_probed):
+    async def scenario():
+        pool = client.Pool(asyncio.get_running_loop().time, is_probed)
+        async with _served(_at_once) as address:
+            connection = await pool.take("k", address)
+            peer = connection._writer.get_extra_info("socket")
+            probes = peer.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            silence_ms = peer.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            )
+            connection.close()
+            return bool(probes), silence_ms
+
+    expected = (True, 3000) if is_probed else (False, 0)
+    assert asyncio.run(scenario()) == expected
+
+
+def test_a_timeout_closes_the_idle_connections_too():
+    hangs = False
+
+    async def handle(request, responder):
+        if hangs:
+            await asyncio.get_running_loop().create_future()
+        await responder.send(200)
+
+    async def scenario():
+        nonlocal hangs
+        pool = client.Pool(asyncio.get_running_loop().time)
+        async with _served(handle) as address:
+            first = pool.ask("k", address, QUESTION, 5.0, 100)
+            second = pool.ask("k", address, QUESTION, 5.0, 100)
+            await asyncio.gather(first, second)
+            idle = list(pool._idle_by_key["k"])
+            assert len(idle) == 2
+            hangs = True
+            with pytest.raises(exceptions.BackendFailed) as caught:
+                await pool.ask("k", address, QUESTION, 0.05, 100)
+            assert not pool._idle_by_key["k"]
+            return caught.value.verdict
+
+    assert asyncio.run(scenario()) is verdicts.Verdict.MAY_HAVE_RUN
+
+
+def test_a_peer_that_takes_no_connection_was_sent_nothing():
+    async def scenario():
+        pool = client.Pool(asyncio.get_running_loop().time)
+        async with _served(_at_once) as address:
+            pass
+        with pytest.raises(exceptions.BackendFailed) as caught:
+            await pool.ask("k", address, QUESTION, 5.0, 100)
+        return caught.value.verdict
+
+    assert asyncio.run(scenario()) is verdicts.Verdict.NOT_RUN
