Have one copy of how events are read, and decode resumption in the adapter

The limits of blocks and silence stood in the modules for batches and for live streams; events.py has them now. The header that a caller resumes by is read by the adapter like the others.

--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -5,18 +5,11 @@
 import typing
 
 from anvilwell_decisions.batches import progress as progresses
+from anvilwell_gateway import events
 from anvilwell_gateway.http import client
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 
-# Without a head or an event for so long, a run goes on elsewhere. Events
-# come every 40 ms, every 150 ms from a slow replica, and pause for about
-# 0.4 s while it loads weights.
-STALL_S = 0.8
-# Each event is a block of lines that a blank line ends.
-BLOCK_END = b"\n\n"
-MAX_BLOCK_BYTES = 1 << 20
-
 
 class End(enum.StrEnum):
     """How a run ended."""
@@ -80,7 +73,7 @@
         except exceptions.AnvilwellError as error:
             return Ended(End.UNREACHABLE, cause=error.message)
         reply = None
-        ended = Ended(End.BROKEN, cause="cancelled")
+        ended = Ended(End.STOPPED)
         try:
             reply, ended = await self._run(connection, order, replica, saw_gap)
         except exceptions.AnvilwellError as error:
@@ -102,7 +95,7 @@
             order.progress.last_number,
         )
         connection.send("POST", order.item.target, headers, order.item.body)
-        async with asyncio.timeout(STALL_S):
+        async with asyncio.timeout(events.STALL_S):
             reply = await connection.read_head()
         outcome = self._dialect.read_outcome(reply)
         ended = _judge(reply, outcome, order)
@@ -111,8 +104,8 @@
                 connection, order, reply, outcome.version, saw_gap
             )
         if ended.end is End.REFUSED:
-            async with asyncio.timeout(STALL_S):
-                await connection.read_body(MAX_BLOCK_BYTES)
+            async with asyncio.timeout(events.STALL_S):
+                await connection.read_body(events.MAX_BLOCK_BYTES)
         return reply, ended
 
     async def _read(self, connection, order, reply, version, saw_gap):
@@ -121,13 +114,13 @@
         buffered = b""
         last_at = None
         while True:
-            async with asyncio.timeout(STALL_S):
+            async with asyncio.timeout(events.STALL_S):
                 part = await connection.read_part()
             if not part:
                 break
             buffered += part.replace(b"\r\n", b"\n")
-            *blocks, buffered = buffered.split(BLOCK_END)
-            if len(buffered) > MAX_BLOCK_BYTES:
+            *blocks, buffered = buffered.split(events.BLOCK_END)
+            if len(buffered) > events.MAX_BLOCK_BYTES:
                 raise client.failed("an event is too large")
             for block in blocks:
                 event = self._dialect.read_event(block)
--- a/packages/gateway/anvilwell_gateway/dialect.py
+++ b/packages/gateway/anvilwell_gateway/dialect.py
@@ -6,10 +6,15 @@
 
 
 class Call(typing.NamedTuple):
-    """What a caller's head says; ``timeout_s`` is None if it does not."""
+    """What a caller's head says; ``timeout_s`` is None if it does not.
+
+    ``resume_after`` is the number of the last event that the caller has
+    of a stream, 0 for none.
+    """
 
     request_id: str
     timeout_s: float | None = None
+    resume_after: int = 0
 
 
 class Outcome(typing.NamedTuple):
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -4,24 +4,18 @@
 
 from anvilwell_decisions.requests import facts as request_facts
 from anvilwell_gateway import attempts
+from anvilwell_gateway import events
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 from anvilwell_kernel import verdict as verdicts
 
-# Each event is a block of lines that a blank line ends.
-BLOCK_END = b"\n\n"
-MAX_BLOCK_BYTES = 1 << 20
 MAX_FAILURE_BYTES = 1 << 20
-# A resumable stream whose replica is silent for so long goes on elsewhere,
-# in seconds: events come every 40 ms, every 150 ms from a slow replica,
-# and pause for about 0.4 s while it loads weights.
-STALL_S = 0.8
-# The same before the first event, as a share of the target latency, so
-# that a second replica can still keep it; an engine needs about 30 ms.
+# How long a resumable stream waits for its first event before it is asked
+# of another replica, as a share of the target latency, so that the second
+# can still keep it; an engine needs about 30 ms.
 FIRST_STALL_SHARE = 0.5
-_LAST_EVENT = "last-event-id"
 
 
 class StreamAttempts(attempts.Attempts):
@@ -41,9 +35,8 @@
     def __init__(self, forwarder, route, call, request, responder):
         super().__init__(forwarder, route, call, request)
         self._responder = responder
-        known = messages.find(request.headers, _LAST_EVENT)
         # The number of the last event that the caller has.
-        self._last_number = int(known) if known.isdecimal() else 0
+        self._last_number = call.resume_after
 
     async def run(self):
         """Pass the stream on until its end.
@@ -172,7 +165,7 @@
         if not self._route.is_resumable:
             return None
         if self._responder.has_started:
-            return STALL_S
+            return events.STALL_S
         return FIRST_STALL_SHARE * self._route.target_latency_s
 
     async def _pass_on(self, connection, reply):
@@ -183,8 +176,10 @@
                 part = await connection.read_part()
             if not part:
                 break
-            whole, end, buffered = (buffered + part).rpartition(BLOCK_END)
-            if len(buffered) > MAX_BLOCK_BYTES:
+            whole, end, buffered = (buffered + part).rpartition(
+                events.BLOCK_END
+            )
+            if len(buffered) > events.MAX_BLOCK_BYTES:
                 raise client.failed("an event is too large")
             if end:
                 await self._send_events(reply, whole + end)
@@ -204,7 +199,7 @@
     async def _send_events(self, reply, data):
         """Send whole events, after making sure that none is missing."""
         number = self._last_number
-        for block in data.split(BLOCK_END):
+        for block in data.split(events.BLOCK_END):
             event = self._forwarder.read_event(block) if block else None
             if event is None:
                 continue
