Share what attempts at answers and at streams have in common

Found by reading the change as a whole: streams repeated the deadline's error, the policy's bookkeeping and the rule for a replica's own failure; four log calls listed the same fields; the metrics page and the relay for peers each wrapped a server only to pass its methods on. Change: attempts.py has each once and asks whether the request is repeatable; the fields are listed once; both servers are Servers. Two things differ. The copies of the failure rule had diverged: a resumable stream that was answered 4xx was asked of another replica too, and is now passed on at once, as short calls are (a test that failed before). A caller that leaves while a stream connects is no longer noted as a failure of the replica. Ruled out: one reader of events for batches and streams; one keeps events, the other passes on the bytes as they came.

--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -87,18 +87,22 @@
         except TimeoutError:
             if self._failure:
                 return self._failure
-            verdict = self._verdict
-            if self.tried:
-                verdict = verdicts.Verdict.MAY_HAVE_RUN
-            raise exceptions.Timeout(
-                f"no whole answer in {self._limit_s:g} s, {self._limiter}",
-                verdict=verdict,
-            ) from None
+            raise self._timed_out("answer") from None
         finally:
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _timed_out(self, what):
+        """Return the error that says `what` did not come in time."""
+        verdict = self._verdict
+        if self.tried:
+            verdict = verdicts.Verdict.MAY_HAVE_RUN
+        return exceptions.Timeout(
+            f"no whole {what} in {self._limit_s:g} s, {self._limiter}",
+            verdict=verdict,
+        )
+
     async def _race(self, tasks):
         """Ask replicas until one has answered whole."""
         while True:
@@ -142,12 +146,15 @@
         tasks.add(task)
         return True
 
+    @property
+    def _is_repeatable(self):
+        """Whether the request may reach a replica after it has run."""
+        return self._route.is_idempotent
+
     @property
     def _may_repeat(self):
-        return (
-            self._route.is_idempotent
-            or self._verdict is verdicts.Verdict.NOT_RUN
-        )
+        not_run = self._verdict is verdicts.Verdict.NOT_RUN
+        return self._is_repeatable or not_run
 
     def _choose(self, is_hedge=False):
         """Return the next replica to ask, None if there may be no more."""
@@ -168,10 +175,7 @@
         return replica
 
     async def _attempt(self, replica):
-        replica_id = replica.replica_id
-        policy = self._forwarder.policy(self._service)
-        started_at = self._loop.time()
-        policy.started(replica_id, started_at)
+        started_at = self._started(replica)
         failed = True
         try:
             held = await self._forwarder.send(
@@ -189,25 +193,42 @@
             failed = self._loop.time() - started_at > hedge_s
             raise
         finally:
-            now = self._loop.time()
-            policy.ended(
-                request_facts.Ended(replica_id, failed, now - started_at), now
-            )
+            self._ended(replica, started_at, failed)
 
-    def _take(self, task):
-        """Return the answer of an attempt that is over, if it counts.
+    def _started(self, replica):
+        """Tell the policy of an attempt; return when that was."""
+        now = self._loop.time()
+        policy = self._forwarder.policy(self._service)
+        policy.started(replica.replica_id, now)
+        return now
 
-        A replica's own failure counts at once only where the request may
-        not be repeated; else another replica may do better.
-        """
+    def _ended(self, replica, started_at, failed):
+        """Tell the policy how an attempt ended."""
+        now = self._loop.time()
+        policy = self._forwarder.policy(self._service)
+        took_s = now - started_at
+        policy.ended(
+            request_facts.Ended(replica.replica_id, failed, took_s), now
+        )
+
+    def _take(self, task):
+        """Return the answer of an attempt that is over, if it counts."""
         error = task.exception()
         replica_id = task.get_name()
         if error is not None:
             self._note(error, replica_id)
             return None
         held = task.result()
-        if held.status < FAILED or not self._route.is_idempotent:
-            return held
+        return held if self._counts(held, replica_id) else None
+
+    def _counts(self, held, replica_id):
+        """Return whether an answer is passed on at once.
+
+        A replica's own failure is only where the request may not be
+        repeated; else another replica may do better.
+        """
+        if held.status < FAILED or not self._is_repeatable:
+            return True
         self._failure = held
         self._note(
             exceptions.BackendFailed(
@@ -217,7 +238,7 @@
             ),
             replica_id,
         )
-        return None
+        return False
 
     def _retry_reason(self, is_hedge):
         """Return why another replica is asked."""
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -59,15 +59,8 @@
             await self._fail(attempt, route, call, error, responder)
             return
         self._measure(attempt, route, held.status)
-        _LOG.routine(
-            "request-answered",
-            request_id=call.request_id,
-            route=route.name,
-            configuration=self._configuration.current.version,
-            status=held.status,
-            replicas=attempt.tried,
-            took_s=round(attempt.age_s(), 4),
-        )
+        fields = self._fields(attempt, route, call)
+        _LOG.routine("request-answered", status=held.status, **fields)
         headers = messages.end_to_end(held.headers)
         await responder.send(held.status, headers, held.body)
 
@@ -83,30 +76,29 @@
             await self._fail(attempt, route, call, error, responder)
             return
         self._measure(attempt, route, responder.status)
-        _LOG.routine(
-            "stream-answered",
-            request_id=call.request_id,
-            route=route.name,
-            configuration=self._configuration.current.version,
-            status=responder.status,
-            replicas=attempt.tried,
-            took_s=round(attempt.age_s(), 4),
-        )
+        fields = self._fields(attempt, route, call)
+        _LOG.routine("stream-answered", status=responder.status, **fields)
 
     def _log_cut(self, attempt, route, call, error):
         """Note a stream that ends early; its connection is reset."""
         counters.count_refusal(error.reason, route.name)
         _LOG.log(
             "stream-cut",
-            request_id=call.request_id,
-            route=route.name,
-            configuration=self._configuration.current.version,
             reason=str(error.reason),
             cause=error.message,
-            replicas=attempt.tried,
-            took_s=round(attempt.age_s(), 4),
+            **self._fields(attempt, route, call),
         )
 
+    def _fields(self, attempt, route, call):
+        """Return what the log says of every live call that is over."""
+        return {
+            "request_id": call.request_id,
+            "route": route.name,
+            "configuration": self._configuration.current.version,
+            "replicas": attempt.tried,
+            "took_s": round(attempt.age_s(), 4),
+        }
+
     async def _fail(self, attempt, route, call, error, responder):
         not_run = error.verdict is verdicts.Verdict.NOT_RUN
         is_late = error.reason is reasons.Refusal.DEADLINE
@@ -115,15 +107,11 @@
         self._measure(attempt, route, status)
         _LOG.log(
             "request-failed",
-            request_id=call.request_id,
-            route=route.name,
-            configuration=self._configuration.current.version,
             status=status,
             reason=str(error.reason),
             verdict=str(error.verdict),
             cause=error.message,
-            replicas=attempt.tried,
-            took_s=round(attempt.age_s(), 4),
+            **self._fields(attempt, route, call),
         )
         retry_after_s = RETRY_AFTER_S if not_run else None
         headers = self._dialect.failure_headers(call.request_id, retry_after_s)
--- a/packages/gateway/anvilwell_gateway/metrics_page.py
+++ b/packages/gateway/anvilwell_gateway/metrics_page.py
@@ -7,7 +7,7 @@
 _TYPE = ("Content-Type", provider.CONTENT_TYPE)
 
 
-class MetricsPage:
+class MetricsPage(servers.Server):
     """The page that a collector reads.
 
     Parameters
@@ -19,22 +19,9 @@
     """
 
     def __init__(self, section, beliefs):
+        super().__init__(section.listen, self._answer)
         self._path = section.path
         self._beliefs = beliefs
-        self._server = servers.Server(section.listen, self._answer)
-
-    @property
-    def port(self):
-        """The port that was bound."""
-        return self._server.port
-
-    async def start(self):
-        """Bind and listen."""
-        await self._server.start()
-
-    async def stop(self):
-        """Stop listening."""
-        await self._server.stop()
 
     async def _answer(self, request, responder):
         if request.path != self._path:
--- a/packages/gateway/anvilwell_gateway/paths.py
+++ b/packages/gateway/anvilwell_gateway/paths.py
@@ -274,7 +274,7 @@
                 return
 
 
-class RelayServer:
+class RelayServer(servers.Server):
     """Makes calls for peers that don't reach the service themselves.
 
     Only by the direct path: a call never takes a second hop.
@@ -288,25 +288,12 @@
     """
 
     def __init__(self, address, direct):
+        super().__init__(address, self._answer)
         self._direct = direct
-        self._server = servers.Server(address, self._answer)
-        self._server.limits = servers.FIRST_LIMITS._replace(
+        self.limits = servers.FIRST_LIMITS._replace(
             max_body_bytes=MAX_ANSWER_BYTES
         )
 
-    @property
-    def port(self):
-        """The port that was bound."""
-        return self._server.port
-
-    async def start(self):
-        """Bind and listen."""
-        await self._server.start()
-
-    async def stop(self):
-        """Stop listening and close all connections."""
-        await self._server.stop()
-
     async def _answer(self, request, responder):
         call = Call(*cbor2.loads(request.body))
         _LOG.routine("call-relayed", target=call.target.partition("?")[0])
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -2,14 +2,12 @@
 
 import asyncio
 
-from anvilwell_decisions.requests import facts as request_facts
 from anvilwell_gateway import attempts
 from anvilwell_gateway import events
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
-from anvilwell_kernel import verdict as verdicts
 
 MAX_FAILURE_BYTES = 1 << 20
 # How long a resumable stream waits for its first event before it is asked
@@ -53,18 +51,11 @@
             ):
                 await self._run()
         except TimeoutError:
-            verdict = verdicts.Verdict.MAY_HAVE_RUN
-            raise exceptions.Timeout(
-                f"no whole stream in {self._limit_s:g} s, {self._limiter}",
-                verdict=verdict if self.tried else self._verdict,
-            ) from None
+            raise self._timed_out("stream") from None
 
     @property
-    def _may_repeat(self):
-        return (
-            self._route.is_resumable
-            or self._verdict is verdicts.Verdict.NOT_RUN
-        )
+    def _is_repeatable(self):
+        return self._route.is_resumable
 
     async def _run(self):
         while True:
@@ -79,15 +70,9 @@
                 continue
             if held is None:
                 return
-            # The replica failed the request itself.
-            self._failure = held
-            if not self._route.is_resumable:
+            if self._counts(held, replica.replica_id):
                 await self._send_failure(held)
                 return
-            self._note(
-                client.failed(f"the replica answered {held.status}"),
-                replica.replica_id,
-            )
 
     def _last_resort(self):
         if self._responder.has_started:
@@ -103,14 +88,13 @@
 
     async def _attempt(self, replica):
         """Pass on what one replica sends; return a failure it answers."""
-        policy = self._forwarder.policy(self._service)
-        started_at = self._loop.time()
-        policy.started(replica.replica_id, started_at)
-        connection = await self._connected(replica, policy, started_at)
+        started_at = self._started(replica)
+        connection = None
         failed = True
         is_whole = False
         reply = None
         try:
+            connection = await self._forwarder.connect(replica)
             reply = await self._head(connection, replica)
             if reply.status >= 300:
                 body = await connection.read_body(MAX_FAILURE_BYTES)
@@ -131,23 +115,9 @@
         finally:
             if is_whole:
                 self._forwarder.release(replica, connection, reply)
-            else:
+            elif connection:
                 connection.close()
-            self._ended(replica, policy, started_at, failed)
-
-    async def _connected(self, replica, policy, started_at):
-        try:
-            return await self._forwarder.connect(replica)
-        except BaseException:
-            self._ended(replica, policy, started_at, True)
-            raise
-
-    def _ended(self, replica, policy, started_at, failed):
-        now = self._loop.time()
-        ended = request_facts.Ended(
-            replica.replica_id, failed, now - started_at
-        )
-        policy.ended(ended, now)
+            self._ended(replica, started_at, failed)
 
     async def _head(self, connection, replica):
         async with asyncio.timeout(self._stall_s()):
