Score texts once they are whole, and list them with the score

Cause: items of the further customer name a scoring call; no code made it, so each listed result broke MIXED and earned nothing.

Change: a book's item goes from running over unscored and scoring to done; calls take the way of live calls, at most half of the service's slots at once, halved by refusals; whole texts and scores are saved and carried to the route's next batch. Ruled out: a path of its own to the scorers (would double hedging, ejection and the checks of answers).

--- a/packages/decisions/anvilwell_decisions/batches/book.py
+++ b/packages/decisions/anvilwell_decisions/batches/book.py
@@ -8,14 +8,23 @@
 
 
 class State(enum.Enum):
-    """Where an item stands."""
+    """Where an item stands.
+
+    The text of an ``UNSCORED`` item is whole; it is ``DONE`` and may be
+    listed once its score is there too.
+    """
 
     WAITING = "waiting"
     RUNNING = "running"
+    UNSCORED = "unscored"
+    SCORING = "scoring"
     DONE = "done"
     GIVEN_UP = "given-up"
 
 
+_ENDED = frozenset((State.DONE, State.GIVEN_UP))
+
+
 class Book:
     """One batch's items.
 
@@ -81,7 +90,21 @@
             return
         self.progress_by_id[progress.item_id] = progress
         if progress.is_complete:
-            self._states_by_id[progress.item_id] = State.DONE
+            self._states_by_id[progress.item_id] = self._completed(progress)
+
+    def _completed(self, progress):
+        """Return the state of an item whose text is whole.
+
+        A score that an earlier batch got counts only if that asked for
+        it by the same call.
+        """
+        call = self.items_by_id[progress.item_id].scoring_call
+        if call is None:
+            return State.DONE
+        if progress.score and progress.score.call_id == call.call_id:
+            return State.DONE
+        progress.score = None
+        return State.UNSCORED
 
     def waiting(self):
         """Return the ids of the items that should run."""
@@ -103,8 +126,60 @@
             self._states_by_id[item_id] = State.WAITING
 
     def done(self, item_id):
-        """Note that the item's text is whole."""
-        self.progress_by_id[item_id].complete()
+        """Note that the item's text is whole; it may lack its score."""
+        progress = self.progress_by_id[item_id]
+        progress.complete()
+        self._states_by_id[item_id] = self._completed(progress)
+
+    def unscored(self):
+        """Return the ids of items to be scored, almost whole groups first.
+
+        A group is listed only once its last item is scored.
+        """
+        if self.is_ended:
+            return []
+        found = [
+            item_id
+            for item_id, state in self._states_by_id.items()
+            if state is State.UNSCORED
+        ]
+        return sorted(found, key=self._lacking)
+
+    def _lacking(self, item_id):
+        """Return how many items of the item's group are not finished."""
+        group = self.items_by_id[item_id].group
+        return sum(
+            self._states_by_id[member] not in _ENDED
+            for member in self._members_by_group[group]
+        )
+
+    def scoring_started(self, item_id):
+        """Note that the item's scoring call is under way."""
+        self._states_by_id[item_id] = State.SCORING
+
+    def scoring_stopped(self, item_id, failures=0, max_failures=0):
+        """Note that a scoring call brought no score.
+
+        ``failures`` of its attempts were failed by the scorer itself; the
+        item is given up after ``max_failures`` of those. Refusals and lost
+        answers say nothing about the item.
+        """
+        if self._states_by_id[item_id] is not State.SCORING:
+            return
+        progress = self.progress_by_id[item_id]
+        progress.scoring_failures += failures
+        has_failed = failures and progress.scoring_failures >= max_failures
+        self._states_by_id[item_id] = (
+            State.GIVEN_UP if has_failed else State.UNSCORED
+        )
+
+    def scored(self, item_id, seal):
+        """Note the seal of the scorer's answer; the item is done."""
+        if self._states_by_id[item_id] is not State.SCORING:
+            return
+        call = self.items_by_id[item_id].scoring_call
+        score = progresses.Score(call.call_id, seal)
+        self.progress_by_id[item_id].score = score
         self._states_by_id[item_id] = State.DONE
 
     def failed(self, item_id):
@@ -123,7 +198,7 @@
     def give_up_rest(self):
         """Give up all items that are neither done nor given up."""
         for item_id, state in self._states_by_id.items():
-            if state in (State.WAITING, State.RUNNING):
+            if state not in _ENDED:
                 self._states_by_id[item_id] = State.GIVEN_UP
 
     def end(self):
@@ -166,9 +241,8 @@
             self._unlisted_groups.discard(group)
 
     def _is_whole(self, group):
-        ended = (State.DONE, State.GIVEN_UP)
         return all(
-            self._states_by_id[item_id] in ended
+            self._states_by_id[item_id] in _ENDED
             for item_id in self._members_by_group[group]
         )
 
--- a/packages/decisions/anvilwell_decisions/batches/progress.py
+++ b/packages/decisions/anvilwell_decisions/batches/progress.py
@@ -11,6 +11,13 @@
     """An event does not follow the last one: the run is unusable."""
 
 
+class Score(typing.NamedTuple):
+    """The seal of the answer to a scoring call, and the call's id."""
+
+    call_id: str
+    seal: str
+
+
 class Saved(typing.NamedTuple):
     """A `Progress` as it is stored."""
 
@@ -18,13 +25,15 @@
     events: tuple
     versions: tuple
     is_complete: bool
+    score: Score | None = None
 
 
 class Progress:
     """Collects an item's events in order, each once.
 
     A run that is resumed adds to what runs before it have made;
-    ``versions`` names the weights of every event in the text.
+    ``versions`` names the weights of every event in the text. A ``score``
+    is that of this very text, and goes with it.
     """
 
     def __init__(self, item_id):
@@ -32,7 +41,10 @@
         self.events = []
         self.versions = []
         self.is_complete = False
+        self.score = None
         self.failures = 0
+        self.scoring_failures = 0
+        self.scoring_rounds = 0
 
     @classmethod
     def from_saved(cls, saved):
@@ -41,6 +53,7 @@
         progress.events = list(saved.events)
         progress.versions = list(saved.versions)
         progress.is_complete = saved.is_complete
+        progress.score = saved.score
         return progress
 
     @property
@@ -76,6 +89,7 @@
         self.events = []
         self.versions = []
         self.is_complete = False
+        self.score = None
 
     def save(self):
         """Return what is stored of it."""
@@ -84,10 +98,15 @@
             tuple(self.events),
             tuple(self.versions),
             self.is_complete,
+            self.score,
         )
 
     def result(self):
         """Return the `facts.Result` of a whole text."""
         return facts.Result(
-            self.item_id, True, "\n".join(self.events), tuple(self.versions)
+            self.item_id,
+            True,
+            "\n".join(self.events),
+            tuple(self.versions),
+            self.score.seal if self.score else "",
         )
--- a/packages/decisions/anvilwell_decisions/traffic/facts.py
+++ b/packages/decisions/anvilwell_decisions/traffic/facts.py
@@ -83,8 +83,23 @@
     versions: tuple[ModelVersion, ...] = ()
 
 
+class ScoringCall(typing.NamedTuple):
+    """The request that scores an item's text once that is whole.
+
+    It may be repeated, always under the same ``call_id``.
+    """
+
+    call_id: str
+    host: str
+    target: str
+    body: bytes
+
+
 class Item(typing.NamedTuple):
-    """One item of a batch; ``expected_tokens`` is its caller's guess."""
+    """One item of a batch; ``expected_tokens`` is its caller's guess.
+
+    Without a ``scoring_call`` its text alone is the result.
+    """
 
     item_id: str
     target: str
@@ -92,6 +107,7 @@
     body: bytes
     group: str
     expected_tokens: int = 0
+    scoring_call: ScoringCall | None = None
 
 
 class Submission(typing.NamedTuple):
@@ -107,12 +123,16 @@
 
 
 class Result(typing.NamedTuple):
-    """What became of an item; ``text`` is whole if it ``is_complete``."""
+    """What became of an item; ``text`` is whole if it ``is_complete``.
+
+    ``score`` is the seal of the scorer's answer, "" for unscored items.
+    """
 
     item_id: str
     is_complete: bool
     text: str = ""
     versions: tuple[int, ...] = ()
+    score: str = ""
 
 
 class Event(typing.NamedTuple):
--- a/packages/decisions/tests/batches/test_book.py
+++ b/packages/decisions/tests/batches/test_book.py
@@ -12,9 +12,20 @@
 SIZE = 2
 
 
-def _submission(min_version=1):
+def _call(item_id):
+    return facts.ScoringCall(f"score-{item_id}", "host", "/score", b"")
+
+
+def _submission(min_version=1, is_scored=False):
     items = tuple(
-        facts.Item(f"{group}{number}", "/", (), b"", f"g{group}")
+        facts.Item(
+            f"{group}{number}",
+            "/",
+            (),
+            b"",
+            f"g{group}",
+            scoring_call=_call(f"{group}{number}") if is_scored else None,
+        )
         for group in range(GROUPS)
         for number in range(SIZE)
     )
@@ -58,6 +69,101 @@
     assert book.ready()[0] == facts.Result("00", False)
 
 
+def _scored_book():
+    return books.Book(_submission(is_scored=True), 2)
+
+
+def test_a_whole_text_is_listed_only_with_its_score():
+    book = _scored_book()
+    _finish(book, "00")
+    _finish(book, "01")
+
+    assert book.unscored() == ["00", "01"]
+    assert "00" not in book.waiting()
+    assert book.ready() == []
+    for item_id in ("00", "01"):
+        book.scoring_started(item_id)
+        book.scored(item_id, f"seal {item_id}")
+
+    assert book.unscored() == []
+    assert [one.score for one in book.ready()] == ["seal 00", "seal 01"]
+
+
+def test_groups_that_lack_least_are_scored_first():
+    book = _scored_book()
+    for item_id in ("00", "10", "11"):
+        _finish(book, item_id)
+    book.scoring_started("10")
+    book.scored("10", "seal")
+
+    assert book.unscored() == ["11", "00"]
+
+
+def test_only_failures_of_the_scorer_itself_give_an_item_up():
+    book = _scored_book()
+    _finish(book, "00")
+
+    for failures, state in (
+        (0, books.State.UNSCORED),
+        (2, books.State.UNSCORED),
+        (0, books.State.UNSCORED),
+        (1, books.State.GIVEN_UP),
+    ):
+        book.scoring_started("00")
+        book.scoring_stopped("00", failures, 3)
+        assert book.state("00") is state
+
+
+def test_a_score_after_the_item_was_given_up_changes_nothing():
+    book = _scored_book()
+    _finish(book, "00")
+    book.scoring_started("00")
+    book.give_up_rest()
+
+    book.scored("00", "seal")
+    book.scoring_stopped("00")
+
+    assert book.state("00") is books.State.GIVEN_UP
+
+
+def test_an_ended_batch_wants_no_scores():
+    book = _scored_book()
+    _finish(book, "00")
+
+    book.end()
+
+    assert book.unscored() == []
+
+
+@pytest.mark.parametrize(
+    ("score", "state"),
+    [
+        (None, books.State.UNSCORED),
+        (progresses.Score("another call", "seal"), books.State.UNSCORED),
+        (progresses.Score("score-00", "seal"), books.State.DONE),
+    ],
+)
+def test_a_saved_text_keeps_the_score_of_the_same_call(score, state):
+    book = _scored_book()
+
+    book.adopt([], [progresses.Saved("00", ("a",), (1,), True, score)])
+
+    assert book.state("00") is state
+    assert book.waiting() == ["01", "10", "11", "20", "21"]
+
+
+def test_a_text_that_begins_anew_has_no_score():
+    saved = progresses.Saved(
+        "00", ("a",), (1,), True, progresses.Score("c", "s")
+    )
+    progress = progresses.Progress.from_saved(saved)
+    assert progress.save() == saved
+
+    progress.restart()
+
+    assert progress.score is None
+
+
 def test_an_ended_batch_wants_nothing_more():
     book = _book()
     _finish(book, "00")
@@ -121,7 +227,7 @@
 
     def __init__(self):
         super().__init__()
-        self.book = _book()
+        self.book = _scored_book()
         self.positions = []
 
     items = strategies.sampled_from(
@@ -144,6 +250,20 @@
         else:
             self.book.give_up(item_id)
 
+    @stateful.rule(item_id=items)
+    def start_scoring(self, item_id):
+        if item_id in self.book.unscored():
+            self.book.scoring_started(item_id)
+
+    @stateful.rule(item_id=items, how=strategies.sampled_from(["s", "f", "l"]))
+    def end_scoring(self, item_id, how):
+        if self.book.state(item_id) is not books.State.SCORING:
+            return
+        if how == "s":
+            self.book.scored(item_id, "seal")
+        else:
+            self.book.scoring_stopped(item_id, int(how == "f"), 2)
+
     @stateful.rule(count=strategies.integers(0, 4))
     def commit(self, count):
         self.book.list(self.book.ready()[:count])
@@ -155,6 +275,7 @@
         self.positions = list(listed)
         ids = [one.item_id for one in listed]
         assert len(set(ids)) == len(ids)
+        assert all(one.score for one in listed if one.is_complete)
 
 
 TestBook = BookMachine.TestCase
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -67,6 +67,8 @@
         self._failure = None
         self._unreached = 0
         self.tried = []
+        # How many replicas failed the request themselves.
+        self.failures = 0
 
     def age_s(self):
         """Return how long ago the request came, in seconds."""
@@ -230,6 +232,7 @@
         if held.status < FAILED or not self._is_repeatable:
             return True
         self._failure = held
+        self.failures += 1
         self._note(
             exceptions.BackendFailed(
                 f"the replica answered {held.status}",
--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -34,6 +34,8 @@
         self.service = ""
         self.tasks_by_item = {}
         self.runs_by_item = {}
+        self.scorings_by_item = {}
+        self.scoring_not_before_by_item = {}
         self.committer = None
         self.saver = None
         self.has_ready = asyncio.Event()
@@ -59,14 +61,31 @@
         except TimeoutError:
             return
 
+    def texts(self, least_events=1):
+        """Return the `Progress` of the unlisted texts that can be used on.
+
+        They are whole ones, and those that may be resumed and have at
+        least so many events.
+        """
+        may_resume = self.route.is_resumable
+        return [
+            progress
+            for progress in self.book.unfinished()
+            if progress.is_complete
+            or (may_resume and len(progress.events) >= least_events)
+        ]
+
     def cancel_runs(self, cause):
-        """Cancel all runs under way; `cause` says why in the log."""
-        for task in self.tasks_by_item.values():
+        """Cancel all runs and scoring calls; `cause` goes to the log."""
+        for task in self._tasks():
             task.cancel(cause)
 
+    def _tasks(self):
+        return [*self.tasks_by_item.values(), *self.scorings_by_item.values()]
+
     async def stop(self, cause):
         """Stop all that runs for the batch; `cause` says why in the log."""
-        tasks = list(self.tasks_by_item.values())
+        tasks = self._tasks()
         tasks += [task for task in (self.committer, self.saver) if task]
         for task in tasks:
             task.cancel(cause)
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -5,6 +5,7 @@
 from anvilwell_gateway.batches import committing
 from anvilwell_gateway.batches import saving
 from anvilwell_gateway.batches import scheduler as schedulers
+from anvilwell_gateway.batches import scorer as scorers
 from anvilwell_gateway import measures
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
@@ -27,17 +28,36 @@
         The routes in force.
     runner : runners.Runner
         What runs an item.
+    forwarder : forwarding.Forwarder
+        The way of scoring calls.
+    dialect : dialect.Dialect
+        How those are written.
     """
 
-    def __init__(self, batch_store, directory, configuration, runner):
+    def __init__(
+        self,
+        batch_store,
+        directory,
+        configuration,
+        runner,
+        forwarder,
+        dialect,
+    ):
         self._store = batch_store
         self._configuration = configuration
         self._sequence = 0
         self._tasks = set()
         self.on_lost = _nothing
         self.held_by_id = {}
+        self._scorer = scorers.Scorer(
+            forwarder, directory, configuration, dialect, self.held_by_id
+        )
         self._scheduler = schedulers.Scheduler(
-            directory, configuration, runner, self.held_by_id
+            directory,
+            configuration,
+            runner,
+            self.held_by_id,
+            self._scorer.schedule,
         )
 
     def beliefs(self):
@@ -45,10 +65,12 @@
         held_now = self.held_by_id.values()
         waiting = sum(len(held.book.waiting()) for held in held_now)
         running = sum(len(held.runs_by_item) for held in held_now)
+        unscored = sum(len(held.book.unscored()) for held in held_now)
         return [
             measures.Belief("batches", len(held_now)),
             measures.Belief("items_waiting", waiting),
             measures.Belief("items_running", running),
+            measures.Belief("items_unscored", unscored),
         ]
 
     def routes(self):
@@ -75,6 +97,7 @@
             min_version=held.submission.min_version,
         )
         self._scheduler.schedule()
+        self._scorer.schedule()
 
     def end(self, batch_id):
         """Stop a batch that its trainer has ended."""
@@ -103,8 +126,8 @@
         A trainer submits groups that were not whole again, and items of
         them then need only what they lack.
         """
-        saved = [one.save() for one in held.book.unfinished()]
-        if not (saved and held.route.is_resumable):
+        saved = [one.save() for one in held.texts()]
+        if not saved:
             return
         try:
             await self._store.carry(held.route, saved)
@@ -136,12 +159,13 @@
         for held in held_now:
             await held.stop(_LEAVING)
         self._scheduler.stop()
+        self._scorer.stop()
 
     async def _save(self, held):
         await held.stop(_LEAVING)
-        if held.book.is_settled or not held.route.is_resumable:
+        saved = [one.save() for one in held.texts()]
+        if held.book.is_settled or not saved:
             return
-        saved = [one.save() for one in held.book.unfinished()]
         try:
             await self._store.save(held.batch_id, saved)
         except exceptions.AnvilwellError as error:
--- a/packages/gateway/anvilwell_gateway/batches/saving.py
+++ b/packages/gateway/anvilwell_gateway/batches/saving.py
@@ -10,7 +10,8 @@
 # spare; saving twice as often as before cost 85 calls in a day of 1,700 and
 # brought 0.026 of worth a day, over 70 days with such losses.
 SAVE_S = 0.7
-# Texts of fewer events are made again in less than half a second.
+# Unfinished texts of fewer events are made again in less than half a
+# second; whole ones are kept whatever their length.
 LEAST_EVENTS = 10
 
 _LOG = logs.get_logger(__name__)
@@ -30,11 +31,11 @@
     def __init__(self, batch_store, held):
         self._store = batch_store
         self._held = held
-        self._saved_events = 0
+        self._saved_size = (0, 0)
 
     async def run(self):
         """Save until nothing of the batch runs any more."""
-        while self._held.route.is_resumable and not self._is_settled:
+        while not self._is_settled:
             await asyncio.sleep(SAVE_S)
             await self._save()
 
@@ -43,13 +44,12 @@
         return self._held.book.is_settled
 
     async def _save(self):
-        texts = [
-            progress
-            for progress in self._held.book.unfinished()
-            if len(progress.events) >= LEAST_EVENTS
-        ]
-        events = sum(len(progress.events) for progress in texts)
-        if self._is_settled or events == self._saved_events:
+        texts = self._held.texts(LEAST_EVENTS)
+        size = (
+            sum(len(progress.events) for progress in texts),
+            sum(progress.score is not None for progress in texts),
+        )
+        if self._is_settled or size == self._saved_size:
             return
         try:
             await self._store.save(
@@ -62,4 +62,4 @@
                 cause=error.message,
             )
             return
-        self._saved_events = events
+        self._saved_size = size
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -46,13 +46,16 @@
         What runs an item.
     held_by_id : dict
         The batches that are owned now, kept by their `holder.Holder`.
+    on_text : callable
+        Told that a text is whole.
     """
 
-    def __init__(self, directory, configuration, runner, held_by_id):
+    def __init__(self, directory, configuration, runner, held_by_id, on_text):
         self._directory = directory
         self._configuration = configuration
         self._runner = runner
         self._held_by_id = held_by_id
+        self._on_text = on_text
         self._dispatch = dispatches.Dispatch()
         self._timer = None
         directory.listen(self.schedule)
@@ -243,6 +246,7 @@
         if ended.end is runners.End.WHOLE:
             book.done(work.item_id)
             held.has_ready.set()
+            self._on_text()
             return
         counters.count_retry(_RETRIES_BY_END[ended.end], work.service)
         if ended.end is runners.End.FAILED:
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/batches/scorer.py
@@ -0,0 +1,187 @@
+"""Gets the scores of texts that are whole."""
+
+import asyncio
+import collections
+
+from anvilwell_decisions.batches import scoring
+from anvilwell_gateway import dialect as dialects
+from anvilwell_gateway.http import messages
+from anvilwell_gateway import measures
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.telemetry import logs
+from anvilwell_kernel import verdict as verdicts
+
+# Look again after so long while texts wait for a score, in seconds: the
+# pause after a refusal, or a route that is not there now.
+RETRY_S = 0.1
+
+_LOG = logs.get_logger(__name__)
+
+
+class Scorer:
+    """Makes the scoring calls of the batches that are owned here.
+
+    A call begins once the last event of its text has come, takes the way
+    of live calls, and is repeated under its id until it brings a score.
+
+    Parameters
+    ----------
+    forwarder : forwarding.Forwarder
+        The way to plain services.
+    directory : directory.Directory
+        Says how many slots a service has.
+    configuration : configuration.ConfigurationFollower
+        The routes in force.
+    dialect : dialect.Dialect
+        Writes the calls and reads the seals.
+    held_by_id : dict
+        The batches that are owned now, kept by their `holder.Holder`.
+    """
+
+    def __init__(
+        self, forwarder, directory, configuration, dialect, held_by_id
+    ):
+        self._forwarder = forwarder
+        self._directory = directory
+        self._configuration = configuration
+        self._dialect = dialect
+        self._held_by_id = held_by_id
+        self._pacers_by_service = collections.defaultdict(scoring.Pacer)
+        self._timer = None
+
+    def stop(self):
+        """Start no more calls."""
+        if self._timer:
+            self._timer.cancel()
+
+    def schedule(self):
+        """Start all scoring calls that may start now."""
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        loop = asyncio.get_running_loop()
+        unscored = [
+            (held, item_id)
+            for held in list(self._held_by_id.values())
+            for item_id in held.book.unscored()
+        ]
+        for held, item_id in unscored:
+            self._start(held, item_id, loop.time())
+        if any(held.book.unscored() for held in self._held_by_id.values()):
+            self._timer = loop.call_later(RETRY_S, self.schedule)
+
+    def _start(self, held, item_id, now):
+        """Start the call of one item if its service has room."""
+        if now < held.scoring_not_before_by_item.get(item_id, 0.0):
+            return
+        scoring_call = held.book.items_by_id[item_id].scoring_call
+        route = self._route(scoring_call)
+        if route is None:
+            return
+        pacer = self._pacer(route)
+        if not pacer.has_room(now):
+            return
+        held.book.scoring_started(item_id)
+        pacer.running += 1
+        task = asyncio.create_task(
+            self._score(held, item_id, scoring_call, route, pacer)
+        )
+        held.scorings_by_item[item_id] = task
+        # Not in the task: one that is cancelled early never runs at all.
+        task.add_done_callback(
+            lambda task: self._release(held, item_id, pacer, task)
+        )
+
+    def _route(self, scoring_call):
+        """Return the route of a call, as one that may be repeated."""
+        path = scoring_call.target.partition("?")[0]
+        route = self._configuration.routes.find(scoring_call.host, path)
+        if route is None or route.is_batch or route.is_stream:
+            return None
+        return route._replace(is_idempotent=True)
+
+    def _pacer(self, route):
+        pacer = self._pacers_by_service[route.targets[0].service]
+        services = {target.service for target in route.targets}
+        pacer.set_slots(
+            sum(
+                replica.slots
+                for replica in self._directory.usable()
+                if replica.service in services
+            )
+        )
+        return pacer
+
+    def _release(self, held, item_id, pacer, task):
+        pacer.running -= 1
+        if held.scorings_by_item.get(item_id) is task:
+            del held.scorings_by_item[item_id]
+        held.book.scoring_stopped(item_id)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._pause(held, item_id)
+            _LOG.log("scoring-fault", item_id=item_id, cause=repr(error))
+        held.has_ready.set()
+        self._schedule_soon()
+
+    def _schedule_soon(self):
+        if self._timer:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_soon(self.schedule)
+
+    def _pause(self, held, item_id):
+        """Let an item wait before its next call."""
+        progress = held.book.progress_by_id[item_id]
+        progress.scoring_rounds += 1
+        pause_s = scoring.pause_s(progress.scoring_rounds)
+        now = asyncio.get_running_loop().time()
+        held.scoring_not_before_by_item[item_id] = now + pause_s
+
+    async def _score(self, held, item_id, scoring_call, route, pacer):
+        """Make one round of attempts at the score of one item."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        limit_s = pacer.limit_s(route)
+        request = messages.Request(
+            "POST",
+            scoring_call.target,
+            self._dialect.scoring_headers(scoring_call),
+            scoring_call.body,
+            started_at,
+        )
+        call = dialects.Call(scoring_call.call_id, limit_s)
+        attempt = self._forwarder.attempts(route, call, request)
+        seal, cause = "", ""
+        try:
+            answer = await attempt.run()
+            if answer.status < 300:
+                seal = self._dialect.read_outcome(answer).seal
+            cause = "" if seal else f"status {answer.status}"
+        except exceptions.AnvilwellError as error:
+            cause = error.message
+            if error.verdict is verdicts.Verdict.NOT_RUN:
+                pacer.refused(loop.time())
+        took_s = loop.time() - started_at
+        if seal:
+            pacer.answered(took_s)
+            held.book.scored(item_id, seal)
+        else:
+            most = max(route.max_replicas, held.route.max_replicas)
+            held.book.scoring_stopped(item_id, attempt.failures, most)
+            self._pause(held, item_id)
+        end = "scored" if seal else "failed"
+        measures.record(measures.SCORINGS, took_s, end=end)
+        write = _LOG.routine if seal else _LOG.log
+        write(
+            "item-scoring",
+            batch_id=held.batch_id,
+            item_id=item_id,
+            request_id=scoring_call.call_id,
+            end=end,
+            state=str(held.book.state(item_id).value),
+            cause=cause,
+            replicas=attempt.tried,
+            failures=attempt.failures,
+            limit_s=round(limit_s, 3),
+            took_s=round(took_s, 3),
+        )
--- a/packages/gateway/anvilwell_gateway/dialect.py
+++ b/packages/gateway/anvilwell_gateway/dialect.py
@@ -20,20 +20,25 @@
 class Outcome(typing.NamedTuple):
     """What a replica's head says.
 
-    ``is_sealed`` is whether the replica vouches for the answer,
+    ``seal`` is the replica's proof of its answer, "" if it gives none;
     ``not_run`` whether it promises that the request did not run.
     ``running``, ``waiting`` and ``slots`` tell its load; slots are 0 if
     it doesn't tell.
     """
 
     request_id: str
-    is_sealed: bool
+    seal: str
     not_run: bool
     version: int = 0
     running: int = 0
     waiting: int = 0
     slots: int = 0
 
+    @property
+    def is_sealed(self):
+        """Whether the replica vouches for the answer."""
+        return bool(self.seal)
+
 
 class BatchVerb(enum.Enum):
     """What a call on a batch asks for."""
@@ -90,6 +95,10 @@
     def item_headers(self, item, host):
         """Return the headers of a batch's item as a request."""
 
+    @abc.abstractmethod
+    def scoring_headers(self, scoring_call):
+        """Return the headers of a `facts.ScoringCall` as a request."""
+
     @abc.abstractmethod
     def read_outcome(self, reply):
         """Return the `Outcome` that a replica's head makes."""
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -75,6 +75,8 @@
             self._directory,
             self._configuration,
             runners.Runner(self._dialect, self._pool),
+            self._forwarder,
+            self._dialect,
         )
         self._intake = intakes.Intake(
             batch_store,
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -50,9 +50,13 @@
         self._policies_by_service = {}
         directory.listen(self._replicas_changed)
 
+    def attempts(self, route, call, request):
+        """Return the `attempts.Attempts` at a request of a plain route."""
+        return attempts.Attempts(self, route, call, request)
+
     async def forward(self, route, call, request, responder):
         """Answer `request`, which `route` allows, through `responder`."""
-        attempt = attempts.Attempts(self, route, call, request)
+        attempt = self.attempts(route, call, request)
         try:
             held = await attempt.run()
         except exceptions.AnvilwellError as error:
--- a/packages/gateway/anvilwell_gateway/measures.py
+++ b/packages/gateway/anvilwell_gateway/measures.py
@@ -21,6 +21,11 @@
     unit="s",
     description="Time of one run of an item at a replica, by its end",
 )
+SCORINGS = _METER.create_histogram(
+    "anvilwell_scoring_duration",
+    unit="s",
+    description="Time of one round of attempts at a score, by its end",
+)
 STORE_CALLS = _METER.create_histogram(
     "anvilwell_store_call_duration",
     unit="s",
@@ -39,6 +44,7 @@
         ("batches", "Batches that this entry owns"),
         ("items_waiting", "Items of those that wait for a replica"),
         ("items_running", "Items of those that run"),
+        ("items_unscored", "Items of those whose text waits for a score"),
         ("versions_wanted", "Newest version that was asked for, by model"),
     )
 }
--- a/packages/gateway/tests/batches/test_holder.py
+++ b/packages/gateway/tests/batches/test_holder.py
@@ -50,7 +50,9 @@
             routes=table.RouteTable([ROUTE]), listen=lambda callback: None
         )
         directory, runner = _Directory(), _Runner()
-        holder = holders.Holder(None, directory, configuration, runner)
+        holder = holders.Holder(
+            None, directory, configuration, runner, None, None
+        )
         try:
             return await scenario(holder, directory, runner)
         finally:
