Have agents tell entries what engines load, and take turns with versions

Change: agents send entries a notice when their engine begins and ends a load; the answer tells what the newest batches need, so agents learn how far behind weights may be. An engine loads every second version where one behind is allowed; those that are too old load at once.

--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -79,6 +79,11 @@
         known = self._version_by_model.get(model, 0)
         return not known or known >= min_version
 
+    def takes(self, model, min_version):
+        """Return whether a new item for `model` would start here."""
+        is_loading = model in self.replica.loading
+        return not is_loading and self.may_have(model, min_version)
+
     def saw_gap(self, gap_s, now):
         """Take in the time between two events of one run."""
         if now - self._paced_at > PACE_AGE_S:
@@ -200,7 +205,7 @@
         and not replica.is_draining
         and worker.room > 0
         and worker.not_before <= now
-        and worker.may_have(work.model, work.min_version)
+        and worker.takes(work.model, work.min_version)
     )
 
 
--- a/packages/decisions/anvilwell_decisions/traffic/facts.py
+++ b/packages/decisions/anvilwell_decisions/traffic/facts.py
@@ -71,7 +71,8 @@
 class Replica(typing.NamedTuple):
     """One life of one replica, as it registered itself.
 
-    ``versions`` holds the weight version of each of its models.
+    ``versions`` holds the weight version of each of its models;
+    ``loading`` names those that it loads, and takes no new work for.
     """
 
     replica_id: str
@@ -81,6 +82,7 @@
     slots: int
     is_draining: bool = False
     versions: tuple[ModelVersion, ...] = ()
+    loading: tuple[str, ...] = ()
 
 
 class ScoringCall(typing.NamedTuple):
--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -6,24 +6,18 @@
 
 import asyncio
 
+from anvilwell_decisions.batches import loading
+from anvilwell_decisions.traffic import facts
 from anvilwell_gateway import directory
 from anvilwell_gateway import engine as engines
 from anvilwell_gateway import following
 from anvilwell_gateway import measures
 from anvilwell_gateway import metrics_page
+from anvilwell_gateway import notices
 from anvilwell_gateway import presence
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
-# Engines that load weights take no new work for that model, and load
-# slower if more than two fifths of them load at a time. So that many load
-# together, one part of them after the other. A load takes 0.9 s.
-PART_SHARE = 0.4
-WAVE_S = 1.0
-# Trainers submit a step as they name a version. Its items start on the
-# version before, which they may, and go on while the weights load; an
-# engine that loads first keeps them waiting for a second.
-SETTLE_S = 0.3
 POLL_S = 0.1
 # Between tries of an order that failed.
 RETRY_S = 0.3
@@ -103,6 +97,9 @@
         )
         self._tasks = []
         self._moves_by_model = {}
+        self._teller = notices.Teller()
+        self._telling = set()
+        self._lags_by_model = {}
 
     async def start(self):
         """Begin to follow and order."""
@@ -117,7 +114,8 @@
     async def drain(self):
         """Give no order any more."""
         await self._versions.stop()
-        tasks = [*self._tasks, *self._moves_by_model.values()]
+        moves = self._moves_by_model.values()
+        tasks = [*self._tasks, *moves, *self._telling]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -127,6 +125,7 @@
         await self.drain()
         await self._metrics.stop()
         await self._paths.close()
+        self._teller.close()
 
     def _beliefs(self):
         """Return each `measures.Belief` as of now."""
@@ -163,7 +162,9 @@
                 continue
             live_by_vm = presence.read_live(snapshot.entries_by_key)
             if live_by_vm:
-                self._paths.set_peers(presence.peer_addresses(live_by_vm))
+                addresses_by_vm = presence.peer_addresses(live_by_vm)
+                self._paths.set_peers(addresses_by_vm)
+                self._teller.set_entries(addresses_by_vm)
 
     async def _run(self):
         """Have one task for each model whose version has changed."""
@@ -176,15 +177,15 @@
                     move = asyncio.create_task(self._move(model))
                     self._moves_by_model[model] = move
 
-    async def _wave(self):
-        """Return which part of the service's replicas this one is in."""
+    async def _place(self):
+        """Return the engine's `loading.Place` among its service's."""
         try:
             snapshot = await self._store.get_prefix(
                 self._codec.replicas_prefix, may_be_stale=True
             )
         except exceptions.AnvilwellError as error:
             _LOG.log("replicas-not-read", cause=error.message)
-            return 0
+            return loading.Place(0, 1)
         replicas = [
             directory.read(self._codec, entry.key, entry.value)
             for entry in snapshot.entries_by_key.values()
@@ -196,24 +197,77 @@
         )
         mine = str(self._backend)
         rank = addresses.index(mine) if mine in addresses else 0
-        return rank // max(1, int(PART_SHARE * len(addresses)))
+        return loading.Place(rank, max(1, len(addresses)))
 
     async def _move(self, model):
-        """Order until the engine has the version wanted now."""
-        await asyncio.sleep(SETTLE_S + WAVE_S * await self._wave())
+        """Order until the engine has the version wanted now, or skip it."""
+        wait_s = await self._wait_s(model)
+        if wait_s is None:
+            return
+        await asyncio.sleep(wait_s)
         while True:
             wanted = self._versions.wanted_by_model[model]
             try:
                 report = await self._engine.report()
                 if report.version_by_model.get(model, wanted) >= wanted:
+                    await self._tell(report)
                     return
                 if not report.is_busy:
+                    self._keep_task(self._tell(report, (model,)))
                     await self._order(report, model, wanted)
             except exceptions.AnvilwellError as error:
                 _LOG.log("engine-unreachable", cause=error.message)
                 await asyncio.sleep(RETRY_S)
             await asyncio.sleep(POLL_S)
 
+    async def _wait_s(self, model):
+        """Return how long to wait before a load, None for no load now."""
+        wanted = self._versions.wanted_by_model[model]
+        place = await self._place()
+        lag = self._lags_by_model.get(model)
+        try:
+            report = await self._engine.report()
+        except exceptions.AnvilwellError as error:
+            _LOG.log("engine-unreachable", cause=error.message)
+            return 0.0
+        had = report.version_by_model.get(model, wanted)
+        wait_s = loading.wait_s(had, wanted, lag, place)
+        self._keep_task(self._learn_lag(model, wanted, report))
+        if wait_s is None:
+            _LOG.log(
+                "version-skipped",
+                model=model,
+                version=wanted,
+                had=had,
+                lag=lag,
+                rank=place.rank,
+                replicas=place.replicas,
+            )
+        return wait_s
+
+    async def _learn_lag(self, model, wanted, report):
+        """Learn how old the weights may be that a step's items get.
+
+        Asked once the step that follows a version is submitted. A step
+        that comes later makes the lag look too long, so the shortest one
+        that was seen counts.
+        """
+        await asyncio.sleep(loading.SETTLE_S)
+        needs_by_model = await self._teller.tell(_notice(report))
+        if model in needs_by_model:
+            lag = max(0, wanted - needs_by_model[model])
+            known = self._lags_by_model.get(model, lag)
+            self._lags_by_model[model] = min(known, lag)
+
+    async def _tell(self, report, models=()):
+        """Tell all entries what the engine has, and what it loads."""
+        await self._teller.tell(_notice(report, models))
+
+    def _keep_task(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._telling.add(task)
+        task.add_done_callback(self._telling.discard)
+
     async def _order(self, report, model, wanted):
         order = engines.VersionOrder(
             report.replica_id,
@@ -235,3 +289,11 @@
         )
         if end is not engines.OrderEnd.ACCEPTED:
             await asyncio.sleep(RETRY_S)
+
+
+def _notice(report, models=()):
+    versions = tuple(
+        facts.ModelVersion(model, version)
+        for model, version in report.version_by_model.items()
+    )
+    return notices.Notice(report.replica_id, versions, tuple(models))
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -73,6 +73,15 @@
             measures.Belief("items_unscored", unscored),
         ]
 
+    def needs_by_model(self):
+        """Return the oldest version that the newest batch of a model takes."""
+        needs_by_model = {}
+        for held in self.held_by_id.values():
+            model = held.submission.model
+            known = needs_by_model.get(model, 0)
+            needs_by_model[model] = max(known, held.submission.min_version)
+        return needs_by_model
+
     def routes(self):
         """Return the routes in force."""
         return self._configuration.routes
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import typing
 
 from anvilwell_gateway import following
 from anvilwell_gateway import measures
@@ -16,10 +17,20 @@
 # are also seen in its answers. With 25 replicas this saves a quarter of an
 # entry's calls, 2,005 of 8,149 in a quiet day of 23 entries, against 0.25 s.
 GATHER_S = 0.6
+# An agent that says that its engine loads, and then nothing, is believed
+# for so long: three times what a load takes.
+LONGEST_LOAD_S = 3.0
 
 _LOG = logs.get_logger(__name__)
 
 
+class _Noted(typing.NamedTuple):
+    """A `notices.Notice` and when it came."""
+
+    notice: typing.Any
+    at: float
+
+
 class Directory(following.Follower):
     """Keeps the replicas by id and tells listeners of each change."""
 
@@ -31,6 +42,7 @@
         self._listeners = []
         self._regained_at = float("-inf")
         self._returns_by_id = {}
+        self._noted_by_id = {}
         self.replicas_by_id = {}
 
     def listen(self, callback):
@@ -40,12 +52,36 @@
     def usable(self, service=None):
         """Return the replicas that may take new work."""
         return [
-            replica
+            self._with_notice(replica)
             for replica in self.replicas_by_id.values()
             if not replica.is_draining
             and (service is None or replica.service == service)
         ]
 
+    def note(self, notice):
+        """Take what an agent tells of its engine."""
+        now = asyncio.get_running_loop().time()
+        self._noted_by_id[notice.replica_id] = _Noted(notice, now)
+        _LOG.routine(
+            "engine-noted",
+            replica_id=notice.replica_id,
+            versions=dict(notice.versions),
+            loading=list(notice.loading),
+        )
+        self._tell()
+
+    def _with_notice(self, replica):
+        """Return `replica` with what its agent has told."""
+        noted = self._noted_by_id.get(replica.replica_id)
+        if noted is None:
+            return replica
+        age_s = asyncio.get_running_loop().time() - noted.at
+        is_believed = age_s < LONGEST_LOAD_S
+        return replica._replace(
+            versions=(*replica.versions, *noted.notice.versions),
+            loading=noted.notice.loading if is_believed else (),
+        )
+
     def beliefs(self):
         """Return how many replicas each service has."""
         counts = collections.Counter(one.service for one in self.usable())
@@ -106,6 +142,7 @@
         self._tell()
 
     def _forget(self, replica_id):
+        self._noted_by_id.pop(replica_id, None)
         if self.replicas_by_id.pop(replica_id, None) is not None:
             _LOG.log("replica-gone", replica_id=replica_id)
 
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -16,6 +16,7 @@
 from anvilwell_gateway.http import server as servers
 from anvilwell_gateway import measures
 from anvilwell_gateway import metrics_page
+from anvilwell_gateway import notices
 from anvilwell_gateway import paths
 from anvilwell_gateway import presence as presences
 from anvilwell_gateway import retirement
@@ -65,8 +66,10 @@
         self._presence = presences.Presence(store, settings.daemon.vm_id)
         self._paths = platform.paths
         self._news = presences.News(store, self._presence, self._paths)
-        self._relay = paths.RelayServer(
-            settings.entry.peers, self._paths.direct
+        self._relay = paths.Relay(self._paths.direct)
+        self._peers = servers.Server(settings.entry.peers, self._answer_peer)
+        self._peers.limits = servers.FIRST_LIMITS._replace(
+            max_body_bytes=paths.MAX_ANSWER_BYTES
         )
         self._retirement = retirement.Retirement(
             store, platform.codec, self._news, settings.daemon.vm_id
@@ -148,7 +151,7 @@
     def peer_address(self):
         """Where other VMs ask this one for help."""
         host = self._settings.entry.peers.host
-        return options.Address(host, self._relay.port)
+        return options.Address(host, self._peers.port)
 
     @property
     def lives_by_vm(self):
@@ -171,7 +174,7 @@
             _LOG.log("listens-late", cause=problem)
         await self._front.start()
         await self._health.start()
-        await self._relay.start()
+        await self._peers.start()
         await self._metrics.start()
         self._presence.start(self.peer_address)
         self.retention.start()
@@ -212,7 +215,7 @@
         await self._holder.stop()
         await self._front.stop()
         await self._health.stop()
-        await self._relay.stop()
+        await self._peers.stop()
         await self._metrics.stop()
         await self._paths.close()
         self._pool.close()
@@ -230,6 +233,27 @@
     async def _answer_health(self, request, responder):
         await responder.send(200 if self._is_ready() else 503)
 
+    async def _answer_peer(self, request, responder):
+        """Answer another VM of ours."""
+        try:
+            await self._dispatch_peer(request, responder)
+        except exceptions.AnvilwellError as error:
+            _LOG.log(
+                "peer-not-answered", path=request.path, cause=error.message
+            )
+            await responder.send(error.status)
+
+    async def _dispatch_peer(self, request, responder):
+        if request.path == paths.RELAY_TARGET:
+            await self._relay.answer(request, responder)
+        elif request.path == notices.TARGET:
+            self._directory.note(notices.read(request.body))
+            needs_by_model = self._holder.needs_by_model()
+            body = notices.write_needs(needs_by_model)
+            await responder.send(200, (), body)
+        else:
+            raise exceptions.NotFound(f"peers do not ask for {request.path}")
+
     def _beliefs(self):
         """Return each `measures.Belief` as of now."""
         return [
--- a/packages/gateway/anvilwell_gateway/paths.py
+++ b/packages/gateway/anvilwell_gateway/paths.py
@@ -16,7 +16,6 @@
 from anvilwell_decisions.outages import paths as choices
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
-from anvilwell_gateway.http import server as servers
 from anvilwell_gateway import measures
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
@@ -30,7 +29,7 @@
 PROBE_TIMEOUT_S = 0.5
 # A peer waits as long as the direct path would; this is for the way there.
 PEER_MARGIN_S = 0.2
-_RELAY_TARGET = "/key-value"
+RELAY_TARGET = "/key-value"
 _POOL_KEY = "key-value"
 # The service refuses this VM, or all.
 _BUSY = 503
@@ -129,7 +128,7 @@
         """Return the `Answer` that the peer got."""
         question = messages.Request(
             "POST",
-            _RELAY_TARGET,
+            RELAY_TARGET,
             (("Host", str(self._address)),),
             cbor2.dumps(call),
         )
@@ -274,27 +273,22 @@
                 return
 
 
-class RelayServer(servers.Server):
+class Relay:
     """Makes calls for peers that don't reach the service themselves.
 
     Only by the direct path: a call never takes a second hop.
 
     Parameters
     ----------
-    address : options.Address
-        Where to listen.
     direct : DirectPath
         The way to the service.
     """
 
-    def __init__(self, address, direct):
-        super().__init__(address, self._answer)
+    def __init__(self, direct):
         self._direct = direct
-        self.limits = servers.FIRST_LIMITS._replace(
-            max_body_bytes=MAX_ANSWER_BYTES
-        )
 
-    async def _answer(self, request, responder):
+    async def answer(self, request, responder):
+        """Answer a peer's request."""
         call = Call(*cbor2.loads(request.body))
         _LOG.routine("call-relayed", target=call.target.partition("?")[0])
         try:
