Name engines by address in notices, and keep what is loading

Cause: engines do not tell agents their id, so notices named none and no entry used them; and the notice that asks for the lag wiped what was loading. Ruled out: full queues (the refusals state loads of 0,0,8: an order was being carried out).

--- a/packages/decisions/anvilwell_decisions/batches/loading.py
+++ b/packages/decisions/anvilwell_decisions/batches/loading.py
@@ -49,9 +49,8 @@
     if period == 1 or place.replicas < period * LEAST_PARTS:
         part = max(1, int(PART_SHARE * place.replicas))
         return SETTLE_S + WAVE_S * (place.rank // part)
-    spare = had - (wanted - lag)
-    if spare < 0:
+    if had < wanted - lag:
         # Useless until it has loaded.
         return 0.0
     is_turn = (place.rank + wanted) % period == 0
-    return SETTLE_S if spare == 0 and is_turn else None
+    return SETTLE_S if is_turn else None
--- /dev/null
+++ b/packages/decisions/tests/batches/test_loading.py
@@ -0,0 +1,70 @@
+"""Engines take turns with the versions that trainers name."""
+
+from anvilwell_decisions.batches import loading
+import pytest
+
+
+def _play(replicas, lag, versions, first=1):
+    """Return the loads of each version, and the least that could serve.
+
+    Each version's step allows versions ``lag`` behind it; engines that
+    wait for their turn have loaded before the next version is named.
+    """
+    had = [first] * replicas
+    loads, able = [], []
+    for wanted in range(first + 1, first + 1 + versions):
+        able.append(sum(version >= wanted - lag for version in had))
+        places = [loading.Place(rank, replicas) for rank in range(replicas)]
+        waits = [
+            loading.wait_s(had[place.rank], wanted, lag, place)
+            for place in places
+        ]
+        loads.append(sum(wait_s is not None for wait_s in waits))
+        had = [
+            wanted if wait_s is not None else version
+            for version, wait_s in zip(had, waits, strict=True)
+        ]
+    return loads, able
+
+
+@pytest.mark.parametrize("replicas", [4, 5, 6, 19])
+def test_each_engine_loads_every_second_version(replicas):
+    loads, able = _play(replicas, 1, 20)
+
+    assert sum(loads) <= 20 * (replicas + 1) / 2
+    # Half of the engines can start a step's items while the others load.
+    assert min(able) >= replicas // 2
+
+
+def test_a_longer_lag_needs_fewer_loads():
+    loads, able = _play(9, 2, 21)
+
+    assert sum(loads) <= 21 * 9 / 3 + 3
+    assert min(able) >= 6
+
+
+@pytest.mark.parametrize(("replicas", "lag"), [(3, 1), (6, None), (6, 0)])
+def test_all_load_each_version_where_no_turns_can_be_taken(replicas, lag):
+    waits = [
+        loading.wait_s(4, 5, lag, loading.Place(rank, replicas))
+        for rank in range(replicas)
+    ]
+
+    assert None not in waits
+    assert min(waits) == loading.SETTLE_S
+    together = max(waits.count(wait_s) for wait_s in waits)
+    assert together <= max(1, int(loading.PART_SHARE * replicas))
+
+
+def test_an_engine_that_is_too_old_loads_at_once():
+    place = loading.Place(0, 4)
+
+    assert loading.wait_s(3, 5, 1, place) == 0.0
+    assert loading.wait_s(1, 5, 1, place) == 0.0
+
+
+def test_engines_that_were_replaced_together_take_turns_again():
+    loads, able = _play(6, 1, 8, first=7)
+
+    assert loads[0] == 3
+    assert min(able[1:]) >= 3
--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -99,6 +99,7 @@
         self._moves_by_model = {}
         self._teller = notices.Teller()
         self._telling = set()
+        self._loading = set()
         self._lags_by_model = {}
 
     async def start(self):
@@ -210,10 +211,12 @@
             try:
                 report = await self._engine.report()
                 if report.version_by_model.get(model, wanted) >= wanted:
-                    await self._tell(report)
+                    self._loading.discard(model)
+                    await self._teller.tell(self._notice(report))
                     return
                 if not report.is_busy:
-                    self._keep_task(self._tell(report, (model,)))
+                    self._loading.add(model)
+                    self._keep_task(self._teller.tell(self._notice(report)))
                     await self._order(report, model, wanted)
             except exceptions.AnvilwellError as error:
                 _LOG.log("engine-unreachable", cause=error.message)
@@ -248,20 +251,25 @@
     async def _learn_lag(self, model, wanted, report):
         """Learn how old the weights may be that a step's items get.
 
-        Asked once the step that follows a version is submitted. A step
-        that comes later makes the lag look too long, so the shortest one
-        that was seen counts.
+        The shortest one that was seen counts: a step that comes when its
+        trainer is late allows fewer versions behind the newest.
         """
         await asyncio.sleep(loading.SETTLE_S)
-        needs_by_model = await self._teller.tell(_notice(report))
+        needs_by_model = await self._teller.tell(self._notice(report))
         if model in needs_by_model:
             lag = max(0, wanted - needs_by_model[model])
             known = self._lags_by_model.get(model, lag)
             self._lags_by_model[model] = min(known, lag)
 
-    async def _tell(self, report, models=()):
-        """Tell all entries what the engine has, and what it loads."""
-        await self._teller.tell(_notice(report, models))
+    def _notice(self, report):
+        """Return what the engine has, and what it loads."""
+        versions = tuple(
+            facts.ModelVersion(model, version)
+            for model, version in report.version_by_model.items()
+        )
+        address = str(self._backend)
+        loading_now = tuple(sorted(self._loading))
+        return notices.Notice(address, versions, loading_now)
 
     def _keep_task(self, coroutine):
         task = asyncio.create_task(coroutine)
@@ -289,11 +297,3 @@
         )
         if end is not engines.OrderEnd.ACCEPTED:
             await asyncio.sleep(RETRY_S)
-
-
-def _notice(report, models=()):
-    versions = tuple(
-        facts.ModelVersion(model, version)
-        for model, version in report.version_by_model.items()
-    )
-    return notices.Notice(report.replica_id, versions, tuple(models))
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -60,16 +60,28 @@
 
     def note(self, notice):
         """Take what an agent tells of its engine."""
+        replica_id = self._id_at(notice.address)
+        if replica_id is None:
+            return
         now = asyncio.get_running_loop().time()
-        self._noted_by_id[notice.replica_id] = _Noted(notice, now)
+        self._noted_by_id[replica_id] = _Noted(notice, now)
         _LOG.routine(
             "engine-noted",
-            replica_id=notice.replica_id,
+            replica_id=replica_id,
             versions=dict(notice.versions),
             loading=list(notice.loading),
         )
         self._tell()
 
+    def _id_at(self, address):
+        """Return the id of the replica at an address, or None."""
+        ids = (
+            replica.replica_id
+            for replica in self.replicas_by_id.values()
+            if str(replica.address) == address
+        )
+        return next(ids, None)
+
     def _with_notice(self, replica):
         """Return `replica` with what its agent has told."""
         noted = self._noted_by_id.get(replica.replica_id)
--- a/packages/gateway/anvilwell_gateway/notices.py
+++ b/packages/gateway/anvilwell_gateway/notices.py
@@ -23,13 +23,20 @@
 TIMEOUT_S = 0.5
 MAX_ANSWER_BYTES = 64 << 10
 
+# No answer, or none that can be read.
+_UNANSWERED = (exceptions.BackendFailed, cbor2.CBORError, ValueError)
+
 _LOG = logs.get_logger(__name__)
 
 
 class Notice(typing.NamedTuple):
-    """An engine's versions, and the models that it loads just now."""
+    """An engine's versions, and the models that it loads just now.
+
+    Engines do not tell agents under which id they are registered, so the
+    ``address`` names the engine, as ``ip:port``.
+    """
 
-    replica_id: str
+    address: str
     versions: tuple[facts.ModelVersion, ...]
     loading: tuple[str, ...] = ()
 
@@ -48,7 +55,7 @@
     """
     try:
         return _NOTICE.validate_python(cbor2.loads(body))
-    except (ValueError, EOFError) as error:
+    except (cbor2.CBORError, ValueError) as error:
         raise exceptions.BadRequest(f"no notice: {error}") from error
 
 
@@ -102,7 +109,7 @@
             if reply.status == 200:
                 return _NEEDS.validate_python(cbor2.loads(answer))
             cause = f"status {reply.status}"
-        except (exceptions.BackendFailed, ValueError, EOFError) as error:
+        except _UNANSWERED as error:
             cause = repr(error)
         _LOG.routine("entry-not-told", entry=vm_id, cause=cause)
         return {}
