--- a/packages/decisions/tests/batches/test_dispatch.py
+++ b/packages/decisions/tests/batches/test_dispatch.py
@@ -152,3 +152,13 @@
         dispatch.worker("r0").saw_gap(SLOW_S, NOW)
 
     assert dispatch.moves([_run("r0", 100)], NOW)
+
+
+def test_a_replica_that_loads_a_model_gets_no_items_of_it():
+    dispatch = _dispatch(versions=(1,))
+    replica = dispatch.worker("r0").replica
+    dispatch.set_replicas([replica._replace(loading=("m",))])
+    assert dispatch.choose(_work(), NOW) is None
+
+    dispatch.set_replicas([replica._replace(loading=("n",))])
+    assert dispatch.choose(_work(), NOW) == "r0"
