--- a/packages/client/anvilwell_client/stories.py
+++ b/packages/client/anvilwell_client/stories.py
@@ -80,7 +80,7 @@
     they belong to, what happened to their replicas, and what the
     processes concerned believed around that time.
     """
-    own = [line for line in lines if _names(line, {wanted})]
+    own = _own(lines, wanted)
     if not own:
         return []
     batches = {line.fields.get("batch_id") for line in own} - {None}
@@ -102,6 +102,20 @@
     return sorted(by_place.values(), key=lambda line: line.at)
 
 
+def _own(lines, wanted):
+    """Return the lines that name `wanted`, or a scoring call of it.
+
+    Attempts at a score are logged under the scoring call's id alone.
+    """
+    named = [line for line in lines if _names(line, {wanted})]
+    calls = {
+        line.fields["request_id"]
+        for line in named
+        if line.event == "item-scoring"
+    }
+    return [line for line in lines if _names(line, calls | {wanted})]
+
+
 def _names(line, ids):
     return any(line.fields.get(key) in ids for key in _LINKS)
 
--- a/packages/client/tests/test_stories.py
+++ b/packages/client/tests/test_stories.py
@@ -28,6 +28,9 @@
     _text(100.5, "item-run", batch_id="b1", item_id="i2", replica="r2"),
     _text(101.0, "batch-ended", batch_id="b1"),
     _text(101.0, "store-lost", vm="e9"),
+    _text(200.0, "item-scoring", item_id="i3", request_id="s3", batch_id="b9"),
+    _text(199.9, "attempt-failed", request_id="s3", replica="r3"),
+    _text(199.9, "attempt-failed", request_id="s4", replica="r3"),
     "no JSON at all",
     "{broken",
 ]
@@ -48,6 +51,13 @@
     ]
 
 
+def test_an_item_s_story_has_the_attempts_at_its_score():
+    assert _events("i3") == [
+        ("attempt-failed", 199.9),
+        ("item-scoring", 200.0),
+    ]
+
+
 def test_an_unknown_id_has_no_story():
     assert _events("nobody") == []
 
@@ -55,4 +65,4 @@
 def test_lines_that_are_none_are_counted():
     lines, unreadable = stories.read(TEXTS)
 
-    assert (len(lines), unreadable) == (11, 1)
+    assert (len(lines), unreadable) == (14, 1)
