Share the alarm of scheduler and scorer, and split versions off the agent

The two had the same eleven lines for one look now or later; the agent held the follower of versions; the round of a score did three things in one function.

--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -10,11 +10,11 @@
 from anvilwell_decisions.traffic import facts
 from anvilwell_gateway import directory
 from anvilwell_gateway import engine as engines
-from anvilwell_gateway import following
 from anvilwell_gateway import measures
 from anvilwell_gateway import metrics_page
 from anvilwell_gateway import notices
 from anvilwell_gateway import presence
+from anvilwell_gateway import versions
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -32,46 +32,6 @@
 _LOG = logs.get_logger(__name__)
 
 
-class Versions(following.Follower):
-    """Follows the versions that trainers ask for; they only rise."""
-
-    def __init__(self, store, codec):
-        super().__init__(store, codec.versions_prefix)
-        self._codec = codec
-        self.wanted_by_model = {}
-        self.news = asyncio.Event()
-
-    @property
-    def fencing(self):
-        """A number that never falls, whatever models are ordered when.
-
-        Each version only rises, so their sum does, also over restarts;
-        and nobody else gives this engine orders.
-        """
-        return sum(self.wanted_by_model.values())
-
-    def load(self, entries_by_key):
-        """Take all versions that are there."""
-        for entry in entries_by_key.values():
-            self._take(entry.key, entry.value)
-
-    def change(self, change):
-        """Take one version."""
-        if change.value is not None:
-            self._take(change.key, change.value)
-
-    def _take(self, key, value):
-        try:
-            model, version = self._codec.read_version(value)
-        except exceptions.ConfigurationError as error:
-            _LOG.log("version-unreadable", key=key, cause=error.message)
-            return
-        if version > self.wanted_by_model.get(model, 0):
-            self.wanted_by_model[model] = version
-            self.news.set()
-            _LOG.log("version-wanted", model=model, version=version)
-
-
 class Agent:
     """Keeps one engine at the wanted versions.
 
@@ -91,7 +51,7 @@
         self._store = platform.store
         self._paths = platform.paths
         self._codec = platform.codec
-        self._versions = Versions(platform.store, platform.codec)
+        self._versions = versions.Versions(platform.store, platform.codec)
         self._metrics = metrics_page.MetricsPage(
             settings.metrics, self._beliefs
         )
@@ -263,13 +223,13 @@
 
     def _notice(self, report):
         """Return what the engine has, and what it loads."""
-        versions = tuple(
+        loaded = tuple(
             facts.ModelVersion(model, version)
             for model, version in report.version_by_model.items()
         )
         address = str(self._backend)
         loading_now = tuple(sorted(self._loading))
-        return notices.Notice(address, versions, loading_now)
+        return notices.Notice(address, loaded, loading_now)
 
     def _keep_task(self, coroutine):
         task = asyncio.create_task(coroutine)
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -7,6 +7,7 @@
 from anvilwell_decisions.batches import dispatch as dispatches
 from anvilwell_decisions.traffic import facts
 from anvilwell_decisions.traffic import table
+from anvilwell_gateway import alarms
 from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway import measures
 from anvilwell_kernel import reasons
@@ -57,20 +58,17 @@
         self._held_by_id = held_by_id
         self._on_text = on_text
         self._dispatch = dispatches.Dispatch()
-        self._timer = None
+        self._alarm = alarms.Alarm(self.schedule)
         directory.listen(self.schedule)
         configuration.listen(self.schedule)
 
     def stop(self):
         """Look no more for what can start."""
-        if self._timer:
-            self._timer.cancel()
+        self._alarm.stop()
 
     def schedule(self):
         """Start whatever can start now."""
-        if self._timer:
-            self._timer.cancel()
-            self._timer = None
+        self._alarm.stop()
         loop = asyncio.get_running_loop()
         now = loop.time()
         self._dispatch.set_replicas(self._directory.usable())
@@ -84,7 +82,7 @@
             self._start(work, now)
         has_runs = any(h.runs_by_item for h in self._held_by_id.values())
         if waiting or has_runs:
-            self._timer = loop.call_later(RETRY_S, self.schedule)
+            self._alarm.later(RETRY_S)
 
     def _move(self, now):
         """Stop runs that should go on at a faster replica."""
@@ -188,13 +186,7 @@
             now = asyncio.get_running_loop().time()
             worker.not_before = now + dispatches.SILENT_PAUSE_S
             _LOG.log("run-fault", item_id=work.item_id, cause=repr(error))
-        self._schedule_soon()
-
-    def _schedule_soon(self):
-        """Look once after all that happens now, such as many ends."""
-        if self._timer:
-            self._timer.cancel()
-        self._timer = asyncio.get_running_loop().call_soon(self.schedule)
+        self._alarm.soon()
 
     async def _run(self, held, work, worker):
         progress = held.book.progress_by_id[work.item_id]
--- a/packages/gateway/anvilwell_gateway/batches/scorer.py
+++ b/packages/gateway/anvilwell_gateway/batches/scorer.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+import functools
 
 from anvilwell_decisions.batches import scoring
+from anvilwell_gateway import alarms
 from anvilwell_gateway import dialect as dialects
 from anvilwell_gateway.http import messages
 from anvilwell_gateway import measures
@@ -47,18 +49,15 @@
         self._dialect = dialect
         self._held_by_id = held_by_id
         self._pacers_by_service = collections.defaultdict(scoring.Pacer)
-        self._timer = None
+        self._alarm = alarms.Alarm(self.schedule)
 
     def stop(self):
         """Start no more calls."""
-        if self._timer:
-            self._timer.cancel()
+        self._alarm.stop()
 
     def schedule(self):
         """Start all scoring calls that may start now."""
-        if self._timer:
-            self._timer.cancel()
-            self._timer = None
+        self._alarm.stop()
         loop = asyncio.get_running_loop()
         unscored = [
             (held, item_id)
@@ -68,7 +67,7 @@
         for held, item_id in unscored:
             self._start(held, item_id, loop.time())
         if any(held.book.unscored() for held in self._held_by_id.values()):
-            self._timer = loop.call_later(RETRY_S, self.schedule)
+            self._alarm.later(RETRY_S)
 
     def _start(self, held, item_id, now):
         """Start the call of one item if its service has room."""
@@ -89,7 +88,7 @@
         held.scorings_by_item[item_id] = task
         # Not in the task: one that is cancelled early never runs at all.
         task.add_done_callback(
-            lambda task: self._release(held, item_id, pacer, task)
+            functools.partial(self._release, held, item_id, pacer)
         )
 
     def _route(self, scoring_call):
@@ -122,12 +121,7 @@
             self._pause(held, item_id)
             _LOG.log("scoring-fault", item_id=item_id, cause=repr(error))
         held.has_ready.set()
-        self._schedule_soon()
-
-    def _schedule_soon(self):
-        if self._timer:
-            self._timer.cancel()
-        self._timer = asyncio.get_running_loop().call_soon(self.schedule)
+        self._alarm.soon()
 
     def _pause(self, held, item_id):
         """Let an item wait before its next call."""
@@ -142,25 +136,8 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         limit_s = pacer.limit_s(route)
-        request = messages.Request(
-            "POST",
-            scoring_call.target,
-            self._dialect.scoring_headers(scoring_call),
-            scoring_call.body,
-            started_at,
-        )
-        call = dialects.Call(scoring_call.call_id, limit_s)
-        attempt = self._forwarder.attempts(route, call, request)
-        seal, cause = "", ""
-        try:
-            answer = await attempt.run()
-            if answer.status < 300:
-                seal = self._dialect.read_outcome(answer).seal
-            cause = "" if seal else f"status {answer.status}"
-        except exceptions.AnvilwellError as error:
-            cause = error.message
-            if error.verdict is verdicts.Verdict.NOT_RUN:
-                pacer.refused(loop.time())
+        attempt = self._attempts(scoring_call, route, limit_s)
+        seal, cause = await self._seal(attempt, pacer)
         took_s = loop.time() - started_at
         if seal:
             pacer.answered(took_s)
@@ -178,10 +155,34 @@
             item_id=item_id,
             request_id=scoring_call.call_id,
             end=end,
-            state=str(held.book.state(item_id).value),
+            state=held.book.state(item_id).value,
             cause=cause,
             replicas=attempt.tried,
             failures=attempt.failures,
             limit_s=round(limit_s, 3),
             took_s=round(took_s, 3),
         )
+
+    def _attempts(self, scoring_call, route, limit_s):
+        """Return the `attempts.Attempts` at one scoring call."""
+        request = messages.Request(
+            "POST",
+            scoring_call.target,
+            self._dialect.scoring_headers(scoring_call),
+            scoring_call.body,
+            asyncio.get_running_loop().time(),
+        )
+        call = dialects.Call(scoring_call.call_id, limit_s)
+        return self._forwarder.attempts(route, call, request)
+
+    async def _seal(self, attempt, pacer):
+        """Return the seal that `attempt` brings, "" with why there is none."""
+        try:
+            answer = await attempt.run()
+        except exceptions.AnvilwellError as error:
+            if error.verdict is verdicts.Verdict.NOT_RUN:
+                pacer.refused(asyncio.get_running_loop().time())
+            return "", error.message
+        if answer.status >= 300:
+            return "", f"status {answer.status}"
+        return self._dialect.read_outcome(answer).seal, ""
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/versions.py
@@ -0,0 +1,49 @@
+"""The weight versions that trainers name in the store."""
+
+import asyncio
+
+from anvilwell_gateway import following
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.telemetry import logs
+
+_LOG = logs.get_logger(__name__)
+
+
+class Versions(following.Follower):
+    """Follows the versions that trainers ask for; they only rise."""
+
+    def __init__(self, store, codec):
+        super().__init__(store, codec.versions_prefix)
+        self._codec = codec
+        self.wanted_by_model = {}
+        self.news = asyncio.Event()
+
+    @property
+    def fencing(self):
+        """A number that never falls, whatever models are ordered when.
+
+        Each version only rises, so their sum does, also over restarts;
+        and nobody else gives this engine orders.
+        """
+        return sum(self.wanted_by_model.values())
+
+    def load(self, entries_by_key):
+        """Take all versions that are there."""
+        for entry in entries_by_key.values():
+            self._take(entry.key, entry.value)
+
+    def change(self, change):
+        """Take one version."""
+        if change.value is not None:
+            self._take(change.key, change.value)
+
+    def _take(self, key, value):
+        try:
+            model, version = self._codec.read_version(value)
+        except exceptions.ConfigurationError as error:
+            _LOG.log("version-unreadable", key=key, cause=error.message)
+            return
+        if version > self.wanted_by_model.get(model, 0):
+            self.wanted_by_model[model] = version
+            self.news.set()
+            _LOG.log("version-wanted", model=model, version=version)
