Say that an engine loads only once it has taken the order

Cause: the notice went out before the order. An engine that refuses the order, or is busy with another, then got no items of that model although it loads nothing. Found by reading; the test fails on the code before. Ruled out: clearing it afterwards (a second notice for each refusal).

--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -175,8 +175,6 @@
                     await self._teller.tell(self._notice(report))
                     return
                 if not report.is_busy:
-                    self._loading.add(model)
-                    self._keep_task(self._teller.tell(self._notice(report)))
                     await self._order(report, model, wanted)
             except exceptions.AnvilwellError as error:
                 _LOG.log("engine-unreachable", cause=error.message)
@@ -257,3 +255,6 @@
         )
         if end is not engines.OrderEnd.ACCEPTED:
             await asyncio.sleep(RETRY_S)
+            return
+        self._loading.add(model)
+        self._keep_task(self._teller.tell(self._notice(report)))
