Let calls wait for first facts only while an entry is new

Cause: an entry that starts while the store is away held each call for 0.25 s before it refused it, for as long as the store was away. Found by reading. It refuses at once from one second after its start on.

--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -35,6 +35,9 @@
 # batch for this entry's registration. They come 30 and 70 ms after the
 # start if the store answers; a refusal costs a caller one of its few tries.
 FIRST_WAIT_S = 0.25
+# An entry that has run for so long and still lacks them refuses at once:
+# then the store is away, perhaps for seconds.
+STARTING_S = 1.0
 
 _LOG = logs.get_logger(__name__)
 
@@ -120,6 +123,7 @@
             self._retirement,
         )
         self._is_draining = False
+        self._started_at = loop.time()
         self._configuration.listen(self._configured)
 
     @property
@@ -279,20 +283,28 @@
         if batch_call is not None:
             await self._desk.answer(batch_call, call.request_id, responder)
             return
-        await _wait_for(lambda: self._is_informed)
+        await self._wait_for(lambda: self._is_informed)
         if self._configuration.current is None:
             raise exceptions.Refused("no configuration is known yet")
         route = self._configuration.routes.find(request.host, request.path)
         if route is None:
             raise exceptions.NotFound("no route takes this path")
         if route.is_batch:
-            await _wait_for(lambda: self._presence.is_registered)
+            await self._wait_for(lambda: self._presence.is_registered)
             await self._desk.submit(route, call, request, responder)
         elif route.is_stream:
             await self._forwarder.stream(route, call, request, responder)
         else:
             await self._forwarder.forward(route, call, request, responder)
 
+    async def _wait_for(self, is_known):
+        """Wait a moment for what a new process does not know yet."""
+        loop = asyncio.get_running_loop()
+        starts_until = self._started_at + STARTING_S
+        until = min(loop.time() + FIRST_WAIT_S, starts_until)
+        while not is_known() and loop.time() < until:
+            await asyncio.sleep(POLL_S)
+
     @property
     def _is_informed(self):
         """Whether configuration and replicas are known."""
@@ -315,11 +327,3 @@
         retry_after_s = NOT_CONFIGURED_RETRY_S if error.status == 503 else None
         headers = self._dialect.failure_headers(call.request_id, retry_after_s)
         await responder.send(error.status, headers)
-
-
-async def _wait_for(is_known):
-    """Wait a moment for what a new process does not know yet."""
-    loop = asyncio.get_running_loop()
-    until = loop.time() + FIRST_WAIT_S
-    while not is_known() and loop.time() < until:
-        await asyncio.sleep(POLL_S)
