Give an item up only for its scorers' answers of 500

Cause: every sealed answer of 500 or more counted as a failure of the item, so four of 502 or 503 ended it early; only answers of 500 may. Ruled out: the count of items' own runs, which takes 500 alone already.

--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -67,7 +67,7 @@
         self._failure = None
         self._unreached = 0
         self.tried = []
-        # How many replicas failed the request themselves.
+        # How many replicas answered 500: they ran the request and failed.
         self.failures = 0
 
     def age_s(self):
@@ -232,7 +232,7 @@
         if held.status < FAILED or not self._is_repeatable:
             return True
         self._failure = held
-        self.failures += 1
+        self.failures += held.status == FAILED
         self._note(
             exceptions.BackendFailed(
                 f"the replica answered {held.status}",
