Count the scorers' slots once a look, and keep an item's pause with it

Cause: read as a whole, each waiting text made a copy of all replicas and counted their slots anew at each end of a call, and the waiting texts were collected and sorted twice; the pause before an item's next call stood in the batch, its number of rounds in the item. Change: one count a look, one collection, one place. No change in behaviour; tests unchanged. Ruled out: keeping the count between looks (one more thing to tell of replicas that come and go).

--- a/packages/decisions/anvilwell_decisions/batches/progress.py
+++ b/packages/decisions/anvilwell_decisions/batches/progress.py
@@ -45,6 +45,7 @@
         self.failures = 0
         self.scoring_failures = 0
         self.scoring_rounds = 0
+        self.scoring_not_before = 0.0
 
     @classmethod
     def from_saved(cls, saved):
--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -35,7 +35,6 @@
         self.tasks_by_item = {}
         self.runs_by_item = {}
         self.scorings_by_item = {}
-        self.scoring_not_before_by_item = {}
         self.committer = None
         self.saver = None
         self.has_ready = asyncio.Event()
--- a/packages/gateway/anvilwell_gateway/batches/scorer.py
+++ b/packages/gateway/anvilwell_gateway/batches/scorer.py
@@ -58,28 +58,41 @@
     def schedule(self):
         """Start all scoring calls that may start now."""
         self._alarm.stop()
-        loop = asyncio.get_running_loop()
         unscored = [
             (held, item_id)
-            for held in list(self._held_by_id.values())
+            for held in self._held_by_id.values()
             for item_id in held.book.unscored()
         ]
-        for held, item_id in unscored:
-            self._start(held, item_id, loop.time())
-        if any(held.book.unscored() for held in self._held_by_id.values()):
+        if not unscored:
+            return
+        now = asyncio.get_running_loop().time()
+        slots_by_service = self._slots_by_service()
+        started = [
+            self._start(held, item_id, slots_by_service, now)
+            for held, item_id in unscored
+        ]
+        if not all(started):
             self._alarm.later(RETRY_S)
 
-    def _start(self, held, item_id, now):
-        """Start the call of one item if its service has room."""
-        if now < held.scoring_not_before_by_item.get(item_id, 0.0):
-            return
+    def _slots_by_service(self):
+        """Return how many calls all replicas of a service run at once."""
+        slots_by_service = collections.Counter()
+        for replica in self._directory.usable():
+            slots_by_service[replica.service] += replica.slots
+        return slots_by_service
+
+    def _start(self, held, item_id, slots_by_service, now):
+        """Start the call of one item; return whether it was possible."""
+        progress = held.book.progress_by_id[item_id]
+        if now < progress.scoring_not_before:
+            return False
         scoring_call = held.book.items_by_id[item_id].scoring_call
         route = self._route(scoring_call)
         if route is None:
-            return
-        pacer = self._pacer(route)
+            return False
+        pacer = self._pacer(route, slots_by_service)
         if not pacer.has_room(now):
-            return
+            return False
         held.book.scoring_started(item_id)
         pacer.running += 1
         task = asyncio.create_task(
@@ -90,6 +103,7 @@
         task.add_done_callback(
             functools.partial(self._release, held, item_id, pacer)
         )
+        return True
 
     def _route(self, scoring_call):
         """Return the route of a call, as one that may be repeated."""
@@ -99,16 +113,11 @@
             return None
         return route._replace(is_idempotent=True)
 
-    def _pacer(self, route):
-        pacer = self._pacers_by_service[route.targets[0].service]
-        services = {target.service for target in route.targets}
-        pacer.set_slots(
-            sum(
-                replica.slots
-                for replica in self._directory.usable()
-                if replica.service in services
-            )
-        )
+    def _pacer(self, route, slots_by_service):
+        services = [target.service for target in route.targets]
+        pacer = self._pacers_by_service[services[0]]
+        slots = sum(slots_by_service[service] for service in set(services))
+        pacer.set_slots(slots)
         return pacer
 
     def _release(self, held, item_id, pacer, task):
@@ -129,7 +138,7 @@
         progress.scoring_rounds += 1
         pause_s = scoring.pause_s(progress.scoring_rounds)
         now = asyncio.get_running_loop().time()
-        held.scoring_not_before_by_item[item_id] = now + pause_s
+        progress.scoring_not_before = now + pause_s
 
     async def _score(self, held, item_id, scoring_call, route, pacer):
         """Make one round of attempts at the score of one item."""
