Have an entry order for engines whose agent is absent

Cause: only agents ordered weights. The same holds for any engine whose agent is down or cut off. And an order without an answer may be carried out after its engine has started again under its id: the id and a count of 0 then both hold, and nothing moved the engine again. Change: claims.py keeps who orders in the store, by engine; its revision is the fence; whoever takes an engine waits four seconds. moving.py is what agents and entries share; standing_in.py is the entry's part, for engines whose agent has neither asked for changes nor told anything for three seconds, by the one entry of the failure domain that watches the store. Agents look at their engine each second and move it again if it started anew or lost a version. Tests: fences of one holder are equal now and rise from holder to holder, so test_fences_rise_with_each_order became test_fences_never_fall, and test_claims plays three holders at random, restarts included: no turns within 3 s, no number twice, none lower. Without the wait after taking, it fails. Three tests of engines without agent or gone back fail without it.

--- a/packages/decisions/anvilwell_decisions/batches/loading.py
+++ b/packages/decisions/anvilwell_decisions/batches/loading.py
@@ -26,6 +26,14 @@
     replicas: int
 
 
+def place(address, addresses):
+    """Return the `Place` of the engine at `address` among `addresses`."""
+    ordered = sorted(str(one) for one in addresses)
+    mine = str(address)
+    rank = ordered.index(mine) if mine in ordered else 0
+    return Place(rank, max(1, len(ordered)))
+
+
 def wait_s(had, wanted, lag, place):
     """Return how long the engine waits before it loads, None to skip.
 
--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -1,17 +1,18 @@
 """An agent: moves the engine beside it to the version asked for.
 
-It is the only one that gives its engine orders. So no lease is needed,
-and no order of another holder can cross its own.
+Its orders go first: an entry gives some only once it has not heard the
+agent for seconds, and the claim in the store says whose turn it is.
 """
 
 import asyncio
 
 from anvilwell_decisions.batches import loading
 from anvilwell_decisions.traffic import facts
+from anvilwell_gateway import claims
 from anvilwell_gateway import directory
-from anvilwell_gateway import engine as engines
 from anvilwell_gateway import measures
 from anvilwell_gateway import metrics_page
+from anvilwell_gateway import moving
 from anvilwell_gateway import neighbours
 from anvilwell_gateway import notices
 from anvilwell_gateway import presence
@@ -19,12 +20,12 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
-POLL_S = 0.1
-# Between tries of an order that failed.
-RETRY_S = 0.3
 # Between the calls that show whether the store is there, in seconds. A
 # version is to be in force two seconds after it was named.
 PING_S = 1.0
+# Between looks whether the engine lost a version, by a restart or an order
+# that was carried out late. Its own VM is answered for free.
+WATCH_S = 1.0
 # Entries register within a second of their start, and few come or go: an
 # agent reads anew so often where they can be asked for help, in seconds.
 FIRST_PEERS_S = 2.0
@@ -48,14 +49,26 @@
         self._vm_id = settings.daemon.vm_id
         self._backend = settings.agent.backend
         self._service = settings.agent.service
-        self._engine = platform.engine
+        self._engine = platform.engine_at(settings.agent.backend)
         self._store = platform.store
         self._paths = platform.paths
         self._codec = platform.codec
         self._versions = versions.Versions(platform.store, platform.codec)
+        self._mover = moving.Mover(
+            self._engine,
+            self._backend,
+            self._vm_id,
+            claims.Claims(platform.store, self._vm_id),
+            self._versions,
+        )
+        self._life = None
+        self._seen_by_model = {}
         # An agent holds no lease: whether it is in touch shows in a read.
         self._neighbours = neighbours.Neighbours(
-            self._vm_id, settings.daemon.failure_domain, lambda: True
+            self._vm_id,
+            settings.daemon.failure_domain,
+            lambda: True,
+            str(self._backend),
         )
         self._metrics = metrics_page.MetricsPage(
             settings.metrics, self._beliefs
@@ -75,6 +88,7 @@
         self._tasks = [
             asyncio.create_task(self._run()),
             asyncio.create_task(self._ping()),
+            asyncio.create_task(self._watch_engine()),
             asyncio.create_task(self._learn_peers()),
         ]
 
@@ -92,6 +106,7 @@
         await self.drain()
         await self._metrics.stop()
         await self._paths.close()
+        self._engine.close()
         self._neighbours.close()
         self._teller.close()
 
@@ -146,11 +161,50 @@
         while True:
             await self._versions.news.wait()
             self._versions.news.clear()
-            for model in self._versions.wanted_by_model:
-                known = self._moves_by_model.get(model)
-                if known is None or known.done():
-                    move = asyncio.create_task(self._move(model))
-                    self._moves_by_model[model] = move
+            self._move_all()
+
+    def _move_all(self):
+        """Have one task for each model that may be behind."""
+        for model in self._versions.wanted_by_model:
+            known = self._moves_by_model.get(model)
+            if known is None or known.done():
+                move = asyncio.create_task(self._move(model))
+                self._moves_by_model[model] = move
+
+    async def _watch_engine(self):
+        """Move the engine again after it has lost a version.
+
+        An order without an answer may be carried out seconds later. If the
+        engine has started again under its id by then, and has taken as
+        many orders as the late one expects, nothing else guards it.
+        """
+        while True:
+            await asyncio.sleep(WATCH_S)
+            try:
+                report = await self._engine.report()
+            except exceptions.AnvilwellError as error:
+                _LOG.routine("engine-unreachable", cause=error.message)
+                continue
+            if self._has_lost(report):
+                _LOG.log(
+                    "engine-went-back",
+                    replica=report.replica_id,
+                    versions=report.version_by_model,
+                    seen=self._seen_by_model,
+                )
+                self._move_all()
+
+    def _has_lost(self, report):
+        """Take in a report; return whether its engine lost a version."""
+        life = (report.replica_id, report.started_ms)
+        is_other = self._life not in (None, life)
+        is_behind = any(
+            version < self._seen_by_model.get(model, 0)
+            for model, version in report.version_by_model.items()
+        )
+        self._life = life
+        self._seen_by_model = dict(report.version_by_model)
+        return is_other or is_behind
 
     async def _place(self):
         """Return the engine's `loading.Place` among its service's."""
@@ -167,14 +221,12 @@
             )
             for entry in snapshot.entries_by_key.values()
         ]
-        addresses = sorted(
-            str(replica.address)
+        addresses = (
+            replica.address
             for replica in replicas
             if replica and replica.service == self._service
         )
-        mine = str(self._backend)
-        rank = addresses.index(mine) if mine in addresses else 0
-        return loading.Place(rank, max(1, len(addresses)))
+        return loading.place(self._backend, addresses)
 
     async def _move(self, model):
         """Order until the engine has the version wanted now, or skip it."""
@@ -182,20 +234,16 @@
         if wait_s is None:
             return
         await asyncio.sleep(wait_s)
-        while True:
-            wanted = self._versions.wanted_by_model[model]
-            try:
-                report = await self._engine.report()
-                if report.version_by_model.get(model, wanted) >= wanted:
-                    self._loading.discard(model)
-                    await self._teller.tell(self._notice(report))
-                    return
-                if not report.is_busy:
-                    await self._order(report, model, wanted)
-            except exceptions.AnvilwellError as error:
-                _LOG.log("engine-unreachable", cause=error.message)
-                await asyncio.sleep(RETRY_S)
-            await asyncio.sleep(POLL_S)
+        report = await self._mover.move(
+            model, lambda: True, lambda ordered: self._ordered(model, ordered)
+        )
+        self._loading.discard(model)
+        await self._teller.tell(self._notice(report))
+
+    def _ordered(self, model, report):
+        """Tell that the engine loads, from what it said before."""
+        self._loading.add(model)
+        self._keep_task(self._teller.tell(self._notice(report)))
 
     async def _wait_s(self, model):
         """Return how long to wait before a load, None for no load now."""
@@ -249,28 +297,3 @@
         task = asyncio.create_task(coroutine)
         self._telling.add(task)
         task.add_done_callback(self._telling.discard)
-
-    async def _order(self, report, model, wanted):
-        order = engines.VersionOrder(
-            report.replica_id,
-            model,
-            wanted,
-            self._vm_id,
-            self._versions.fencing,
-            report.orders_taken,
-        )
-        end = await self._engine.order(order)
-        _LOG.log(
-            "version-ordered",
-            replica=report.replica_id,
-            model=model,
-            version=wanted,
-            had=report.version_by_model[model],
-            running=report.running,
-            end=str(end),
-        )
-        if end is not engines.OrderEnd.ACCEPTED:
-            await asyncio.sleep(RETRY_S)
-            return
-        self._loading.add(model)
-        self._keep_task(self._teller.tell(self._notice(report)))
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -76,6 +76,16 @@
         )
         self._tell()
 
+    def noted_at(self, address):
+        """Return when a replica's agent told of it last, -inf if never."""
+        times = (
+            self._noted_by_id[replica.replica_id].at
+            for replica in self.replicas_by_id.values()
+            if str(replica.address) == address
+            and replica.replica_id in self._noted_by_id
+        )
+        return max(times, default=float("-inf"))
+
     def _id_at(self, notice):
         """Return the id of the replica that a notice is of, or None.
 
--- a/packages/gateway/anvilwell_gateway/engine.py
+++ b/packages/gateway/anvilwell_gateway/engine.py
@@ -59,3 +59,7 @@
     @abc.abstractmethod
     async def order(self, order):
         """Give a `VersionOrder`; return its `OrderEnd`."""
+
+    @abc.abstractmethod
+    def close(self):
+        """Close the connections."""
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -10,6 +10,7 @@
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import retention
 from anvilwell_gateway.batches import runner as runners
+from anvilwell_gateway import claims
 from anvilwell_gateway import configuration as configurations
 from anvilwell_gateway import directory as directories
 from anvilwell_gateway import feeds
@@ -24,6 +25,7 @@
 from anvilwell_gateway import paths
 from anvilwell_gateway import presence as presences
 from anvilwell_gateway import retirement
+from anvilwell_gateway import standing_in
 from anvilwell_gateway import versions
 from anvilwell_kernel.config import options
 from anvilwell_kernel import exceptions
@@ -108,6 +110,16 @@
             self._dialect,
         )
         self._owners = owners.Owners(store)
+        self._stand_in = standing_in.StandIn(
+            self.vm_id,
+            self._directory,
+            self._versions,
+            self._neighbours,
+            self.heard_at,
+            claims.Claims(store, self.vm_id),
+            platform.engine_at,
+            self._holder.needs_by_model,
+        )
         self._intake = intakes.Intake(
             batch_store,
             self._holder,
@@ -209,6 +221,7 @@
         self.retention.start()
         for follower in self._followers:
             follower.start(self._neighbours, self._feeds)
+        self._stand_in.start()
         self._starting = asyncio.create_task(self._review_once())
 
     async def _review_once(self):
@@ -228,6 +241,7 @@
         self._front.is_draining = True
         loop = asyncio.get_running_loop()
         leave_at = loop.time() + LEAVE_S
+        await self._stand_in.stop()
         await self._intake.stop()
         await self._holder.let_go()
         await self._presence.stop()
@@ -237,6 +251,7 @@
     async def stop(self):
         """Close everything."""
         self._starting.cancel()
+        await self._stand_in.stop()
         for follower in self._followers:
             await follower.stop()
         await self.retention.stop()
@@ -252,6 +267,12 @@
         self._passer.close()
         self._pool.close()
 
+    def heard_at(self, engine):
+        """Return when the agent of an engine was heard last, or -inf."""
+        return max(
+            self._feeds.heard_at(engine), self._directory.noted_at(engine)
+        )
+
     def _configured(self):
         self._front.limits = self._configuration.current.limits
 
--- a/packages/gateway/anvilwell_gateway/feeds.py
+++ b/packages/gateway/anvilwell_gateway/feeds.py
@@ -54,9 +54,18 @@
     revision: int = 0
 
 
-# A neighbour names the revision of each prefix that it knows; None asks
-# for the whole.
-_QUESTION = pydantic.TypeAdapter(dict[str, int | None])
+class Question(typing.NamedTuple):
+    """What a neighbour asks: the revision that it knows of each prefix.
+
+    None asks for the whole. ``engine`` is the address of the engine beside
+    the neighbour if that is an agent, else "".
+    """
+
+    revisions_by_prefix: dict[str, int | None]
+    engine: str = ""
+
+
+_QUESTION = pydantic.TypeAdapter(Question)
 _ANSWER = pydantic.TypeAdapter(dict[str, Told])
 
 
@@ -144,6 +153,11 @@
         self._is_current = is_current
         self._changed = asyncio.Event()
         self._feeds_by_prefix = {}
+        self._heard_at_by_engine = {}
+
+    def heard_at(self, engine):
+        """Return when the agent of an engine asked last, -inf if never."""
+        return self._heard_at_by_engine.get(engine, float("-inf"))
 
     def feed(self, prefix):
         """Return the `Feed` of a prefix."""
@@ -157,8 +171,11 @@
 
     async def answer(self, request, responder):
         """Answer a neighbour's request."""
-        revisions_by_prefix = read_question(request.body)
-        told_by_prefix = await self._wait(revisions_by_prefix)
+        question = read_question(request.body)
+        if question.engine:
+            now = asyncio.get_running_loop().time()
+            self._heard_at_by_engine[question.engine] = now
+        told_by_prefix = await self._wait(question.revisions_by_prefix)
         if told_by_prefix is None:
             await responder.send(_OUT_OF_TOUCH)
             return
@@ -185,7 +202,7 @@
 
 
 def read_question(body):
-    """Return revisions_by_prefix, as a request's body has them.
+    """Return the `Question` in a request's body.
 
     Raises
     ------
--- a/packages/gateway/anvilwell_gateway/neighbours.py
+++ b/packages/gateway/anvilwell_gateway/neighbours.py
@@ -63,12 +63,15 @@
         Where it serves its peers.
     pool : client.Pool
         Connections to peers.
+    engine : str
+        Address of the engine beside this process, if there is one.
     """
 
-    def __init__(self, vm_id, address, pool):
+    def __init__(self, vm_id, address, pool, engine):
         self.vm_id = vm_id
         self.address = address
         self._pool = pool
+        self._engine = engine
         self._asked_by_prefix = {}
         self._asking = set()
 
@@ -125,7 +128,7 @@
             "POST",
             feeds.TARGET,
             (("Host", str(self.address)),),
-            cbor2.dumps(revisions),
+            cbor2.dumps(feeds.Question(revisions, self._engine)),
         )
         try:
             reply, body = await self._pool.ask(
@@ -151,17 +154,21 @@
     vm_id : str
         This VM.
     failure_domain : str
-        Where it is; only entries there are asked.
+        Where it is; entries there are asked, if there are any.
     is_answered : callable
         Whether the store answered this process after it had left an
         entry that is out of touch unanswered. If not, that entry is asked
         on: the store is away for both.
+    engine : str, optional
+        Address of the engine beside this process, which shows the entry
+        that is asked that the engine's agent is there.
     """
 
-    def __init__(self, vm_id, failure_domain, is_answered):
+    def __init__(self, vm_id, failure_domain, is_answered, engine=""):
         self._vm_id = vm_id
         self._failure_domain = failure_domain
         self._is_answered = is_answered
+        self._engine = engine
         self._clock = asyncio.get_running_loop().time
         self._pool = client.Pool(self._clock, is_probed=True)
         self._entries_by_vm = {}
@@ -171,23 +178,36 @@
 
     def set_entries(self, entries_by_vm):
         """Take in each `Entry` that is registered."""
-        self._entries_by_vm = {
-            vm_id: entry
-            for vm_id, entry in entries_by_vm.items()
-            if entry.failure_domain == self._failure_domain
-        }
+        self._entries_by_vm = entries_by_vm
         self._neighbours_by_vm = {
-            vm_id: self._kept(vm_id, entry.address)
-            for vm_id, entry in self._entries_by_vm.items()
+            vm_id: self._kept(vm_id, entries_by_vm[vm_id].address)
+            for vm_id in self._candidates(self._failure_domain)
         }
         self._known.set()
 
+    def _candidates(self, failure_domain):
+        """Return the entries that may tell what changes in a domain.
+
+        They are its own ones, or all where it has none.
+        """
+        near = [
+            vm_id
+            for vm_id, entry in self._entries_by_vm.items()
+            if entry.failure_domain == failure_domain
+        ]
+        return near or list(self._entries_by_vm)
+
+    def has_duty(self, failure_domain):
+        """Return whether this VM is the one that a domain asks."""
+        candidates = self._candidates(failure_domain)
+        return choice.chosen(_DUTY, candidates) == self._vm_id
+
     def _kept(self, vm_id, address):
         """Return the `Neighbour` that is known, or a new one."""
         known = self._neighbours_by_vm.get(vm_id)
         if known and known.address == address:
             return known
-        return Neighbour(vm_id, address, self._pool)
+        return Neighbour(vm_id, address, self._pool, self._engine)
 
     async def settle(self):
         """Wait until those that start with this process are known."""
@@ -200,7 +220,8 @@
 
     def find(self):
         """Return the `Neighbour` to ask, None to ask the store itself."""
-        chosen = choice.chosen(_DUTY, self._entries_by_vm)
+        candidates = self._candidates(self._failure_domain)
+        chosen = choice.chosen(_DUTY, candidates)
         doubted_until = self._doubted_until_by_vm.get(chosen, 0.0)
         if chosen in (None, self._vm_id) or self._clock() < doubted_until:
             return None
--- a/packages/gateway/anvilwell_gateway/platforms.py
+++ b/packages/gateway/anvilwell_gateway/platforms.py
@@ -10,10 +10,10 @@
 
 
 class Platform(typing.NamedTuple):
-    """The adapter's parts; ``engine`` is None but for agents."""
+    """The adapter's parts; ``engine_at`` takes an engine's address."""
 
     store: stores.AsyncStore
     paths: ways.Paths
     codec: entries.EntryCodec
     dialect: dialects.Dialect
-    engine: engines.Engine | None = None
+    engine_at: typing.Callable[..., engines.Engine]
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/standing_in.py
@@ -0,0 +1,156 @@
+"""Orders for engines that have no agent beside them, or a silent one.
+
+Only agents order on a calm day. On a deployment without them, or while an
+agent is down or cut off, its engine would keep its version, and no item
+that needs a newer one would ever run there.
+"""
+
+import asyncio
+
+from anvilwell_decisions.batches import loading
+from anvilwell_gateway import moving
+from anvilwell_kernel.telemetry import logs
+
+# Between looks at the engines, in seconds.
+LOOK_S = 0.5
+# An agent asks for changes each second; one that has not for so long is
+# taken to be absent. The same holds from when this entry has the duty.
+ABSENT_S = 3.0
+
+_LOG = logs.get_logger(__name__)
+
+
+class StandIn:
+    """Moves the engines of this entry's duty that nobody else moves.
+
+    Parameters
+    ----------
+    vm_id : str
+        This VM.
+    directory : directory.Directory
+        The engines, as replicas.
+    versions : versions.Versions
+        What is wanted.
+    neighbours : neighbours.Neighbours
+        Which engines are this entry's duty.
+    heard : callable
+        When the agent of the engine at an address was heard, or -inf.
+    claims : claims.Claims
+        Whether this VM may order.
+    engine_at : callable
+        Returns the `engine.Engine` at an address.
+    needs_by_model : callable
+        Returns the oldest version that the newest batch of a model takes.
+    """
+
+    def __init__(
+        self,
+        vm_id,
+        directory,
+        versions,
+        neighbours,
+        heard,
+        claims,
+        engine_at,
+        needs_by_model,
+    ):
+        self._vm_id = vm_id
+        self._directory = directory
+        self._versions = versions
+        self._neighbours = neighbours
+        self._heard = heard
+        self._claims = claims
+        self._engine_at = engine_at
+        self._needs_by_model = needs_by_model
+        self._clock = asyncio.get_running_loop().time
+        self._duty_since_by_domain = {}
+        self._tasks_by_move = {}
+        self._looking = None
+
+    def start(self):
+        """Begin to look."""
+        self._looking = asyncio.create_task(self._look_on())
+
+    async def stop(self):
+        """Order no more."""
+        tasks = [*self._tasks_by_move.values()]
+        if self._looking:
+            tasks.append(self._looking)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _look_on(self):
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self._look()
+
+    def _look(self):
+        """Start to move each engine that is behind and unattended."""
+        replicas = [one for one in self._directory.usable() if one.versions]
+        self._note_duties({one.failure_domain for one in replicas})
+        for replica in replicas:
+            if not self._is_ours(replica):
+                continue
+            for model, wanted in self._versions.wanted_by_model.items():
+                had = _version(replica, model)
+                key = (replica.replica_id, model)
+                if had is None or had >= wanted or key in self._tasks_by_move:
+                    continue
+                task = asyncio.create_task(self._move(replica, model, had))
+                self._tasks_by_move[key] = task
+                task.add_done_callback(
+                    lambda _, key=key: self._tasks_by_move.pop(key, None)
+                )
+
+    def _note_duties(self, domains):
+        self._duty_since_by_domain = {
+            domain: self._duty_since_by_domain.get(domain, self._clock())
+            for domain in domains
+            if self._neighbours.has_duty(domain)
+        }
+
+    def _is_ours(self, replica):
+        """Return whether nobody else moves an engine for some time."""
+        since = self._duty_since_by_domain.get(replica.failure_domain)
+        if since is None:
+            return False
+        last = max(since, self._heard(str(replica.address)))
+        known = self._directory.replicas_by_id
+        return replica.replica_id in known and self._clock() - last > ABSENT_S
+
+    async def _move(self, replica, model, had):
+        wait_s = self._wait_s(replica, model, had)
+        if wait_s is None:
+            return
+        await asyncio.sleep(wait_s)
+        engine = self._engine_at(replica.address)
+        mover = moving.Mover(
+            engine, replica.address, self._vm_id, self._claims, self._versions
+        )
+        _LOG.log("stands-in", replica=replica.replica_id, model=model, had=had)
+        try:
+            await mover.move(model, lambda: self._is_ours(replica), _nothing)
+        finally:
+            engine.close()
+
+    def _wait_s(self, replica, model, had):
+        """Return how long to wait before a load, None for no load now."""
+        wanted = self._versions.wanted_by_model[model]
+        needs = self._needs_by_model().get(model)
+        lag = None if needs is None else max(0, wanted - needs)
+        place = loading.place(
+            replica.address,
+            (one.address for one in self._directory.usable(replica.service)),
+        )
+        return loading.wait_s(had, wanted, lag, place)
+
+
+def _version(replica, model):
+    """Return the version of `model` at a replica, None if it has none."""
+    versions = [one.version for one in replica.versions if one.model == model]
+    return max(versions, default=None)
+
+
+def _nothing(report):
+    """Take an order's report: the registration tells the rest."""
--- a/packages/gateway/anvilwell_gateway/versions.py
+++ b/packages/gateway/anvilwell_gateway/versions.py
@@ -18,15 +18,6 @@
         self.wanted_by_model = {}
         self.news = asyncio.Event()
 
-    @property
-    def fencing(self):
-        """A number that never falls, whatever models are ordered when.
-
-        Each version only rises, so their sum does, also over restarts;
-        and nobody else gives this engine orders.
-        """
-        return sum(self.wanted_by_model.values())
-
     def load(self, entries_by_key):
         """Take all versions that are there."""
         for entry in entries_by_key.values():
