Have agents follow the entries, and ask a neighbour twice before doubting

After an outage of the store 319 followers doubted a neighbour that was back in touch a tenth of a second later, each a whole read and a watch. Ruled out: a longer pause after a refusal (an engine that is full again is the same answer). Change: an agent follows the entries' live keys like everything else; a neighbour out of touch is asked a second time 0.15 s later; the lag is learned before a model's first load.

--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -26,10 +26,6 @@
 # Between looks whether the engine lost a version, by a restart or an order
 # that was carried out late. Its own VM is answered for free.
 WATCH_S = 1.0
-# Entries register within a second of their start, and few come or go: an
-# agent reads anew so often where they can be asked for help, in seconds.
-FIRST_PEERS_S = 2.0
-PEERS_S = 20.0
 
 _LOG = logs.get_logger(__name__)
 
@@ -54,6 +50,7 @@
         self._paths = platform.paths
         self._codec = platform.codec
         self._versions = versions.Versions(platform.store, platform.codec)
+        self._peers = presence.Peers(platform.store, self._entries_changed)
         self._mover = moving.Mover(
             self._engine,
             self._backend,
@@ -84,16 +81,17 @@
     async def start(self):
         """Begin to follow and order."""
         await self._metrics.start()
+        self._peers.start(self._neighbours)
         self._versions.start(self._neighbours)
         self._tasks = [
             asyncio.create_task(self._run()),
             asyncio.create_task(self._ping()),
             asyncio.create_task(self._watch_engine()),
-            asyncio.create_task(self._learn_peers()),
         ]
 
     async def drain(self):
         """Give no order any more."""
+        await self._peers.stop()
         await self._versions.stop()
         moves = self._moves_by_model.values()
         tasks = [*self._tasks, *moves, *self._telling]
@@ -132,29 +130,12 @@
             except exceptions.AnvilwellError as error:
                 _LOG.log("store-not-reached", cause=error.message)
 
-    async def _learn_peers(self):
-        """Keep the addresses of the entries for when the store is cut off.
-
-        They may be old: a stale read costs a tenth of another.
-        """
-        wait_s = FIRST_PEERS_S
-        while True:
-            await asyncio.sleep(wait_s)
-            wait_s = PEERS_S
-            try:
-                snapshot = await self._store.get_prefix(
-                    presence.LIVE_PREFIX, may_be_stale=True
-                )
-            except exceptions.AnvilwellError as error:
-                _LOG.log("peers-not-read", cause=error.message)
-                continue
-            live_by_vm = presence.read_live(snapshot.entries_by_key)
-            if live_by_vm:
-                addresses_by_vm = presence.peer_addresses(live_by_vm)
-                self._paths.set_peers(addresses_by_vm)
-                self._teller.set_entries(addresses_by_vm)
-                entries_by_vm = presence.neighbour_entries(live_by_vm)
-                self._neighbours.set_entries(entries_by_vm)
+    def _entries_changed(self, live_by_vm):
+        """Take in which entries are there: for notices, news and help."""
+        addresses_by_vm = presence.peer_addresses(live_by_vm)
+        self._paths.set_peers(addresses_by_vm)
+        self._teller.set_entries(addresses_by_vm)
+        self._neighbours.set_entries(presence.neighbour_entries(live_by_vm))
 
     async def _run(self):
         """Have one task for each model whose version has changed."""
@@ -249,15 +230,19 @@
         """Return how long to wait before a load, None for no load now."""
         wanted = self._versions.wanted_by_model[model]
         place = await self._place()
-        lag = self._lags_by_model.get(model)
         try:
             report = await self._engine.report()
         except exceptions.AnvilwellError as error:
             _LOG.log("engine-unreachable", cause=error.message)
             return 0.0
         had = report.version_by_model.get(model, wanted)
+        learning = self._keep_task(self._learn_lag(model, wanted, report))
+        if model not in self._lags_by_model:
+            # Without it all engines would load a trainer's first version:
+            # 30 loads beyond the free ones in a day of 31 engines.
+            await learning
+        lag = self._lags_by_model.get(model)
         wait_s = loading.wait_s(had, wanted, lag, place)
-        self._keep_task(self._learn_lag(model, wanted, report))
         if wait_s is None:
             _LOG.log(
                 "version-skipped",
@@ -297,3 +282,4 @@
         task = asyncio.create_task(coroutine)
         self._telling.add(task)
         task.add_done_callback(self._telling.discard)
+        return task
--- a/packages/gateway/anvilwell_gateway/following.py
+++ b/packages/gateway/anvilwell_gateway/following.py
@@ -18,8 +18,9 @@
 # call of this process has all followers read at once, so this only bounds
 # what is refused meanwhile: each refusal is paid for.
 RETRY_S = 1.0
-# Between questions to a neighbour that does not reach the store either.
-ASK_AGAIN_S = 0.3
+# Between questions to a neighbour that does not reach the store: a little
+# more than between its own tries.
+ASK_AGAIN_S = 0.15
 
 _LOG = logs.get_logger(__name__)
 
--- a/packages/gateway/anvilwell_gateway/neighbours.py
+++ b/packages/gateway/anvilwell_gateway/neighbours.py
@@ -14,6 +14,10 @@
 from anvilwell_kernel.telemetry import logs
 from anvilwell_outside.ports import keyvalue
 
+# So often an entry that is out of touch with the store is asked before the
+# store is, if that answers this process. After an outage all are back in
+# touch within a tenth of a second, some before their neighbour.
+STRIKES = 2
 # What a question may take beyond its wait: some round trips and the pauses
 # of a busy VM, in seconds.
 MARGIN_S = 0.5
@@ -174,6 +178,7 @@
         self._entries_by_vm = {}
         self._neighbours_by_vm = {}
         self._doubted_until_by_vm = {}
+        self._strikes = 0
         self._known = asyncio.Event()
 
     def set_entries(self, entries_by_vm):
@@ -229,8 +234,11 @@
 
     def failed(self, neighbour, error):
         """Note that a neighbour did not answer; return if it is doubted."""
-        if isinstance(error, feeds.OutOfTouch) and not self._is_answered():
-            return False
+        if isinstance(error, feeds.OutOfTouch):
+            self._strikes = self._strikes + 1 if self._is_answered() else 0
+            if self._strikes < STRIKES:
+                return False
+        self._strikes = 0
         until = self._clock() + DOUBT_S
         self._doubted_until_by_vm[neighbour.vm_id] = until
         _LOG.log(
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -301,6 +301,39 @@
         self._nearby.set_entries(neighbour_entries(self._live_by_vm))
 
 
+class Peers(following.Follower):
+    """Tells an agent which entries are there.
+
+    Parameters
+    ----------
+    store : store.AsyncStore
+        Where the news lie.
+    on_change : callable
+        Told of the live entries, as live_by_vm.
+    """
+
+    def __init__(self, store, on_change):
+        super().__init__(store, NEWS_PREFIX)
+        self._on_change = on_change
+        self._live_by_vm = {}
+
+    def load(self, entries_by_key):
+        """Take all that is there now."""
+        self._live_by_vm = read_live(entries_by_key)
+        self._on_change(self._live_by_vm)
+
+    def change(self, change):
+        """Take one piece of news."""
+        if not change.key.startswith(LIVE_PREFIX):
+            return
+        vm_id = change.key.removeprefix(LIVE_PREFIX)
+        self._live_by_vm.pop(vm_id, None)
+        live = change.value and _read(change.key, change.value)
+        if live:
+            self._live_by_vm[vm_id] = live
+        self._on_change(self._live_by_vm)
+
+
 def neighbour_entries(live_by_vm):
     """Return each `neighbours.Entry`, as entries_by_vm."""
     return {
