--- a/packages/gateway/anvilwell_gateway/batches/passing.py
+++ b/packages/gateway/anvilwell_gateway/batches/passing.py
@@ -75,12 +75,15 @@
         Who owns which batch.
     news : presence.News
         Which of them live, and where.
+    vm_id : str
+        This VM; it is not asked what it does not run itself.
     failure_domain : str
-        Where this VM is.
+        Where it is.
     """
 
-    def __init__(self, owners, news, failure_domain):
+    def __init__(self, owners, news, vm_id, failure_domain):
         self._owners = owners
+        self._vm_id = vm_id
         self._failure_domain = failure_domain
         self._news = news
         self._pool = client.Pool(asyncio.get_running_loop().time, True)
@@ -122,9 +125,9 @@
         return None
 
     def _owner(self, batch_id):
-        """Return the VM of a batch's live owner, or None."""
+        """Return another VM that owns a batch and lives, or None."""
         claimed = self._owners.claimed_by_id.get(batch_id)
-        if claimed is None:
+        if claimed is None or claimed.owner.vm_id == self._vm_id:
             return None
         vm_id, life = claimed.owner.vm_id, claimed.owner.life
         return vm_id if self._news.lives_by_vm.get(vm_id) == life else None
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -134,7 +134,9 @@
             self._dialect,
             self._hander,
         )
-        self._passer = passing.Passer(self._owners, self._news, domain)
+        self._passer = passing.Passer(
+            self._owners, self._news, self.vm_id, domain
+        )
         self.retention = retention.Retention(batch_store, self._holder)
         self._desk = desks.Desk(
             batch_store,
