Look at a closed socket of a test's daemon without an error

A race of the test's own, seen once. Ruled out: a socket reused under its number: the port is asked of the object, not of the number. Change: a closed socket has no port, and is left out as before. The new test fails on the expression that stood there (getsockname of a closed socket raises).

--- a/packages/bench/tests/sessions/deployment.py
+++ b/packages/bench/tests/sessions/deployment.py
@@ -121,11 +121,21 @@
             for one in gc.get_objects()
             if issubclass(type(one), socket.socket)
             and one.family == socket.AF_INET
-            and one.fileno() >= 0
-            and (one.getsockname()[1] in ports or one.fileno() in dialled)
+            and (_port(one) in ports or one.fileno() in dialled)
         ]
 
 
+def _port(one):
+    """Return a socket's own port, None if it is closed.
+
+    Threads of other parts may close theirs while all are looked at.
+    """
+    try:
+        return one.getsockname()[1]
+    except OSError:
+        return None
+
+
 class Deployment:
     """Stand-ins and daemons of the Association, few of each.
 
--- a/packages/bench/tests/sessions/test_faults.py
+++ b/packages/bench/tests/sessions/test_faults.py
@@ -1,6 +1,7 @@
 """Steps and calls whole though daemons and systems around them fail."""
 
 from concurrent import futures
+import socket
 
 from anvilwell_bench.audit.promises import exactly_once
 from anvilwell_bench.audit.promises import own_answer
@@ -115,3 +116,10 @@
 def call(deployment, method, path, **options):
     url = f"{deployment.entries[0].url}/services/stops-app/{path}"
     return deployment.http.request(method, url, timeout=30, **options)
+
+
+def test_a_socket_that_another_thread_closes_has_no_port():
+    one = socket.socket(socket.AF_INET)
+    one.close()
+
+    assert deployments._port(one) is None
