Write the questions between our processes in one place

Cause: read as a whole, four places built the same request, POST with the peer's address and a CBOR body: two of this change, its twin in paths.py, and the neighbours' question. Change: bodies.question; no change in behaviour, tests unchanged. Ruled out: notices.py too, which encodes a notice once for all entries it goes to.

--- a/packages/gateway/anvilwell_gateway/batches/handing.py
+++ b/packages/gateway/anvilwell_gateway/batches/handing.py
@@ -4,7 +4,6 @@
 import enum
 import typing
 
-import cbor2
 import pydantic
 
 from anvilwell_gateway.batches import homes
@@ -91,9 +90,7 @@
             return Handed.NOT
         address = self._news.addresses_by_vm[home]
         parcel = Parcel(request.target, request.headers, request.body)
-        question = messages.Request(
-            "POST", TARGET, (("Host", str(address)),), cbor2.dumps(parcel)
-        )
+        question = bodies.question(TARGET, address, parcel)
         try:
             reply, _ = await self._pool.ask(
                 home, address, question, TIMEOUT_S, MAX_ANSWER_BYTES
--- a/packages/gateway/anvilwell_gateway/batches/passing.py
+++ b/packages/gateway/anvilwell_gateway/batches/passing.py
@@ -17,7 +17,6 @@
 from anvilwell_decisions.traffic import facts
 from anvilwell_gateway import bodies
 from anvilwell_gateway.http import client
-from anvilwell_gateway.http import messages
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -96,12 +95,7 @@
         address = self._news.addresses_by_vm[vm_id]
         is_near = self._news.domains_by_vm[vm_id] == self._failure_domain
         question = question._replace(with_results=is_near)
-        request = messages.Request(
-            "POST",
-            TARGET,
-            (("Host", str(address)),),
-            cbor2.dumps(question),
-        )
+        request = bodies.question(TARGET, address, question)
         timeout_s = question.wait_s + MARGIN_S
         try:
             reply, body = await self._pool.ask(
--- a/packages/gateway/anvilwell_gateway/bodies.py
+++ b/packages/gateway/anvilwell_gateway/bodies.py
@@ -2,9 +2,16 @@
 
 import cbor2
 
+from anvilwell_gateway.http import messages
 from anvilwell_kernel import exceptions
 
 
+def question(target, address, content):
+    """Return the request that asks the process at `address`."""
+    host = ("Host", str(address))
+    return messages.Request("POST", target, (host,), cbor2.dumps(content))
+
+
 def read(adapter, body, what):
     """Return what a request's body holds, checked by a type `adapter`.
 
--- a/packages/gateway/anvilwell_gateway/neighbours.py
+++ b/packages/gateway/anvilwell_gateway/neighbours.py
@@ -3,12 +3,10 @@
 import asyncio
 import typing
 
-import cbor2
-
 from anvilwell_decisions.duties import choice
+from anvilwell_gateway import bodies
 from anvilwell_gateway import feeds
 from anvilwell_gateway.http import client
-from anvilwell_gateway.http import messages
 from anvilwell_gateway import store as stores
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
@@ -131,11 +129,10 @@
     async def _question(self, asked_by_prefix):
         """Return told_by_prefix, the answer to one question."""
         revisions = {p: one.revision for p, one in asked_by_prefix.items()}
-        request = messages.Request(
-            "POST",
+        request = bodies.question(
             feeds.TARGET,
-            (("Host", str(self.address)),),
-            cbor2.dumps(feeds.Question(revisions, self._engine)),
+            self.address,
+            feeds.Question(revisions, self._engine),
         )
         try:
             reply, body = await self._pool.ask(
--- a/packages/gateway/anvilwell_gateway/paths.py
+++ b/packages/gateway/anvilwell_gateway/paths.py
@@ -14,6 +14,7 @@
 import cbor2
 
 from anvilwell_decisions.outages import paths as choices
+from anvilwell_gateway import bodies
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
 from anvilwell_gateway import measures
@@ -126,12 +127,7 @@
 
     async def send(self, call):
         """Return the `Answer` that the peer got."""
-        question = messages.Request(
-            "POST",
-            RELAY_TARGET,
-            (("Host", str(self._address)),),
-            cbor2.dumps(call),
-        )
+        question = bodies.question(RELAY_TARGET, self._address, call)
         reply, body = await _ask(
             self._pool,
             self._vm_id,
