Know organisations by their keys

Ruled out: checking the owner of a batch at each call; its answer would differ in time from one for a batch that never was. A batch now lies under an id made of organisation and trainer's id, so all lookups are the same, at owners, peers and new processes. Change: a request is let in once (callers.py), then goes on without its key and with its organisation's name; replicas, the store, peers and logs see no key. An entry that the store is silent to answers 503 in place of 401. Strict revocation is a setting. Texts of an ended batch are kept per organisation. Requests that end replicas are told apart by organisation. A call on a batch waits for the first configuration.

--- a/packages/client/anvilwell_client/stories.py
+++ b/packages/client/anvilwell_client/stories.py
@@ -3,6 +3,8 @@
 import json
 import typing
 
+from anvilwell_decisions.traffic import organisations
+
 # What daemons believed shortly before the first line counts too: a lost
 # store or replica is noticed within seconds, and acts later.
 BEFORE_S = 10.0
@@ -117,7 +119,12 @@
 
 
 def _names(line, ids):
-    return any(line.fields.get(key) in ids for key in _LINKS)
+    named = (line.fields.get(key) for key in _LINKS)
+    return any(
+        one in ids or organisations.trainers_id(one) in ids
+        for one in named
+        if one
+    )
 
 
 def _tells(line, batches, replicas, vms):
--- a/packages/decisions/anvilwell_decisions/requests/fingerprints.py
+++ b/packages/decisions/anvilwell_decisions/requests/fingerprints.py
@@ -22,7 +22,8 @@
     body : bytes
         The whole body.
     credentials : iterable of str
-        Values of the headers named in `CREDENTIALS`.
+        Who sends it: the name of an organisation, which may have several
+        keys, and values of the headers named in `CREDENTIALS`.
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     texts = (method, host, target, *credentials)
--- a/packages/decisions/anvilwell_decisions/traffic/facts.py
+++ b/packages/decisions/anvilwell_decisions/traffic/facts.py
@@ -17,7 +17,7 @@
     more than once. Answers of ``is_stream`` routes are events, passed on
     as they come; ``is_resumable`` ones may go on at another replica.
     ``max_replicas`` bounds the replicas that one request may be sent to.
-    Times are in seconds.
+    ``is_open`` routes need no key of an organisation. Times are in seconds.
     """
 
     name: str
@@ -34,6 +34,7 @@
     max_queue_s: float = 60.0
     one_version: bool = False
     is_stream: bool = False
+    is_open: bool = False
 
 
 class ServiceFacts(typing.NamedTuple):
@@ -52,6 +53,17 @@
     idle_timeout_s: float
 
 
+class Organisation(typing.NamedTuple):
+    """Who sends requests, by any of its keys.
+
+    Its ``priority`` goes before a route's; None if it has none.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
 class Configuration(typing.NamedTuple):
     """One version of the operators' configuration, whole."""
 
@@ -59,6 +71,7 @@
     routes: tuple[Route, ...]
     services_by_name: dict
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] = ()
 
 
 class ModelVersion(typing.NamedTuple):
@@ -120,7 +133,7 @@
 
 
 class Submission(typing.NamedTuple):
-    """A batch as its trainer submitted it."""
+    """A batch as its trainer submitted it, for an ``organisation``."""
 
     batch_id: str
     host: str
@@ -129,6 +142,7 @@
     model: str = ""
     min_version: int = 0
     wanted_groups: int = 0
+    organisation: str = ""
 
 
 class Result(typing.NamedTuple):
--- a/packages/decisions/anvilwell_decisions/traffic/table.py
+++ b/packages/decisions/anvilwell_decisions/traffic/table.py
@@ -21,6 +21,11 @@
         matching = (r for r in routes if path.startswith(r.path_prefix))
         return next(matching, None)
 
+    def has_open_batches(self, host):
+        """Return whether some batches of `host` need no key."""
+        routes = self._routes_by_host.get(host.lower(), ())
+        return any(route.is_batch and route.is_open for route in routes)
+
 
 def _longest_first(route):
     return -len(route.path_prefix)
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -81,6 +81,11 @@
         """Return how long ago the request came, in seconds."""
         return self._loop.time() - self._request.received_at
 
+    @property
+    def organisation(self):
+        """Who sends the request, "" for nobody in particular."""
+        return self._request.organisation
+
     @functools.cached_property
     def fingerprint(self):
         """What is the same each time this request is sent."""
--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -58,7 +58,11 @@
         except exceptions.AnvilwellError as error:
             await self._refuse(call, request, error, responder)
             return
-        _LOG.log("batch-accepted", request_id=call.request_id)
+        _LOG.log(
+            "batch-accepted",
+            request_id=call.request_id,
+            organisation=request.organisation,
+        )
         _measure(request, 202)
         await responder.send(202, (), b"")
 
@@ -104,6 +108,7 @@
         _LOG.log(
             "batch-refused",
             request_id=call.request_id,
+            organisation=request.organisation,
             status=status,
             reason=str(error.reason),
             verdict=str(error.verdict),
--- a/packages/gateway/anvilwell_gateway/batches/handing.py
+++ b/packages/gateway/anvilwell_gateway/batches/handing.py
@@ -35,11 +35,12 @@
 
 
 class Parcel(typing.NamedTuple):
-    """A submission as it came."""
+    """A submission as it came, without the caller's key."""
 
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    organisation: str = ""
 
 
 _PARCEL = pydantic.TypeAdapter(Parcel)
@@ -56,7 +57,12 @@
     parcel = bodies.read(_PARCEL, body, "submission")
     now = asyncio.get_running_loop().time()
     return messages.Request(
-        "POST", parcel.target, parcel.headers, parcel.body, now
+        "POST",
+        parcel.target,
+        parcel.headers,
+        parcel.body,
+        now,
+        organisation=parcel.organisation,
     )
 
 
@@ -89,7 +95,12 @@
         if home in (None, self._vm_id):
             return Handed.NOT
         address = self._news.addresses_by_vm[home]
-        parcel = Parcel(request.target, request.headers, request.body)
+        parcel = Parcel(
+            request.target,
+            request.headers,
+            request.body,
+            request.organisation,
+        )
         question = bodies.question(TARGET, address, parcel)
         try:
             reply, _ = await self._pool.ask(
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -143,7 +143,9 @@
         if not saved:
             return
         try:
-            await self._store.carry(held.route, saved)
+            await self._store.carry(
+                held.route, held.submission.organisation, saved
+            )
         except exceptions.AnvilwellError as error:
             _LOG.log(
                 "texts-not-carried",
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from anvilwell_decisions.traffic import organisations
 from anvilwell_gateway.batches import handing
 from anvilwell_gateway.batches import held as helds
 from anvilwell_gateway.batches import homes
@@ -84,7 +85,7 @@
         exceptions.KeyValueUnavailable
             If it could not be made durable; ``NOT_RUN`` is a promise.
         """
-        batch_id = self._dialect.read_submission(request).batch_id
+        batch_id = self._submission(request).batch_id
         handed = handing.Handed.NOT
         if batch_id not in self._holder.held_by_id:
             handed = await self._hander.hand(route, request)
@@ -106,7 +107,7 @@
         exceptions.AnvilwellError
             As `accept` does.
         """
-        submission = self._dialect.read_submission(request)
+        submission = self._submission(request)
         digest = xxhash.xxh3_128_hexdigest(request.body)
         held = self._holder.held_by_id.get(submission.batch_id)
         if held is not None:
@@ -128,7 +129,12 @@
             time.time(),
             service=homes.service_of(route),
         )
-        raw = records.Raw(request.target, request.headers, request.body)
+        raw = records.Raw(
+            request.target,
+            request.headers,
+            request.body,
+            request.organisation,
+        )
         accepting = asyncio.create_task(
             self._write(route, submission, owner, raw)
         )
@@ -167,12 +173,12 @@
             self._store.accept(
                 batch_id, owner, raw, RESOLVE_TIMEOUT_S, REFUSED_TIMEOUT_S
             ),
-            self._carried(route),
+            self._carried(route, raw.organisation),
         )
 
-    async def _carried(self, route):
+    async def _carried(self, route, organisation):
         try:
-            return await self._store.carried(route)
+            return await self._store.carried(route, organisation)
         except exceptions.AnvilwellError as error:
             _LOG.log("texts-not-read", cause=error.message)
             return ()
@@ -326,9 +332,15 @@
             self._open(route, submission, claimed, (results, chunks, saved))
         return True
 
+    def _submission(self, request):
+        """Return the `facts.Submission` in a caller's request."""
+        return organisations.owned(
+            self._dialect.read_submission(request), request.organisation
+        )
+
     def _read(self, raw):
         request = self._dialect.stored_request(raw)
-        submission = self._dialect.read_submission(request)
+        submission = self._submission(request)
         routes = self._holder.routes()
         return submission, routes.find(submission.host, submission.path)
 
--- a/packages/gateway/anvilwell_gateway/batches/records.py
+++ b/packages/gateway/anvilwell_gateway/batches/records.py
@@ -9,6 +9,7 @@
 
 from anvilwell_decisions.batches import progress
 from anvilwell_decisions.traffic import facts
+from anvilwell_decisions.traffic import organisations
 from anvilwell_gateway import news
 from anvilwell_gateway import store as stores
 from anvilwell_kernel import exceptions
@@ -45,11 +46,15 @@
 
 
 class Raw(typing.NamedTuple):
-    """A submission as it came, so that any VM decodes it the same way."""
+    """A submission as it came, so that any VM decodes it the same way.
+
+    Its headers hold no key: whoever reads the store learns none.
+    """
 
     target: str
     headers: tuple
     body: bytes
+    organisation: str = ""
 
 
 _OWNER = pydantic.TypeAdapter(Owner)
@@ -214,13 +219,18 @@
         entry = await self._store.get(f"{SAVED_PREFIX}{batch_id}")
         return _load(_SAVED, entry.value) if entry else ()
 
-    async def carry(self, route, saved):
-        """Keep the texts of an ended batch for the route's next one."""
-        await self._store.put(_carried_key(route), _dump(_fitting(saved)))
+    async def carry(self, route, organisation, saved):
+        """Keep an ended batch's texts for the next one of its kind.
+
+        That is the next on the route by the same organisation; another's
+        items may have the same ids.
+        """
+        key = _carried_key(route, organisation)
+        await self._store.put(key, _dump(_fitting(saved)))
 
-    async def carried(self, route):
-        """Return what the route's last ended batch left unfinished."""
-        entry = await self._store.get(_carried_key(route))
+    async def carried(self, route, organisation):
+        """Return what an organisation's last batch left unfinished."""
+        entry = await self._store.get(_carried_key(route, organisation))
         return _load(_SAVED, entry.value) if entry else ()
 
     async def end(self, batch_id, timeout_s):
@@ -262,8 +272,9 @@
     return read_claimed(entry.value, entry.revision)
 
 
-def _carried_key(route):
+def _carried_key(route, organisation):
     place = f"{route.host}{route.path_prefix}"
+    place = organisations.owned_id(organisation, place)
     name = xxhash.xxh3_64_hexdigest(place.encode())
     return f"{CARRIED_PREFIX}{name}"
 
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -48,6 +48,7 @@
     min_version: int
     one_version: bool
     timeout_s: float
+    organisation: str = ""
 
 
 class Runner:
@@ -65,10 +66,15 @@
         self._dialect = dialect
         self._pool = pool
 
-    def fingerprint(self, item, host):
-        """Return what is the same each time an item is sent."""
-        headers = self._dialect.item_headers(item, host)
-        request = messages.Request("POST", item.target, headers, item.body)
+    def fingerprint(self, item, submission):
+        """Return what is the same each time a batch's item is sent."""
+        request = messages.Request(
+            "POST",
+            item.target,
+            self._dialect.item_headers(item, submission.host),
+            item.body,
+            organisation=submission.organisation,
+        )
         return messages.fingerprint(request)
 
     async def run(self, order, replica, saw_gap):
@@ -105,6 +111,7 @@
             replica.name,
             order.timeout_s,
             order.progress.last_number,
+            order.organisation,
         )
         connection.send("POST", order.item.target, headers, order.item.body)
         async with asyncio.timeout(events.STALL_S):
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -149,7 +149,7 @@
         known = held.fingerprints_by_item
         if item_id not in known:
             known[item_id] = self._runner.fingerprint(
-                held.book.items_by_id[item_id], held.submission.host
+                held.book.items_by_id[item_id], held.submission
             )
         return known[item_id]
 
@@ -230,6 +230,7 @@
             held.submission.min_version,
             held.route.one_version,
             max(0.0, held.give_up_at - started_at),
+            held.submission.organisation,
         )
         ended = runners.Ended(runners.End.STOPPED)
         try:
--- a/packages/gateway/anvilwell_gateway/batches/scorer.py
+++ b/packages/gateway/anvilwell_gateway/batches/scorer.py
@@ -145,7 +145,7 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         limit_s = pacer.limit_s(route)
-        attempt = self._attempts(scoring_call, route, limit_s)
+        attempt = self._attempts(held, scoring_call, route, limit_s)
         seal, cause = await self._seal(attempt, pacer)
         took_s = loop.time() - started_at
         if seal:
@@ -172,7 +172,7 @@
             took_s=round(took_s, 3),
         )
 
-    def _attempts(self, scoring_call, route, limit_s):
+    def _attempts(self, held, scoring_call, route, limit_s):
         """Return the `attempts.Attempts` at one scoring call."""
         request = messages.Request(
             "POST",
@@ -180,6 +180,7 @@
             self._dialect.scoring_headers(scoring_call),
             scoring_call.body,
             asyncio.get_running_loop().time(),
+            organisation=held.submission.organisation,
         )
         call = dialects.Call(scoring_call.call_id, limit_s)
         return self._forwarder.attempts(route, call, request)
--- a/packages/gateway/anvilwell_gateway/config.py
+++ b/packages/gateway/anvilwell_gateway/config.py
@@ -64,6 +64,19 @@
     ]
 
 
+class OrganisationsSection(typing.NamedTuple):
+    """``[organisations]``: how keys are checked at an entry."""
+
+    strict_revocation: typing.Annotated[
+        options.Flag,
+        Doc("Whether calls with keys are refused while none can be confirmed"),
+    ] = False
+    revocation_limit_s: typing.Annotated[
+        options.Duration,
+        Doc("Longest use of a key that was taken away, in seconds"),
+    ] = 5.0
+
+
 class MetricsSection(typing.NamedTuple):
     """``[metrics]``: where a collector reads this process's metrics."""
 
@@ -79,6 +92,7 @@
     metrics: MetricsSection
     entry: EntrySection | None = None
     agent: AgentSection | None = None
+    organisations: OrganisationsSection = OrganisationsSection()
 
 
 def load(path, role):
--- a/packages/gateway/anvilwell_gateway/configuration.py
+++ b/packages/gateway/anvilwell_gateway/configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from anvilwell_decisions.traffic import organisations
 from anvilwell_decisions.traffic import table
 from anvilwell_gateway import following
 from anvilwell_gateway import measures
@@ -21,6 +22,7 @@
         self._listeners = []
         self._taken_at = 0.0
         self.routes = table.RouteTable()
+        self.organisations = organisations.Organisations()
 
     @property
     def current(self):
@@ -62,11 +64,15 @@
             _LOG.log("configuration-older", version=configuration.version)
             return
         self.routes = table.RouteTable(configuration.routes)
+        self.organisations = organisations.Organisations(
+            configuration.organisations
+        )
         self._taken_at = asyncio.get_running_loop().time()
         _LOG.log(
             "configuration-in-force",
             version=configuration.version,
             routes=len(configuration.routes),
+            organisations=len(configuration.organisations),
         )
         for callback in self._listeners:
             callback()
--- a/packages/gateway/anvilwell_gateway/dialect.py
+++ b/packages/gateway/anvilwell_gateway/dialect.py
@@ -67,6 +67,14 @@
     def read_call(self, headers):
         """Return the `Call` that a caller's headers make."""
 
+    @abc.abstractmethod
+    def keys(self, headers):
+        """Return all keys of organisations in a caller's headers."""
+
+    @abc.abstractmethod
+    def anonymous(self, headers):
+        """Return a caller's headers less those that say who it is."""
+
     @abc.abstractmethod
     def batch_call(self, request):
         """Return the `BatchCall` that a request is, or None.
@@ -78,7 +86,9 @@
         """
 
     @abc.abstractmethod
-    def to_replica(self, headers, name, timeout_s, resume_after=0):
+    def to_replica(
+        self, headers, name, timeout_s, resume_after=0, organisation=""
+    ):
         """Return the headers that a replica is sent.
 
         Parameters
@@ -91,6 +101,9 @@
             After which the replica stops.
         resume_after : int
             Number of the last event that is known; 0 for none.
+        organisation : str
+            Who sends the request, "" for nobody in particular. Whatever
+            the headers say of that or of a key is left out.
         """
 
     @abc.abstractmethod
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -11,6 +11,7 @@
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import retention
 from anvilwell_gateway.batches import runner as runners
+from anvilwell_gateway import callers
 from anvilwell_gateway import claims
 from anvilwell_gateway import configuration as configurations
 from anvilwell_gateway import crashes
@@ -32,6 +33,7 @@
 from anvilwell_gateway import versions
 from anvilwell_kernel.config import options
 from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
 
@@ -83,6 +85,12 @@
             domain,
             settings.daemon.cores * settings.daemon.core_share,
         )
+        self._callers = callers.Callers(
+            self._dialect,
+            self._configuration,
+            self._presence,
+            settings.organisations,
+        )
         self._paths = platform.paths
         self._neighbours = neighbours.Neighbours(
             settings.daemon.vm_id, domain, self._presence.is_answered
@@ -194,6 +202,12 @@
         """The replicas that are known here."""
         return self._directory
 
+    @property
+    def configuration_version(self):
+        """The version of the configuration in force, None before one."""
+        current = self._configuration.current
+        return current.version if current else None
+
     @property
     def crashes(self):
         """Which requests end replicas, as far as is known here."""
@@ -370,14 +384,14 @@
     async def _dispatch(self, call, request, responder):
         batch_call = self._dialect.batch_call(request)
         if batch_call is not None:
+            await self._wait_for(lambda: self._configuration.current)
+            self._check_configured()
+            batch_call = self._callers.admit_batch_call(batch_call, request)
             await self._desk.answer(batch_call, call.request_id, responder)
             return
         await self._wait_for(lambda: self._is_informed)
-        if self._configuration.current is None:
-            raise exceptions.Refused("no configuration is known yet")
-        route = self._configuration.routes.find(request.host, request.path)
-        if route is None:
-            raise exceptions.NotFound("no route takes this path")
+        self._check_configured()
+        route, request = self._callers.admit(request)
         if route.is_batch:
             await self._wait_for(lambda: self._presence.is_registered)
             await self._desk.submit(route, call, request, responder)
@@ -386,6 +400,14 @@
         else:
             await self._forwarder.forward(route, call, request, responder)
 
+    def _check_configured(self):
+        """Refuse what can't be judged without a configuration."""
+        if self._configuration.current is None:
+            raise exceptions.Refused(
+                "no configuration is known yet",
+                reason=reasons.Refusal.NOT_CONFIGURED,
+            )
+
     async def _wait_for(self, is_known):
         """Wait a moment for what a new process does not know yet."""
         loop = asyncio.get_running_loop()
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -108,6 +108,7 @@
         """Return what the log says of every live call that is over."""
         return {
             "request_id": call.request_id,
+            "organisation": attempt.organisation,
             "route": route.name,
             "configuration": self._configuration.current.version,
             "replicas": attempt.tried,
@@ -222,6 +223,7 @@
                 replica.name,
                 timeout_s,
                 resume_after,
+                request.organisation,
             ),
             request.body,
         )
--- a/packages/gateway/anvilwell_gateway/http/messages.py
+++ b/packages/gateway/anvilwell_gateway/http/messages.py
@@ -13,6 +13,7 @@
 
     ``received_at`` is in seconds of the event loop's clock; ``caller`` is
     the IP address that it came from, "" if it is our own.
+    ``organisation`` names who sends it, "" for nobody in particular.
     """
 
     method: str
@@ -21,6 +22,7 @@
     body: bytes
     received_at: float = 0.0
     caller: str = ""
+    organisation: str = ""
 
     @property
     def path(self):
@@ -54,7 +56,13 @@
         request.host,
         request.target,
         request.body,
-        (find(request.headers, name) for name in fingerprints.CREDENTIALS),
+        (
+            request.organisation,
+            *(
+                find(request.headers, name)
+                for name in fingerprints.CREDENTIALS
+            ),
+        ),
     )
 
 
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -83,17 +83,18 @@
 
     def is_in_touch(self):
         """Return whether the store answered lately."""
-        return self._answer_age_s() < AWAY_S
+        return self.answer_age_s() < AWAY_S
 
     def is_answered(self):
         """Return whether the store answers, though not a silent entry."""
-        return self._answer_age_s() < ANSWERED_S
+        return self.answer_age_s() < ANSWERED_S
 
     def may_vouch(self):
         """Return whether the store answered so lately that nothing is old."""
-        return self._answer_age_s() < VOUCH_S
+        return self.answer_age_s() < VOUCH_S
 
-    def _answer_age_s(self):
+    def answer_age_s(self):
+        """Return how long ago the store answered, in seconds."""
         return asyncio.get_running_loop().time() - self._answered_at
 
     def beliefs(self):
--- a/packages/kernel/anvilwell_kernel/exceptions.py
+++ b/packages/kernel/anvilwell_kernel/exceptions.py
@@ -64,6 +64,13 @@
     status = 404
 
 
+class UnknownKey(AnvilwellError):
+    """The request brings no key that an organisation has."""
+
+    reason = reasons.Refusal.UNKNOWN_KEY
+    status = 401
+
+
 class Conflict(AnvilwellError):
     """The request contradicts what is already accepted."""
 
--- a/packages/kernel/anvilwell_kernel/reasons.py
+++ b/packages/kernel/anvilwell_kernel/reasons.py
@@ -37,6 +37,7 @@
     NOT_LEADER = "not-leader"
     MEMBERS_MISSING = "members-missing"
     FORBIDDEN = "forbidden"
+    UNKNOWN_KEY = "unknown-key"
     QUARANTINED = "quarantined"
 
 
