Report usage by one holder of that duty

Cause: on the shifted deployment the platform wants, for each window of 5 s, the requests that began by organisation; the product sent none. Ruled out: a lease of its own for the duty (renewals of 17 entries); it goes with the lease of the live key. Trust in the platform's check of numbers: it has none here, so the holder stops by its own clock, which counts suspension, and a successor waits for leaseMs. Wall clocks: one may jump, so true time is the median of all entries'. What counts as begun: a request once, whatever the number of replicas that began it; not one that all replicas refused; streams at their first event. State machine test: three VMs, stores that answer late or never, suspension, kills and drains at random: no turns, one report.

--- a/packages/decisions/anvilwell_decisions/duties/choice.py
+++ b/packages/decisions/anvilwell_decisions/duties/choice.py
@@ -12,6 +12,11 @@
     return max(vm_ids, key=lambda vm_id: _weight(duty, vm_id), default=None)
 
 
+def ranked(duty, vm_ids):
+    """Return `vm_ids` in the order in which they should have `duty`."""
+    return sorted(vm_ids, key=lambda vm_id: _weight(duty, vm_id), reverse=True)
+
+
 def _weight(duty, vm_id):
     # The id decides between VMs whose digests are the same.
     return xxhash.xxh3_64_intdigest(f"{duty}\0{vm_id}".encode()), vm_id
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/duties/usage.py
@@ -0,0 +1,181 @@
+"""How many requests each organisation began in each window of true time."""
+
+import collections
+import math
+import statistics
+import typing
+
+# Requests are counted by slices of the local clock, and put into windows
+# once true time is known. A window's edge is as exact as a slice.
+SLICE_S = 0.01
+
+
+class Counts(typing.NamedTuple):
+    """What one process counted in one window."""
+
+    window: int
+    by_organisation: dict[str, int]
+
+
+class Told(typing.NamedTuple):
+    """What a process tells of its counts.
+
+    All windows from ``since`` to ``through``, in seconds of true time, are
+    covered; one that is not in ``counts`` had no request. ``wall_time`` is
+    what its own clock of the day said.
+    """
+
+    vm_id: str
+    life: str
+    wall_time: float
+    since: float
+    through: float
+    counts: tuple[Counts, ...]
+
+
+class Report(typing.NamedTuple):
+    """What the platform is told of one window, once and for all."""
+
+    window: int
+    by_organisation: dict[str, int]
+
+
+class Ledger(typing.NamedTuple):
+    """What every holder of the duty must know, as it lies in the store.
+
+    Windows up to ``last`` are settled: those in ``reports`` may be sent
+    again just so, others never. ``told`` is what a holder that stopped
+    had gathered.
+    """
+
+    last: int = 0
+    reports: tuple[Report, ...] = ()
+    told: tuple[Told, ...] = ()
+
+
+class Tally:
+    """Counts the requests that began here."""
+
+    def __init__(self):
+        self._by_slice = collections.defaultdict(collections.Counter)
+
+    def add(self, organisation, at):
+        """Count a request that began at local time `at`, in seconds."""
+        self._by_slice[math.floor(at / SLICE_S)][organisation] += 1
+
+    def forget(self, before):
+        """Drop what began before local time `before`."""
+        old = [one for one in self._by_slice if one * SLICE_S < before]
+        for one in old:
+            del self._by_slice[one]
+
+    def counts(self, offset_s, window_s):
+        """Return the `Counts` of all windows that are not empty.
+
+        Parameters
+        ----------
+        offset_s : float
+            True time less local time.
+        window_s : float
+            Length of a window.
+        """
+        by_window = collections.defaultdict(collections.Counter)
+        for one, counted in self._by_slice.items():
+            at = (one + 0.5) * SLICE_S + offset_s
+            by_window[math.floor(at / window_s)].update(counted)
+        return tuple(
+            Counts(window, dict(counted))
+            for window, counted in sorted(by_window.items())
+        )
+
+
+class Gathered:
+    """What processes have told, and what follows for each window."""
+
+    def __init__(self, window_s):
+        self._window_s = window_s
+        self.told_by_life = {}
+
+    def bounds(self, window):
+        """Return when a window starts and ends, in seconds of true time."""
+        return window * self._window_s, (window + 1) * self._window_s
+
+    def take(self, told):
+        """Take what a process tells; it replaces what it told before."""
+        known = self.told_by_life.get(told.life)
+        if known is None or told.through >= known.through:
+            self.told_by_life[told.life] = told
+
+    def forget(self, before):
+        """Drop what ended before true time `before`."""
+        self.told_by_life = {
+            life: told
+            for life, told in self.told_by_life.items()
+            if told.through >= before
+        }
+
+    def is_known(self, window):
+        """Return whether somebody counted through the whole window.
+
+        After a loss of all VMs nobody did: what had begun before it is not
+        known, and is not guessed.
+        """
+        start, end = self.bounds(window)
+        return any(
+            told.since <= start and told.through >= end
+            for told in self.told_by_life.values()
+        )
+
+    def is_whole(self, window, lives):
+        """Return whether all `lives` have told of the whole window."""
+        _, end = self.bounds(window)
+        return all(
+            life in self.told_by_life
+            and self.told_by_life[life].through >= end
+            for life in lives
+        )
+
+    def report(self, window):
+        """Return the `Report` of a window."""
+        total = collections.Counter()
+        for told in self.told_by_life.values():
+            for counts in told.counts:
+                if counts.window == window:
+                    total.update(counts.by_organisation)
+        return Report(window, dict(total))
+
+
+def add_report(ledger, report, kept):
+    """Return `ledger` with one report more, of which it keeps `kept`."""
+    reports = (*ledger.reports, report)[-kept:]
+    return ledger._replace(last=report.window, reports=reports)
+
+
+class TrueTime:
+    """Tells true time from the clocks of many VMs.
+
+    A VM's clock of the day may be wrong by seconds, and may jump. The
+    median of all offsets to the local steady clock is right as long as
+    most clocks are.
+    """
+
+    def __init__(self):
+        self._offsets_by_vm = {}
+
+    def hear(self, vm_id, wall_time, now):
+        """Take what a VM's clock said at local time `now`."""
+        self._offsets_by_vm[vm_id] = (wall_time - now, now)
+
+    def forget(self, before):
+        """Drop what was heard before local time `before`."""
+        self._offsets_by_vm = {
+            vm_id: heard
+            for vm_id, heard in self._offsets_by_vm.items()
+            if heard[1] >= before
+        }
+
+    @property
+    def offset_s(self):
+        """True time less local time, in seconds."""
+        offsets = [offset for offset, _ in self._offsets_by_vm.values()]
+        return statistics.median(offsets)
--- a/packages/decisions/anvilwell_decisions/leases/leadership.py
+++ b/packages/decisions/anvilwell_decisions/leases/leadership.py
@@ -55,9 +55,9 @@
     lease: int
 
 
-def keys(name):
+def keys(name, under=PREFIX):
     """Return the `Keys` of the leadership called `name`."""
-    prefix = f"{PREFIX}{name}/"
+    prefix = f"{under}{name}/"
     return Keys(prefix, f"{prefix}holder", f"{prefix}fencing")
 
 
@@ -80,12 +80,14 @@
         For example ``rollout/planner-lm``.
     vm_id : str
         The candidate.
+    under : str, optional
+        Prefix of its keys.
     """
 
-    def __init__(self, name, vm_id):
+    def __init__(self, name, vm_id, under=PREFIX):
         self._name = name
         self._vm_id = vm_id
-        self._keys = keys(name)
+        self._keys = keys(name, under)
         self._floor = 0
 
     def stand(self, entries_by_key, lease):
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -73,6 +73,7 @@
         # on if no other replica does better.
         self._failure = None
         self._unreached = 0
+        self._is_counted = False
         self.tried = []
         # How many replicas answered 500: they ran the request and failed.
         self.failures = 0
@@ -226,10 +227,20 @@
             crashes.answered(self.fingerprint)
         return answer
 
+    def _begun(self, at):
+        """Count the caller's request, once, as begun at loop time `at`.
+
+        Our own requests, as those for scores, are no use of a caller's.
+        """
+        if self._request.caller and not self._is_counted:
+            self._is_counted = True
+            self._forwarder.count_begun(self.organisation, at)
+
     async def _ask(self, replica):
         """Return the `Held` answer of one replica."""
         started_at = self._started(replica)
         failed = True
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
         try:
             held = await self._forwarder.send(
                 replica,
@@ -240,12 +251,17 @@
             )
             failed = held.status >= FAILED
             return held
+        except exceptions.AnvilwellError as error:
+            verdict = error.verdict
+            raise
         except asyncio.CancelledError:
             # Slower than a second replica that was asked later.
             hedge_s = HEDGE_SHARE * self._route.target_latency_s
             failed = self._loop.time() - started_at > hedge_s
             raise
         finally:
+            if verdict is not verdicts.Verdict.NOT_RUN:
+                self._begun(started_at)
             self._ended(replica, started_at, failed)
 
     def _started(self, replica):
--- a/packages/gateway/anvilwell_gateway/config.py
+++ b/packages/gateway/anvilwell_gateway/config.py
@@ -77,6 +77,25 @@
     ] = 5.0
 
 
+class UsageSection(typing.NamedTuple):
+    """``[usage]``: reports of what organisations use, if there are any."""
+
+    endpoint: typing.Annotated[
+        options.AddressOption, Doc("Where the platform takes reports")
+    ]
+    window_s: typing.Annotated[
+        options.Duration, Doc("Length of a window, in seconds")
+    ] = 5.0
+    late_s: typing.Annotated[
+        options.Duration,
+        Doc("When a window's report is due after its end, in seconds"),
+    ] = 10.0
+    turn_s: typing.Annotated[
+        options.Duration,
+        Doc("Least time between acts of holders in turn, in seconds"),
+    ] = 3.0
+
+
 class MetricsSection(typing.NamedTuple):
     """``[metrics]``: where a collector reads this process's metrics."""
 
@@ -93,6 +112,7 @@
     entry: EntrySection | None = None
     agent: AgentSection | None = None
     organisations: OrganisationsSection = OrganisationsSection()
+    usage: UsageSection | None = None
 
 
 def load(path, role):
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/duties/holding.py
@@ -0,0 +1,219 @@
+"""Holds a duty: one entry at a time, with a number that rises.
+
+The duty goes with the lease of the entry's live key, so it costs no
+renewal of its own, and whoever is taken for dead has lost its duties too.
+The platform need not check numbers. So a holder acts only while its lease
+must still hold by a clock that counts suspension, and who takes a duty
+after another waits until the other can have nothing under way.
+"""
+
+import asyncio
+
+from anvilwell_decisions.duties import choice
+from anvilwell_decisions.leases import leadership
+from anvilwell_gateway import news as news_
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+from anvilwell_kernel.telemetry import logs
+from anvilwell_outside.ports import keyvalue
+
+PREFIX = f"{news_.PREFIX}duty/"
+# Between looks at who holds the duty, in seconds.
+LOOK_S = 0.3
+# The next candidate tries so much later, in seconds: several times what a
+# take-over takes, so that entries seldom write at once.
+RANK_DELAY_S = 1.0
+# A process that starts waits so long for the others that start with it.
+SETTLE_S = 1.0
+
+_LOG = logs.get_logger(__name__)
+
+
+class Tenure:
+    """A duty that this process holds.
+
+    Parameters
+    ----------
+    won : leadership.Tenure
+        Its number and lease.
+    vm_id : str
+        This VM.
+    revision : int
+        Of the holder's key: the guard of what only the holder may write.
+    free_at : float
+        From when on the holder may act, by `clock`.
+    session : session.Session
+        Until when its lease holds.
+    clock : callable
+        Returns a time that counts suspension, in seconds.
+    """
+
+    def __init__(self, won, vm_id, revision, free_at, session, clock):
+        self._won = won
+        self._free_at = free_at
+        self._session = session
+        self._clock = clock
+        self.vm_id = vm_id
+        self.revision = revision
+
+    @property
+    def fencing(self):
+        """The number of this tenure."""
+        return self._won.fencing
+
+    @property
+    def is_over(self):
+        """Whether the lease is known to be another one by now."""
+        return self._session.lease != self._won.lease
+
+    def check(self):
+        """Allow one outward act; call right before each.
+
+        Raises
+        ------
+        exceptions.Fenced
+            If another may hold the duty, or have acted just before.
+        """
+        now = self._clock()
+        leadership.check(self._won, self._session, now)
+        if now < self._free_at:
+            raise exceptions.Fenced(
+                "what the holder before has sent may still arrive",
+                reason=reasons.Refusal.NOT_LEADER,
+            )
+
+
+class Duty:
+    """One duty, whoever holds it.
+
+    Parameters
+    ----------
+    name : str
+        Of the duty.
+    store : store.AsyncStore
+        Where its holder's key lies.
+    presence : presence.Presence
+        This process and its lease.
+    news : news.News
+        Who lives, and what changes.
+    turn_s : float
+        Least time between acts of holders that take turns, in seconds.
+    """
+
+    def __init__(self, name, store, presence, news, turn_s):
+        self._name = name
+        self._store = store
+        self._presence = presence
+        self._news = news
+        self._turn_s = turn_s
+        self._clock = asyncio.get_running_loop().time
+        self._keys = leadership.keys(name, PREFIX)
+        self._leadership = leadership.Leadership(name, presence.vm_id, PREFIX)
+        self._vacant_since = self._clock() + SETTLE_S
+        self._task = None
+        self._holder = None
+        self.tenure = None
+        news.pass_on(self._keys.prefix, self)
+
+    @property
+    def holder(self):
+        """The VM that holds the duty as far as is known here, or None."""
+        if self.tenure and not self.tenure.is_over:
+            return self._presence.vm_id
+        return self._holder
+
+    @property
+    def holder_key(self):
+        """The key that is there as long as one holder's tenure."""
+        return self._keys.holder
+
+    def start(self):
+        """Begin to look."""
+        self._task = asyncio.create_task(self._look_on())
+
+    async def stop(self):
+        """Take the duty no more; it ends with this process's lease."""
+        task, self._task = self._task, None
+        if task:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    def load(self, entries_by_key):
+        """Take what the store tells of the holder."""
+        entry = entries_by_key.get(self._keys.holder)
+        self._learn(entry and entry.value)
+
+    def change(self, change):
+        """Take a change of the holder."""
+        if change.key == self._keys.holder:
+            self._learn(change.value)
+
+    def _learn(self, value):
+        self._holder = None
+        if value is None:
+            self._vacant_since = max(self._vacant_since, self._clock())
+            return
+        try:
+            found = leadership.HOLDER.validate_json(value)
+        except ValueError as error:
+            _LOG.log("holder-unreadable", duty=self._name, cause=str(error))
+            return
+        self._holder = found.vm_id
+
+    async def _look_on(self):
+        while True:
+            await asyncio.sleep(LOOK_S)
+            try:
+                await self._review()
+            except exceptions.AnvilwellError as error:
+                _LOG.log("duty-not-taken", duty=self._name, cause=str(error))
+
+    async def _review(self):
+        """Take the duty if nobody has it and it is our turn."""
+        if self.tenure and self.tenure.is_over:
+            _LOG.log("duty-lost", duty=self._name, fencing=self.tenure.fencing)
+            self.tenure = None
+        if self.tenure or self._holder or not self._news.is_loaded:
+            return
+        now = self._clock()
+        if self._presence.session.is_held(now) and self._is_our_turn(now):
+            await self._take()
+
+    def _is_our_turn(self, now):
+        mine = self._presence.vm_id
+        ranked = choice.ranked(self._name, {*self._news.lives_by_vm, mine})
+        delay_s = RANK_DELAY_S * ranked.index(mine)
+        return now >= self._vacant_since + delay_s
+
+    async def _take(self):
+        lease = self._presence.session.lease
+        snapshot = await self._store.get_prefix(self._keys.prefix)
+        found = snapshot.entries_by_key
+        standing = self._leadership.stand(found, lease)
+        if standing is leadership.Standing.OTHERS:
+            self._learn(found[self._keys.holder].value)
+            return
+        if standing is leadership.Standing.OURS:
+            won = self._leadership.tenure(found, lease)
+            revision = found[self._keys.holder].revision
+        else:
+            writes = self._leadership.take(found, lease)
+            result = await self._store.swap(
+                [keyvalue.Swap(*write) for write in writes]
+            )
+            if not result.landed:
+                return
+            won = self._leadership.won(writes, lease)
+            revision = result.revision
+        now = self._clock()
+        is_first = won.fencing == 1
+        free_at = now if is_first else now + self._turn_s
+        _LOG.log("duty-taken", duty=self._name, fencing=won.fencing)
+        self.tenure = Tenure(
+            won,
+            self._presence.vm_id,
+            revision,
+            free_at,
+            self._presence.session,
+            self._clock,
+        )
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/duties/reporting.py
@@ -0,0 +1,244 @@
+"""Reports usage by window, as the holder of that duty.
+
+A report lies in the store before it is sent, under the guard of the
+holder's key. Whoever sends a window later, this process or the next
+holder, sends just that.
+"""
+
+import asyncio
+import math
+import time
+
+import cbor2
+import pydantic
+
+from anvilwell_decisions.duties import usage
+from anvilwell_gateway import measures
+from anvilwell_gateway import store as stores
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.telemetry import logs
+from anvilwell_outside.ports import keyvalue
+
+LEDGER_KEY = "anvilwell/usage/ledger"
+# Between looks at what is due, in seconds.
+LOOK_S = 0.25
+# A window is reported so long after its end, in seconds: callers wait for
+# about two seconds, and what began may be known only by its answer.
+SETTLE_S = 2.0
+# For processes that live but have not told of the whole window, a report
+# waits so long after the window's end, in seconds; they may be cut off.
+PATIENCE_S = 5.0
+# Clocks that were not heard for so long are not counted, in seconds.
+CLOCK_S = 20.0
+# How long the outcome of a write may be unknown, in seconds.
+WRITE_TIMEOUT_S = 2.0
+
+_LEDGER = pydantic.TypeAdapter(usage.Ledger)
+
+_LOG = logs.get_logger(__name__)
+
+
+class Reporter:
+    """Gathers what is told, and reports each window once.
+
+    Parameters
+    ----------
+    store : store.AsyncStore
+        Where reports lie before they are sent.
+    presence : presence.Presence
+        This process.
+    news : news.News
+        Which processes live.
+    duty : holding.Duty
+        Whether this process is the holder.
+    platform : port.DutyPlatform
+        Takes the reports.
+    settings : config.UsageSection
+        Windows and when their reports are due.
+    wall_time : callable, optional
+        What this VM's clock of the day says, in seconds.
+    """
+
+    def __init__(
+        self,
+        store,
+        presence,
+        news,
+        duty,
+        platform,
+        settings,
+        wall_time=time.time,
+    ):
+        self._wall_time = wall_time
+        self._store = store
+        self._presence = presence
+        self._news = news
+        self._duty = duty
+        self._platform = platform
+        self._window_s = settings.window_s
+        self._late_s = settings.late_s
+        self._clock = asyncio.get_running_loop().time
+        self._gathered = usage.Gathered(settings.window_s)
+        self._true_time = usage.TrueTime()
+        self._loaded_for = None
+        self._ledger = usage.Ledger()
+        self._revision = 0
+        self._unsent = []
+        self._task = None
+
+    def hear(self, told):
+        """Take a `usage.Told`; return true time.
+
+        Raises
+        ------
+        exceptions.Refused
+            If this process does not hold the duty.
+        """
+        if self._duty.holder != self._presence.vm_id:
+            raise exceptions.Refused("this VM does not report usage")
+        self._true_time.hear(told.vm_id, told.wall_time, self._clock())
+        self._gathered.take(told)
+        return self._true_now()
+
+    def start(self):
+        """Begin to look for what is due."""
+        self._task = asyncio.create_task(self._look_on())
+
+    async def stop(self):
+        """Report no more, and leave the next holder what was told."""
+        task, self._task = self._task, None
+        if task is None:
+            return
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        if self._loaded_for is not self._duty.tenure or not self._loaded_for:
+            return
+        told = tuple(self._gathered.told_by_life.values())
+        try:
+            await self._write(self._ledger._replace(told=told))
+        except exceptions.AnvilwellError as error:
+            _LOG.log("usage-not-left", cause=error.message)
+
+    def beliefs(self):
+        """Return whether this process reports, and what it has to send."""
+        tenure = self._duty.tenure
+        return [
+            measures.Belief("reports_usage", tenure is not None),
+            measures.Belief("usage_reports_unsent", len(self._unsent)),
+        ]
+
+    def _true_now(self):
+        now = self._clock()
+        self._true_time.hear(self._presence.vm_id, self._wall_time(), now)
+        self._true_time.forget(now - CLOCK_S)
+        return now + self._true_time.offset_s
+
+    async def _look_on(self):
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if self._duty.tenure is None:
+                continue
+            try:
+                await self._work(self._duty.tenure)
+            except exceptions.Fenced:
+                # The holder before may have something under way, or this
+                # one's lease may have ended: either shows at a next look.
+                continue
+            except exceptions.AnvilwellError as error:
+                _LOG.log("usage-not-reported", cause=error.message)
+
+    async def _work(self, tenure):
+        """Record what is due, then send what is recorded."""
+        if self._loaded_for is not tenure:
+            await self._load(tenure)
+        self._gathered.forget(self._true_now() - 2 * self._late_s)
+        tenure.check()
+        for window in self._due():
+            await self._record(window)
+        await self._send(tenure)
+
+    async def _load(self, tenure):
+        """Learn what the holders before have recorded."""
+        entry = await self._store.get(LEDGER_KEY)
+        self._take(entry)
+        for told in self._ledger.told:
+            self._gathered.take(told)
+        self._unsent = list(self._ledger.reports)
+        self._loaded_for = tenure
+
+    def _take(self, entry):
+        self._revision = entry.revision if entry else 0
+        self._ledger = usage.Ledger()
+        if entry is not None:
+            self._ledger = _LEDGER.validate_python(cbor2.loads(entry.value))
+
+    def _due(self):
+        """Return the windows that are to be recorded now, in order."""
+        now = self._true_now()
+        first = math.floor((now - self._late_s) / self._window_s)
+        first = max(first, self._ledger.last + 1)
+        due = []
+        for window in range(first, math.floor(now / self._window_s)):
+            if not self._is_due(window, now):
+                break
+            if self._gathered.is_known(window):
+                due.append(window)
+            else:
+                _LOG.routine("usage-not-known", window=window)
+        return due
+
+    def _is_due(self, window, now):
+        _, end = self._gathered.bounds(window)
+        lives = self._news.lives_by_vm.values()
+        is_whole = self._gathered.is_whole(window, lives)
+        return now >= end + (SETTLE_S if is_whole else PATIENCE_S)
+
+    async def _record(self, window):
+        report = self._gathered.report(window)
+        kept = math.ceil(self._late_s / self._window_s) + 1
+        await self._write(usage.add_report(self._ledger, report, kept))
+        self._unsent.append(report)
+        _LOG.log(
+            "usage-recorded",
+            window=window,
+            requests=sum(report.by_organisation.values()),
+            organisations=len(report.by_organisation),
+            processes=len(self._gathered.told_by_life),
+        )
+
+    async def _write(self, ledger):
+        """Write the ledger, if this process is still the holder.
+
+        Raises
+        ------
+        exceptions.AnvilwellError
+            If it is not, or nobody knows; the ledger is read anew then.
+        """
+        value = cbor2.dumps(ledger)
+        swaps = [
+            keyvalue.Swap(LEDGER_KEY, self._revision, value),
+            keyvalue.Guard(self._duty.holder_key, self._loaded_for.revision),
+        ]
+        self._loaded_for, tenure = None, self._loaded_for
+        result = await stores.swap_until_known(
+            self._store, swaps, WRITE_TIMEOUT_S
+        )
+        entry = result.entries_by_key.get(LEDGER_KEY)
+        is_ours = entry is not None and entry.value == value
+        if not (result.landed or is_ours):
+            raise exceptions.Conflict("the ledger of usage is another's now")
+        self._revision = result.revision if result.landed else entry.revision
+        self._ledger = ledger
+        self._loaded_for = tenure
+
+    async def _send(self, tenure):
+        """Send what is recorded and not known to have been taken."""
+        while self._unsent:
+            report = self._unsent[0]
+            _, end = self._gathered.bounds(report.window)
+            if self._true_now() > end + self._late_s:
+                _LOG.log("usage-too-late", window=report.window)
+            else:
+                await self._platform.report_usage(report, tenure)
+                _LOG.log("usage-reported", window=report.window)
+            self._unsent.pop(0)
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -16,6 +16,7 @@
 from anvilwell_gateway import configuration as configurations
 from anvilwell_gateway import crashes
 from anvilwell_gateway import directory as directories
+from anvilwell_gateway.duties import reports
 from anvilwell_gateway import feeds
 from anvilwell_gateway import forwarding
 from anvilwell_gateway.http import client
@@ -112,12 +113,16 @@
             store, self._directory, settings.daemon.vm_id
         )
         self._news.pass_on(crashes.PREFIX, self._crashes)
+        self._usage = reports.build(
+            settings, platform, self._presence, self._news
+        )
         self._forwarder = forwarding.Forwarder(
             self._dialect,
             self._directory,
             self._pool,
             self._configuration,
             self._crashes,
+            self._usage.began,
         )
         batch_store = records.BatchStore(store)
         self._holder = holders.Holder(
@@ -208,6 +213,11 @@
         current = self._configuration.current
         return current.version if current else None
 
+    @property
+    def usage_holder(self):
+        """The VM that reports usage, as far as is known here, or None."""
+        return self._usage.holder
+
     @property
     def crashes(self):
         """Which requests end replicas, as far as is known here."""
@@ -257,6 +267,7 @@
         for follower in self._followers:
             follower.start(self._neighbours, self._feeds)
         self._stand_in.start()
+        self._usage.start()
         self._starting = asyncio.create_task(self._review_once())
 
     async def _review_once(self):
@@ -279,9 +290,11 @@
         await self._stand_in.stop()
         await self._intake.stop()
         await self._holder.let_go()
+        await self._usage.let_go()
         await self._presence.stop()
         while loop.time() < leave_at or self._front.in_flight:
             await asyncio.sleep(POLL_S)
+        await self._usage.stop()
 
     async def stop(self):
         """Close everything."""
@@ -291,6 +304,7 @@
             await follower.stop()
         await self.retention.stop()
         await self._crashes.stop()
+        await self._usage.stop()
         await self._presence.stop()
         await self._intake.stop()
         await self._holder.stop()
@@ -338,6 +352,8 @@
             await self._relay.answer(request, responder)
         elif request.path == feeds.TARGET:
             await self._feeds.answer(request, responder)
+        elif request.path == reports.TARGET:
+            await self._usage.answer(request, responder)
         elif request.path == handing.TARGET:
             await self._take_batch(request, responder)
         elif request.path == passing.TARGET:
@@ -369,6 +385,7 @@
             *self._directory.beliefs(),
             *self._holder.beliefs(),
             *self._crashes.beliefs(),
+            *self._usage.beliefs(),
             measures.Belief("peers", len(self._news.lives_by_vm)),
         ]
 
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -41,6 +41,8 @@
         What decided the route; its version is logged.
     known_crashes : crashes.Crashes
         Which requests end replicas.
+    count_begun : callable
+        Told who sent a request, and when a replica began it.
     """
 
     def __init__(
@@ -50,8 +52,10 @@
         pool,
         configuration,
         known_crashes,
+        count_begun,
         rng=None,
     ):
+        self.count_begun = count_begun
         self.crashes = known_crashes
         self._configuration = configuration
         self._dialect = dialect
--- a/packages/gateway/anvilwell_gateway/platforms.py
+++ b/packages/gateway/anvilwell_gateway/platforms.py
@@ -3,6 +3,7 @@
 import typing
 
 from anvilwell_gateway import dialect as dialects
+from anvilwell_gateway.duties import port
 from anvilwell_gateway import engine as engines
 from anvilwell_gateway import entries
 from anvilwell_gateway import paths as ways
@@ -10,10 +11,15 @@
 
 
 class Platform(typing.NamedTuple):
-    """The adapter's parts; ``engine_at`` takes an engine's address."""
+    """The adapter's parts.
+
+    ``engine_at`` takes an engine's address, ``duties_at`` that of what is
+    told of usage.
+    """
 
     store: stores.AsyncStore
     paths: ways.Paths
     codec: entries.EntryCodec
     dialect: dialects.Dialect
     engine_at: typing.Callable[..., engines.Engine]
+    duties_at: typing.Callable[..., port.DutyPlatform]
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -3,6 +3,7 @@
 import asyncio
 import uuid
 
+from anvilwell_decisions.leases import session as sessions
 import cbor2
 
 from anvilwell_gateway import live_keys
@@ -52,6 +53,8 @@
         self._task = None
         self._lease = 0
         self._granted = 0
+        self._granted_at = 0.0
+        self._session = sessions.Session(TTL_S)
         self._answered_at = float("-inf")
         self._rewrite = asyncio.Event()
         self._peers = ""
@@ -70,12 +73,19 @@
             return
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
+        # From now on another may hold what goes with the lease.
+        self._session.lease = 0
         if self._lease:
             try:
                 await self._store.revoke(self._lease)
             except exceptions.AnvilwellError as error:
                 _LOG.log("lease-not-ended", cause=error.message)
 
+    @property
+    def session(self):
+        """Until when this process may act under its lease."""
+        return self._session
+
     @property
     def is_registered(self):
         """Whether the live key was written and is not known to be lost."""
@@ -106,7 +116,7 @@
 
     def key_lost(self):
         """Note that the live key is gone; it is written again."""
-        self._lease = 0
+        self._lease = self._session.lease = 0
         self._rewrite.set()
 
     async def _keep(self):
@@ -130,10 +140,14 @@
                 pass
 
     async def _renew(self):
+        clock = asyncio.get_running_loop().time
+        sent_at = clock()
         if self._lease and await self._store.keep_alive(self._lease):
+            self._session.renewed(self._lease, sent_at, TTL_S)
             return
-        self._lease = 0
+        self._lease = self._session.lease = 0
         if not self._granted:
+            self._granted_at = clock()
             self._granted = await self._store.grant(TTL_S)
         key = f"{live_keys.PREFIX}{self.vm_id}"
         entry = await self._store.get(key)
@@ -141,6 +155,7 @@
             await self._write(key, entry.revision if entry else 0)
         # Both the write that landed and one whose answer was lost.
         self._lease = self._granted
+        self._session.granted(self._lease, self._granted_at)
         self._granted = 0
         _LOG.log("registered", lease=self._lease)
 
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -178,6 +178,7 @@
                     f"event {event.number} came after event {number}"
                 )
             number = event.number
+        self._begun(self._loop.time())
         await self._begin(reply)
         await self._responder.write(data)
         self._last_number = number
--- /dev/null
+++ b/packages/gateway/tests/duties/duty_world.py
@@ -0,0 +1,377 @@
+"""VMs that share a duty, a store with leases and a platform, in one loop.
+
+The VMs' presence, duty and reporter are the real ones. A VM that is
+suspended neither sends nor receives; its timers go on, so whatever it
+decides meanwhile is sent when it goes on, as if it had been suspended
+between the check and the send.
+"""
+
+import asyncio
+import itertools
+
+from anvilwell_decisions.duties import usage
+from anvilwell_gateway import config
+from anvilwell_gateway.duties import holding
+from anvilwell_gateway.duties import reporting
+from anvilwell_gateway.http import client
+from anvilwell_gateway import live_keys
+from anvilwell_gateway import presence
+from anvilwell_gateway_standins import duties as judges
+from anvilwell_kernel.config import options
+from anvilwell_kernel import exceptions
+from anvilwell_outside.ports import keyvalue
+
+WINDOW_S = 5.0
+LATE_S = 10.0
+TURN_S = 3.0
+ANSWER_S = 0.004
+TIMEOUT_S = 0.8
+# What arrives so soon after its sender goes on does not count.
+THAW_S = 0.3
+# True time when the loop's clock is 0.
+EPOCH_S = 1_000_000.0
+# A write without an answer may land so much later.
+LATE_WRITE_S = 2.5
+SETTINGS = config.UsageSection(
+    options.Address("127.0.0.1", 1), WINDOW_S, LATE_S, TURN_S
+)
+
+
+class Store:
+    """Keeps entries with revisions, and leases that end."""
+
+    def __init__(self):
+        self.revision = 1
+        self.entries_by_key = {}
+        self.ends_by_lease = {}
+        self._numbers = itertools.count(1)
+
+    def _lapse(self):
+        now = asyncio.get_running_loop().time()
+        ended = {k for k, end in self.ends_by_lease.items() if end <= now}
+        for lease in ended:
+            self.end(lease)
+
+    def end(self, lease):
+        """End a lease and delete its keys."""
+        self.ends_by_lease.pop(lease, None)
+        for key, entry in list(self.entries_by_key.items()):
+            if entry.lease == lease:
+                self.revision += 1
+                del self.entries_by_key[key]
+
+    def grant(self, ttl_s):
+        """Return a new lease."""
+        lease = next(self._numbers)
+        now = asyncio.get_running_loop().time()
+        self.ends_by_lease[lease] = now + ttl_s
+        return lease
+
+    def keep(self, lease):
+        """Renew a lease; return whether it held."""
+        self._lapse()
+        if lease not in self.ends_by_lease:
+            return False
+        now = asyncio.get_running_loop().time()
+        self.ends_by_lease[lease] = now + presence.TTL_S
+        return True
+
+    def read(self, prefix):
+        """Return all entries with a prefix."""
+        self._lapse()
+        found = {
+            key: entry
+            for key, entry in self.entries_by_key.items()
+            if key.startswith(prefix)
+        }
+        return keyvalue.Snapshot(found, self.revision)
+
+    def swap(self, swaps):
+        """Apply all swaps or none."""
+        self._lapse()
+        known = {swap.key: self.entries_by_key.get(swap.key) for swap in swaps}
+        for swap in swaps:
+            entry = known[swap.key]
+            if (entry.revision if entry else 0) != swap.expected:
+                there = {key: e for key, e in known.items() if e}
+                return keyvalue.SwapResult(False, 0, there)
+        writes = [one for one in swaps if isinstance(one, keyvalue.Swap)]
+        if any(w.lease and w.lease not in self.ends_by_lease for w in writes):
+            raise exceptions.NotFound("the lease has ended")
+        self.revision += 1
+        for write in writes:
+            self.entries_by_key[write.key] = keyvalue.Entry(
+                write.key, write.value, self.revision, write.lease
+            )
+        return keyvalue.SwapResult(True, self.revision, {})
+
+
+class Reach:
+    """The store as one VM reaches it.
+
+    ``fault`` is "" or what happens to its calls: ``silent`` (not done),
+    ``lost`` (done, no answer), ``late`` (writes are done later).
+    """
+
+    def __init__(self, store, vm):
+        self._store = store
+        self._vm = vm
+        self.fault = ""
+
+    async def get(self, key):
+        snapshot = await self.get_prefix(key)
+        return snapshot.entries_by_key.get(key)
+
+    async def get_prefix(self, prefix):
+        return await self._call(lambda: self._store.read(prefix))
+
+    async def swap(self, swaps):
+        return await self._call(lambda: self._store.swap(swaps), True)
+
+    async def grant(self, ttl_s):
+        return await self._call(lambda: self._store.grant(ttl_s), True)
+
+    async def keep_alive(self, lease):
+        return await self._call(lambda: self._store.keep(lease), True)
+
+    async def revoke(self, lease):
+        return await self._call(lambda: self._store.end(lease), True)
+
+    async def _call(self, act, is_write=False):
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await self._vm.goes_on()
+                await asyncio.sleep(ANSWER_S / 2)
+                fault = self.fault
+                if fault == "late" and is_write:
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(LATE_WRITE_S, _quietly, act)
+                if fault == "silent" or (fault == "late" and is_write):
+                    await asyncio.get_running_loop().create_future()
+                result = act()
+                await asyncio.sleep(ANSWER_S / 2)
+                if fault == "lost":
+                    await asyncio.get_running_loop().create_future()
+                await self._vm.goes_on()
+                return result
+        except TimeoutError:
+            raise exceptions.KeyValueUnavailable("no answer") from None
+
+
+def wall_time():
+    """Return the time of day."""
+    return EPOCH_S + asyncio.get_running_loop().time()
+
+
+def _quietly(act):
+    """Do a late write; nobody hears what becomes of it."""
+    try:
+        act()
+    except exceptions.NotFound:
+        return
+
+
+class Platform:
+    """Takes reports; ``fault`` is "", ``busy`` or ``lost``."""
+
+    def __init__(self, vm, calls):
+        self._vm = vm
+        self._calls = calls
+        self.fault = ""
+
+    async def report_usage(self, report, tenure):
+        await asyncio.sleep(ANSWER_S)
+        tenure.check()
+        await self._vm.goes_on()
+        await asyncio.sleep(ANSWER_S)
+        if self.fault == "busy":
+            raise client.failed("busy")
+        now = asyncio.get_running_loop().time()
+        self._calls.append(
+            judges.Call(
+                now,
+                tenure.vm_id,
+                tenure.fencing,
+                report.window,
+                dict(report.by_organisation),
+                now - self._vm.went_on_at <= THAW_S,
+            )
+        )
+        if self.fault == "lost":
+            await asyncio.sleep(TIMEOUT_S)
+            raise client.failed("no answer")
+
+
+class News:
+    """Polls who lives, and tells the duty of its holder."""
+
+    POLL_S = 0.2
+
+    def __init__(self, reach):
+        self._reach = reach
+        self._takers_by_prefix = {}
+        self.lives_by_vm = {}
+        self.is_loaded = False
+
+    def pass_on(self, prefix, taker):
+        self._takers_by_prefix[prefix] = taker
+
+    async def run(self):
+        while True:
+            try:
+                await self._poll()
+            except exceptions.AnvilwellError:
+                pass
+            await asyncio.sleep(self.POLL_S)
+
+    async def _poll(self):
+        snapshot = await self._reach.get_prefix("anvilwell/")
+        found = snapshot.entries_by_key
+        live = {
+            key: entry
+            for key, entry in found.items()
+            if key.startswith(live_keys.PREFIX)
+        }
+        self.lives_by_vm = live_keys.lives(live_keys.read_all(live))
+        self.is_loaded = True
+        for prefix, taker in self._takers_by_prefix.items():
+            taker.load(
+                {key: e for key, e in found.items() if key.startswith(prefix)}
+            )
+
+
+class Vm:
+    """One life of one VM."""
+
+    def __init__(self, vm_id, store, calls):
+        self.vm_id = vm_id
+        self._is_on = asyncio.Event()
+        self._is_on.set()
+        self.went_on_at = float("-inf")
+        self.reach = Reach(store, self)
+        self.platform = Platform(self, calls)
+        self.presence = presence.Presence(self.reach, vm_id)
+        self.news = News(self.reach)
+        self.duty = holding.Duty(
+            "usage", self.reach, self.presence, self.news, TURN_S
+        )
+        self.reporter = reporting.Reporter(
+            self.reach,
+            self.presence,
+            self.news,
+            self.duty,
+            self.platform,
+            SETTINGS,
+            wall_time,
+        )
+        self.started_at = asyncio.get_running_loop().time()
+        self.tally = usage.Tally()
+        self._tasks = []
+
+    async def goes_on(self):
+        """Wait while the VM is suspended."""
+        await self._is_on.wait()
+
+    @property
+    def is_on(self):
+        return self._is_on.is_set()
+
+    def suspend(self):
+        self._is_on.clear()
+
+    def resume(self):
+        self.went_on_at = asyncio.get_running_loop().time()
+        self._is_on.set()
+
+    def start(self):
+        self.presence.start("127.0.0.1:1")
+        self.duty.start()
+        self.reporter.start()
+        self._tasks.append(asyncio.create_task(self.news.run()))
+
+    async def kill(self):
+        """End at once, without a word."""
+        tasks = [
+            *self._tasks,
+            self.duty._task,
+            self.reporter._task,
+            self.presence._task,
+        ]
+        for task in tasks:
+            if task:
+                task.cancel()
+        await asyncio.gather(*filter(None, tasks), return_exceptions=True)
+
+    async def drain(self):
+        """Leave the duty, then the lease, then end."""
+        await self.duty.stop()
+        await self.reporter.stop()
+        await self.presence.stop()
+        await self.kill()
+
+    def told(self):
+        now = wall_time()
+        return usage.Told(
+            self.vm_id,
+            self.presence.life,
+            now,
+            self.started_at + EPOCH_S,
+            now,
+            self.tally.counts(EPOCH_S, WINDOW_S),
+        )
+
+
+class World:
+    """Some VMs whose callers send requests all the time."""
+
+    TELL_S = 0.5
+
+    def __init__(self, vm_ids):
+        self.store = Store()
+        self.calls = []
+        self.vms_by_id = {}
+        for vm_id in vm_ids:
+            self.start(vm_id)
+
+    def start(self, vm_id):
+        vm = Vm(vm_id, self.store, self.calls)
+        vm.start()
+        self.vms_by_id[vm_id] = vm
+
+    async def restart(self, vm_id, is_drained, down_s=0.0):
+        vm = self.vms_by_id.pop(vm_id)
+        vm.resume()
+        await (vm.drain() if is_drained else vm.kill())
+        await asyncio.sleep(down_s)
+        self.start(vm_id)
+
+    @property
+    def holders(self):
+        return [
+            vm for vm in self.vms_by_id.values() if vm.duty.tenure is not None
+        ]
+
+    async def run_traffic(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self.TELL_S)
+            for vm in list(self.vms_by_id.values()):
+                if vm.is_on:
+                    vm.tally.add("schools", loop.time())
+                    self._tell(vm.told())
+
+    def _tell(self, told):
+        for other in self.vms_by_id.values():
+            try:
+                if other.is_on:
+                    other.reporter.hear(told)
+            except exceptions.Refused:
+                continue
+
+    async def stop(self):
+        for vm in self.vms_by_id.values():
+            vm.resume()
+            await vm.kill()
+
+    def breaches(self):
+        return judges.find_breaches(self.calls, TURN_S)
