--- a/packages/gateway/anvilwell_gateway/configuration.py
+++ b/packages/gateway/anvilwell_gateway/configuration.py
@@ -16,6 +16,7 @@
     """Follows the configuration; its version never goes back."""
 
     def __init__(self, store, codec):
+        self._reading = None
         super().__init__(store, codec.configuration_key)
         self._codec = codec
         self._newest = table.Newest()
@@ -54,12 +55,44 @@
             measures.Belief("configuration_age_s", age_s),
         ]
 
+    async def stop(self):
+        """Follow no more."""
+        self._stop_reading()
+        await super().stop()
+
+    def _stop_reading(self):
+        if self._reading:
+            self._reading.cancel()
+            self._reading = None
+
     def _take(self, value):
+        """Read a value that is newer than all before; it ends their reading.
+
+        The first step is done at once: most changes need no more.
+        """
+        self._stop_reading()
+        steps = self._codec.configuration_steps(value)
+        if not self._step(steps):
+            self._reading = asyncio.create_task(self._take_on(steps))
+
+    async def _take_on(self, steps):
+        """Read on, and let requests be answered between the steps."""
+        while not self._step(steps):
+            await asyncio.sleep(0)
+
+    def _step(self, steps):
+        """Do one step of reading; return whether it was the last."""
         try:
-            configuration = self._codec.read_configuration(value)
+            configuration = next(steps)
         except exceptions.ConfigurationError as error:
             _LOG.log("configuration-unreadable", cause=error.message)
-            return
+            return True
+        if configuration is not None:
+            self._use(configuration)
+        return configuration is not None
+
+    def _use(self, configuration):
+        """Put a configuration in force if it is newer."""
         if not self._newest.take(configuration):
             _LOG.log("configuration-older", version=configuration.version)
             return
--- a/packages/gateway/anvilwell_gateway/entries.py
+++ b/packages/gateway/anvilwell_gateway/entries.py
@@ -11,7 +11,6 @@
     versions_prefix = ""
     retire_prefix = ""
 
-    @abc.abstractmethod
     def read_configuration(self, value):
         """Return the `facts.Configuration` in `value`.
 
@@ -20,6 +19,23 @@
         exceptions.ConfigurationError
             With all that can't be understood.
         """
+        *_, configuration = self.configuration_steps(value)
+        return configuration
+
+    @abc.abstractmethod
+    def configuration_steps(self, value):
+        """Read a configuration step by step.
+
+        Yields
+        ------
+        facts.Configuration or None
+            None after each step but the last: something else may be done.
+
+        Raises
+        ------
+        exceptions.ConfigurationError
+            With all that can't be understood.
+        """
 
     @abc.abstractmethod
     def read_replica(self, key, value):
--- /dev/null
+++ b/packages/gateway/tests/test_configuration.py
@@ -0,0 +1,75 @@
+"""The configuration in force, read in steps."""
+
+import asyncio
+
+from anvilwell_decisions.traffic import facts
+from anvilwell_gateway import configuration
+from anvilwell_kernel import exceptions
+from anvilwell_outside.ports import keyvalue
+import pytest
+
+KEY = "configuration"
+LIMITS = facts.CallerLimits(1, 1, 1.0, 1.0)
+
+
+class _Codec:
+    """Reads ``version steps`` in that many steps."""
+
+    configuration_key = KEY
+
+    def configuration_steps(self, value):
+        version, steps = map(int, value.split())
+        for _ in range(steps - 1):
+            yield None
+        if version < 0:
+            raise exceptions.ConfigurationError([])
+        yield facts.Configuration(version, (), {}, LIMITS)
+
+
+class _Store:
+    def listen_regained(self, callback):
+        """Never call back."""
+
+
+def _changed(follower, value, revision):
+    follower.change(keyvalue.Change(KEY, value, revision))
+
+
+@pytest.mark.parametrize(
+    ("values", "at_once", "then"),
+    [
+        ([b"7 1"], 7, 7),
+        ([b"7 5"], None, 7),
+        # The newer one ends the reading of the one before.
+        ([b"7 5", b"8 1"], 8, 8),
+        ([b"7 1", b"8 5"], 7, 8),
+        ([b"7 1", b"8 3", b"9 5"], 7, 9),
+        # One that can't be read leaves the one in force.
+        ([b"7 1", b"-1 3"], 7, 7),
+        ([b"8 1", b"7 4"], 8, 8),
+    ],
+)
+def test_the_newest_that_can_be_read_is_in_force(values, at_once, then):
+    async def run():
+        follower = configuration.ConfigurationFollower(_Store(), _Codec())
+        for revision, value in enumerate(values, 1):
+            _changed(follower, value, revision)
+        first = follower.current
+        for _ in range(8):
+            await asyncio.sleep(0)
+        return first and first.version, follower.current.version
+
+    assert asyncio.run(run()) == (at_once, then)
+
+
+def test_other_work_is_done_between_the_steps():
+    async def run():
+        follower = configuration.ConfigurationFollower(_Store(), _Codec())
+        _changed(follower, b"7 9", 1)
+        turns = 0
+        while follower.current is None:
+            turns += 1
+            await asyncio.sleep(0)
+        return turns
+
+    assert asyncio.run(run()) >= 8
