Take no wrong clock for true time, and keep the ledger small

Cause, by reading the change again: a new holder whose own clock is wrong answered with it until it had heard the others; an entry that believed it told counts "through" an hour ahead, and what it told later, by true time, was dropped as older. A ledger that can't be read ended the reporter without a line. What a holder left stayed in the ledger for ever. Ruled out: believing the times that entries hold for true: an error would outlive its clock. Change: what a process tells is ordered by its own count; true time is told and windows are settled once most live VMs were heard; an unreadable ledger is logged and left; what was gathered goes with its windows.

--- a/packages/decisions/anvilwell_decisions/duties/usage.py
+++ b/packages/decisions/anvilwell_decisions/duties/usage.py
@@ -18,7 +18,7 @@
 
 
 class Told(typing.NamedTuple):
-    """What a process tells of its counts.
+    """What a process tells of its counts, for the ``number``-th time.
 
     All windows from ``since`` to ``through``, in seconds of true time, are
     covered; one that is not in ``counts`` had no request. ``wall_time`` is
@@ -27,6 +27,7 @@
 
     vm_id: str
     life: str
+    number: int
     wall_time: float
     since: float
     through: float
@@ -103,7 +104,7 @@
     def take(self, told):
         """Take what a process tells; it replaces what it told before."""
         known = self.told_by_life.get(told.life)
-        if known is None or told.through >= known.through:
+        if known is None or told.number >= known.number:
             self.told_by_life[told.life] = told
 
     def forget(self, before):
@@ -146,9 +147,17 @@
 
 
 def add_report(ledger, report, kept):
-    """Return `ledger` with one report more, of which it keeps `kept`."""
+    """Return `ledger` with one report more, of which it keeps `kept`.
+
+    What a holder before had gathered of settled windows goes.
+    """
     reports = (*ledger.reports, report)[-kept:]
-    return ledger._replace(last=report.window, reports=reports)
+    told = tuple(
+        one
+        for one in ledger.told
+        if any(counts.window > report.window for counts in one.counts)
+    )
+    return Ledger(report.window, reports, told)
 
 
 class TrueTime:
@@ -174,6 +183,10 @@
             if heard[1] >= before
         }
 
+    def is_known(self, lives):
+        """Return whether most of so many VMs that live were heard."""
+        return 2 * len(self._offsets_by_vm) > lives
+
     @property
     def offset_s(self):
         """True time less local time, in seconds."""
--- a/packages/decisions/tests/duties/test_usage.py
+++ b/packages/decisions/tests/duties/test_usage.py
@@ -8,8 +8,8 @@
 WINDOW_S = 5.0
 
 
-def _told(life="life", since=0.0, through=100.0, counts=()):
-    return usage.Told("vm", life, 0.0, since, through, counts)
+def _told(life="life", since=0.0, through=100.0, counts=(), number=1):
+    return usage.Told("vm", life, number, 0.0, since, through, counts)
 
 
 def _counts(window, **by_organisation):
@@ -58,10 +58,11 @@
 
 def test_a_report_sums_what_all_tell_and_counts_nothing_twice():
     gathered = usage.Gathered(WINDOW_S)
-    gathered.take(_told("a", through=11.0, counts=(_counts(2, schools=1),)))
-    gathered.take(_told("a", through=14.0, counts=(_counts(2, schools=3),)))
+    # Told first, by a clock that was an hour ahead.
+    gathered.take(_told("a", through=3611.0, counts=(_counts(722, lake=1),)))
+    gathered.take(_told("a", counts=(_counts(2, schools=3),), number=3))
     # Late on its way: it was told before the one above.
-    gathered.take(_told("a", through=12.0, counts=(_counts(2, schools=2),)))
+    gathered.take(_told("a", counts=(_counts(2, schools=2),), number=2))
     gathered.take(
         _told("b", counts=(_counts(2, schools=1, lake=2), _counts(3, lake=9)))
     )
@@ -102,6 +103,27 @@
     assert [report.window for report in ledger.reports] == [2, 3, 4]
 
 
+def test_the_ledger_keeps_what_was_gathered_of_windows_to_come():
+    done = _told("a", counts=(_counts(1, schools=1),))
+    open_ = _told("b", counts=(_counts(1, schools=1), _counts(2, lake=1)))
+    ledger = usage.Ledger(0, (), (done, open_))
+
+    ledger = usage.add_report(ledger, usage.Report(1, {}), kept=3)
+    assert ledger.told == (open_,)
+    ledger = usage.add_report(ledger, usage.Report(2, {}), kept=3)
+    assert ledger.told == ()
+
+
+def test_true_time_is_known_by_the_clocks_of_most():
+    true_time = usage.TrueTime()
+    true_time.hear("a", 100.0, 0.0)
+
+    assert true_time.is_known(1)
+    assert not true_time.is_known(2)
+    true_time.hear("b", 100.0, 0.0)
+    assert true_time.is_known(3)
+
+
 @hypothesis.given(
     st.lists(st.floats(-0.02, 0.02), min_size=3, max_size=9),
     st.floats(-3600, 3600),
--- a/packages/gateway/anvilwell_gateway/duties/reporting.py
+++ b/packages/gateway/anvilwell_gateway/duties/reporting.py
@@ -14,6 +14,7 @@
 import pydantic
 
 from anvilwell_decisions.duties import usage
+from anvilwell_gateway import bodies
 from anvilwell_gateway import measures
 from anvilwell_gateway import store as stores
 from anvilwell_kernel import exceptions
@@ -88,7 +89,7 @@
         self._task = None
 
     def hear(self, told):
-        """Take a `usage.Told`; return true time.
+        """Take a `usage.Told`; return true time, None if it is not known.
 
         Raises
         ------
@@ -99,7 +100,7 @@
             raise exceptions.Refused("this VM does not report usage")
         self._true_time.hear(told.vm_id, told.wall_time, self._clock())
         self._gathered.take(told)
-        return self._true_now()
+        return self._true_now() if self._knows_time() else None
 
     def start(self):
         """Begin to look for what is due."""
@@ -112,7 +113,10 @@
             return
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        if self._loaded_for is not self._duty.tenure or not self._loaded_for:
+        if self._loaded_for is None:
+            if self._duty.tenure:
+                cause = "the ledger was being read or written"
+                _LOG.log("usage-not-left", cause=cause)
             return
         told = tuple(self._gathered.told_by_life.values())
         try:
@@ -128,6 +132,15 @@
             measures.Belief("usage_reports_unsent", len(self._unsent)),
         ]
 
+    def _knows_time(self):
+        """Return whether the clocks of most VMs that live were heard.
+
+        Until then a clock that is wrong could be taken for true: a new
+        holder hears all others within about a second.
+        """
+        self._true_now()
+        return self._true_time.is_known(len(self._news.lives_by_vm))
+
     def _true_now(self):
         now = self._clock()
         self._true_time.hear(self._presence.vm_id, self._wall_time(), now)
@@ -138,13 +151,16 @@
         while True:
             await asyncio.sleep(LOOK_S)
             if self._duty.tenure is None:
+                self._loaded_for = None
+                continue
+            if not self._knows_time():
                 continue
             try:
                 await self._work(self._duty.tenure)
-            except exceptions.Fenced:
+            except exceptions.Fenced as error:
                 # The holder before may have something under way, or this
                 # one's lease may have ended: either shows at a next look.
-                continue
+                _LOG.routine("usage-waits", cause=error.message)
             except exceptions.AnvilwellError as error:
                 _LOG.log("usage-not-reported", cause=error.message)
 
@@ -171,7 +187,7 @@
         self._revision = entry.revision if entry else 0
         self._ledger = usage.Ledger()
         if entry is not None:
-            self._ledger = _LEDGER.validate_python(cbor2.loads(entry.value))
+            self._ledger = bodies.read(_LEDGER, entry.value, "ledger")
 
     def _due(self):
         """Return the windows that are to be recorded now, in order."""
--- a/packages/gateway/anvilwell_gateway/duties/telling.py
+++ b/packages/gateway/anvilwell_gateway/duties/telling.py
@@ -31,7 +31,7 @@
 MAX_ANSWER_BYTES = 4 << 10
 
 _TOLD = pydantic.TypeAdapter(usage.Told)
-_TRUE_TIME = pydantic.TypeAdapter(float)
+_TRUE_TIME = pydantic.TypeAdapter(float | None)
 
 _LOG = logs.get_logger(__name__)
 
@@ -83,6 +83,7 @@
         self._offset_s = wall_time() - self._started_at
         self._told_at = float("-inf")
         self._told_to = None
+        self._number = 0
         self._is_changed = False
         self._task = None
 
@@ -135,10 +136,12 @@
         if holder is None:
             return False
         now = self._clock()
+        self._number += 1
         self._tally.forget(now - self._keep_s)
         told = usage.Told(
             self._presence.vm_id,
             self._presence.life,
+            self._number,
             self._wall_time(),
             self._started_at + self._offset_s,
             now + self._offset_s,
@@ -154,9 +157,9 @@
             return False
         self._told_to = holder
         self._told_at = now
-        # It was true half a round trip ago.
-        answered_at = self._clock()
-        self._offset_s = true_time - (now + answered_at) / 2
+        if true_time is not None:
+            # It was true half a round trip ago.
+            self._offset_s = true_time - (now + self._clock()) / 2
         return True
 
     async def _true_time(self, holder, told):
@@ -175,5 +178,5 @@
 
 
 def write_true_time(true_time):
-    """Return the body that answers what was told."""
+    """Return the body that answers what was told; see `Reporter.hear`."""
     return cbor2.dumps(true_time)
--- a/packages/gateway/tests/duties/duty_world.py
+++ b/packages/gateway/tests/duties/duty_world.py
@@ -266,6 +266,7 @@
         )
         self.started_at = asyncio.get_running_loop().time()
         self.tally = usage.Tally()
+        self.told_times = 0
         self._tasks = []
 
     async def goes_on(self):
@@ -310,10 +311,12 @@
         await self.kill()
 
     def told(self):
+        self.told_times += 1
         now = wall_time()
         return usage.Told(
             self.vm_id,
             self.presence.life,
+            self.told_times,
             now,
             self.started_at + EPOCH_S,
             now,
--- a/packages/gateway/tests/duties/test_duty.py
+++ b/packages/gateway/tests/duties/test_duty.py
@@ -8,7 +8,9 @@
 
 import asyncio
 
+from anvilwell_gateway.duties import reporting
 from anvilwell_kernel import exceptions
+from anvilwell_outside.ports import keyvalue
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -189,6 +191,39 @@
     played(scenario)
 
 
+def test_a_new_holder_whose_clock_is_wrong_tells_no_time(played):
+    """Until it has heard most clocks, its own would be taken for true."""
+
+    async def scenario(world):
+        await asyncio.sleep(3.0)
+        (holder,) = world.holders
+        reporter = holder.reporter
+        reporter._true_time.forget(float("inf"))
+        told = world.vms_by_id[VMS[0]].told()._replace(vm_id="a")
+        answers.append(reporter.hear(told._replace(vm_id=holder.vm_id)))
+        answers.append(reporter.hear(told))
+
+    answers = []
+    played(scenario)
+    assert answers[0] is None
+    assert answers[1] == pytest.approx(duty_world.EPOCH_S + 3.0, abs=0.1)
+
+
+def test_a_ledger_that_can_t_be_read_is_not_written_over(played):
+    """It may be a later release's; what it has settled must not change."""
+
+    async def scenario(world):
+        unreadable = keyvalue.Entry(reporting.LEDGER_KEY, b"?", 1)
+        world.store.entries_by_key[reporting.LEDGER_KEY] = unreadable
+        await asyncio.sleep(20.0)
+        entry = world.store.entries_by_key[reporting.LEDGER_KEY]
+        assert entry == unreadable
+        del world.store.entries_by_key[reporting.LEDGER_KEY]
+        await asyncio.sleep(8.0)
+
+    assert played(scenario).calls
+
+
 def test_a_holder_that_drains_leaves_what_it_was_told(played):
     """Its successor reports what VMs that are gone had told the first."""
 
