--- a/packages/bench/tests/sessions/test_sessions.py
+++ b/packages/bench/tests/sessions/test_sessions.py
@@ -167,5 +167,7 @@
     script.note_answer("caller", response)
     crash.join()
     other = next(one for one in deployment.engines if one is not crashed)
+    # The engine notes the end of its answer after it has sent it.
+    deployments.wait_until(lambda: other.record.lines("finish"))
     script.note_records("other engine", other, RAN)
     assert script.text() == snapshot
