--- a/packages/gateway/anvilwell_gateway/duties/reporting.py
+++ b/packages/gateway/anvilwell_gateway/duties/reporting.py
@@ -129,7 +129,7 @@
         tenure = self._duty.tenure
         return [
             measures.Belief("reports_usage", tenure is not None),
-            measures.Belief("usage_reports_unsent", len(self._unsent)),
+            measures.Belief("reports_unsent", len(self._unsent)),
         ]
 
     def _knows_time(self):
--- a/packages/gateway/anvilwell_gateway/measures.py
+++ b/packages/gateway/anvilwell_gateway/measures.py
@@ -47,7 +47,7 @@
         ("items_unscored", "Items of those whose text waits for a score"),
         ("requests_held_back", "Requests held back as they end replicas"),
         ("reports_usage", "Whether this entry reports usage"),
-        ("usage_reports_unsent", "Recorded windows that are not reported"),
+        ("reports_unsent", "Recorded windows that are not reported"),
         ("versions_wanted", "Newest version that was asked for, by model"),
     )
 }
