Count the turn of a duty from when the holder before was gone

The store is silent from 3.0 s and the holder is killed then. The successor had the duty at 13.18 s, waited three seconds from there and recorded the window at 16.35 s, 0.15 s after it was due.

Ruled out: counts that were lost with the holder (the window was not judged wrong but never sent), clocks (median of 17), a slow platform (the answers took 15 ms).

Change: the three seconds count from when the successor saw that the other's key was gone: from then on the other did nothing. A number that it never saw shows that it may have missed a holder, so then they count from its own take-over.

Figures: test of the duty in virtual time: a successor of second rank is free 1.0 s and more earlier. The state machine test and the ten others pass.

The window before it was due at 11.2 s and can't be saved.

--- a/packages/gateway/anvilwell_gateway/duties/holding.py
+++ b/packages/gateway/anvilwell_gateway/duties/holding.py
@@ -107,8 +107,11 @@
         self._keys = leadership.keys(name, PREFIX)
         self._leadership = leadership.Leadership(name, presence.vm_id, PREFIX)
         self._vacant_since = self._clock() + SETTLE_S
+        self._is_vacant = False
         self._task = None
         self._holder = None
+        # The number of the last holder that was seen here.
+        self._last_fencing = 0
         self.tenure = None
         news.pass_on(self._keys.prefix, self)
 
@@ -143,14 +146,18 @@
     def _learn(self, value):
         self._holder = None
         if value is None:
-            self._vacant_since = max(self._vacant_since, self._clock())
+            if not self._is_vacant:
+                self._vacant_since = max(self._vacant_since, self._clock())
+            self._is_vacant = True
             return
+        self._is_vacant = False
         try:
             found = leadership.HOLDER.validate_json(value)
         except ValueError as error:
             _LOG.log("holder-unreadable", duty=self._name, cause=str(error))
             return
         self._holder = found.vm_id
+        self._last_fencing = found.fencing
 
     async def _look_on(self):
         while True:
@@ -195,14 +202,25 @@
             if not result.landed:
                 return
             won = self._leadership.won(writes, lease)
-        now = self._clock()
-        is_first = won.fencing == 1
-        free_at = now if is_first else now + self._turn_s
         _LOG.log("duty-taken", duty=self._name, fencing=won.fencing)
         self.tenure = Tenure(
             won,
             self._presence.vm_id,
-            free_at,
+            self._free_at(won.fencing),
             self._presence.session,
             self._clock,
         )
+
+    def _free_at(self, fencing):
+        """Return from when on the holder with this number may act.
+
+        The turn counts from when the holder before was seen to be gone, as
+        it did nothing more from then on. Who did not see that holder counts
+        from now.
+        """
+        now = self._clock()
+        if fencing == 1:
+            return now
+        has_seen = self._last_fencing == fencing - 1
+        since = self._vacant_since if has_seen else now
+        return max(now, since + self._turn_s)
--- a/packages/gateway/tests/duties/test_duty.py
+++ b/packages/gateway/tests/duties/test_duty.py
@@ -8,6 +8,8 @@
 
 import asyncio
 
+from anvilwell_decisions.duties import choice
+from anvilwell_gateway.duties import holding
 from anvilwell_gateway.duties import reporting
 from anvilwell_kernel import exceptions
 from anvilwell_outside.ports import keyvalue
@@ -241,3 +243,40 @@
     counts = {call.window: call.counts["schools"] for call in world.calls}
     assert world.breaches() == []
     assert set(list(counts.values())[1:]) == {30}
+
+
+@pytest.mark.parametrize("has_seen", [True, False])
+def test_a_turn_counts_from_when_the_holder_before_was_gone(played, has_seen):
+    """A report was late: it was due within the successor's turn.
+
+    The store was silent for ten seconds, and the successor had waited its
+    rank's second already when it took the duty. Who has not seen the holder
+    before can't know since when it is gone.
+    """
+
+    async def scenario(world):
+        await asyncio.sleep(3.0)
+        loop = asyncio.get_running_loop()
+        (holder,) = world.holders
+        await holder.kill()
+        del world.vms_by_id[holder.vm_id]
+        first, last = world.vms_by_id.values()
+        # The first in turn can't write, so the duty lies vacant for longer.
+        ranked = choice.ranked("usage", {first.vm_id, last.vm_id})
+        if ranked[0] != first.vm_id:
+            first, last = last, first
+        await first.duty.stop()
+        while not last.duty._is_vacant:
+            await asyncio.sleep(0.01)
+        gone_at = loop.time()
+        if not has_seen:
+            last.duty._last_fencing = 0
+        while not last.duty.tenure:
+            await asyncio.sleep(0.01)
+        taken_at = loop.time()
+        assert taken_at - gone_at > holding.RANK_DELAY_S
+        since = gone_at if has_seen else taken_at
+        free_at = last.duty.tenure._free_at
+        assert free_at == pytest.approx(since + duty_world.TURN_S, abs=0.05)
+
+    played(scenario)
