Close the connection of a watch that nobody read

If a daemon stops while its thread has just opened a watch, the thread sees that it is to end and reads nothing; only the generator that reads closed the connection, and that had not begun. Shutting down the reading half tells the service nothing.

Ruled out: a slow machine (30 s were given).

Change: close closes the connection itself if nothing was read; a read after that ends at once.

Figures: a test of its own fails without it (the watch still waits after 10 s) and passes with it.

--- a/packages/outside/anvilwell_outside/adapters/etcd_watch.py
+++ b/packages/outside/anvilwell_outside/adapters/etcd_watch.py
@@ -40,9 +40,14 @@
         self._lock = threading.Lock()
         self._closed = threading.Event()
         self._changes = self._read()
+        self._has_begun = False
 
     def __next__(self):
         """Return the next `Change`."""
+        with self._lock:
+            if self._closed.is_set() and not self._has_begun:
+                raise StopIteration
+            self._has_begun = True
         return next(self._changes)
 
     def close(self):
@@ -56,6 +61,9 @@
             except (OSError, RuntimeError, ValueError):
                 # The connection is gone already.
                 pass
+            if not self._has_begun:
+                # Nobody reads, so nobody else closes it.
+                self._response.close()
         self._on_end()
 
     def _read(self):
--- a/packages/outside/tests/adapters/test_etcd.py
+++ b/packages/outside/tests/adapters/test_etcd.py
@@ -1,6 +1,7 @@
 """The key-value adapter against the key-value stand-in."""
 
 import threading
+import time
 
 from anvilwell_kernel import clock
 from anvilwell_kernel import exceptions
@@ -193,6 +194,26 @@
     assert list(watch) == []
 
 
+def test_a_watch_that_nobody_read_ends_at_the_service(
+    standin, store, monkeypatch
+):
+    """A daemon stopped while its thread had just opened a watch.
+
+    The thread then saw that it was to end and read nothing. Only a read
+    closed the connection, so the service kept the watch for thirty seconds
+    and more, until the object was collected.
+    """
+    monkeypatch.setattr(server, "PROGRESS_S", 0.05)
+    watch = store.watch("p/", 0, **ARGS)
+    watch.close()
+
+    until = time.monotonic() + 10.0
+    while standin.counts_by_call()["watches waiting"]:
+        assert time.monotonic() < until
+        time.sleep(0.01)
+    assert list(watch) == []
+
+
 def test_watch_of_compacted_changes_says_so(standin, store):
     put(store, "a", b"1")
     standin.immediate_by_kind["compact"](faults.Fault("compact"))
