--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -31,9 +31,6 @@
 MOVE_RATIO = 1.2
 # Events that a run is expected to have left at most.
 MOST_EVENTS_LEFT = 100
-# What an event of a run takes, in seconds, as far as the order of items goes:
-# engines need 20 to 50 ms.
-EVENT_S = 0.04
 
 
 class Work(typing.NamedTuple):
@@ -48,28 +45,6 @@
     min_version: int
 
 
-def rank(give_up_at, expected_events, events, sequence):
-    """Return what orders the items of all batches; the lowest goes first.
-
-    That is the time by which an item must begin to be whole when its batch
-    is given up. So what is longest goes first, also where batches overlap
-    and places are short, and what has waited goes before it at last.
-
-    Parameters
-    ----------
-    give_up_at : float
-        When its batch is given up, in seconds.
-    expected_events : int
-        How many events its caller expects, 0 if unknown.
-    events : int
-        How many it has by now.
-    sequence : int
-        Which batch came first.
-    """
-    left = max(0, expected_events - events)
-    return give_up_at - EVENT_S * left, sequence
-
-
 class Worker:
     """What is known of one replica."""
 
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -17,6 +17,8 @@
 # Look again at what waits and what runs after so long if nothing else
 # happens: a tenth of the shortest stall.
 RETRY_S = 0.1
+# Items with some text from before go first.
+_CARRIED, _NEW = 0, 1
 
 _RETRIES_BY_END = {
     runners.End.REFUSED: reasons.Retry.REFUSED_NOT_RUN,
@@ -139,11 +141,10 @@
             return []
         return [
             dispatches.Work(
-                dispatches.rank(
-                    held.give_up_at,
-                    item.expected_tokens,
-                    len(held.book.progress_by_id[item.item_id].events),
+                (
                     held.sequence,
+                    _CARRIED if self._has_text(held, item) else _NEW,
+                    -item.expected_tokens,
                 ),
                 held.batch_id,
                 item.item_id,
@@ -176,6 +177,10 @@
         progress = held.book.progress_by_id[run.item_id]
         return progress.last_number - run.events
 
+    @staticmethod
+    def _has_text(held, item):
+        return bool(held.book.progress_by_id[item.item_id].events)
+
     def _service(self, held):
         """Return the service that takes the batch's items now."""
         route = self._configuration.routes.find(
