--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -95,14 +95,11 @@
             for held in self._held_by_id.values()
             for work in self._works(held)
         )
-        runs = [
-            run
-            for held in self._held_by_id.values()
-            for run in held.runs_by_item.values()
-        ]
-        if not waiting and not runs:
+        has_runs = any(h.runs_by_item for h in self._held_by_id.values())
+        if not waiting and not has_runs:
             return
-        self._services.update(one.service for one in (*waiting, *runs))
+        # What runs has waited before.
+        self._services.update(work.service for work in waiting)
         self._dispatch.set_replicas(
             replica
             for service in self._services
--- a/packages/outside/tests/adapters/test_etcd.py
+++ b/packages/outside/tests/adapters/test_etcd.py
@@ -1,7 +1,6 @@
 """The key-value adapter against the key-value stand-in."""
 
 import threading
-import time
 
 from anvilwell_kernel import clock
 from anvilwell_kernel import exceptions
@@ -204,13 +203,20 @@
     and more, until the object was collected.
     """
     monkeypatch.setattr(server, "PROGRESS_S", 0.05)
+    gone = threading.Event()
+    add_waiting = standin._add_waiting
+
+    def note(change):
+        add_waiting(change)
+        if change < 0:
+            gone.set()
+
+    monkeypatch.setattr(standin, "_add_waiting", note)
     watch = store.watch("p/", 0, **ARGS)
     watch.close()
 
-    until = time.monotonic() + 10.0
-    while standin.counts_by_call()["watches waiting"]:
-        assert time.monotonic() < until
-        time.sleep(0.01)
+    assert gone.wait(10.0)
+    assert standin.counts_by_call()["watches waiting"] == 0
     assert list(watch) == []
 
 
