--- a/packages/bench/tests/sessions/deployment.py
+++ b/packages/bench/tests/sessions/deployment.py
@@ -5,6 +5,7 @@
 import gc
 import pathlib
 import re
+import runpy
 import signal
 import socket
 import threading
@@ -25,19 +26,13 @@
 LIMIT_S = 60.0
 LEASE_S = 3.0
 DOMAINS = ("ljubljana-hall", "kamnik-hall", "domzale-hall")
-TEMPLATES = pathlib.Path(__file__).parents[4] / "scripts" / "templates"
+SCRIPTS = pathlib.Path(__file__).parents[4] / "scripts"
+TEMPLATES = SCRIPTS / "templates"
+# The demo's choice of ports, which is a script.
+free_ports = runpy.run_path(str(SCRIPTS / "lib" / "ports.py"))["free_ports"]
 _PLACEHOLDER = re.compile("@([A-Z]+)@")
 
 
-def free_ports(count):
-    """Return `count` different ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-
-
 def render(template, **values):
     """Return the demo's template with `values` filled in."""
     text = (TEMPLATES / template).read_text(encoding="utf-8")
--- a/packages/gateway/anvilwell_gateway/dialect.py
+++ b/packages/gateway/anvilwell_gateway/dialect.py
@@ -4,6 +4,8 @@
 import enum
 import typing
 
+from anvilwell_decisions.requests import observations
+
 
 class Call(typing.NamedTuple):
     """What a caller's head says; ``timeout_s`` is None if it does not.
@@ -23,17 +25,14 @@
     ``seal`` is the replica's proof of its answer, "" if it gives none;
     ``not_run`` whether it promises that the request did not run, and
     ``is_other`` whether it is another replica than the one asked.
-    ``running``, ``waiting`` and ``slots`` tell its load; slots are 0 if
-    it doesn't tell.
+    ``load`` is what it tells of its load, None if it doesn't.
     """
 
     request_id: str
     seal: str
     not_run: bool
     version: int = 0
-    running: int = 0
-    waiting: int = 0
-    slots: int = 0
+    load: observations.Observation | None = None
     is_other: bool = False
 
     @property
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -266,12 +266,12 @@
             raise client.failed("the answer has no seal")
 
     def _report(self, replica, outcome):
-        if outcome.slots:
+        if outcome.load:
             report = request_facts.LoadReport(
                 replica.replica_id,
-                outcome.running + outcome.waiting,
+                outcome.load.in_flight,
                 1,
-                outcome.slots,
+                outcome.load.slots,
             )
             now = asyncio.get_running_loop().time()
             self.policy(replica.service).report(report, now)
--- a/packages/gateway/tests/test_operations_page.py
+++ b/packages/gateway/tests/test_operations_page.py
@@ -11,11 +11,12 @@
 
 ROOT = pathlib.Path(__file__).parents[3]
 PACKAGE = ROOT / "packages" / "gateway" / "anvilwell_gateway"
+ADAPTERS = ROOT / "platform" / "anvilwell_platform"
 PAGE = ROOT / "docs" / "OPERATIONS.md"
 
 
 def _logged():
-    for path in PACKAGE.rglob("*.py"):
+    for path in [*PACKAGE.rglob("*.py"), *ADAPTERS.rglob("*.py")]:
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call) or not node.args:
                 continue
--- a/packages/kernel/anvilwell_kernel/telemetry/counters.py
+++ b/packages/kernel/anvilwell_kernel/telemetry/counters.py
@@ -15,7 +15,10 @@
 UNREADABLE = _METER.create_counter(
     "anvilwell_unreadable_entries",
     unit="1",
-    description="Entries of the store that can't be understood, by kind",
+    description=(
+        "Entries of the store and statements of load that can't be"
+        " understood, by kind"
+    ),
 )
 ANSWERS = _METER.create_histogram(
     "anvilwell_http_duration",
