--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -0,0 +1,127 @@
+"""The batches of an entry: taken in, run, read, and handed over."""
+
+import asyncio
+
+from anvilwell_gateway.batches import desk as desks
+from anvilwell_gateway.batches import handing
+from anvilwell_gateway.batches import holder as holders
+from anvilwell_gateway.batches import intake as intakes
+from anvilwell_gateway.batches import owners
+from anvilwell_gateway.batches import passing
+from anvilwell_gateway.batches import records
+from anvilwell_gateway.batches import retention
+from anvilwell_gateway.batches import runner as runners
+from anvilwell_kernel import exceptions
+
+# Poll of what must be known before batches are taken over, in seconds.
+POLL_S = 0.02
+
+
+class Batches:
+    """Puts the parts together that batches need.
+
+    Parameters
+    ----------
+    platform : platforms.Platform
+        The adapter to the platform.
+    fleet : fleet.Fleet
+        What is known.
+    live_calls : live_calls.LiveCalls
+        The way of scoring calls, and which items end replicas.
+    pool : client.Pool
+        Connections to replicas.
+    """
+
+    def __init__(self, platform, fleet, live_calls, pool):
+        self._fleet = fleet
+        batch_store = records.BatchStore(fleet.store)
+        self.holder = holders.Holder(
+            batch_store,
+            fleet.directory,
+            fleet.configuration,
+            runners.Runner(platform.dialect, pool),
+            live_calls.forwarder,
+            platform.dialect,
+            live_calls.crashes,
+        )
+        self._owners = owners.Owners(fleet.store)
+        fleet.follow(self._owners)
+        self._hander = handing.Hander(fleet.vm_id, fleet.news)
+        self._intake = intakes.Intake(
+            batch_store,
+            self.holder,
+            fleet.presence,
+            fleet.news,
+            self._owners,
+            platform.dialect,
+            self._hander,
+        )
+        self.passer = passing.Passer(
+            self._owners, fleet.news, fleet.vm_id, fleet.failure_domain
+        )
+        self.retention = retention.Retention(batch_store, self.holder)
+        self.desk = desks.Desk(
+            batch_store,
+            self.holder,
+            self._intake,
+            platform.dialect,
+            self._owners,
+            self.passer,
+        )
+        self._beginning = None
+
+    @classmethod
+    def from_config(cls, platform, fleet, live_calls, pool, peering):
+        """Return an entry's batches; peers ask for them by `peering`."""
+        batches = cls(platform, fleet, live_calls, pool)
+        peering.handle(handing.TARGET, batches.take)
+        peering.handle(passing.TARGET, batches.answer_peer)
+        return batches
+
+    def start(self):
+        """Begin to keep what is needed, and to take over."""
+        self.retention.start()
+        self._beginning = asyncio.create_task(self._begin())
+
+    async def _begin(self):
+        """Take back what an earlier life of this VM owned."""
+        while not (
+            self._fleet.news.is_loaded
+            and self._owners.is_loaded
+            and self._fleet.configuration.current
+        ):
+            await asyncio.sleep(POLL_S)
+        self._intake.begin()
+
+    def refuse_new(self):
+        """Take no new batches: this VM is stopping."""
+        self._intake.is_draining = True
+
+    async def let_go(self):
+        """Leave all batches to other entries."""
+        await self._intake.stop()
+        await self.holder.let_go()
+
+    async def stop(self):
+        """Stop everything."""
+        if self._beginning:
+            self._beginning.cancel()
+        await self.retention.stop()
+        await self._intake.stop()
+        await self.holder.stop()
+        self.passer.close()
+        self._hander.close()
+
+    async def take(self, request, responder):
+        """Accept a batch that another entry was given."""
+        handed = handing.read_request(request.body)
+        route = self._fleet.configuration.routes.find(handed.host, handed.path)
+        if route is None or not route.is_batch:
+            raise exceptions.Refused("the route is not known here")
+        await self.desk.submit_peer(route, handed, responder)
+
+    async def answer_peer(self, request, responder):
+        """Tell another entry of a batch that this one owns."""
+        if not self._fleet.presence.may_vouch():
+            raise exceptions.Refused("the store is silent here")
+        await self.desk.answer_peer(request, responder)
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/fleet.py
@@ -0,0 +1,118 @@
+"""What an entry knows of the platform, the replicas and other entries."""
+
+import asyncio
+
+from anvilwell_gateway import configuration as configurations
+from anvilwell_gateway import directory as directories
+from anvilwell_gateway import feeds
+from anvilwell_gateway import measures
+from anvilwell_gateway import neighbours
+from anvilwell_gateway import news
+from anvilwell_gateway import paths
+from anvilwell_gateway import presence as presences
+from anvilwell_gateway import retirement
+from anvilwell_gateway import versions
+
+
+class Fleet:
+    """Follows the store, and answers the neighbours that follow this entry.
+
+    Parameters
+    ----------
+    settings : config.Settings
+        Who this VM is.
+    platform : platforms.Platform
+        The adapter to the platform.
+    """
+
+    def __init__(self, settings, platform):
+        daemon = settings.daemon
+        self.store = platform.store
+        self.failure_domain = daemon.failure_domain
+        self.configuration = configurations.ConfigurationFollower(
+            self.store, platform.codec
+        )
+        self.directory = directories.Directory(self.store, platform.codec)
+        self.presence = presences.Presence(
+            self.store,
+            daemon.vm_id,
+            daemon.failure_domain,
+            daemon.cores * daemon.core_share,
+        )
+        self.paths = platform.paths
+        self.neighbours = neighbours.Neighbours(
+            daemon.vm_id, daemon.failure_domain, self.presence.is_answered
+        )
+        self.feeds = feeds.Feeds(self.presence.may_vouch)
+        self.news = news.News(
+            self.store, self.presence, self.paths, self.neighbours
+        )
+        self.versions = versions.Versions(self.store, platform.codec)
+        self.retirement = retirement.Retirement(
+            self.store, platform.codec, self.news, daemon.vm_id
+        )
+        self._followers = [
+            self.configuration,
+            self.directory,
+            self.news,
+            self.versions,
+            self.retirement,
+        ]
+
+    @classmethod
+    def from_config(cls, settings, platform, peering):
+        """Return what the settings ask for; peers ask it by `peering`."""
+        fleet = cls(settings, platform)
+        peering.handle(feeds.TARGET, fleet.feeds.answer)
+        peering.handle(
+            paths.RELAY_TARGET, paths.Relay(fleet.paths.direct).answer
+        )
+        return fleet
+
+    @property
+    def vm_id(self):
+        """The id of this VM."""
+        return self.presence.vm_id
+
+    @property
+    def is_informed(self):
+        """Whether configuration and replicas are known."""
+        return (
+            self.configuration.current is not None and self.directory.is_loaded
+        )
+
+    def follow(self, follower):
+        """Start and stop one more `following.Follower` with the others."""
+        self._followers.append(follower)
+
+    def heard_at(self, engine):
+        """Return when the agent of an engine was heard last, or -inf."""
+        return max(
+            self.feeds.heard_at(engine), self.directory.noted_at(engine)
+        )
+
+    def start(self, peer_address):
+        """Register with the address that peers call, and begin to follow."""
+        self.presence.start(peer_address)
+        for follower in self._followers:
+            follower.start(self.neighbours, self.feeds)
+
+    async def stop(self):
+        """Follow no more."""
+        await asyncio.gather(*(one.stop() for one in self._followers))
+        await self.presence.stop()
+
+    async def close(self):
+        """Close the connections to the store and to peers."""
+        await self.paths.close()
+        self.neighbours.close()
+
+    def beliefs(self):
+        """Return each `measures.Belief` as of now."""
+        return [
+            *self.configuration.beliefs(),
+            *self.presence.beliefs(),
+            *self.paths.beliefs(),
+            *self.directory.beliefs(),
+            measures.Belief("peers", len(self.news.lives_by_vm)),
+        ]
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/live_calls.py
@@ -0,0 +1,72 @@
+"""The live calls of an entry: who may send them, and their way."""
+
+from anvilwell_gateway import callers
+from anvilwell_gateway import crashes
+from anvilwell_gateway.duties import reports
+from anvilwell_gateway import forwarding
+
+
+class LiveCalls:
+    """Answers calls by replicas, and counts them for usage reports.
+
+    Parameters
+    ----------
+    settings : config.Settings
+        How keys are checked, and whether usage is reported.
+    platform : platforms.Platform
+        The adapter to the platform.
+    fleet : fleet.Fleet
+        What is known.
+    pool : client.Pool
+        Connections to replicas.
+    """
+
+    def __init__(self, settings, platform, fleet, pool):
+        self.callers = callers.Callers(
+            platform.dialect,
+            fleet.configuration,
+            fleet.presence,
+            settings.organisations,
+        )
+        self.crashes = crashes.Crashes(
+            fleet.store, fleet.directory, fleet.vm_id
+        )
+        fleet.news.pass_on(crashes.PREFIX, self.crashes)
+        self.usage = reports.build(
+            settings, platform, fleet.presence, fleet.news
+        )
+        self.forwarder = forwarding.Forwarder(
+            platform.dialect,
+            fleet.directory,
+            pool,
+            fleet.configuration,
+            self.crashes,
+            self.usage.began,
+        )
+
+    @classmethod
+    def from_config(cls, settings, platform, fleet, pool, peering):
+        """Return what the settings ask for; peers tell it by `peering`."""
+        live_calls = cls(settings, platform, fleet, pool)
+        peering.handle(reports.TARGET, live_calls.usage.answer)
+        return live_calls
+
+    async def answer(self, route, call, request, responder):
+        """Answer `request`, which `route` allows, through `responder`."""
+        if route.is_stream:
+            await self.forwarder.stream(route, call, request, responder)
+        else:
+            await self.forwarder.forward(route, call, request, responder)
+
+    def start(self):
+        """Begin to count and report."""
+        self.usage.start()
+
+    async def stop(self):
+        """Tell and report no more."""
+        await self.crashes.stop()
+        await self.usage.stop()
+
+    def beliefs(self):
+        """Return each `measures.Belief` as of now."""
+        return [*self.crashes.beliefs(), *self.usage.beliefs()]
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/peering.py
@@ -0,0 +1,58 @@
+"""Where other VMs of ours ask this entry for help."""
+
+from anvilwell_gateway.http import server as servers
+from anvilwell_gateway import paths
+from anvilwell_kernel.config import options
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.telemetry import logs
+
+_LOG = logs.get_logger(__name__)
+
+
+class Peering:
+    """Answers peers by the part of this entry that each target names.
+
+    Parameters
+    ----------
+    listen : options.Address
+        Where peers connect.
+    """
+
+    def __init__(self, listen):
+        self._listen = listen
+        self._handlers_by_target = {}
+        self._server = servers.Server(listen, self._answer)
+        self._server.limits = servers.FIRST_LIMITS._replace(
+            max_body_bytes=paths.MAX_ANSWER_BYTES
+        )
+
+    @property
+    def address(self):
+        """Where other VMs ask this one."""
+        return options.Address(self._listen.host, self._server.port)
+
+    def handle(self, target, handler):
+        """Have ``handler(request, responder)`` answer what asks `target`."""
+        self._handlers_by_target[target] = handler
+
+    async def start(self):
+        """Listen."""
+        await self._server.start()
+
+    async def stop(self):
+        """Close everything."""
+        await self._server.stop()
+
+    async def _answer(self, request, responder):
+        try:
+            handler = self._handlers_by_target.get(request.path)
+            if handler is None:
+                raise exceptions.NotFound(
+                    f"peers do not ask for {request.path}"
+                )
+            await handler(request, responder)
+        except exceptions.AnvilwellError as error:
+            _LOG.log(
+                "peer-not-answered", path=request.path, cause=error.message
+            )
+            await responder.send(error.status)
