--- a/packages/decisions/anvilwell_decisions/requests/facts.py
+++ b/packages/decisions/anvilwell_decisions/requests/facts.py
@@ -42,19 +42,25 @@
     """A replica's load as its agent saw it, some time ago.
 
     ``own`` is how many of ``in_flight`` (running and queued) belong to
-    the entry that the report is for. ``limit`` is the agent's present
-    concurrency limit.
+    the entry that the report is for. ``limit`` is how many run at once.
+    ``contention`` is how long work takes at that moment, as a multiple of
+    the usual time; None if that is not told.
     """
 
     replica_id: str
     in_flight: int
     own: int = 0
     limit: int = 1
+    contention: float | None = None
 
 
 class Ended(typing.NamedTuple):
-    """How one attempt ended; ``latency_s`` from its start."""
+    """How one attempt ended; ``latency_s`` from its start.
+
+    ``is_answer`` tells that it is the time of a whole short answer.
+    """
 
     replica_id: str
     failed: bool
     latency_s: float
+    is_answer: bool = False
--- a/packages/decisions/tests/requests/overload_world.py
+++ b/packages/decisions/tests/requests/overload_world.py
@@ -1,7 +1,8 @@
 """Calls of many organisations on a service that is short of places.
 
 Virtual time; each entry keeps shares of its own and knows nothing of the
-others. A caller that is refused comes back once.
+others, but for what a replica's answers tell. A caller that is refused
+comes back once.
 """
 
 import collections
@@ -18,6 +19,8 @@
 # Replicas that one call may be sent to.
 MOST_REPLICAS = 3
 HOP_S = 0.001
+CONTENTION = 2.5
+SPELL_S = 0.6
 
 
 class NoShares:
@@ -36,7 +39,12 @@
 
 
 class Load(typing.NamedTuple):
-    """A service, its entries and the calls a second by organisation."""
+    """A service, its entries and the calls a second by organisation.
+
+    ``paces`` are the replicas' times for the same work, in turn. While
+    `is_contended`, work takes `CONTENTION` times as long at one replica in
+    seven, for `SPELL_S` at a time.
+    """
 
     rates_by_organisation: dict
     replicas: int = 3
@@ -46,11 +54,21 @@
     aim_s: float = 0.192
     entries: int = 3
     seconds: float = 15.0
+    paces: tuple = (1.0,)
+    is_contended: bool = False
 
     @property
     def capacity(self):
         """Calls a second that the replicas can do."""
-        return self.replicas * self.slots / self.work_s
+        speeds = itertools.cycle(1 / pace for pace in self.paces)
+        total = sum(itertools.islice(speeds, self.replicas))
+        return total * self.slots / self.work_s
+
+    def contention(self, replica, now):
+        """Return how long work takes at a replica now, 1.0 as usual."""
+        spell = random.Random(f"{replica}/{now // SPELL_S}").random()
+        is_busy = self.is_contended and spell < 1 / 7
+        return CONTENTION if is_busy else 1.0
 
 
 class Call:
@@ -61,14 +79,22 @@
         self.entry = entry
         self.began_at = began_at
         self.tries = tries
+        self.sent_at = began_at
         self.tried = []
 
 
 class World:
     """Plays a load; counts what became of the calls by organisation."""
 
-    def __init__(self, load, make_shares, seed=1):
+    def __init__(
+        self,
+        load,
+        make_shares,
+        seed=1,
+        make_policy=routing.LeastOutstanding,
+    ):
         self._load = load
+        self._make_policy = make_policy
         self._rng = random.Random(seed)
         self._events = []
         self._order = itertools.count()
@@ -81,9 +107,10 @@
         self.answered = collections.Counter()
         self.in_time = collections.Counter()
         self.refused = collections.Counter()
+        self.times_s = []
 
     def _policy(self, seed):
-        policy = routing.LeastOutstanding(random.Random(seed))
+        policy = self._make_policy(random.Random(seed))
         for replica in range(self._load.replicas):
             policy.replica_up(facts.ReplicaFacts(str(replica)), 0.0)
         return policy
@@ -143,6 +170,7 @@
             self._refuse(call)
             return
         call.tried.append(chosen)
+        call.sent_at = self.now
         policy.started(chosen, self.now)
         replica = int(chosen)
         if self._running[replica] < self._load.slots:
@@ -158,7 +186,10 @@
 
     def _run(self, replica, call):
         self._running[replica] += 1
-        took_s = self._rng.expovariate(1 / self._load.work_s)
+        load = self._load
+        work_s = self._rng.expovariate(1 / load.work_s)
+        pace = load.paces[replica % len(load.paces)]
+        took_s = work_s * pace * load.contention(replica, self.now)
         self._later(took_s, self._done, replica, call)
 
     def _done(self, replica, call):
@@ -166,9 +197,23 @@
         if self._waiting[replica]:
             self._run(replica, self._waiting[replica].popleft())
         took_s = self.now - call.began_at
-        self._policies[call.entry].ended(
-            facts.Ended(str(replica), False, took_s), self.now
+        policy = self._policies[call.entry]
+        there = self._running[replica] + len(self._waiting[replica])
+        policy.report(
+            facts.LoadReport(
+                str(replica),
+                there,
+                0,
+                self._load.slots,
+                self._load.contention(replica, self.now),
+            ),
+            self.now,
+        )
+        policy.ended(
+            facts.Ended(str(replica), False, self.now - call.sent_at, True),
+            self.now,
         )
+        self.times_s.append(took_s)
         self.shares[call.entry].end(call.organisation, True)
         self.answered[call.organisation] += 1
         self.in_time[call.organisation] += took_s <= self._load.aim_s
