--- a/packages/gateway/anvilwell_gateway/crashes.py
+++ b/packages/gateway/anvilwell_gateway/crashes.py
@@ -5,17 +5,18 @@
 17 s, and every other caller was refused meanwhile; with it, the lookup is
 refused after the second, wherever it comes.
 Each entry writes to the store which requests a replica cut as it ended; a
-write for each replica that ends at work, and none while all is well.
+write for each replica that ends at work, and none while all is well. It
+tells the other entries directly as well: the store may be away just then.
 """
 
 import asyncio
 import hashlib
-import typing
 
 import cbor2
 import pydantic
 
 from anvilwell_decisions.requests import quarantine as quarantines
+from anvilwell_gateway import ends as ends_of_replicas
 from anvilwell_gateway.http import client
 from anvilwell_gateway import measures
 from anvilwell_gateway import news
@@ -36,14 +37,7 @@
 RETRY_S = 1.0
 
 
-class End(typing.NamedTuple):
-    """A replica that ended, and the requests that it cut then."""
-
-    replica_id: str
-    fingerprints: tuple[str, ...]
-
-
-_END = pydantic.TypeAdapter(End)
+_END = pydantic.TypeAdapter(ends_of_replicas.End)
 
 _LOG = logs.get_logger(__name__)
 
@@ -59,10 +53,13 @@
         Says which replicas are gone.
     vm_id : str
         This VM.
+    teller : ends.Teller
+        Tells the other entries directly.
     """
 
-    def __init__(self, store, directory, vm_id):
+    def __init__(self, store, directory, vm_id, teller):
         self._store = store
+        self._direct = teller
         self._directory = directory
         self._vm_id = vm_id
         self._loop = asyncio.get_running_loop()
@@ -77,6 +74,7 @@
 
     async def stop(self):
         """Tell no more."""
+        await self._direct.stop()
         if self._teller:
             self._teller.cancel()
             await asyncio.gather(self._teller, return_exceptions=True)
@@ -148,6 +146,15 @@
             counters.count_unreadable("crash")
             _LOG.log("crash-unreadable", key=key, cause=repr(error))
             return
+        self._take(end)
+
+    async def answer(self, request, responder):
+        """Take in the ends that another entry tells directly."""
+        for end in ends_of_replicas.read(request.body):
+            self._take(end)
+        await responder.send(200)
+
+    def _take(self, end):
         now = self._loop.time()
         for fingerprint in end.fingerprints:
             self._quarantine.learn(fingerprint, [end.replica_id], now)
@@ -174,6 +181,9 @@
                 one: count for one, count in ends.items() if count > 1
             },
         )
+        self._direct.tell(
+            ends_of_replicas.End(replica_id, tuple(sorted(fingerprints)))
+        )
         self._untold_by_replica.setdefault(replica_id, set()).update(
             fingerprints
         )
@@ -205,7 +215,7 @@
         swaps = []
         for replica_id, fingerprints in told_by_replica.items():
             key = own_key(replica_id, self._vm_id)
-            value = cbor2.dumps(End(replica_id, tuple(sorted(fingerprints))))
+            value = cbor2.dumps((replica_id, tuple(sorted(fingerprints))))
             revision = self._revisions_by_key.get(key, 0)
             swaps.append(keyvalue.Swap(key, revision, value, lease))
         try:
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -8,6 +8,7 @@
 
 from anvilwell_decisions.requests import quarantine as quarantines
 from anvilwell_gateway import crashes
+from anvilwell_gateway import ends
 from anvilwell_kernel import exceptions
 from anvilwell_outside.ports import keyvalue
 
@@ -30,6 +31,11 @@
         self.changed()
 
 
+class _Responder:
+    async def send(self, status):
+        assert status == 200
+
+
 class _Store:
     """Keeps entries; `faults` holds what happens to the next writes."""
 
@@ -83,7 +89,9 @@
 
         async def body():
             store, directory = _Store(), _Directory()
-            known = crashes.Crashes(store, directory, "entry-1")
+            alone = types.SimpleNamespace(addresses_by_vm={})
+            teller = ends.Teller("entry-1", alone)
+            known = crashes.Crashes(store, directory, "entry-1", teller)
             try:
                 await scenario(known, store, directory)
             finally:
@@ -154,6 +162,21 @@
     play(scenario)
 
 
+def test_what_is_told_directly_counts_as_if_the_store_told_it(play):
+    async def scenario(known, store, directory):
+        told = [("r0", ("f1",)), ("r1", ("f1",))]
+        request = types.SimpleNamespace(body=cbor2.dumps(told))
+        for _ in range(2):
+            await known.answer(request, _Responder())
+        value = cbor2.dumps(["r0", ["f1"]])
+        known.change(keyvalue.Change(KEY, value, 9))
+        assert known.wait_s("f1") == quarantines.SHORT_PAUSE_S
+        await asyncio.sleep(1.0)
+        assert not store.entries_by_key
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     "value", [b"", b"\xff", cbor2.dumps({"a": 1}), cbor2.dumps(["r", [7]])]
 )
--- /dev/null
+++ b/packages/gateway/tests/test_ends.py
@@ -0,0 +1,115 @@
+"""What entries tell each other directly, in virtual time."""
+
+import asyncio
+import types
+
+import pytest
+
+from anvilwell_gateway import ends
+from anvilwell_gateway.http import client
+from anvilwell_gateway.http import messages
+
+END = ends.End("r1@5", ("f1",))
+LATER = ends.End("r2@5", ("f1", "f2"))
+
+
+class _Pool:
+    """Stands for the entries; `failures` of the next calls are lost."""
+
+    def __init__(self):
+        self.failures = 0
+        self.told = []
+
+    async def ask(self, key, address, question, timeout_s, max_bytes):
+        await asyncio.sleep(0.001)
+        if self.failures:
+            self.failures -= 1
+            raise client.failed("no answer")
+        self.told.append((key, ends.read(question.body)))
+        return messages.Reply(200, ()), b""
+
+    def close(self):
+        pass
+
+
+@pytest.fixture
+def play(run_virtual, monkeypatch):
+    """Return what runs a scenario with a teller and its peers."""
+
+    def run(scenario):
+        async def body():
+            pool = _Pool()
+            monkeypatch.setattr(ends.client, "Pool", lambda *_: pool)
+            news = types.SimpleNamespace(
+                addresses_by_vm={"entry-1": "a:1", "entry-2": "a:2"}
+            )
+            teller = ends.Teller("entry-1", news)
+            try:
+                await scenario(teller, pool, news)
+            finally:
+                await teller.stop()
+
+        run_virtual(body())
+
+    return run
+
+
+def test_the_others_are_told_at_once_and_what_comes_meanwhile_after(play):
+    async def scenario(teller, pool, news):
+        news.addresses_by_vm["entry-3"] = "a:3"
+        teller.tell(END)
+        await asyncio.sleep(0)
+        teller.tell(LATER)
+        await asyncio.sleep(0.01)
+        for vm_id in ("entry-2", "entry-3"):
+            told = [one for key, one in pool.told if key == vm_id]
+            assert told == [(END,), (LATER,)]
+        assert "entry-1" not in dict(pool.told)
+
+    play(scenario)
+
+
+def test_an_entry_is_told_again_that_did_not_answer(play):
+    async def scenario(teller, pool, news):
+        pool.failures = len(ends.RETRIES_S)
+        teller.tell(END)
+        await asyncio.sleep(sum(ends.RETRIES_S) + 0.1)
+        assert pool.told == [("entry-2", (END,))]
+
+    play(scenario)
+
+
+def test_an_entry_that_stays_silent_is_given_up_until_the_next_end(play):
+    async def scenario(teller, pool, news):
+        pool.failures = len(ends.RETRIES_S) + 1
+        teller.tell(END)
+        await asyncio.sleep(3600.0)
+        assert pool.told == []
+        teller.tell(LATER)
+        await asyncio.sleep(0.01)
+        assert pool.told == [("entry-2", (LATER,))]
+
+    play(scenario)
+
+
+def test_an_entry_that_has_gone_is_not_asked(play):
+    async def scenario(teller, pool, news):
+        teller.tell(END)
+        del news.addresses_by_vm["entry-2"]
+        await asyncio.sleep(3600.0)
+        assert pool.told == []
+
+    play(scenario)
+
+
+def test_what_waits_for_one_entry_is_bounded(play):
+    async def scenario(teller, pool, news):
+        pool.failures = 1
+        for number in range(2 * ends.MOST_UNTOLD):
+            teller.tell(ends.End(f"r{number}", ("f1",)))
+        await asyncio.sleep(1.0)
+        (told,) = [told for _, told in pool.told]
+        assert len(told) == ends.MOST_UNTOLD
+        assert told[-1].replica_id == f"r{2 * ends.MOST_UNTOLD - 1}"
+
+    play(scenario)
