--- a/packages/decisions/anvilwell_decisions/requests/quarantine.py
+++ b/packages/decisions/anvilwell_decisions/requests/quarantine.py
@@ -100,10 +100,19 @@
         """Note that a replica answered a request whole: it ends none."""
         self._records_by_fingerprint.pop(fingerprint, None)
 
+    def replica_ids(self, fingerprint):
+        """Return the ids of the replicas that ended under a request."""
+        record = self._records_by_fingerprint.get(fingerprint)
+        return record.replica_ids if record else frozenset()
+
     def ends(self, fingerprint):
         """Return how many replicas ended under a request."""
-        record = self._records_by_fingerprint.get(fingerprint)
-        return len(record.replica_ids) if record else 0
+        return len(self.replica_ids(fingerprint))
+
+    def needs_trial(self, fingerprint, now):
+        """Return whether a request is suspect, but held back no longer."""
+        is_suspect = self.ends(fingerprint) >= SUSPECT_ENDS
+        return is_suspect and not self.wait_s(fingerprint, now)
 
     def wait_s(self, fingerprint, now, least_ends=SUSPECT_ENDS):
         """Return how long a request is held back, in seconds; 0 if not.
--- a/packages/decisions/tests/requests/test_quarantine.py
+++ b/packages/decisions/tests/requests/test_quarantine.py
@@ -167,3 +167,15 @@
         _end(quarantine, replica_id, now, (BAD, bystander))
         for fingerprint in (BAD, bystander):
             self.untold.append((now + 0.3, fingerprint, replica_id))
+
+
+def test_a_suspect_needs_a_trial_once_its_pause_is_over():
+    quarantine = quarantines.Quarantine()
+    quarantine.learn(BAD, ["r1"], 0.0)
+    assert not quarantine.needs_trial(BAD, 0.0)
+    quarantine.learn(BAD, ["r2"], 0.0)
+
+    assert not quarantine.needs_trial(BAD, quarantines.SHORT_PAUSE_S - 0.1)
+    assert quarantine.needs_trial(BAD, quarantines.SHORT_PAUSE_S)
+    quarantine.answered(BAD)
+    assert not quarantine.needs_trial(BAD, quarantines.SHORT_PAUSE_S)
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -1,6 +1,7 @@
 """The attempts at one live request, and which answer counts."""
 
 import asyncio
+import contextlib
 import functools
 import random
 import typing
@@ -74,6 +75,8 @@
         self._failure = None
         self._unreached = 0
         self._is_counted = False
+        # How long other entries hold the request back, in seconds.
+        self._refused_s = 0.0
         self.tried = []
         # How many replicas answered 500: they ran the request and failed.
         self.failures = 0
@@ -107,7 +110,10 @@
         """
         tasks = set()
         try:
-            async with asyncio.timeout_at(self._deadline - RETURN_MARGIN_S):
+            async with (
+                asyncio.timeout_at(self._deadline - RETURN_MARGIN_S),
+                self._trial(),
+            ):
                 return await self._race(tasks)
         except TimeoutError:
             if self._failure:
@@ -174,7 +180,19 @@
     def _held_back_s(self):
         """How long no replica may get this request, in seconds."""
         crashes = self._forwarder.crashes
-        return 0.0 if crashes.is_empty else crashes.wait_s(self.fingerprint)
+        if crashes.is_empty:
+            return self._refused_s
+        return max(self._refused_s, crashes.wait_s(self.fingerprint))
+
+    @contextlib.asynccontextmanager
+    async def _trial(self):
+        """Let no other entry try the request meanwhile if it is suspect."""
+        crashes = self._forwarder.crashes
+        if crashes.is_empty:
+            yield
+            return
+        async with crashes.tried(self.fingerprint) as self._refused_s:
+            yield
 
     def _start(self, tasks):
         """Start an attempt at another replica; return whether one is."""
--- a/packages/gateway/anvilwell_gateway/crashes.py
+++ b/packages/gateway/anvilwell_gateway/crashes.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
 
 import cbor2
@@ -20,12 +21,15 @@
 from anvilwell_gateway.http import client
 from anvilwell_gateway import measures
 from anvilwell_gateway import news
+from anvilwell_gateway import trials
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
 from anvilwell_outside.ports import keyvalue
 
 PREFIX = f"{news.PREFIX}crashes/"
+# Other entries tell and ask under these targets.
+TARGETS = frozenset((ends_of_replicas.TARGET, trials.TARGET))
 # A replica whose process has ended refuses a connection within a round
 # trip, a millisecond or two. A VM that is silent tells nothing in time.
 LOOK_S = 0.1
@@ -53,17 +57,18 @@
         Says which replicas are gone.
     vm_id : str
         This VM.
-    teller : ends.Teller
-        Tells the other entries directly.
+    peers : news.News
+        The other entries, which are told and asked directly.
     """
 
-    def __init__(self, store, directory, vm_id, teller):
+    def __init__(self, store, directory, vm_id, peers):
         self._store = store
-        self._direct = teller
         self._directory = directory
         self._vm_id = vm_id
         self._loop = asyncio.get_running_loop()
         self._quarantine = quarantines.Quarantine()
+        self._direct = ends_of_replicas.Teller(vm_id, peers)
+        self._trials = trials.Trials(vm_id, peers, self._quarantine)
         self._untold_by_replica = {}
         self._told_by_replica = {}
         self._revisions_by_key = {}
@@ -75,6 +80,7 @@
     async def stop(self):
         """Tell no more."""
         await self._direct.stop()
+        await self._trials.stop()
         if self._teller:
             self._teller.cancel()
             await asyncio.gather(self._teller, return_exceptions=True)
@@ -93,6 +99,18 @@
         """Return how long a request is held back, in seconds; 0 if not."""
         return self._quarantine.wait_s(fingerprint, self._loop.time())
 
+    @contextlib.asynccontextmanager
+    async def tried(self, fingerprint):
+        """Give how long a request must wait, in seconds; 0 if not.
+
+        One that has ended replicas is tried once at a time at all entries.
+        """
+        if self._quarantine.needs_trial(fingerprint, self._loop.time()):
+            async with self._trials.tried(fingerprint) as wait_s:
+                yield wait_s
+        else:
+            yield self.wait_s(fingerprint)
+
     def is_item_held_back(self, fingerprint):
         """Return whether an item is held back, once its ends prove it.
 
@@ -149,7 +167,11 @@
         self._take(end)
 
     async def answer(self, request, responder):
-        """Take in the ends that another entry tells directly."""
+        """Answer what another entry tells or asks directly."""
+        if request.path == trials.TARGET:
+            wait_s = self._trials.decide(trials.read(request.body))
+            await responder.send(200, (), cbor2.dumps(wait_s))
+            return
         for end in ends_of_replicas.read(request.body):
             self._take(end)
         await responder.send(200)
--- a/packages/gateway/anvilwell_gateway/live_calls.py
+++ b/packages/gateway/anvilwell_gateway/live_calls.py
@@ -3,7 +3,6 @@
 from anvilwell_gateway import callers
 from anvilwell_gateway import crashes
 from anvilwell_gateway.duties import reports
-from anvilwell_gateway import ends
 from anvilwell_gateway import forwarding
 
 
@@ -33,7 +32,7 @@
             fleet.store,
             fleet.directory,
             fleet.vm_id,
-            ends.Teller(fleet.vm_id, fleet.news),
+            fleet.news,
         )
         fleet.news.pass_on(crashes.PREFIX, self.crashes)
         self.usage = reports.build(
@@ -53,7 +52,8 @@
         """Return what the settings ask for; peers tell it by `peering`."""
         live_calls = cls(settings, platform, fleet, pool)
         peering.handle(reports.TARGET, live_calls.usage.answer)
-        peering.handle(ends.TARGET, live_calls.crashes.answer)
+        for target in crashes.TARGETS:
+            peering.handle(target, live_calls.crashes.answer)
         return live_calls
 
     async def answer(self, route, call, request, responder):
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -46,8 +46,9 @@
             begun, it is not whole.
         """
         try:
-            async with asyncio.timeout_at(
-                self._deadline - attempts.RETURN_MARGIN_S
+            async with (
+                asyncio.timeout_at(self._deadline - attempts.RETURN_MARGIN_S),
+                self._trial(),
             ):
                 await self._run()
         except TimeoutError:
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -90,8 +90,7 @@
         async def body():
             store, directory = _Store(), _Directory()
             alone = types.SimpleNamespace(addresses_by_vm={})
-            teller = ends.Teller("entry-1", alone)
-            known = crashes.Crashes(store, directory, "entry-1", teller)
+            known = crashes.Crashes(store, directory, "entry-1", alone)
             try:
                 await scenario(known, store, directory)
             finally:
@@ -165,7 +164,9 @@
 def test_what_is_told_directly_counts_as_if_the_store_told_it(play):
     async def scenario(known, store, directory):
         told = [("r0", ("f1",)), ("r1", ("f1",))]
-        request = types.SimpleNamespace(body=cbor2.dumps(told))
+        request = types.SimpleNamespace(
+            path=ends.TARGET, body=cbor2.dumps(told)
+        )
         for _ in range(2):
             await known.answer(request, _Responder())
         value = cbor2.dumps(["r0", ["f1"]])
--- /dev/null
+++ b/packages/gateway/tests/test_trials.py
@@ -0,0 +1,103 @@
+"""Who may try a request that ended replicas, in virtual time."""
+
+import asyncio
+import types
+
+import cbor2
+import pytest
+
+from anvilwell_decisions.duties import choice
+from anvilwell_decisions.requests import quarantine as quarantines
+from anvilwell_decisions.requests import trials as decisions
+from anvilwell_gateway.http import client
+from anvilwell_gateway.http import messages
+from anvilwell_gateway import trials
+
+ADDRESSES_BY_VM = {f"entry-{number}": f"a:{number}" for number in range(4)}
+NEWS = types.SimpleNamespace(addresses_by_vm=ADDRESSES_BY_VM)
+PAUSE_S = quarantines.SHORT_PAUSE_S
+DECIDER = choice.chosen("try f", list(ADDRESSES_BY_VM))
+OTHERS = sorted(set(ADDRESSES_BY_VM) - {DECIDER})
+
+
+class _Pool:
+    """Stands for the way to the other entries."""
+
+    def __init__(self, trials_by_vm):
+        self._trials_by_vm = trials_by_vm
+        self.is_cut = False
+
+    async def ask(self, key, address, question, timeout_s, max_bytes):
+        await asyncio.sleep(0.001)
+        if self.is_cut:
+            raise client.failed("no answer")
+        asked = trials.read(question.body)
+        wait_s = self._trials_by_vm[key].decide(asked)
+        return messages.Reply(200, ()), cbor2.dumps(wait_s)
+
+    def close(self):
+        pass
+
+
+@pytest.fixture
+def play(run_virtual, monkeypatch):
+    """Return what runs a scenario with entries that know two ends."""
+
+    def run(scenario):
+        async def body():
+            trials_by_vm = {}
+            pool = _Pool(trials_by_vm)
+            monkeypatch.setattr(trials.client, "Pool", lambda *_: pool)
+            quarantine_by_vm = {
+                vm_id: quarantines.Quarantine() for vm_id in ADDRESSES_BY_VM
+            }
+            for vm_id, quarantine in quarantine_by_vm.items():
+                quarantine.learn("f", ["r1", "r2"], 0.0)
+                trials_by_vm[vm_id] = trials.Trials(vm_id, NEWS, quarantine)
+            await asyncio.sleep(PAUSE_S)
+            await scenario(trials_by_vm, quarantine_by_vm, pool)
+            for one in trials_by_vm.values():
+                await one.stop()
+
+        run_virtual(body())
+
+    return run
+
+
+@pytest.mark.parametrize("first", [DECIDER, OTHERS[0]])
+def test_one_entry_tries_and_the_others_wait_until_it_is_done(play, first):
+    async def scenario(trials_by_vm, quarantine_by_vm, pool):
+        async with trials_by_vm[first].tried("f") as wait_s:
+            assert wait_s == 0
+            for vm_id in ADDRESSES_BY_VM:
+                async with trials_by_vm[vm_id].tried("f") as wait_s:
+                    assert wait_s == decisions.RETRY_S
+        await asyncio.sleep(0.01)
+        async with trials_by_vm[OTHERS[1]].tried("f") as wait_s:
+            assert wait_s == 0
+
+    play(scenario)
+
+
+def test_what_a_trial_ended_is_known_before_the_next_one(play):
+    async def scenario(trials_by_vm, quarantine_by_vm, pool):
+        async with trials_by_vm[OTHERS[0]].tried("f"):
+            now = asyncio.get_running_loop().time()
+            quarantine_by_vm[OTHERS[0]].learn("f", ["r3"], now)
+        await asyncio.sleep(0.01)
+        async with trials_by_vm[OTHERS[1]].tried("f") as wait_s:
+            assert wait_s > PAUSE_S
+
+    play(scenario)
+
+
+def test_an_entry_that_can_not_ask_does_not_try(play):
+    async def scenario(trials_by_vm, quarantine_by_vm, pool):
+        pool.is_cut = True
+        async with trials_by_vm[OTHERS[0]].tried("f") as wait_s:
+            assert wait_s == decisions.RETRY_S
+        pool.is_cut = False
+        async with trials_by_vm[OTHERS[1]].tried("f") as wait_s:
+            assert wait_s == 0
+
+    play(scenario)
