--- a/packages/decisions/anvilwell_decisions/requests/expected.py
+++ b/packages/decisions/anvilwell_decisions/requests/expected.py
@@ -6,19 +6,19 @@
 
 # How many replicas are compared for one call. Entries that all look at all
 # replicas go to the same one until its next answer tells them.
-DRAWN = 4
+DRAWN = 16
 # Some replicas slow down as they fill: a call beside a full replica's
 # others is taken to need this much longer than one alone.
 CROWDING = 0.25
 
 
-class ExpectedWait(routing.Policy):
+class ExpectedWait(routing.LeastOutstanding):
     """Takes the least expected time among some replicas drawn at random.
 
     It follows from the pace of the replica, from how contended its
     machine is, and from what runs and waits there: as the newest answer
-    told, with the calls that this entry has sent since. What is not told
-    counts as usual; then the least load decides.
+    told, with the calls that this entry has sent since. Until a replica
+    tells how contended it is, the least load of all decides.
 
     Parameters
     ----------
@@ -34,6 +34,7 @@
         self._paces = paces.Paces()
         self._observations = observations.Observations()
         self._queued_at_by_id = {}
+        self._is_contention_told = False
 
     def replica_down(self, replica_id, now):
         """Forget a replica; one that returns is another life of it."""
@@ -44,20 +45,21 @@
 
     def report(self, report, now):
         """Take in what a replica's answer told of its load."""
-        if report.replica_id not in self._pool.facts_by_id:
+        replica_id = report.replica_id
+        is_known = replica_id in self._pool.facts_by_id
+        if report.contention is None or not is_known:
+            super().report(report, now)
             return
+        self._is_contention_told = True
         # The answer's own request is under way until it has ended.
-        own = max(report.own, self._loads.own(report.replica_id))
+        own = max(report.own, self._loads.own(replica_id))
         super().report(report._replace(own=own), now)
         if report.in_flight > report.limit:
-            self._queued_at_by_id[report.replica_id] = now
-        self._observations.heard(
-            report.replica_id,
-            observations.Observation(
-                report.in_flight, 0, report.limit, report.contention
-            ),
-            now,
+            self._queued_at_by_id[replica_id] = now
+        observed = observations.Observation(
+            report.in_flight, 0, report.limit, report.contention
         )
+        self._observations.heard(replica_id, observed, now)
 
     def ended(self, ended, now):
         """Count the end of an attempt, and learn from a whole answer.
@@ -80,20 +82,22 @@
 
     def choose(self, request, now):
         """Return the replica that may take `request` soonest, or None."""
-        eligible = self._pool.eligible(request)
-        if len(eligible) <= self._drawn + len(request.excluded):
-            allowed = [one for one in eligible if one not in request.excluded]
-        else:
-            allowed = {self._draw(request) for _ in range(self._drawn)}
+        if not self._is_contention_told:
+            return super().choose(request, now)
         return min(
-            allowed,
-            key=lambda replica_id: (
-                self.expect_s(replica_id, now),
-                self._rng.random(),
-            ),
+            self._compared(request),
+            key=lambda one: (self.expect_s(one, now), self._rng.random()),
             default=None,
         )
 
+    def _compared(self, request):
+        """Return the replicas that may take `request`, or some of many."""
+        eligible = self._pool.eligible(request)
+        if len(eligible) <= self._drawn:
+            return [one for one in eligible if one not in request.excluded]
+        drawn = {self._draw(request) for _ in range(self._drawn)}
+        return drawn - {None}
+
     def expect_s(self, replica_id, now):
         """Return the seconds that one more call would take at a replica."""
         return (
--- a/packages/decisions/anvilwell_decisions/requests/observations.py
+++ b/packages/decisions/anvilwell_decisions/requests/observations.py
@@ -71,9 +71,10 @@
     def contention(self, replica_id, now):
         """Return how long work takes now against the usual time.
 
-        `USUAL` if the replica does not tell, or told it too long ago.
+        `USUAL` if the replica does not tell, or told it too long ago. Work
+        never counts as quicker than usual: the pace is learned, not told.
         """
         heard = self._heard_by_id.get(replica_id)
         if heard is None or now - heard.at > CONTENTION_BELIEVED_S:
             return USUAL
-        return heard.observation.contention or USUAL
+        return max(USUAL, heard.observation.contention or USUAL)
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -263,6 +263,7 @@
         """Return the `Held` answer of one replica."""
         started_at = self._started(replica)
         failed = True
+        held = None
         verdict = verdicts.Verdict.MAY_HAVE_RUN
         try:
             held = await self._forwarder.send(
@@ -285,7 +286,7 @@
         finally:
             if verdict is not verdicts.Verdict.NOT_RUN:
                 self._begun(started_at)
-            self._ended(replica, started_at, failed)
+            self._ended(replica, started_at, failed, held is not None)
 
     def _started(self, replica):
         """Tell the policy of an attempt; return when that was."""
@@ -294,13 +295,14 @@
         policy.started(replica.replica_id, now)
         return now
 
-    def _ended(self, replica, started_at, failed):
+    def _ended(self, replica, started_at, failed, is_answer=False):
         """Tell the policy how an attempt ended."""
         now = self._loop.time()
         policy = self._forwarder.policy(self._service)
         took_s = now - started_at
         policy.ended(
-            request_facts.Ended(replica.replica_id, failed, took_s), now
+            request_facts.Ended(replica.replica_id, failed, took_s, is_answer),
+            now,
         )
 
     def _take(self, task):
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -4,8 +4,8 @@
 import random
 
 from anvilwell_decisions.requests import ejection
+from anvilwell_decisions.requests import expected
 from anvilwell_decisions.requests import facts as request_facts
-from anvilwell_decisions.requests import routing
 from anvilwell_gateway import attempts
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
@@ -157,7 +157,7 @@
         """Return the policy that chooses replicas of `service`."""
         known = self._policies_by_service.get(service)
         if known is None:
-            inner = routing.LeastOutstanding(self._rng)
+            inner = expected.ExpectedWait(self._rng)
             known = ejection.OutlierEjection(self._rng, inner)
             self._policies_by_service[service] = known
             self._fill(service, known)
@@ -272,6 +272,7 @@
                 outcome.load.in_flight,
                 1,
                 outcome.load.slots,
+                outcome.load.contention,
             )
             now = asyncio.get_running_loop().time()
             self.policy(replica.service).report(report, now)
