--- a/packages/gateway/anvilwell_gateway/alarms.py
+++ b/packages/gateway/anvilwell_gateway/alarms.py
@@ -15,17 +15,31 @@
     def __init__(self, look):
         self._look = look
         self._handle = None
+        self._at = 0.0
 
     def soon(self):
         """Look once after all that happens now, such as many ends."""
         self.stop()
-        self._handle = asyncio.get_running_loop().call_soon(self._look)
+        loop = asyncio.get_running_loop()
+        self._at = loop.time()
+        self._handle = loop.call_soon(self._fire)
 
     def later(self, wait_s):
         """Look after so many seconds."""
         self.stop()
         loop = asyncio.get_running_loop()
-        self._handle = loop.call_later(wait_s, self._look)
+        self._at = loop.time() + wait_s
+        self._handle = loop.call_later(wait_s, self._fire)
+
+    def within(self, wait_s):
+        """Look after so many seconds, or sooner if that is planned."""
+        now = asyncio.get_running_loop().time()
+        if self._handle is None or self._at > now + wait_s:
+            self.later(wait_s)
+
+    def _fire(self):
+        self._handle = None
+        self._look()
 
     def stop(self):
         """Do not look."""
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -17,6 +17,9 @@
 # Look again at what waits and what runs after so long if nothing else
 # happens: a tenth of the shortest stall.
 RETRY_S = 0.1
+# Notices of so many seconds share a look: with 223 agents there are
+# hundreds a second.
+GATHER_S = 0.01
 # Items with some text from before go first.
 _CARRIED, _NEW = 0, 1
 
@@ -71,21 +74,27 @@
         self._dispatch = dispatches.Dispatch()
         # Services that batches held here have had items for.
         self._services = set()
+        self._is_behind = True
         self._alarm = alarms.Alarm(self.schedule)
-        directory.listen(self.schedule)
+        directory.listen(self._replicas_changed)
         configuration.listen(self.schedule)
 
     def stop(self):
         """Look no more for what can start."""
         self._alarm.stop()
 
+    def _replicas_changed(self, changed):
+        """Look at once for what came or went, soon for a notice."""
+        self._is_behind = True
+        if changed.is_membership:
+            self.schedule()
+        else:
+            self._alarm.within(GATHER_S)
+
     def schedule(self):
         """Start whatever can start now.
 
-        With nothing to run there is nothing to look at: each agent's
-        notice comes here at every entry. At 300 machines and 2,999
-        replicas four fifths of the entries' processor time went into
-        looking at all replicas for that.
+        With nothing to run there is nothing to look at.
         """
         self._alarm.stop()
         loop = asyncio.get_running_loop()
@@ -99,12 +108,15 @@
         if not waiting and not has_runs:
             return
         # What runs has waited before.
-        self._services.update(work.service for work in waiting)
-        self._dispatch.set_replicas(
-            replica
-            for service in self._services
-            for replica in self._directory.usable(service)
-        )
+        services = {work.service for work in waiting}
+        if self._is_behind or services - self._services:
+            self._is_behind = False
+            self._services |= services
+            self._dispatch.set_replicas(
+                replica
+                for service in self._services
+                for replica in self._directory.usable(service)
+            )
         self._move(now)
         for work in waiting:
             self._start(work, now)
--- a/packages/gateway/anvilwell_gateway/crashes.py
+++ b/packages/gateway/anvilwell_gateway/crashes.py
@@ -181,8 +181,11 @@
         for fingerprint in end.fingerprints:
             self._quarantine.learn(fingerprint, [end.replica_id], now)
 
-    def _replicas_changed(self):
-        for replica_id in self._quarantine.watched:
+    def _replicas_changed(self, changed):
+        if not changed.is_membership:
+            return
+        watched = self._quarantine.watched
+        for replica_id in watched.intersection(changed.replica_ids):
             if not self._directory.lives(replica_id):
                 self._ended(replica_id)
 
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -1,7 +1,7 @@
 """The replicas that may be given work, as they registered themselves."""
 
 import asyncio
-import collections
+import itertools
 import typing
 
 from anvilwell_gateway import following
@@ -38,6 +38,17 @@
     at: float
 
 
+class Changed(typing.NamedTuple):
+    """Which replicas a change is of.
+
+    With ``is_membership`` some of them came or went, or may no longer be
+    used; else there is news of their versions and loads only.
+    """
+
+    replica_ids: frozenset[str]
+    is_membership: bool
+
+
 class Directory(following.Follower):
     """Keeps the replicas by id and tells listeners of each change."""
 
@@ -50,24 +61,35 @@
         self._regained_at = float("-inf")
         self._returns_by_key = {}
         self._noted_by_id = {}
+        self._load_ends_by_id = {}
         self._ids_by_key = {}
+        self._ids_by_address = {}
         self._unreadable = set()
         self._aside_by_id = {}
+        self._usable_by_id = {}
+        self._usable_by_service = {}
+        self._changed_ids = set()
+        self._is_membership = False
         self.replicas_by_id = {}
 
     def listen(self, callback):
-        """Call `callback` after each change of the replicas."""
+        """Call ``callback(changed)`` after each change, a `Changed`."""
         self._listeners.append(callback)
 
     def usable(self, service=None):
         """Return the replicas that may take new work."""
-        return [
-            self._with_notice(replica)
-            for replica in self.replicas_by_id.values()
-            if not replica.is_draining
-            and self.lives(replica.replica_id)
-            and (service is None or replica.service == service)
-        ]
+        if service is not None:
+            return list(self._usable_by_service.get(service, {}).values())
+        return list(
+            itertools.chain.from_iterable(
+                usable_by_id.values()
+                for usable_by_id in self._usable_by_service.values()
+            )
+        )
+
+    def find_usable(self, replica_id):
+        """Return a replica if it may take new work, or None."""
+        return self._usable_by_id.get(replica_id)
 
     def lives(self, replica_id):
         """Return whether a replica is registered and not known to be gone."""
@@ -83,11 +105,13 @@
         self._aside_by_id[replica_id] = asyncio.get_running_loop().call_later(
             ASIDE_S, self._take_back, replica_id
         )
+        self._refresh(replica_id, is_membership=True)
         self._tell()
 
     def _take_back(self, replica_id):
         """Use a replica again that is still registered."""
         self._stop_waiting(replica_id)
+        self._refresh(replica_id, is_membership=True)
         self._tell()
 
     def _stop_waiting(self, replica_id):
@@ -102,21 +126,47 @@
             return
         now = asyncio.get_running_loop().time()
         self._noted_by_id[replica_id] = _Noted(notice, now)
+        self._believe_load(replica_id, notice.loading)
         _LOG.routine(
             "engine-noted",
             replica_id=replica_id,
             versions=dict(notice.versions),
             loading=list(notice.loading),
         )
+        self._refresh(replica_id)
+        self._tell()
+
+    def service_at(self, address):
+        """Return the service of the replica at an address, or None."""
+        ids = self._ids_by_address.get(address, ())
+        services = (self.replicas_by_id[one].service for one in ids)
+        return next(services, None)
+
+    def _believe_load(self, replica_id, loading):
+        """Have a replica taken as loading for as long as that is believed."""
+        self._stop_believing(replica_id)
+        if loading:
+            loop = asyncio.get_running_loop()
+            self._load_ends_by_id[replica_id] = loop.call_later(
+                LONGEST_LOAD_S, self._load_is_over, replica_id
+            )
+
+    def _load_is_over(self, replica_id):
+        self._stop_believing(replica_id)
+        self._refresh(replica_id)
         self._tell()
 
+    def _stop_believing(self, replica_id):
+        timer = self._load_ends_by_id.pop(replica_id, None)
+        if timer:
+            timer.cancel()
+
     def noted_at(self, address):
         """Return when a replica's agent told of it last, -inf if never."""
         times = (
-            self._noted_by_id[replica.replica_id].at
-            for replica in self.replicas_by_id.values()
-            if str(replica.address) == address
-            and replica.replica_id in self._noted_by_id
+            self._noted_by_id[replica_id].at
+            for replica_id in self._ids_by_address.get(address, ())
+            if replica_id in self._noted_by_id
         )
         return max(times, default=float("-inf"))
 
@@ -126,14 +176,15 @@
         One of an earlier or a later life than the registered one is of
         no replica that is known here.
         """
+        replicas = (
+            self.replicas_by_id[replica_id]
+            for replica_id in self._ids_by_address.get(notice.address, ())
+        )
         ids = (
             replica.replica_id
-            for replica in self.replicas_by_id.values()
-            if str(replica.address) == notice.address
-            and (
-                not (replica.started_ms and notice.started_ms)
-                or replica.started_ms == notice.started_ms
-            )
+            for replica in replicas
+            if not (replica.started_ms and notice.started_ms)
+            or replica.started_ms == notice.started_ms
         )
         return next(ids, None)
 
@@ -142,19 +193,39 @@
         noted = self._noted_by_id.get(replica.replica_id)
         if noted is None:
             return replica
-        age_s = asyncio.get_running_loop().time() - noted.at
-        is_believed = age_s < LONGEST_LOAD_S
+        is_believed = replica.replica_id in self._load_ends_by_id
         return replica._replace(
             versions=(*replica.versions, *noted.notice.versions),
             loading=noted.notice.loading if is_believed else (),
         )
 
+    def _refresh(self, replica_id, is_membership=False):
+        """Take in what a replica is now, for those that may be used."""
+        replica = self.replicas_by_id.get(replica_id)
+        is_usable = (
+            replica is not None
+            and not replica.is_draining
+            and replica_id not in self._aside_by_id
+        )
+        before = self._usable_by_id.pop(replica_id, None)
+        now = self._with_notice(replica) if is_usable else None
+        if before and (now is None or now.service != before.service):
+            del self._usable_by_service[before.service][replica_id]
+            is_membership = True
+        if now:
+            self._usable_by_id[replica_id] = now
+            same = self._usable_by_service.setdefault(now.service, {})
+            is_membership |= replica_id not in same
+            same[replica_id] = now
+        self._changed_ids.add(replica_id)
+        self._is_membership |= is_membership
+
     def beliefs(self):
         """Return how many replicas each service has."""
-        counts = collections.Counter(one.service for one in self.usable())
         return [
-            measures.Belief("replicas", count, service)
-            for service, count in counts.items()
+            measures.Belief("replicas", len(usable_by_id), service)
+            for service, usable_by_id in self._usable_by_service.items()
+            if usable_by_id
         ]
 
     def load(self, entries_by_key):
@@ -195,7 +266,22 @@
         if self.replicas_by_id.get(replica.replica_id) != replica:
             _LOG.routine("replica-known", **_fields(replica))
         self._ids_by_key[key] = replica.replica_id
+        self._leave_address(replica.replica_id)
         self.replicas_by_id[replica.replica_id] = replica
+        ids = self._ids_by_address.setdefault(str(replica.address), {})
+        ids[replica.replica_id] = None
+        self._refresh(replica.replica_id)
+
+    def _leave_address(self, replica_id):
+        """Forget at which address a replica was."""
+        replica = self.replicas_by_id.get(replica_id)
+        if replica is None:
+            return
+        address = str(replica.address)
+        ids = self._ids_by_address[address]
+        del ids[replica_id]
+        if not ids:
+            del self._ids_by_address[address]
 
     def _remove(self, key):
         self._unreadable.discard(key)
@@ -221,13 +307,19 @@
         self._cancel_return(key)
         replica_id = self._ids_by_key.pop(key, None)
         self._noted_by_id.pop(replica_id, None)
+        self._stop_believing(replica_id)
         self._stop_waiting(replica_id)
+        self._leave_address(replica_id)
         if self.replicas_by_id.pop(replica_id, None) is not None:
+            self._refresh(replica_id, is_membership=True)
             _LOG.log("replica-gone", replica_id=replica_id)
 
     def _tell(self):
+        changed = Changed(frozenset(self._changed_ids), self._is_membership)
+        self._changed_ids.clear()
+        self._is_membership = False
         for callback in self._listeners:
-            callback()
+            callback(changed)
 
 
 def read(codec, key, value, unreadable):
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -163,18 +163,28 @@
             self._fill(service, known)
         return known
 
-    def _replicas_changed(self):
+    def _replicas_changed(self, changed):
+        if not changed.is_membership:
+            return
+        now = asyncio.get_running_loop().time()
         for service, policy in self._policies_by_service.items():
-            self._fill(service, policy)
+            known = policy.known_ids.intersection(changed.replica_ids)
+            for replica_id in changed.replica_ids:
+                usable = self._directory.find_usable(replica_id)
+                is_up = usable is not None and usable.service == service
+                if is_up and replica_id not in known:
+                    policy.replica_up(
+                        request_facts.ReplicaFacts(replica_id), now
+                    )
+                elif not is_up and replica_id in known:
+                    policy.replica_down(replica_id, now)
+                    self._pool.forget(replica_id)
 
     def _fill(self, service, policy):
+        """Take in the replicas that a new policy chooses from."""
         now = asyncio.get_running_loop().time()
-        usable = {r.replica_id for r in self._directory.usable(service)}
-        for replica_id in policy.known_ids - usable:
-            policy.replica_down(replica_id, now)
-            self._pool.forget(replica_id)
-        for replica_id in usable - policy.known_ids:
-            up = request_facts.ReplicaFacts(replica_id)
+        for replica in self._directory.usable(service):
+            up = request_facts.ReplicaFacts(replica.replica_id)
             policy.replica_up(up, now)
 
     def replica(self, replica_id):
--- a/packages/gateway/anvilwell_gateway/standing_in.py
+++ b/packages/gateway/anvilwell_gateway/standing_in.py
@@ -98,6 +98,8 @@
         self._looked_at = now
         replicas = [one for one in self._directory.usable() if one.versions]
         self._note_duties({one.failure_domain for one in replicas})
+        if not self._duty_since_by_domain:
+            return
         for replica in replicas:
             if not self._is_ours(replica):
                 continue
--- a/packages/gateway/tests/batches/test_holder.py
+++ b/packages/gateway/tests/batches/test_holder.py
@@ -9,9 +9,13 @@
 from anvilwell_gateway.batches import holder as holders
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import runner as runners
+from anvilwell_gateway.batches import scheduler as schedulers
+from anvilwell_gateway import directory as directories
 
 ROUTE = facts.Route("r", "h", "/", (facts.Weighted("lm", 1.0),), True)
 REPLICA = facts.Replica("r0", "lm", None, "a", 2)
+CAME_OR_WENT = directories.Changed(frozenset({"r0"}), True)
+NOTICED = directories.Changed(frozenset({"r0"}), False)
 OWNER = records.Owner("vm", "life", 2, "", 0.0, 1)
 
 
@@ -32,9 +36,12 @@
 class _Runner:
     def __init__(self):
         self.asked = []
+        self.may_end = asyncio.Event()
+        self.may_end.set()
 
     async def run(self, order, replica, saw_gap):
         self.asked.append((order.item.item_id, replica.replica_id))
+        await self.may_end.wait()
         return runners.Ended(runners.End.WHOLE)
 
 
@@ -91,7 +98,7 @@
     async def scenario(holder, directory, runner):
         holder.open(_held("b1"))
         directory.replicas = []
-        directory.changed()
+        directory.changed(CAME_OR_WENT)
         await _until(lambda: len(runner.asked) == 2)
 
     _run(scenario)
@@ -105,14 +112,14 @@
     """
 
     async def scenario(holder, directory, runner):
-        for _ in range(5):
-            directory.changed()
+        for changed in [CAME_OR_WENT, NOTICED] * 5:
+            directory.changed(changed)
         assert directory.looked_at == []
         holder.open(_held("b1"))
         tasks = holder.held_by_id["b1"].tasks_by_item
         await _until(lambda: len(runner.asked) == 2 and not tasks)
         looked = len(directory.looked_at)
-        directory.changed()
+        directory.changed(CAME_OR_WENT)
         assert len(directory.looked_at) == looked
 
     _run(scenario)
@@ -121,8 +128,23 @@
 def test_batches_look_at_the_replicas_of_their_service_alone():
     async def scenario(holder, directory, runner):
         holder.open(_held("b1"))
-        directory.changed()
+        directory.changed(CAME_OR_WENT)
         await _until(lambda: len(runner.asked) == 2)
         assert set(directory.looked_at) == {"lm"}
 
     _run(scenario)
+
+
+def test_notices_share_a_look_at_the_replicas():
+    async def scenario(holder, directory, runner):
+        runner.may_end.clear()
+        holder.open(_held("b1"))
+        assert len(directory.looked_at) == 1
+        for _ in range(9):
+            directory.changed(NOTICED)
+            await asyncio.sleep(0)
+        assert len(directory.looked_at) == 1
+        await asyncio.sleep(2 * schedulers.GATHER_S)
+        assert len(directory.looked_at) == 2
+
+    _run(scenario)
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -8,6 +8,7 @@
 
 from anvilwell_decisions.requests import quarantine as quarantines
 from anvilwell_gateway import crashes
+from anvilwell_gateway import directory as directories
 from anvilwell_gateway import ends
 from anvilwell_kernel import exceptions
 from anvilwell_outside.ports import keyvalue
@@ -27,8 +28,8 @@
         return replica_id in self.ids
 
     def lose(self):
-        self.ids = set()
-        self.changed()
+        gone, self.ids = self.ids, set()
+        self.changed(directories.Changed(frozenset(gone), True))
 
 
 class _Responder:
--- a/packages/gateway/tests/test_directory.py
+++ b/packages/gateway/tests/test_directory.py
@@ -8,6 +8,8 @@
 from anvilwell_kernel.config import options
 from anvilwell_kernel import exceptions
 from anvilwell_outside.ports import keyvalue
+import hypothesis
+from hypothesis import strategies as st
 
 ADDRESS = options.Address("10.0.0.9", 8080)
 UNREADABLE = b"?"
@@ -121,7 +123,7 @@
     async def scenario():
         directory = directories.Directory(_Store(), _Codec())
         told = []
-        directory.listen(lambda: told.append(_ids(directory)))
+        directory.listen(lambda _: told.append(_ids(directory)))
         _load(directory, x=b"1", y=b"1")
         directory.set_aside("x@1")
         directory.set_aside("gone@1")
@@ -142,3 +144,89 @@
         return _ids(directory)
 
     assert _run(scenario) == ["x@2"]
+
+
+class _Whole(_Codec):
+    """Reads address, draining and start from an entry."""
+
+    def read_replica(self, key, value):
+        port, is_draining, started_ms = value.decode().split()
+        replica = super().read_replica(key, started_ms.encode())
+        return replica._replace(
+            address=options.Address("10.0.0.9", int(port)),
+            is_draining=is_draining == "yes",
+        )
+
+
+def _told(run_virtual, scenario):
+    """Run a scenario; return each `Changed`, with ids as a sorted list."""
+
+    async def run():
+        directory, told = directories.Directory(_Store(), _Whole()), []
+        directory.listen(
+            lambda changed: told.append(
+                (sorted(changed.replica_ids), changed.is_membership)
+            )
+        )
+        _load(directory, x=b"1 no 1", y=b"2 no 1")
+        told.clear()
+        await scenario(directory)
+        return told
+
+    return run_virtual(run())
+
+
+def test_listeners_are_told_which_replicas_changed_and_how(run_virtual):
+    async def scenario(directory):
+        loading = notices.Notice("10.0.0.9:2", (), ("m",), 1)
+        directory.note(loading)
+        await asyncio.sleep(directories.LONGEST_LOAD_S / 2)
+        assert directory.find_usable("y@1").loading == ("m",)
+        await asyncio.sleep(directories.LONGEST_LOAD_S)
+        assert directory.find_usable("y@1").loading == ()
+        _change(directory, "x", b"1 yes 1")
+        _change(directory, "y", None)
+
+    assert _told(run_virtual, scenario) == [
+        (["y@1"], False),
+        (["y@1"], False),
+        (["x@1"], True),
+        (["y@1"], True),
+    ]
+
+
+def test_a_replica_that_drains_and_goes_is_told_of_twice(run_virtual):
+    async def scenario(directory):
+        _change(directory, "x", b"1 yes 1")
+        _change(directory, "x", None)
+
+    told = [(["x@1"], True), (["x@1"], True)]
+    assert _told(run_virtual, scenario) == told
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(
+            st.sampled_from("xyz"),
+            st.sampled_from([None, "1 no 1", "2 no 1", "2 yes 1", "1 no 2"]),
+            st.sampled_from([None, "1", "2"]),
+        )
+    )
+)
+def test_the_indexes_are_what_the_registrations_say(run_virtual, steps):
+    async def scenario(directory):
+        for name, value, noted in steps:
+            _change(directory, name, value and value.encode())
+            if noted:
+                note = notices.Notice(f"10.0.0.9:{noted}", (), ("m",))
+                directory.note(note)
+            replicas = directory.replicas_by_id.values()
+            usable = {r.replica_id for r in replicas if not r.is_draining}
+            assert {r.replica_id for r in directory.usable()} == usable
+            assert {r.replica_id for r in directory.usable("lm")} == usable
+            for port in "12":
+                address = f"10.0.0.9:{port}"
+                there = [r for r in replicas if str(r.address) == address]
+                assert (directory.service_at(address) == "lm") == bool(there)
+
+    _told(run_virtual, scenario)
