--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -144,8 +144,10 @@
     def _entries_changed(self, live):
         """Take in which entries are there: for notices, news and help."""
         self._paths.set_peers(live.addresses_by_vm)
-        self._teller.set_entries(live.addresses_by_vm)
         self._neighbours.set_entries(live.candidates_by_vm)
+        self._teller.set_entries(
+            live.addresses_by_vm, self._neighbours.ranked()
+        )
 
     async def _run(self):
         """Have one task for each model whose version has changed."""
--- a/packages/gateway/anvilwell_gateway/batches/homes.py
+++ b/packages/gateway/anvilwell_gateway/batches/homes.py
@@ -41,3 +41,8 @@
 def service_of(route):
     """Return what a route's batches are gathered by: all its services."""
     return ",".join(sorted(target.service for target in route.targets))
+
+
+def services_in(gathered):
+    """Return the services whose batches are gathered under one name."""
+    return gathered.split(",")
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/batches/needing.py
@@ -0,0 +1,60 @@
+"""Which entries need to know what the engines of a service load."""
+
+import asyncio
+
+from anvilwell_gateway.batches import homes
+
+# Owners are looked at again after so long, in seconds: a notice is a
+# hundredth of what it would cost to look at each time.
+LOOK_S = 0.25
+
+
+class Needing:
+    """Finds the entries that run batches for a service, or will.
+
+    Parameters
+    ----------
+    news : news.News
+        The entries that live.
+    owners : owners.Owners
+        Who runs which batch.
+    configuration : configuration.ConfigurationFollower
+        Its routes say whose batches are gathered together.
+    """
+
+    def __init__(self, news, owners, configuration):
+        self._news = news
+        self._owners = owners
+        self._configuration = configuration
+        self._homes = homes.Homes(news)
+        self._clock = asyncio.get_running_loop().time
+        self._looked_at = float("-inf")
+        self._vms_by_service = {}
+
+    def find(self, service):
+        """Return the VMs that need notices of `service`; None is any."""
+        now = self._clock()
+        if now - self._looked_at >= LOOK_S:
+            self._looked_at = now
+            self._vms_by_service = self._look()
+        if service is None:
+            return sorted(set().union(*self._vms_by_service.values()))
+        return sorted(self._vms_by_service.get(service, ()))
+
+    def _look(self):
+        """Return the VMs that need notices, as vms_by_service."""
+        lives_by_vm = self._news.lives_by_vm
+        current = self._configuration.current
+        routes = current.routes if current else ()
+        gathered = {homes.service_of(one) for one in routes if one.is_batch}
+        pairs = {(name, self._homes.find(name)) for name in gathered}
+        pairs |= {
+            (claimed.owner.service, claimed.owner.vm_id)
+            for claimed in self._owners.claimed_by_id.values()
+            if lives_by_vm.get(claimed.owner.vm_id) == claimed.owner.life
+        }
+        vms_by_service = {}
+        for name, vm_id in pairs:
+            for service in homes.services_in(name) if vm_id else ():
+                vms_by_service.setdefault(service, set()).add(vm_id)
+        return vms_by_service
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -6,11 +6,13 @@
 from anvilwell_gateway.batches import handing
 from anvilwell_gateway.batches import holder as holders
 from anvilwell_gateway.batches import intake as intakes
+from anvilwell_gateway.batches import needing
 from anvilwell_gateway.batches import owners
 from anvilwell_gateway.batches import passing
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import retention
 from anvilwell_gateway.batches import runner as runners
+from anvilwell_gateway import notices
 from anvilwell_kernel import exceptions
 
 # Poll of what must be known before batches are taken over, in seconds.
@@ -46,6 +48,11 @@
         )
         self._owners = owners.Owners(fleet.store)
         fleet.follow(self._owners)
+        self.notices = notices.Listener(
+            fleet.directory,
+            self.holder.needs_by_model,
+            needing.Needing(fleet.news, self._owners, fleet.configuration),
+        )
         self._hander = handing.Hander(fleet.vm_id, fleet.news)
         self._intake = intakes.Intake(
             batch_store,
@@ -76,6 +83,7 @@
         batches = cls(platform, fleet, live_calls, pool)
         peering.handle(handing.TARGET, batches.take)
         peering.handle(passing.TARGET, batches.answer_peer)
+        peering.handle(notices.TARGET, batches.notices.answer)
         return batches
 
     def start(self):
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -10,7 +10,6 @@
 from anvilwell_gateway.http import listening
 from anvilwell_gateway import live_calls as live
 from anvilwell_gateway import metrics_page
-from anvilwell_gateway import notices
 from anvilwell_gateway import peering as peerings
 from anvilwell_gateway import standing_in
 from anvilwell_kernel.telemetry import logs
@@ -66,7 +65,6 @@
             platform.engine_at,
             self._batches.holder.needs_by_model,
         )
-        self.peering.handle(notices.TARGET, self._take_notice)
         self._metrics = metrics_page.MetricsPage(
             settings.metrics, self._beliefs
         )
@@ -175,12 +173,6 @@
         await self.fleet.close()
         self._pool.close()
 
-    async def _take_notice(self, request, responder):
-        """Take what an agent tells; answer what batches need."""
-        self.fleet.directory.note(notices.read(request.body))
-        needs_by_model = self._batches.holder.needs_by_model()
-        await responder.send(200, (), notices.write_needs(needs_by_model))
-
     def _beliefs(self):
         """Return each `measures.Belief` as of now."""
         return [
--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -141,14 +141,14 @@
                     reasons.Refusal.ANSWER_CUT,
                 ) from error
 
-    def end_cycle(self, reply, now):
+    def end_cycle(self, reply, now, default_keep_s=DEFAULT_KEEP_S):
         """Get ready for another request; return whether it may come."""
         conn = self._conn
         is_done = conn.our_state is h11.DONE and conn.their_state is h11.DONE
         if not is_done or conn.trailing_data[0]:
             return False
         conn.start_next_cycle()
-        keep_s = _keep_s(reply) - KEEP_MARGIN_S
+        keep_s = _keep_s(reply, default_keep_s) - KEEP_MARGIN_S
         self.keep_until = now + keep_s
         return keep_s > 0
 
@@ -178,14 +178,14 @@
         self._writer.transport.abort()
 
 
-def _keep_s(reply):
+def _keep_s(reply, default_s):
     """Return how long the peer keeps the connection when idle."""
     stated = messages.find(reply.headers, "keep-alive")
     pairs = (part.strip().partition("=") for part in stated.split(","))
     values = [value for name, _, value in pairs if name == "timeout"]
     if values and values[0].isdecimal():
         return float(values[0])
-    return DEFAULT_KEEP_S
+    return default_s
 
 
 class Pool:
@@ -201,11 +201,15 @@
     is_probed : bool
         Whether peers are probed while they are silent. Those that may
         stand still and then go on with a request must not be.
+    keep_s : float
+        How long peers that do not say so keep an idle connection, in
+        seconds.
     """
 
-    def __init__(self, clock, is_probed=False):
+    def __init__(self, clock, is_probed=False, keep_s=DEFAULT_KEEP_S):
         self._clock = clock
         self._is_probed = is_probed
+        self._keep_s = keep_s
         self._idle_by_key = collections.defaultdict(collections.deque)
 
     async def take(self, key, address, timeout_s=CONNECT_TIMEOUT_S):
@@ -257,7 +261,7 @@
     def give(self, key, connection, reply):
         """Keep `connection` for another request if its peer will."""
         idle = self._idle_by_key[key]
-        may_follow = connection.end_cycle(reply, self._clock())
+        may_follow = connection.end_cycle(reply, self._clock(), self._keep_s)
         if not may_follow or len(idle) >= MAX_IDLE_PER_PEER:
             connection.close()
             return
--- a/packages/gateway/anvilwell_gateway/neighbours.py
+++ b/packages/gateway/anvilwell_gateway/neighbours.py
@@ -207,6 +207,14 @@
         candidates = self._candidates(failure_domain)
         return choice.chosen(_DUTY, candidates) == self._vm_id
 
+    def ranked(self):
+        """Return all entries, those that tell this VM's domain first.
+
+        The first one is asked for changes, the next ones would be.
+        """
+        near = choice.ranked(_DUTY, self._candidates(self._failure_domain))
+        return [*near, *sorted(set(self._entries_by_vm).difference(near))]
+
     def _kept(self, vm_id, address):
         """Return the `Neighbour` that is known, or a new one."""
         known = self._neighbours_by_vm.get(vm_id)
--- a/packages/gateway/anvilwell_gateway/notices.py
+++ b/packages/gateway/anvilwell_gateway/notices.py
@@ -3,7 +3,8 @@
 An entry learns a new version from the registrations within two seconds,
 and that an engine loads, only from its refusals: these were a third to a
 half of all items sent. Notices take a millisecond, and cost no call to
-the key-value service.
+the key-value service. They go to the entries that run batches; see
+``audience``.
 """
 
 import asyncio
@@ -12,10 +13,12 @@
 import cbor2
 import pydantic
 
+from anvilwell_decisions.duties import audience
 from anvilwell_decisions.traffic import facts
 from anvilwell_gateway import bodies
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
+from anvilwell_gateway.http import server
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -44,8 +47,20 @@
     started_ms: int = 0
 
 
+class Answer(typing.NamedTuple):
+    """What an entry answers to a notice.
+
+    ``needs_by_model`` has the oldest version that the newest batch of a
+    model may be made under, of its own batches. ``entries`` are the VMs
+    that need notices of the same service.
+    """
+
+    needs_by_model: dict[str, int]
+    entries: tuple[str, ...] = ()
+
+
 _NOTICE = pydantic.TypeAdapter(Notice)
-_NEEDS = pydantic.TypeAdapter(dict[str, int])
+_ANSWER = pydantic.TypeAdapter(Answer)
 
 
 def read(body):
@@ -59,24 +74,54 @@
     return bodies.read(_NOTICE, body, "notice")
 
 
-def write_needs(needs_by_model):
-    """Return the answer to a notice."""
-    return cbor2.dumps(needs_by_model)
+class Listener:
+    """Takes notices.
+
+    Parameters
+    ----------
+    directory : directory.Directory
+        Told of each.
+    needs_by_model : callable
+        Returns what this entry's newest batches need.
+    needing : needing.Needing
+        Which entries need notices.
+    """
+
+    def __init__(self, directory, needs_by_model, needing):
+        self._directory = directory
+        self._needs_by_model = needs_by_model
+        self._needing = needing
+
+    async def answer(self, request, responder):
+        """Answer an agent's request."""
+        notice = read(request.body)
+        self._directory.note(notice)
+        service = self._directory.service_at(notice.address)
+        entries = tuple(self._needing.find(service))
+        answer = Answer(self._needs_by_model(), entries)
+        await responder.send(200, (), cbor2.dumps(answer))
 
 
 class Teller:
-    """Sends notices to all entries that are known."""
+    """Sends notices to the entries that need them."""
 
     def __init__(self):
-        self._pool = client.Pool(asyncio.get_running_loop().time, True)
+        # The next notice comes some seconds later, with the next version.
+        self._pool = client.Pool(
+            asyncio.get_running_loop().time,
+            is_probed=True,
+            keep_s=server.FIRST_LIMITS.idle_timeout_s,
+        )
+        self._audience = audience.Audience()
         self._addresses_by_vm = {}
 
-    def set_entries(self, addresses_by_vm):
-        """Take in where the entries are."""
+    def set_entries(self, addresses_by_vm, ranked):
+        """Take in where the entries are, and whom to ask first."""
         self._addresses_by_vm = addresses_by_vm
+        self._audience.set_entries(ranked)
 
     async def tell(self, notice):
-        """Tell all entries; return what their newest batches need.
+        """Tell those that need it; return what their newest batches need.
 
         Returns
         -------
@@ -84,21 +129,38 @@
             The oldest version that the newest batch of a model may be
             made under, by model; of the entries that answered.
         """
-        body = cbor2.dumps(notice)
-        answers = await asyncio.gather(
+        telling = self._audience.begin()
+        needs_by_model = {}
+        await self._tell_each(
+            telling.first(), telling, cbor2.dumps(notice), needs_by_model
+        )
+        return needs_by_model
+
+    async def _tell_each(self, vm_ids, telling, body, needs_by_model):
+        """Tell these and whomever they name; note what batches need."""
+        await asyncio.gather(
             *(
-                self._tell(vm_id, address, body)
-                for vm_id, address in self._addresses_by_vm.items()
+                self._tell(vm_id, telling, body, needs_by_model)
+                for vm_id in vm_ids
             )
         )
-        needs_by_model = {}
-        for answer in answers:
-            for model, version in answer.items():
+
+    async def _tell(self, vm_id, telling, body, needs_by_model):
+        answer = await self._ask(vm_id, body)
+        if answer is None:
+            others = telling.failed(vm_id)
+        else:
+            others = telling.answered(vm_id, answer.entries)
+            for model, version in answer.needs_by_model.items():
                 known = needs_by_model.get(model, 0)
                 needs_by_model[model] = max(known, version)
-        return needs_by_model
+        await self._tell_each(others, telling, body, needs_by_model)
 
-    async def _tell(self, vm_id, address, body):
+    async def _ask(self, vm_id, body):
+        """Return an entry's `Answer`, or None."""
+        address = self._addresses_by_vm.get(vm_id)
+        if address is None:
+            return None
         question = messages.Request(
             "POST", TARGET, (("Host", str(address)),), body
         )
@@ -107,12 +169,12 @@
                 vm_id, address, question, TIMEOUT_S, MAX_ANSWER_BYTES
             )
             if reply.status == 200:
-                return _NEEDS.validate_python(cbor2.loads(answer))
+                return _ANSWER.validate_python(cbor2.loads(answer))
             cause = f"status {reply.status}"
         except _UNANSWERED as error:
             cause = repr(error)
         _LOG.routine("entry-not-told", entry=vm_id, cause=cause)
-        return {}
+        return None
 
     def close(self):
         """Close the connections."""
