--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -251,16 +251,22 @@
         return self._addresses_known
 
     async def _move(self, model):
-        """Order until the engine has the version wanted now, or skip it."""
-        wait_s = await self._wait_s(model)
-        if wait_s is None:
-            return
-        await asyncio.sleep(wait_s)
-        report = await self._mover.move(
-            model, lambda: True, lambda ordered: self._ordered(model, ordered)
-        )
-        self._loading.discard(model)
-        await self._teller.tell(self._notice(report))
+        """Order until each version wanted is there or skipped."""
+        settled = 0
+        while settled < self._versions.wanted_by_model[model]:
+            settled = self._versions.wanted_by_model[model]
+            wait_s = await self._wait_s(model)
+            if wait_s is None:
+                continue
+            await asyncio.sleep(wait_s)
+            report = await self._mover.move(
+                model,
+                lambda: True,
+                lambda ordered: self._ordered(model, ordered),
+            )
+            settled = report.version_by_model.get(model, settled)
+            self._loading.discard(model)
+            await self._teller.tell(self._notice(report))
 
     def _ordered(self, model, report):
         """Tell that the engine loads, from what it said before."""
--- a/packages/gateway/anvilwell_gateway/moving.py
+++ b/packages/gateway/anvilwell_gateway/moving.py
@@ -14,7 +14,10 @@
 
 
 class Mover:
-    """Orders until an engine has what is wanted.
+    """Orders until an engine has what was wanted when that began.
+
+    A newer version may be the turn of others: the items of its step need
+    an engine that isn't loading.
 
     Parameters
     ----------
@@ -38,7 +41,9 @@
         self._versions = versions
 
     async def move(self, model, may_go_on, on_ordered):
-        """Order until the engine has the version wanted of `model`.
+        """Order until the engine has the version wanted now of `model`.
+
+        What is ordered is the newest one all the same.
 
         Parameters
         ----------
@@ -55,11 +60,12 @@
             What shows that the version is there; None if it was another
             VM's turn before that.
         """
+        least = self._versions.wanted_by_model[model]
         while may_go_on():
             wanted = self._versions.wanted_by_model[model]
             try:
                 report = await self._engine.report()
-                if report.version_by_model.get(model, wanted) >= wanted:
+                if report.version_by_model.get(model, least) >= least:
                     return report
                 if not report.is_busy:
                     await self._order(report, model, wanted, on_ordered)
