--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -39,6 +39,9 @@
         self.committer = None
         self.saver = None
         self.has_ready = asyncio.Event()
+        self.to_save = asyncio.Event()
+        # A save has failed or is under way.
+        self.is_unsaved = False
         self._listed = asyncio.Event()
 
     @property
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -112,6 +112,12 @@
         self._scheduler.schedule()
         self._scorer.schedule()
 
+    def save_soon(self):
+        """Save what could not be, as the store answers again."""
+        for held in self.held_by_id.values():
+            if held.is_unsaved:
+                held.to_save.set()
+
     def end(self, batch_id):
         """Stop a batch that its trainer has ended."""
         held = self.held_by_id.get(batch_id)
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -266,7 +266,7 @@
         try:
             owner = self._owners.claimed_by_id[batch_id].owner
             rank = self._rank(batch_id, owner, self._news.lives_by_vm)
-            await asyncio.sleep(RANK_DELAY_S * rank)
+            await asyncio.sleep(self._grace_s(owner) + RANK_DELAY_S * rank)
             while self._may_be_orphan(batch_id):
                 try:
                     if await self._take(batch_id):
@@ -281,6 +281,16 @@
         finally:
             self._taking.discard(batch_id)
 
+    def _grace_s(self, owner):
+        """Return how long an owner that isn't registered is waited for.
+
+        It has in memory what it could not write while the store was away.
+        """
+        if owner.vm_id == self._presence.vm_id:
+            return 0.0
+        is_replaced = owner.vm_id in self._news.lives_by_vm
+        return 0.0 if is_replaced else self._presence.grace_s()
+
     def _is_orphan(self, batch_id, owner, lives_by_vm):
         if batch_id in self._news.ended or batch_id in self._accepting:
             return False
--- a/packages/gateway/anvilwell_gateway/batches/saving.py
+++ b/packages/gateway/anvilwell_gateway/batches/saving.py
@@ -1,6 +1,7 @@
 """Saves texts under way, so that an owner's death costs little."""
 
 import asyncio
+import contextlib
 
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
@@ -35,8 +36,12 @@
 
     async def run(self):
         """Save until nothing of the batch runs any more."""
+        held = self._held
         while not self._is_settled:
-            await asyncio.sleep(SAVE_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SAVE_S):
+                    await held.to_save.wait()
+            held.to_save.clear()
             await self._save()
 
     @property
@@ -51,6 +56,7 @@
         )
         if self._is_settled or size == self._saved_size:
             return
+        self._held.is_unsaved = True
         try:
             await self._store.save(
                 self._held.batch_id, [progress.save() for progress in texts]
@@ -62,4 +68,5 @@
                 cause=error.message,
             )
             return
+        self._held.is_unsaved = False
         self._saved_size = size
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -46,6 +46,7 @@
             platform.dialect,
             live_calls.crashes,
         )
+        fleet.store.listen_regained(self.holder.save_soon)
         self._owners = owners.Owners(fleet.store)
         fleet.follow(self._owners)
         self.notices = notices.Listener(
--- a/packages/gateway/anvilwell_gateway/fleet.py
+++ b/packages/gateway/anvilwell_gateway/fleet.py
@@ -39,6 +39,7 @@
             daemon.failure_domain,
             daemon.cores * daemon.core_share,
         )
+        self.store.listen_regained(self.presence.renew_soon)
         self.paths = platform.paths
         self.neighbours = neighbours.Neighbours(
             daemon.vm_id, daemon.failure_domain, self.presence.is_answered
--- a/packages/gateway/anvilwell_gateway/paths.py
+++ b/packages/gateway/anvilwell_gateway/paths.py
@@ -183,9 +183,10 @@
         self._probing = None
 
     def listen(self, callback):
-        """Call `callback` when another path is taken than before.
+        """Call ``callback(is_answered)`` when another path is taken.
 
-        What waits on the path before may wait in vain.
+        What waits on the path before may wait in vain. It is answered if
+        an answer by the new path is the cause.
         """
         self._listeners.append(callback)
 
@@ -244,15 +245,15 @@
 
     def _answered(self, name):
         if self._choice.answered(name):
-            self._changed("the direct path works again")
+            self._changed("the direct path works again", True)
 
-    def _changed(self, cause):
+    def _changed(self, cause, is_answered=False):
         path = self._choice.current
         _LOG.log("path-changed", path=path or "direct", cause=cause)
         if path and (self._probing is None or self._probing.done()):
             self._probing = asyncio.create_task(self._probe())
         for callback in self._listeners:
-            callback()
+            callback(is_answered)
 
     async def _probe(self):
         """Look for the direct path until it works again."""
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -29,6 +29,11 @@
 ANSWERED_S = VOUCH_S - RENEW_S
 
 _LOG = logs.get_logger(__name__)
+# After an outage so long the leases of those that live may have lapsed.
+OUTAGE_S = TTL_S - RENEW_S
+# Processes are back in touch within so long of each other, in seconds: a
+# call that hangs takes up to a second, a look at the direct path as well.
+RETURN_S = 1.0
 
 
 class Presence:
@@ -56,6 +61,9 @@
         self._granted_at = 0.0
         self._session = sessions.Session(TTL_S)
         self._answered_at = float("-inf")
+        # Whether the store has answered at all, and when after an outage.
+        self._is_known = False
+        self._back_at = float("-inf")
         self._rewrite = asyncio.Event()
         self._peers = ""
         self.vm_id = vm_id
@@ -114,6 +122,24 @@
             measures.Belief("store_in_touch", self.is_in_touch()),
         ]
 
+    def renew_soon(self):
+        """Renew now if that is overdue, as the store answers again."""
+        if self.answer_age_s() > RENEW_S:
+            self._rewrite.set()
+
+    def grace_s(self):
+        """Return for how long others may still be cut off, in seconds.
+
+        After an outage that let leases lapse each process registers again
+        once the store answers it. Until then it looks like a dead one.
+        """
+        if not self._is_known:
+            return 0.0
+        if self.answer_age_s() >= OUTAGE_S:
+            return RETURN_S
+        now = asyncio.get_running_loop().time()
+        return max(0.0, self._back_at + RETURN_S - now)
+
     def key_lost(self):
         """Note that the live key is gone; it is written again."""
         self._lease = self._session.lease = 0
@@ -126,7 +152,7 @@
             wait_s = RENEW_S
             try:
                 await self._renew()
-                self._answered_at = asyncio.get_running_loop().time()
+                self._note_answer(asyncio.get_running_loop().time())
             except exceptions.AnvilwellError as error:
                 wait_s = RETRY_S
                 _LOG.log("lease-not-renewed", cause=error.message)
@@ -139,6 +165,12 @@
             except TimeoutError:
                 pass
 
+    def _note_answer(self, now):
+        if self._is_known and now - self._answered_at >= OUTAGE_S:
+            self._back_at = now
+        self._is_known = True
+        self._answered_at = now
+
     async def _renew(self):
         clock = asyncio.get_running_loop().time
         sent_at = clock()
--- a/packages/gateway/anvilwell_gateway/store.py
+++ b/packages/gateway/anvilwell_gateway/store.py
@@ -8,6 +8,10 @@
 from anvilwell_kernel.telemetry import logs
 from anvilwell_kernel import verdict as verdicts
 
+# A call that has waited for longer when the store answers another one after
+# an outage was lost with it. Many times the usual answer, and few of what
+# a call may take, in seconds.
+HUNG_S = 0.1
 # Wait between repeats of a write whose answer was lost, in seconds.
 # Many times the service's usual answer (4 ms), few of them in the two
 # seconds that a caller waits.
@@ -27,16 +31,18 @@
     """The service has forgotten the changes asked for; read anew."""
 
 
-class AsyncStore(abc.ABC):
-    """Linearizable store; the types are those of ``ports.keyvalue``.
+class AnswersAgain(exceptions.KeyValueUnavailable):
+    """A call hung until the store answered another one: repeat it now."""
 
-    Every method raises ``exceptions.KeyValueUnavailable``; its verdict
-    is ``NOT_RUN`` only if nothing was done.
-    """
+
+class Outages:
+    """Notes when the store answers again after it did not."""
 
     def __init__(self):
         self._regained_listeners = []
         self._is_suspect = False
+        self._began_by_call = {}
+        self._given_up = set()
 
     def listen_regained(self, callback):
         """Call `callback` when a call succeeds after one has failed.
@@ -56,6 +62,41 @@
             loop = asyncio.get_running_loop()
             for callback in self._regained_listeners:
                 loop.call_soon(callback)
+            self._give_up_hung(loop.time())
+
+    def _give_up_hung(self, now):
+        for call, began_at in self._began_by_call.items():
+            if now - began_at >= HUNG_S and call.cancel():
+                self._given_up.add(call)
+
+    async def unless_hung(self, call):
+        """Await `call`, a coroutine, as long as there is hope for it.
+
+        Raises
+        ------
+        AnswersAgain
+            If it hung while the store gave no answer, which it does now.
+        """
+        task = asyncio.create_task(call)
+        self._began_by_call[task] = asyncio.get_running_loop().time()
+        try:
+            return await task
+        except asyncio.CancelledError:
+            is_ours = task in self._given_up
+            if not is_ours or asyncio.current_task().cancelling():
+                raise
+            raise AnswersAgain("the store answers again") from None
+        finally:
+            del self._began_by_call[task]
+            self._given_up.discard(task)
+
+
+class AsyncStore(Outages, abc.ABC):
+    """Linearizable store; the types are those of ``ports.keyvalue``.
+
+    Every method raises ``exceptions.KeyValueUnavailable``; its verdict
+    is ``NOT_RUN`` only if nothing was done.
+    """
 
     @abc.abstractmethod
     async def ping(self):
@@ -150,4 +191,6 @@
             if loop.time() + REPEAT_S >= started_at + limit_s:
                 raise may_land or error from None
             _LOG.log("write-repeated", key=swaps[0].key, cause=error.message)
-        await asyncio.sleep(REPEAT_S)
+            answers = isinstance(error, AnswersAgain)
+        if not answers:
+            await asyncio.sleep(REPEAT_S)
--- /dev/null
+++ b/packages/gateway/tests/batches/test_saving.py
@@ -0,0 +1,61 @@
+"""Texts that could not be saved are saved once the store answers."""
+
+import asyncio
+import types
+
+from anvilwell_decisions.batches import progress
+from anvilwell_gateway.batches import holder as holders
+from anvilwell_gateway.batches import saving
+from anvilwell_kernel import exceptions
+
+
+class _Store:
+    def __init__(self):
+        self.is_away = True
+        self.saved_at = []
+
+    async def save(self, batch_id, saved):
+        if self.is_away:
+            raise exceptions.KeyValueUnavailable("away")
+        self.saved_at.append(asyncio.get_running_loop().time())
+
+
+def _held():
+    text = progress.Progress("i1")
+    text.events = ["a"] * saving.LEAST_EVENTS
+    return types.SimpleNamespace(
+        batch_id="b1",
+        book=types.SimpleNamespace(is_settled=False),
+        texts=lambda least: [text],
+        to_save=asyncio.Event(),
+        is_unsaved=False,
+    )
+
+
+def test_a_save_that_failed_is_made_as_the_store_answers(run_virtual):
+    store = _Store()
+
+    async def scenario():
+        held = _held()
+        saver = asyncio.create_task(saving.Saver(store, held).run())
+        # The first try fails, and the next is due at twice the interval.
+        await asyncio.sleep(saving.SAVE_S + 0.1)
+        store.is_away = False
+        held_by_id = {"b1": held}
+        holders.Holder.save_soon(types.SimpleNamespace(held_by_id=held_by_id))
+        await asyncio.sleep(0.01)
+        saver.cancel()
+        return held.is_unsaved
+
+    assert run_virtual(scenario()) is False
+    assert store.saved_at == [saving.SAVE_S + 0.1]
+
+
+def test_what_was_saved_is_not_saved_again_for_that(run_virtual):
+    async def scenario():
+        held = _held()
+        held_by_id = {"b1": held}
+        holders.Holder.save_soon(types.SimpleNamespace(held_by_id=held_by_id))
+        return held.to_save.is_set()
+
+    assert run_virtual(scenario()) is False
--- /dev/null
+++ b/packages/gateway/tests/test_outages.py
@@ -0,0 +1,123 @@
+"""What is done the moment the store answers again."""
+
+import asyncio
+
+from anvilwell_gateway import presence as presences
+from anvilwell_gateway import store as stores
+from anvilwell_outside.ports import keyvalue
+import pytest
+
+SWAPS = [keyvalue.Swap("k", 0, b"v")]
+
+
+class _Store(stores.Outages):
+    """Gives no answer until it is ``back``; calls before that hang."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_silent = False
+        self.calls = []
+
+    def back(self):
+        self.is_silent = False
+        self.note_success()
+
+    async def _call(self, name, answer):
+        loop = asyncio.get_running_loop()
+        self.calls.append((name, loop.time()))
+        if self.is_silent:
+            self.note_failure()
+            await self.unless_hung(asyncio.Event().wait())
+        return answer
+
+    async def swap(self, swaps):
+        return await self._call("swap", keyvalue.SwapResult(True, 1, {}))
+
+    async def grant(self, ttl_s):
+        return await self._call("grant", 7)
+
+    async def get(self, key):
+        return await self._call("get", None)
+
+    async def keep_alive(self, lease):
+        return await self._call("keep", True)
+
+
+def test_a_write_that_hangs_is_repeated_as_the_store_answers(run_virtual):
+    store = _Store()
+    store.is_silent = True
+
+    async def scenario():
+        asyncio.get_running_loop().call_later(0.3, store.back)
+        await stores.swap_until_known(store, SWAPS, 5.0)
+
+    run_virtual(scenario())
+    assert store.calls == [("swap", 0.0), ("swap", 0.3)]
+
+
+def test_a_call_that_was_just_sent_is_not_repeated(run_virtual):
+    store = _Store()
+
+    async def scenario():
+        store.note_failure()
+        sent = asyncio.create_task(
+            store.unless_hung(asyncio.sleep(stores.HUNG_S, "answer"))
+        )
+        await asyncio.sleep(stores.HUNG_S / 2)
+        store.note_success()
+        return await sent
+
+    assert run_virtual(scenario()) == "answer"
+
+
+def test_whoever_stops_waiting_is_not_told_to_repeat(run_virtual):
+    store = _Store()
+    store.is_silent = True
+
+    async def scenario():
+        writing = asyncio.create_task(
+            stores.swap_until_known(store, SWAPS, 5.0)
+        )
+        await asyncio.sleep(1.0)
+        store.back()
+        writing.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await writing
+
+    run_virtual(scenario())
+    assert len(store.calls) == 1
+
+
+def test_owners_get_time_to_register_again_after_an_outage(run_virtual):
+    """All leases had lapsed as a store came back after six seconds.
+
+    One entry was quicker than the owner of all batches, and what that had
+    in memory was lost.
+    """
+    store = _Store()
+
+    async def scenario():
+        presence = presences.Presence(store, "vm")
+        store.listen_regained(presence.renew_soon)
+        loop = asyncio.get_running_loop()
+        graces = [presence.grace_s()]
+        presence.start("a:1")
+        await asyncio.sleep(1.0)
+        graces.append(presence.grace_s())
+        store.is_silent = True
+        await asyncio.sleep(6.0)
+        graces.append(presence.grace_s())
+        back_at = loop.time()
+        store.back()
+        await asyncio.sleep(0.01)
+        assert store.calls[-1] == ("keep", back_at)
+        graces.append(presence.grace_s())
+        await asyncio.sleep(presences.RETURN_S)
+        graces.append(presence.grace_s())
+        presence._task.cancel()
+        return graces
+
+    never, before, silent, back, after = run_virtual(scenario())
+    assert (never, before, after) == (0.0, 0.0, 0.0)
+    assert silent == presences.RETURN_S
+    assert back == pytest.approx(presences.RETURN_S, abs=0.02)
