--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -30,7 +30,8 @@
             submission, route.max_replicas, route.one_version
         )
         self.chunks = 0
-        self.sequence = 0
+        # Sorts batches: the one submitted first goes first.
+        self.sequence = (0.0, 0)
         self.service = ""
         self.tasks_by_item = {}
         self.runs_by_item = {}
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -93,7 +93,7 @@
     def open(self, held):
         """Begin to run a batch that is ours."""
         self._sequence += 1
-        held.sequence = self._sequence
+        held.sequence = (held.claimed.owner.submitted_at, self._sequence)
         self.held_by_id[held.batch_id] = held
         committer = committing.Committer(self._store, held, self._taken)
         held.committer = asyncio.create_task(committer.run())
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -27,6 +27,11 @@
 RESOLVE_TIMEOUT_S = 30.0
 # Candidates for a dead owner's batch try one after another.
 RANK_DELAY_S = 0.4
+# A batch that is taken over opens after the older ones that are being taken
+# over here too, but waits no longer than this, in seconds. The one that is
+# opened first gets the places of a trainer's earlier step, which has more to
+# read from the store and ends sooner.
+OLDER_FIRST_S = 0.3
 
 _LOG = logs.get_logger(__name__)
 
@@ -67,6 +72,7 @@
         self._accepting = set()
         self._reviews = set()
         self._taking = set()
+        self._opening = {}
         self._may_take = False
         self.is_draining = False
         news.listen(self._heard)
@@ -332,15 +338,32 @@
         except records.Taken:
             return True
         _LOG.log("batch-taken-over", batch_id=batch_id, owner=owner.vm_id)
-        raw = await self._store.raw(batch_id, owner.parts)
+        opened = asyncio.get_running_loop().create_future()
+        self._opening[opened] = owner.submitted_at
+        try:
+            await self._adopt(batch_id, claimed)
+        finally:
+            del self._opening[opened]
+            opened.set_result(None)
+        return True
+
+    async def _adopt(self, batch_id, claimed):
+        """Open a batch of an earlier owner with what that left."""
+        raw = await self._store.raw(batch_id, claimed.owner.parts)
         results, chunks = await self._store.results(batch_id)
         saved = await self._store.saved(batch_id)
         submission, route = self._read(raw)
         if route is None:
             _LOG.log("batch-without-route", batch_id=batch_id)
-        else:
-            self._open(route, submission, claimed, (results, chunks, saved))
-        return True
+            return
+        older = [
+            opened
+            for opened, submitted_at in self._opening.items()
+            if submitted_at < claimed.owner.submitted_at
+        ]
+        if older:
+            await asyncio.wait(older, timeout=OLDER_FIRST_S)
+        self._open(route, submission, claimed, (results, chunks, saved))
 
     def _submission(self, request):
         """Return the `facts.Submission` in a caller's request."""
--- a/packages/gateway/tests/batches/test_holder.py
+++ b/packages/gateway/tests/batches/test_holder.py
@@ -148,3 +148,25 @@
         assert len(directory.looked_at) == 2
 
     _run(scenario)
+
+
+def test_the_batch_that_was_submitted_first_goes_first():
+    """After a loss of all a trainer's later step was opened first.
+
+    It took every place, and the earlier one, which lacked a few long
+    items, was refused for 1.2 s.
+    """
+
+    async def scenario(holder, directory, runner):
+        earlier = OWNER._replace(submitted_at=OWNER.submitted_at - 4.0)
+        later, first = _held("b2"), _held("b1")
+        first.claimed = records.Claimed(earlier, 1)
+        directory.replicas = []
+        holder.open(later)
+        holder.open(first)
+        directory.replicas = [REPLICA]
+        directory.changed(CAME_OR_WENT)
+        await _until(lambda: len(runner.asked) == 2)
+        assert {item_id for item_id, _ in runner.asked} == {"b1-0", "b1-1"}
+
+    _run(scenario)
