--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -134,6 +134,14 @@
             for replica in replicas
         }
 
+    def change(self, replica_id, replica):
+        """Take what one replica is now, None if it may not be used."""
+        worker = self._workers_by_id.get(replica_id)
+        if replica is None:
+            self._workers_by_id.pop(replica_id, None)
+        else:
+            self._workers_by_id[replica_id] = self._renewed(worker, replica)
+
     @staticmethod
     def _renewed(worker, replica):
         if worker is None:
--- a/packages/decisions/tests/batches/test_dispatch.py
+++ b/packages/decisions/tests/batches/test_dispatch.py
@@ -2,6 +2,8 @@
 
 from anvilwell_decisions.batches import dispatch as dispatches
 from anvilwell_decisions.traffic import facts
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 NOW = 100.0
@@ -162,3 +164,21 @@
 
     dispatch.set_replicas([replica._replace(loading=("n",))])
     assert dispatch.choose(_work(), NOW) == "r0"
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.sampled_from("abc"), st.sampled_from([None, 1, 2, 4]))
+    )
+)
+def test_changes_of_single_replicas_lead_to_what_all_at_once_do(changes):
+    dispatch, whole = dispatches.Dispatch(), dispatches.Dispatch()
+    replicas_by_id = {}
+    for replica_id, slots in changes:
+        replica = slots and facts.Replica(replica_id, "lm", None, "z", slots)
+        replicas_by_id[replica_id] = replica
+        dispatch.change(replica_id, replica)
+        whole.set_replicas(r for r in replicas_by_id.values() if r)
+        for one in "abc":
+            worker, other = dispatch.worker(one), whole.worker(one)
+            assert (worker and worker.replica) == (other and other.replica)
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -74,6 +74,8 @@
         self._dispatch = dispatches.Dispatch()
         # Services that batches held here have had items for.
         self._services = set()
+        # Replicas that changed since they were all looked at.
+        self._changed_ids = set()
         self._is_behind = True
         self._alarm = alarms.Alarm(self.schedule)
         directory.listen(self._replicas_changed)
@@ -85,7 +87,7 @@
 
     def _replicas_changed(self, changed):
         """Look at once for what came or went, soon for a notice."""
-        self._is_behind = True
+        self._changed_ids |= changed.replica_ids
         if changed.is_membership:
             self.schedule()
         else:
@@ -106,9 +108,19 @@
         )
         has_runs = any(h.runs_by_item for h in self._held_by_id.values())
         if not waiting and not has_runs:
+            self._is_behind = True
+            self._changed_ids.clear()
             return
         # What runs has waited before.
-        services = {work.service for work in waiting}
+        self._learn_replicas({work.service for work in waiting})
+        self._move(now)
+        for work in waiting:
+            self._start(work, now)
+        self._alarm.later(RETRY_S)
+
+    def _learn_replicas(self, services):
+        """Take in the replicas that changed, all of another service."""
+        changed_ids, self._changed_ids = self._changed_ids, set()
         if self._is_behind or services - self._services:
             self._is_behind = False
             self._services |= services
@@ -117,10 +129,11 @@
                 for service in self._services
                 for replica in self._directory.usable(service)
             )
-        self._move(now)
-        for work in waiting:
-            self._start(work, now)
-        self._alarm.later(RETRY_S)
+            return
+        for replica_id in changed_ids:
+            replica = self._directory.find_usable(replica_id)
+            is_ours = replica is not None and replica.service in self._services
+            self._dispatch.change(replica_id, replica if is_ours else None)
 
     def _move(self, now):
         """Stop runs that should go on at a faster replica."""
--- a/packages/gateway/tests/batches/test_holder.py
+++ b/packages/gateway/tests/batches/test_holder.py
@@ -32,6 +32,11 @@
         self.looked_at.append(service)
         return [one for one in self.replicas if one.service == service]
 
+    def find_usable(self, replica_id):
+        found = [r for r in self.replicas if r.replica_id == replica_id]
+        self.looked_at += [replica.service for replica in found[:1]]
+        return found[0] if found else None
+
 
 class _Runner:
     def __init__(self):
