--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -9,7 +9,7 @@
 from anvilwell_decisions.batches import loading
 from anvilwell_decisions.traffic import facts
 from anvilwell_gateway import claims
-from anvilwell_gateway import directory
+from anvilwell_gateway import listing
 from anvilwell_gateway import measures
 from anvilwell_gateway import metrics_page
 from anvilwell_gateway import moving
@@ -48,13 +48,10 @@
 
     def __init__(self, settings, platform):
         self._vm_id = settings.daemon.vm_id
-        self._clock = asyncio.get_running_loop().time
         self._backend = settings.agent.backend
-        self._service = settings.agent.service
         self._engine = platform.engine_at(settings.agent.backend)
         self._store = platform.store
         self._paths = platform.paths
-        self._codec = platform.codec
         self._versions = versions.Versions(platform.store, platform.codec)
         self._peers = news.Peers(platform.store, self._entries_changed)
         self._mover = moving.Mover(
@@ -84,9 +81,9 @@
         self._lags_by_model = {}
         # The models that other engines keep.
         self._left_out = set()
-        self._addresses_known = ()
-        self._addresses_at = float("-inf")
-        self._unreadable = set()
+        self._listing = listing.Listing(
+            platform.store, platform.codec, settings.agent.service
+        )
 
     async def start(self):
         """Begin to follow and order."""
@@ -197,8 +194,8 @@
             await asyncio.sleep(KEEPERS_S)
             if not self._left_out:
                 continue
-            addresses = self._addresses_known
-            if self._clock() - self._addresses_at > KEEPERS_S:
+            addresses = self._listing.addresses
+            if self._listing.age_s > KEEPERS_S:
                 addresses = await self._addresses()
             if addresses:
                 kept = {
@@ -229,26 +226,7 @@
 
     async def _addresses(self):
         """Return the addresses of all engines of the service."""
-        try:
-            snapshot = await self._store.get_prefix(
-                self._codec.replicas_prefix, may_be_stale=True
-            )
-        except exceptions.AnvilwellError as error:
-            _LOG.log("replicas-not-read", cause=error.message)
-            return []
-        replicas = [
-            directory.read(
-                self._codec, entry.key, entry.value, self._unreadable
-            )
-            for entry in snapshot.entries_by_key.values()
-        ]
-        self._addresses_at = self._clock()
-        self._addresses_known = [
-            replica.address
-            for replica in replicas
-            if replica and replica.service == self._service
-        ]
-        return self._addresses_known
+        return await self._listing.find(self._teller.engines)
 
     async def _move(self, model):
         """Order until each version wanted is there or skipped."""
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -266,11 +266,13 @@
         if self.replicas_by_id.get(replica.replica_id) != replica:
             _LOG.routine("replica-known", **_fields(replica))
         self._ids_by_key[key] = replica.replica_id
+        before = self.replicas_by_id.get(replica.replica_id)
+        is_other = before is None or before.address != replica.address
         self._leave_address(replica.replica_id)
         self.replicas_by_id[replica.replica_id] = replica
         ids = self._ids_by_address.setdefault(str(replica.address), {})
         ids[replica.replica_id] = None
-        self._refresh(replica.replica_id)
+        self._refresh(replica.replica_id, is_membership=is_other)
 
     def _leave_address(self, replica_id):
         """Forget at which address a replica was."""
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/listing.py
@@ -0,0 +1,86 @@
+"""Which engines a service has, as its agents know them."""
+
+import asyncio
+
+from anvilwell_gateway import directory
+from anvilwell_gateway import notices
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.telemetry import logs
+
+# With more engines than these the registrations are read anew only where
+# no entry has just told that the known ones hold.
+MANY_ENGINES = 100
+# What an entry told is believed for so long, in seconds. A trainer names
+# its next version within it.
+BELIEVED_S = 5.0
+
+_LOG = logs.get_logger(__name__)
+
+
+class Listing:
+    """Keeps the addresses of a service's engines.
+
+    Parameters
+    ----------
+    store : store.AsyncStore
+        Where they are registered.
+    codec : codecs.Codec
+        How the registrations are read.
+    service : str
+        The service.
+    """
+
+    def __init__(self, store, codec, service):
+        self._store = store
+        self._codec = codec
+        self._service = service
+        self._clock = asyncio.get_running_loop().time
+        self._digest = None
+        self._read_at = float("-inf")
+        self._unreadable = set()
+        self.addresses = ()
+
+    @property
+    def age_s(self):
+        """How long ago the registrations were read."""
+        return self._clock() - self._read_at
+
+    async def find(self, heard):
+        """Return the addresses of all engines, none if they can't be read.
+
+        Parameters
+        ----------
+        heard : notices.Heard
+            What an entry told of them last.
+        """
+        if self._holds(heard):
+            return self.addresses
+        try:
+            snapshot = await self._store.get_prefix(
+                self._codec.replicas_prefix, may_be_stale=True
+            )
+        except exceptions.AnvilwellError as error:
+            _LOG.log("replicas-not-read", cause=error.message)
+            return []
+        replicas = [
+            directory.read(
+                self._codec, entry.key, entry.value, self._unreadable
+            )
+            for entry in snapshot.entries_by_key.values()
+        ]
+        self._read_at = self._clock()
+        self.addresses = [
+            replica.address
+            for replica in replicas
+            if replica and replica.service == self._service
+        ]
+        self._digest = notices.digest(self.addresses)
+        return self.addresses
+
+    def _holds(self, heard):
+        """Return whether an entry just told that the known ones hold."""
+        return (
+            len(self.addresses) > MANY_ENGINES
+            and heard.digest == self._digest
+            and self._clock() - heard.at < BELIEVED_S
+        )
--- a/packages/gateway/anvilwell_gateway/notices.py
+++ b/packages/gateway/anvilwell_gateway/notices.py
@@ -12,6 +12,7 @@
 
 import cbor2
 import pydantic
+import xxhash
 
 from anvilwell_decisions.duties import audience
 from anvilwell_decisions.traffic import facts
@@ -52,11 +53,20 @@
 
     ``needs_by_model`` has the oldest version that the newest batch of a
     model may be made under, of its own batches. ``entries`` are the VMs
-    that need notices of the same service.
+    that need notices of the same service, ``engines`` the `digest` of the
+    addresses of its engines.
     """
 
     needs_by_model: dict[str, int]
     entries: tuple[str, ...] = ()
+    engines: int = 0
+
+
+class Heard(typing.NamedTuple):
+    """The newest digest of a service's engines, and when it came."""
+
+    digest: int | None = None
+    at: float = float("-inf")
 
 
 _NOTICE = pydantic.TypeAdapter(Notice)
@@ -74,6 +84,12 @@
     return bodies.read(_NOTICE, body, "notice")
 
 
+def digest(addresses):
+    """Return a number that tells sets of addresses apart."""
+    text = " ".join(sorted(str(one) for one in addresses))
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 class Listener:
     """Takes notices.
 
@@ -91,6 +107,8 @@
         self._directory = directory
         self._needs_by_model = needs_by_model
         self._needing = needing
+        self._digests_by_service = {}
+        directory.listen(self._replicas_changed)
 
     async def answer(self, request, responder):
         """Answer an agent's request."""
@@ -98,9 +116,23 @@
         self._directory.note(notice)
         service = self._directory.service_at(notice.address)
         entries = tuple(self._needing.find(service))
-        answer = Answer(self._needs_by_model(), entries)
+        answer = Answer(self._needs_by_model(), entries, self._digest(service))
         await responder.send(200, (), cbor2.dumps(answer))
 
+    def _digest(self, service):
+        """Return the digest of a service's engines, found once a change."""
+        if service not in self._digests_by_service:
+            self._digests_by_service[service] = digest(
+                one.address
+                for one in self._directory.replicas_by_id.values()
+                if one.service == service
+            )
+        return self._digests_by_service[service]
+
+    def _replicas_changed(self, changed):
+        if changed.is_membership:
+            self._digests_by_service.clear()
+
 
 class Teller:
     """Sends notices to the entries that need them."""
@@ -114,6 +146,8 @@
         )
         self._audience = audience.Audience()
         self._addresses_by_vm = {}
+        self._clock = asyncio.get_running_loop().time
+        self.engines = Heard()
 
     def set_entries(self, addresses_by_vm, ranked):
         """Take in where the entries are, and whom to ask first."""
@@ -151,6 +185,7 @@
             others = telling.failed(vm_id)
         else:
             others = telling.answered(vm_id, answer.entries)
+            self.engines = Heard(answer.engines, self._clock())
             for model, version in answer.needs_by_model.items():
                 known = needs_by_model.get(model, 0)
                 needs_by_model[model] = max(known, version)
--- /dev/null
+++ b/packages/gateway/tests/test_listing.py
@@ -0,0 +1,69 @@
+"""When an agent reads which engines its service has."""
+
+import asyncio
+import types
+
+from anvilwell_decisions.traffic import facts
+from anvilwell_gateway import listing
+from anvilwell_gateway import notices
+from anvilwell_kernel import exceptions
+from anvilwell_outside.ports import keyvalue
+import pytest
+
+
+class _Codec:
+    replicas_prefix = "r/"
+
+    def read_replica(self, key, value):
+        return facts.Replica(key, value.decode(), key, "a", 4)
+
+
+class _Store:
+    """Has so many engines of one service, and one of another."""
+
+    def __init__(self, engines):
+        services = {f"r/{n}": b"lm" for n in range(engines)}
+        self.entries_by_key = {
+            key: keyvalue.Entry(key, service, 1)
+            for key, service in (services | {"r/x": b"app"}).items()
+        }
+        self.reads = 0
+        self.is_away = False
+
+    async def get_prefix(self, prefix, may_be_stale):
+        self.reads += 1
+        if self.is_away:
+            raise exceptions.KeyValueUnavailable("no answer")
+        return types.SimpleNamespace(entries_by_key=self.entries_by_key)
+
+
+@pytest.mark.parametrize(
+    ("engines", "reads"),
+    [(listing.MANY_ENGINES, 4), (listing.MANY_ENGINES + 1, 3)],
+)
+def test_many_engines_are_read_again_only_for_a_cause(
+    run_virtual, engines, reads
+):
+    async def scenario():
+        store, clock = _Store(engines), asyncio.get_running_loop().time
+        known = listing.Listing(store, _Codec(), "lm")
+        addresses = await known.find(notices.Heard())
+        same = notices.Heard(notices.digest(addresses), clock())
+        assert await known.find(same) == addresses
+        other = notices.Heard(same.digest + 1, clock())
+        assert await known.find(other) == addresses
+        await asyncio.sleep(listing.BELIEVED_S)
+        assert await known.find(same) == addresses
+        return len(addresses), store.reads
+
+    assert run_virtual(scenario()) == (engines, reads)
+
+
+def test_registrations_that_cannot_be_read_name_nobody(run_virtual):
+    async def scenario():
+        store = _Store(2)
+        store.is_away = True
+        known = listing.Listing(store, _Codec(), "lm")
+        return await known.find(notices.Heard()), known.age_s
+
+    assert run_virtual(scenario()) == ([], float("inf"))
--- a/packages/gateway/tests/test_notices.py
+++ b/packages/gateway/tests/test_notices.py
@@ -6,7 +6,10 @@
 from anvilwell_decisions.traffic import facts
 from anvilwell_gateway.batches import needing
 from anvilwell_gateway.batches import records
+from anvilwell_gateway import directory as directories
+from anvilwell_gateway import notices
 from anvilwell_gateway_standins import telling
+import cbor2
 import pytest
 
 ENDS = ["no", "killed", "cut", "suspended"]
@@ -70,3 +73,52 @@
 
     assert before == [["e1", "e2"], ["e1", "e2"], [], ["e1", "e2", "e3"]]
     assert after == ["e1"]
+
+
+class _Directory:
+    """Has two engines of a service."""
+
+    def __init__(self):
+        self.replicas_by_id = {}
+        self.noted = []
+        for name in ("r1", "r2"):
+            self.take(name)
+
+    def take(self, name):
+        replica = facts.Replica(name, "lm", name, "a", 4)
+        self.replicas_by_id[name] = replica
+
+    def listen(self, callback):
+        self.changed = callback
+
+    def note(self, notice):
+        self.noted.append(notice)
+
+    def service_at(self, address):
+        return "lm"
+
+
+def test_an_answer_tells_which_engines_a_service_has():
+    directory = _Directory()
+    listener = notices.Listener(
+        directory,
+        lambda: {"m": 3},
+        types.SimpleNamespace(find=lambda service: ["e1"]),
+    )
+    notice = notices.Notice("r1", (facts.ModelVersion("m", 4),), ("m",), 1)
+    sent = []
+
+    class _Responder:
+        async def send(self, status, headers, body):
+            sent.append(cbor2.loads(body))
+
+    def ask():
+        request = types.SimpleNamespace(body=cbor2.dumps(notice))
+        asyncio.run(listener.answer(request, _Responder()))
+        return sent[-1]
+
+    assert ask() == [{"m": 3}, ["e1"], notices.digest(["r2", "r1"])]
+    assert directory.noted == [notice]
+    directory.take("r3")
+    directory.changed(directories.Changed(frozenset({"r3"}), True))
+    assert ask()[2] == notices.digest(["r1", "r2", "r3"])
