--- a/packages/decisions/anvilwell_decisions/requests/shares.py
+++ b/packages/decisions/anvilwell_decisions/requests/shares.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from anvilwell_decisions.requests import precedence
+
 # A service is short once so many of its replicas, as a share, have refused
 # for want of room within `REFUSAL_MEMORY_S`. One that refuses without cause
 # is no shortage.
@@ -18,15 +20,11 @@
     """What each organisation has under way at one service, at one entry.
 
     While the service is short, an organisation may have as much under way
-    as the limit leaves free, and always one call. So those that send much
-    hold equal parts, and there is room left for the others, whose number
-    need not be known. Memory is an integer for each organisation that has
-    a call under way.
-
-    In virtual time, with three large organisations that send four times
-    what three replicas can do and sixty small ones, the small ones get 98%
-    answered, 67% in time; 29% and 19% without shares, at the same
-    throughput. Times are in seconds of one clock.
+    as the limit leaves free, times the weight of its rank, and always one
+    call. So those of a rank that send much hold equal parts, and there is
+    room left for the others, whose number need not be known. Memory is an
+    integer for each organisation that has a call under way. Times are in
+    seconds of one clock.
     """
 
     def __init__(self):
@@ -45,19 +43,22 @@
         """How much is under way here."""
         return self._under_way.total()
 
-    def begin(self, organisation, now):
-        """Count a new call and return True, or False if it is too much."""
+    def begin(self, organisation, now, weight=precedence.HIGHEST):
+        """Count a new call and return True, or False if it is too much.
+
+        ``weight`` is that of the call's rank, see `precedence`.
+        """
         if self._limit and now - self._limited_at > LIMIT_MEMORY_S:
             self._limit = None
-        if self._limit and not self._has_room(organisation):
+        if self._limit and not self._has_room(organisation, weight):
             self._limited_at = now
             return False
         self._under_way[organisation] += 1
         return True
 
-    def _has_room(self, organisation):
+    def _has_room(self, organisation, weight):
         held = self._under_way[organisation]
-        return not held or held < self._limit - self.total
+        return not held or held < weight * (self._limit - self.total)
 
     def end(self, organisation, is_answered):
         """Take a call off that `begin` counted."""
--- a/packages/decisions/tests/requests/overload_world.py
+++ b/packages/decisions/tests/requests/overload_world.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import random
+import types
 import typing
 
 from anvilwell_decisions.requests import facts
@@ -28,7 +29,7 @@
 
     total = 0
 
-    def begin(self, organisation, now):
+    def begin(self, organisation, now, weight=1.0):
         return True
 
     def end(self, organisation, is_answered):
@@ -38,6 +39,16 @@
         pass
 
 
+class ConstantWait:
+    """What stands where returns are not spread: all wait for as long."""
+
+    def answered(self, now):
+        pass
+
+    def wait_s(self, now, left_s):
+        return RETRY_AFTER_S
+
+
 class Load(typing.NamedTuple):
     """A service, its entries and the calls a second by organisation.
 
@@ -54,6 +65,8 @@
     aim_s: float = 0.192
     entries: int = 3
     seconds: float = 15.0
+    weights_by_organisation: typing.Mapping = types.MappingProxyType({})
+    limit_s: float = 2.0
     paces: tuple = (1.0,)
     is_contended: bool = False
 
@@ -79,6 +92,8 @@
         self.entry = entry
         self.began_at = began_at
         self.tries = tries
+        # When its caller first came.
+        self.came_at = began_at
         self.sent_at = began_at
         self.tried = []
 
@@ -92,6 +107,7 @@
         make_shares,
         seed=1,
         make_policy=routing.LeastOutstanding,
+        make_returns=ConstantWait,
     ):
         self._load = load
         self._make_policy = make_policy
@@ -101,6 +117,7 @@
         self.now = 0.0
         self.shares = [make_shares() for _ in range(load.entries)]
         self._policies = [self._policy(seed + i) for i in range(load.entries)]
+        self._returns = [make_returns() for _ in range(load.entries)]
         self._running = [0] * load.replicas
         self._waiting = [collections.deque() for _ in range(load.replicas)]
         self.asked = collections.Counter()
@@ -141,19 +158,29 @@
         self._later(self._rng.expovariate(rate), self._ask, organisation)
         self._arrive(organisation, 0)
 
-    def _arrive(self, organisation, tries):
+    def _arrive(self, organisation, tries, came_at=None):
         entry = self._rng.randrange(self._load.entries)
         call = Call(organisation, entry, self.now, tries)
-        if self.shares[entry].begin(organisation, self.now):
+        if came_at is not None:
+            call.came_at = came_at
+        weight = self._load.weights_by_organisation.get(organisation, 1.0)
+        if self.shares[entry].begin(organisation, self.now, weight):
             self._send(call)
         else:
             self._refuse(call)
 
     def _refuse(self, call):
         if call.tries < CALLERS_RETRIES:
-            wait_s = RETRY_AFTER_S * self._rng.uniform(1.0, 1.4)
+            returns = self._returns[call.entry]
+            left_s = call.came_at + self._load.limit_s - self.now
+            wait_s = returns.wait_s(self.now, left_s)
+            wait_s *= self._rng.uniform(1.0, 1.4)
             self._later(
-                wait_s, self._arrive, call.organisation, call.tries + 1
+                wait_s,
+                self._arrive,
+                call.organisation,
+                call.tries + 1,
+                call.came_at,
             )
         else:
             self.refused[call.organisation] += 1
@@ -215,5 +242,6 @@
         )
         self.times_s.append(took_s)
         self.shares[call.entry].end(call.organisation, True)
+        self._returns[call.entry].answered(self.now)
         self.answered[call.organisation] += 1
         self.in_time[call.organisation] += took_s <= self._load.aim_s
--- /dev/null
+++ b/packages/decisions/tests/requests/test_precedence.py
@@ -0,0 +1,28 @@
+"""Priorities weigh, and no rank is left with nothing."""
+
+import pytest
+
+from anvilwell_decisions.requests import precedence
+from anvilwell_decisions.traffic import facts
+
+
+@pytest.mark.parametrize(
+    ("priority", "highest", "weight"),
+    [(0, 0, 1.0), (1, 0, 0.5), (2, 0, 0.25), (9, 0, 0.25), (3, 5, 1.0)],
+)
+def test_a_rank_below_weighs_half_and_a_quarter_at_least(
+    priority, highest, weight
+):
+    assert precedence.weight(priority, highest) == weight
+
+
+def test_the_highest_priority_is_a_route_s_or_an_organisation_s():
+    route = facts.Route("r", "h", "/", (), priority=3)
+    organisations = (
+        facts.Organisation("a", ()),
+        facts.Organisation("b", (), priority=2),
+    )
+    configuration = facts.Configuration(1, (route,), {}, None, organisations)
+    assert precedence.highest(configuration) == 2
+    bare = configuration._replace(organisations=())
+    assert precedence.highest(bare) == 3
--- a/packages/decisions/tests/requests/test_shares.py
+++ b/packages/decisions/tests/requests/test_shares.py
@@ -9,6 +9,7 @@
 import overload_world as worlds
 import pytest
 
+from anvilwell_decisions.requests import precedence
 from anvilwell_decisions.requests import shares
 
 LARGE, SMALL = "large", "small"
@@ -123,3 +124,25 @@
         kept.refused(replica, 3, 0.0)
     assert kept.limit
     return kept
+
+
+@pytest.mark.parametrize("entries", [1, 3, 20])
+def test_ranks_share_by_weight_and_none_starves(entries):
+    capacity = worlds.Load({}).capacity
+    weights = {
+        name: precedence.weight(priority, 0)
+        for priority, name in enumerate(("first", "second", "third"))
+    }
+    load = worlds.Load(
+        dict.fromkeys(weights, capacity),
+        entries=entries,
+        weights_by_organisation=weights,
+    )
+    played = worlds.World(load, shares.Shares).play()
+
+    first, second, third = (
+        played.answered[name] / played.asked[name] for name in weights
+    )
+    assert first > second > third
+    of_all = played.answered.total() / played.asked.total()
+    assert third > precedence.LEAST_WEIGHT * of_all
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -90,6 +90,16 @@
         """The service whose replicas may answer."""
         return self._service
 
+    @property
+    def priority(self):
+        """The rank of the request, 0 for the highest."""
+        return self._route.priority
+
+    @property
+    def left_s(self):
+        """How long the caller may still wait, in seconds."""
+        return max(0.0, self._deadline - self._loop.time())
+
     @property
     def organisation(self):
         """Who sends the request, "" for nobody in particular."""
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -1,11 +1,13 @@
 """Carries a caller's request to a replica and the answer back."""
 
 import asyncio
+import collections
 import random
 
 from anvilwell_decisions.requests import ejection
 from anvilwell_decisions.requests import expected
 from anvilwell_decisions.requests import facts as request_facts
+from anvilwell_decisions.requests import returning
 from anvilwell_gateway import attempts
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
@@ -21,8 +23,8 @@
 # Answers up to this size are taken whole before any of it is passed on,
 # so that a broken one can be asked again elsewhere.
 MAX_HELD_BYTES = 1 << 20
-# When a caller may come back after a refusal, in seconds.
-RETRY_AFTER_S = 0.25
+# Refusals for want of room: their callers come back in turns.
+_SHORT = frozenset((reasons.Refusal.OVERLOADED, reasons.Refusal.OVER_SHARE))
 
 _LOG = logs.get_logger(__name__)
 
@@ -64,6 +66,7 @@
         self._pool = pool
         self._rng = rng or random.Random()
         self._policies_by_service = {}
+        self._returns_by_service = collections.defaultdict(returning.Returns)
         self._sharing = sharing.Sharing(configuration, directory)
         directory.listen(self._replicas_changed)
 
@@ -80,7 +83,7 @@
         except exceptions.AnvilwellError as error:
             await self._fail(attempt, route, call, error, responder)
             return
-        self._measure(attempt, route, held.status)
+        self._answered(attempt, route, held.status)
         fields = self._fields(attempt, route, call)
         _LOG.routine("request-answered", status=held.status, **fields)
         headers = messages.end_to_end(held.headers)
@@ -98,7 +101,7 @@
                 raise
             await self._fail(attempt, route, call, error, responder)
             return
-        self._measure(attempt, route, responder.status)
+        self._answered(attempt, route, responder.status)
         fields = self._fields(attempt, route, call)
         _LOG.routine("stream-answered", status=responder.status, **fields)
 
@@ -129,21 +132,38 @@
         status = 503 if not_run else 504 if is_late else 502
         counters.count_refusal(error.reason, route.name)
         self._measure(attempt, route, status)
+        retry_after_s = None
+        if not_run:
+            retry_after_s = self._retry_after_s(attempt, error)
         _LOG.log(
             "request-failed",
             status=status,
+            retry_after_s=retry_after_s,
             reason=str(error.reason),
             verdict=str(error.verdict),
             cause=error.message,
             fingerprint=attempt.fingerprint,
             **self._fields(attempt, route, call),
         )
-        retry_after_s = error.retry_after or RETRY_AFTER_S
-        if not not_run:
-            retry_after_s = None
+        retry_after_s = (
+            self._retry_after_s(attempt, error) if not_run else None
+        )
         headers = self._dialect.failure_headers(call.request_id, retry_after_s)
         await responder.send(status, headers)
 
+    def _retry_after_s(self, attempt, error):
+        """Return when the caller of a refused request may come back."""
+        if error.reason in _SHORT:
+            now = asyncio.get_running_loop().time()
+            returns = self._returns_by_service[attempt.service]
+            return returns.wait_s(now, attempt.left_s)
+        return error.retry_after or returning.FIRST_S
+
+    def _answered(self, attempt, route, status):
+        now = asyncio.get_running_loop().time()
+        self._returns_by_service[attempt.service].answered(now)
+        self._measure(attempt, route, status)
+
     @staticmethod
     def _measure(attempt, route, status):
         measures.record(
--- a/packages/gateway/anvilwell_gateway/sharing.py
+++ b/packages/gateway/anvilwell_gateway/sharing.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 
+from anvilwell_decisions.requests import precedence
 from anvilwell_decisions.requests import shares
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -29,6 +30,17 @@
         self._configuration = configuration
         self._directory = directory
         self._shares_by_service = collections.defaultdict(shares.Shares)
+        # The configuration that the highest priority was found in.
+        self._ranked = None
+        self._highest = 0
+
+    def _weight(self, priority):
+        """Return the weight of a priority in the configuration in force."""
+        current = self._configuration.current
+        if current is not self._ranked:
+            self._ranked = current
+            self._highest = precedence.highest(current)
+        return precedence.weight(priority, self._highest)
 
     @contextlib.contextmanager
     def place(self, attempt):
@@ -44,7 +56,8 @@
             return
         kept = self._shares_by_service[attempt.service]
         now = asyncio.get_running_loop().time()
-        if not kept.begin(attempt.organisation, now):
+        weight = self._weight(attempt.priority)
+        if not kept.begin(attempt.organisation, now, weight):
             raise exceptions.Refused(
                 "the organisation has its share of the places",
                 reason=reasons.Refusal.OVER_SHARE,
