--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -41,14 +41,19 @@
         Who owns which batch.
     passer : passing.Passer
         Asks the owners of others' batches.
+    budget : buffers.Budget
+        What may be held for callers that read slowly.
     """
 
-    def __init__(self, batch_store, holder, intake, dialect, owners, passer):
+    def __init__(
+        self, batch_store, holder, intake, dialect, owners, passer, budget
+    ):
         self._store = batch_store
         self._holder = holder
         self._intake = intake
         self._dialect = dialect
         self._passer = passer
+        self._budget = budget
         self._reader = readers.Reader(batch_store, dialect, owners)
 
     async def submit(self, route, call, request, responder):
@@ -131,7 +136,7 @@
             await self._not_found(call, responder)
             return
         total, results = found.total, found.results
-        page = sizes.fitting(results, MAX_PAGE_BYTES)
+        page = sizes.fitting(results, self._budget.page_bytes(MAX_PAGE_BYTES))
         _LOG.routine(
             "batch-read",
             batch_id=call.batch_id,
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -32,9 +32,11 @@
         The way of scoring calls, and which items end replicas.
     pool : client.Pool
         Connections to replicas.
+    budget : buffers.Budget
+        What may be held for callers.
     """
 
-    def __init__(self, platform, fleet, live_calls, pool):
+    def __init__(self, platform, fleet, live_calls, pool, budget):
         self._fleet = fleet
         batch_store = records.BatchStore(fleet.store)
         self.holder = holders.Holder(
@@ -75,13 +77,14 @@
             platform.dialect,
             self._owners,
             self.passer,
+            budget,
         )
         self._beginning = None
 
     @classmethod
-    def from_config(cls, platform, fleet, live_calls, pool, peering):
+    def from_config(cls, platform, fleet, live_calls, pool, peering, budget):
         """Return an entry's batches; peers ask for them by `peering`."""
-        batches = cls(platform, fleet, live_calls, pool)
+        batches = cls(platform, fleet, live_calls, pool, budget)
         peering.handle(handing.TARGET, batches.take)
         peering.handle(passing.TARGET, batches.answer_peer)
         peering.handle(notices.TARGET, batches.notices.answer)
--- a/packages/gateway/anvilwell_gateway/config.py
+++ b/packages/gateway/anvilwell_gateway/config.py
@@ -24,6 +24,10 @@
     core_share: typing.Annotated[
         options.Share, Doc("Share of its cores that is this VM's")
     ] = 1.0
+    memory_mb: typing.Annotated[
+        options.CountOrZero,
+        Doc("Memory of this VM, in megabytes; 0 if that is not known"),
+    ] = 0
     drain_limit_s: typing.Annotated[
         options.Duration,
         Doc("Longest wait at shutdown for requests in flight, in seconds"),
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from anvilwell_decisions.requests import buffers
 from anvilwell_gateway.batches import service as batch_service
 from anvilwell_gateway import claims
 from anvilwell_gateway import fleet as fleets
@@ -9,6 +10,7 @@
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import listening
 from anvilwell_gateway import live_calls as live
+from anvilwell_gateway import measures
 from anvilwell_gateway import metrics_page
 from anvilwell_gateway import peering as peerings
 from anvilwell_gateway import standing_in
@@ -39,13 +41,19 @@
     def __init__(self, settings, platform, early=None):
         self._early = early or listening.Early({})
         self._pool = client.Pool(asyncio.get_running_loop().time)
-        self.peering = peerings.Peering(settings.entry.peers)
+        self._budget = buffers.Budget.from_memory(settings.daemon.memory_mb)
+        self.peering = peerings.Peering(settings.entry.peers, self._budget)
         self.fleet = fleets.Fleet.from_config(settings, platform, self.peering)
         self.live_calls = live.LiveCalls.from_config(
             settings, platform, self.fleet, self._pool, self.peering
         )
         self._batches = batch_service.Batches.from_config(
-            platform, self.fleet, self.live_calls, self._pool, self.peering
+            platform,
+            self.fleet,
+            self.live_calls,
+            self._pool,
+            self.peering,
+            self._budget,
         )
         self.front = fronts.Front(
             settings.entry,
@@ -54,6 +62,7 @@
             self.live_calls,
             self._batches,
             self._early,
+            self._budget,
         )
         self._stand_in = standing_in.StandIn(
             self.fleet.vm_id,
@@ -179,4 +188,5 @@
             *self.fleet.beliefs(),
             *self._batches.holder.beliefs(),
             *self.live_calls.beliefs(),
+            measures.Belief("bytes_held", self._budget.held),
         ]
--- a/packages/gateway/anvilwell_gateway/front.py
+++ b/packages/gateway/anvilwell_gateway/front.py
@@ -39,15 +39,22 @@
         Answers what concerns batches.
     early : listening.Early
         What listens already.
+    budget : buffers.Budget
+        What may be held for callers.
     """
 
-    def __init__(self, settings, dialect, fleet, live_calls, batches, early):
+    def __init__(
+        self, settings, dialect, fleet, live_calls, batches, early, budget
+    ):
         self._dialect = dialect
         self._fleet = fleet
         self._live_calls = live_calls
         self._batches = batches
         self._server = servers.Server(
-            settings.listen, self._answer, early.take(settings.listen)
+            settings.listen,
+            self._answer,
+            early.take(settings.listen),
+            budget,
         )
         self._health = servers.Server(
             settings.ready, self._answer_health, early.take(settings.ready)
--- a/packages/gateway/anvilwell_gateway/http/server.py
+++ b/packages/gateway/anvilwell_gateway/http/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from anvilwell_decisions.requests import buffers
 from anvilwell_decisions.traffic import facts
 import h11
 
@@ -15,8 +16,9 @@
 READ_BYTES = 64 << 10
 # Bytes of a next request that may wait while one is served.
 MAX_PIPELINED_BYTES = 256 << 10
-# Bodies in memory at a time: a fifth of the smallest entry VM (150 MB).
-MAX_BUFFERED_BYTES = 32 << 20
+# A body goes to the connection in such parts, so that what a caller has not
+# read is in memory once.
+WRITE_BYTES = 64 << 10
 BUSY_RETRY_AFTER_S = 0.3
 
 _LOG = logs.get_logger(__name__)
@@ -40,10 +42,11 @@
 class Responder:
     """Sends the one answer to one request."""
 
-    def __init__(self, conn, writer, must_close):
+    def __init__(self, conn, writer, must_close, budget):
         self._conn = conn
         self._writer = writer
         self._must_close = must_close
+        self._budget = budget
         self.status = 0
 
     @property
@@ -71,9 +74,21 @@
         self._writer.write(self._conn.send(head))
 
     async def write(self, data):
-        """Send a part of the body and wait until there is room."""
-        self._writer.write(self._conn.send(h11.Data(data=data)))
-        await self._writer.drain()
+        """Send a part of the body and wait until there is room.
+
+        Until then it counts as held for the caller.
+        """
+        self._budget.hold(len(data))
+        left = len(data)
+        try:
+            for start in range(0, len(data), WRITE_BYTES):
+                part = data[start : start + WRITE_BYTES]
+                self._writer.write(self._conn.send(h11.Data(data=part)))
+                await self._writer.drain()
+                self._budget.give(len(part))
+                left -= len(part)
+        finally:
+            self._budget.give(left)
 
     async def finish(self):
         """Send the end of the answer."""
@@ -95,14 +110,16 @@
         is cancelled if the caller closes its connection.
     listener : socket.socket, optional
         What listens there already.
+    budget : buffers.Budget, optional
+        What may be held for callers, here and wherever it is shared.
     """
 
-    def __init__(self, address, handle, listener=None):
+    def __init__(self, address, handle, listener=None, budget=None):
         self._address = address
         self._handle = handle
         self._socket = listener
         self._listener = None
-        self._buffered_bytes = 0
+        self.budget = budget or buffers.Budget()
         self._connections = set()
         self.limits = FIRST_LIMITS
         self.is_draining = False
@@ -135,17 +152,6 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def take_room(self, count):
-        """Count `count` bytes as buffered; return whether they fit."""
-        if self._buffered_bytes + count > MAX_BUFFERED_BYTES:
-            return False
-        self._buffered_bytes += count
-        return True
-
-    def give_room(self, count):
-        """Count `count` bytes as buffered no more."""
-        self._buffered_bytes -= count
-
     async def _accept(self, reader, writer):
         connection = _Connection(self, self._handle, reader, writer)
         connection.task = asyncio.current_task()
@@ -190,7 +196,7 @@
             status = error.error_status_hint or 400
             await self._refuse(status, str(error))
         finally:
-            self._server.give_room(self._held_bytes)
+            self._server.budget.give(self._held_bytes)
 
     async def _serve_one(self):
         """Serve one request; return whether another may follow."""
@@ -214,7 +220,7 @@
             await self._run(request)
         finally:
             self.is_serving = False
-            self._server.give_room(self._held_bytes)
+            self._server.budget.give(self._held_bytes)
             self._held_bytes = 0
         return (
             self._conn.our_state is h11.DONE
@@ -258,7 +264,7 @@
                 size += len(event.data)
                 if size > self._server.limits.max_body_bytes:
                     return await self._refuse(413, "the body is too large")
-                if not self._server.take_room(len(event.data)):
+                if not self._server.budget.take(len(event.data)):
                     return await self._refuse(503, "too much is buffered")
                 self._held_bytes += len(event.data)
                 parts.append(bytes(event.data))
@@ -279,7 +285,9 @@
         return True
 
     async def _run(self, request):
-        responder = Responder(self._conn, self._writer, self._must_close)
+        responder = Responder(
+            self._conn, self._writer, self._must_close, self._server.budget
+        )
         handler = asyncio.create_task(self._handle(request, responder))
         watcher = asyncio.create_task(self._watch())
         try:
@@ -328,7 +336,9 @@
         _LOG.log("request-refused", status=status, cause=cause)
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return None
-        responder = Responder(self._conn, self._writer, lambda: True)
+        responder = Responder(
+            self._conn, self._writer, lambda: True, self._server.budget
+        )
         headers = ()
         if status == 503:
             headers = (("Retry-After", str(BUSY_RETRY_AFTER_S)),)
--- a/packages/gateway/anvilwell_gateway/measures.py
+++ b/packages/gateway/anvilwell_gateway/measures.py
@@ -42,6 +42,7 @@
         ("peers", "Entries that are known to live"),
         ("replicas", "Replicas that may take new work, by service"),
         ("batches", "Batches that this entry owns"),
+        ("bytes_held", "Bytes held for callers and peers that read slowly"),
         ("items_waiting", "Items of those that wait for a replica"),
         ("items_running", "Items of those that run"),
         ("items_unscored", "Items of those whose text waits for a score"),
--- a/packages/gateway/anvilwell_gateway/peering.py
+++ b/packages/gateway/anvilwell_gateway/peering.py
@@ -16,12 +16,14 @@
     ----------
     listen : options.Address
         Where peers connect.
+    budget : buffers.Budget
+        What may be held for peers.
     """
 
-    def __init__(self, listen):
+    def __init__(self, listen, budget):
         self._listen = listen
         self._handlers_by_target = {}
-        self._server = servers.Server(listen, self._answer)
+        self._server = servers.Server(listen, self._answer, None, budget)
         self._server.limits = servers.FIRST_LIMITS._replace(
             max_body_bytes=paths.MAX_ANSWER_BYTES
         )
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -8,12 +8,22 @@
 from anvilwell_gateway.http import messages
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
+from anvilwell_kernel.telemetry import logs
 
 MAX_FAILURE_BYTES = 1 << 20
 # How long a resumable stream waits for its first event before it is asked
 # of another replica, as a share of the target latency, so that the second
 # can still keep it; an engine needs about 30 ms.
 FIRST_STALL_SHARE = 0.5
+# A caller that has not read an event for so long holds its replica up, in
+# seconds. Replicas cut answers that nobody reads after some seconds.
+SLOW_CALLER_S = 0.5
+
+_LOG = logs.get_logger(__name__)
+
+
+class _LetGo(Exception):
+    """The caller reads so slowly that the replica was let go."""
 
 
 class StreamAttempts(attempts.Attempts):
@@ -65,7 +75,7 @@
                 await self._send_failure(self._last_resort())
                 return
             try:
-                held = await self._attempt(replica)
+                held = await self._attempt_while_read(replica)
             except exceptions.AnvilwellError as error:
                 self._note(error, replica.replica_id)
                 continue
@@ -75,6 +85,19 @@
                 await self._send_failure(held)
                 return
 
+    async def _attempt_while_read(self, replica):
+        """Ask one replica, once more each time that it was let go."""
+        while True:
+            try:
+                return await self._attempt(replica)
+            except _LetGo:
+                _LOG.log(
+                    "stream-let-go",
+                    request_id=self._call.request_id,
+                    replica=replica.replica_id,
+                    last=self._last_number,
+                )
+
     def _last_resort(self):
         if self._responder.has_started:
             raise client.failed(
@@ -110,7 +133,7 @@
             raise client.failed(
                 "the replica fell silent", reasons.Refusal.DEADLINE
             ) from None
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, _LetGo):
             failed = False
             raise
         finally:
@@ -153,7 +176,7 @@
             if len(buffered) > events.MAX_BLOCK_BYTES:
                 raise client.failed("an event is too large")
             if end:
-                await self._send_events(reply, whole + end)
+                await self._send_events(connection, reply, whole + end)
         if buffered.strip():
             raise client.failed(
                 "the stream ends within an event", reasons.Refusal.ANSWER_CUT
@@ -167,7 +190,7 @@
             kept = messages.without(headers, {"content-length"})
             await self._responder.start(reply.status, kept)
 
-    async def _send_events(self, reply, data):
+    async def _send_events(self, connection, reply, data):
         """Send whole events, after making sure that none is missing."""
         number = self._last_number
         for block in data.split(events.BLOCK_END):
@@ -181,5 +204,22 @@
             number = event.number
         self._begun(self._loop.time())
         await self._begin(reply)
-        await self._responder.write(data)
-        self._last_number = number
+        writing = asyncio.create_task(self._responder.write(data))
+        try:
+            if await self._is_read_soon(writing):
+                return
+            # Its place goes to others until the caller has read.
+            connection.close()
+            await writing
+        finally:
+            writing.cancel()
+            self._last_number = number
+        raise _LetGo
+
+    async def _is_read_soon(self, writing):
+        """Wait for the caller; return False if its replica may be let go."""
+        timeout_s = SLOW_CALLER_S if self._route.is_resumable else None
+        done, _ = await asyncio.wait((writing,), timeout=timeout_s)
+        if done:
+            await writing
+        return bool(done)
