--- a/packages/decisions/anvilwell_decisions/traffic/facts.py
+++ b/packages/decisions/anvilwell_decisions/traffic/facts.py
@@ -38,10 +38,15 @@
 
 
 class ServiceFacts(typing.NamedTuple):
-    """A service; ``slots`` is what one engine runs at a time, 0 if none."""
+    """A service; ``slots`` is what one engine runs at a time, 0 if none.
+
+    ``memory_tokens`` is what one engine holds of prompts and texts, 0 if
+    that is not known.
+    """
 
     name: str
     slots: int = 0
+    memory_tokens: int = 0
 
 
 class CallerLimits(typing.NamedTuple):
@@ -117,6 +122,18 @@
     body: bytes
 
 
+class Prompt(typing.NamedTuple):
+    """The size of a prompt in tokens, 0 if that is not known.
+
+    ``shared_tokens`` of them are those of all prompts with the same
+    ``shared_id``, "" for none.
+    """
+
+    tokens: int = 0
+    shared_id: str = ""
+    shared_tokens: int = 0
+
+
 class Item(typing.NamedTuple):
     """One item of a batch; ``expected_tokens`` is its caller's guess.
 
@@ -130,6 +147,7 @@
     group: str
     expected_tokens: int = 0
     scoring_call: ScoringCall | None = None
+    prompt: Prompt = Prompt()
 
 
 class Submission(typing.NamedTuple):
