--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -1,9 +1,16 @@
 """Which waiting item runs next, and at which replica."""
 
 import collections
-import statistics
+import heapq
 import typing
 
+from anvilwell_decisions.batches import lengths
+from anvilwell_decisions.batches import memory
+from anvilwell_decisions.batches import moving
+from anvilwell_decisions.batches import paces
+from anvilwell_decisions.batches import workers
+from anvilwell_decisions.traffic import facts
+
 # A replica that refused an item gets no other for so long. Engines that
 # load weights refuse for about a second.
 REFUSED_PAUSE_S = 0.15
@@ -12,29 +19,22 @@
 BROKEN_PAUSE_S = 0.1
 # A replica that can't be reached or fell silent gets none for so long.
 SILENT_PAUSE_S = 1.0
-# A replica's pace is the median of so many gaps between events. Pauses of
-# all its runs at once, as for new weights, are few gaps and do not count;
-# a replica that turns slow shows within about half a second.
-PACE_GAPS = 32
-# Gaps after which a replica's pace is believed.
-PACE_LEAST_GAPS = 8
-# A pace that nothing has confirmed for so long is believed no more, so
-# that a replica that was slow is tried again.
-PACE_AGE_S = 5.0
 # Paces within a sixth of each other count as even; replicas of one
 # service differ by about a third, slow ones by a factor of three.
 PACE_STEPS = 6
-# A run moves if that saves so much of its time. A move costs a prompt
-# to be read again, some 10 ms, and the gain is an estimate.
-MOVE_GAIN_S = 0.2
-# Paces closer than this are noise: they differ by 3% with the load.
-MOVE_RATIO = 1.2
-# Events that a run is expected to have left at most.
-MOST_EVENTS_LEFT = 100
+# An item looks at the memory of so many replicas, the best by time and load.
+LOOKS = 8
+# An item waits for a place that frees soon if its text ends so much sooner
+# than at a place that is free; when that is, is an estimate.
+WAIT_GAIN_S = 0.2
 
 
 class Work(typing.NamedTuple):
-    """A waiting item; lower ``rank`` goes first."""
+    """A waiting item; lower ``rank`` goes first.
+
+    ``kind`` names the items whose lengths are alike, ``guess`` is the
+    caller's one in tokens, and ``made`` what its text has, in events.
+    """
 
     rank: tuple
     batch_id: str
@@ -43,67 +43,17 @@
     service: str
     model: str
     min_version: int
-
-
-class Worker:
-    """What is known of one replica."""
-
-    def __init__(self, replica):
-        self.replica = replica
-        self.running = 0
-        self.not_before = 0.0
-        self._gaps = collections.deque(maxlen=PACE_GAPS)
-        self._paced_at = 0.0
-        self._pace_s = None
-        self._version_by_model = {}
-        self.saw_versions(replica.versions)
-
-    @property
-    def load(self):
-        """Share of the slots that our own runs take."""
-        return self.running / max(1, self.replica.slots)
-
-    @property
-    def room(self):
-        """How many more items would start at once."""
-        return max(1, self.replica.slots) - self.running
-
-    def saw_versions(self, versions):
-        """Take in `facts.ModelVersion`s; they only rise."""
-        for model, version in versions:
-            known = self._version_by_model.get(model, 0)
-            self._version_by_model[model] = max(known, version)
-
-    def may_have(self, model, min_version):
-        """Return whether `model` is not known to be too old here."""
-        known = self._version_by_model.get(model, 0)
-        return not known or known >= min_version
-
-    def takes(self, model, min_version):
-        """Return whether a new item for `model` would start here."""
-        is_loading = model in self.replica.loading
-        return not is_loading and self.may_have(model, min_version)
-
-    def saw_gap(self, gap_s, now):
-        """Take in the time between two events of one run."""
-        if now - self._paced_at > PACE_AGE_S:
-            self._gaps.clear()
-        self._gaps.append(gap_s)
-        self._paced_at = now
-        self._pace_s = None
-
-    def pace(self, now):
-        """Return seconds for an event, or None if that is not known."""
-        is_old = now - self._paced_at > PACE_AGE_S
-        if is_old or len(self._gaps) < PACE_LEAST_GAPS:
-            return None
-        if self._pace_s is None:
-            self._pace_s = statistics.median(self._gaps)
-        return self._pace_s
+    kind: str = ""
+    guess: int = 0
+    made: int = 0
+    prompt: facts.Prompt = facts.Prompt()
 
 
 class Run(typing.NamedTuple):
-    """A run under way; ``events`` is what it has made itself."""
+    """A run under way; ``events`` is what the item's text has by now.
+
+    ``moved`` counts how often the item was moved before.
+    """
 
     batch_id: str
     item_id: str
@@ -112,6 +62,10 @@
     service: str
     model: str
     min_version: int
+    kind: str = ""
+    guess: int = 0
+    prompt: facts.Prompt = facts.Prompt()
+    moved: int = 0
 
 
 class Dispatch:
@@ -119,6 +73,12 @@
 
     def __init__(self):
         self._workers_by_id = {}
+        # Workers with runs at the last look; each run names its own.
+        self._busy = []
+        self._tokens_by_service = {}
+        self._spells_by_service = collections.defaultdict(paces.Spells)
+        self.lengths = lengths.Lengths()
+        self.mover = moving.Mover(self.lengths)
 
     def worker(self, replica_id):
         """Return the `Worker` of a replica, or None."""
@@ -142,84 +102,140 @@
         else:
             self._workers_by_id[replica_id] = self._renewed(worker, replica)
 
-    @staticmethod
-    def _renewed(worker, replica):
+    def _renewed(self, worker, replica):
         if worker is None:
-            return Worker(replica)
+            worker = workers.Worker(
+                replica, self._spells_by_service[replica.service]
+            )
+            worker.forget_runs(self._tokens_by_service)
         worker.replica = replica
         worker.saw_versions(replica.versions)
         return worker
 
+    def set_runs(self, runs, tokens_by_service, now):
+        """Take the `Run`s under way, and what each engine can hold.
+
+        Parameters
+        ----------
+        runs : iterable of Run
+            All of this holder.
+        tokens_by_service : dict
+            The memory of one engine of a service, in tokens; 0 if it is
+            not known.
+        now : float
+            Monotonic time in seconds.
+        """
+        is_same = tokens_by_service == self._tokens_by_service
+        self._tokens_by_service = tokens_by_service
+        known = self._busy if is_same else self._workers_by_id.values()
+        for worker in known:
+            worker.forget_runs(tokens_by_service)
+        self._busy = []
+        for run in runs:
+            worker = self._workers_by_id.get(run.replica_id)
+            if worker is None:
+                continue
+            self._busy.append(worker)
+            left = self.lengths.left(run.kind, run.guess, run.events)
+            worker.memory.add(self._holding(run, run.events, left))
+            if not worker.pace.is_silent(now):
+                worker.ends_s.append(worker.pace.expected_s(left, now))
+        for worker in self._busy:
+            heapq.heapify(worker.ends_s)
+
+    def moves(self, runs, now):
+        """Return the `moves.Move`s to be made now; ``runs`` may move."""
+        return self.mover.choose(runs, self._workers_by_id, now)
+
+    def placed(self, work, replica_id):
+        """Note that a `Work` was given to a replica."""
+        worker = self._workers_by_id[replica_id]
+        worker.running += 1
+        left = self.lengths.left(work.kind, work.guess, work.made)
+        worker.memory.add(self._holding(work, work.made, left))
+        self._busy.append(worker)
+        self.mover.budget.started()
+
+    def _holding(self, one, made, left):
+        """Return the `memory.Holding` of a `Work` or `Run`."""
+        tokens = self.lengths.tokens_an_event(one.kind)
+        return memory.holding(one.prompt, tokens, made, left)
+
     def choose(self, work, now):
         """Return the replica's id for one `Work`, or None for now.
 
         Work comes with the longest items first, so these get the fast
-        replicas, and the short ones what is left.
+        replicas, and the short ones what is left. A long one rather waits
+        for a place at a fast replica than to take a free one at a slow one.
         """
         able = [
             worker
             for worker in self._workers_by_id.values()
-            if _may_take(worker, work, now)
+            if workers.may_take(worker, work, now)
         ]
         if not able:
             return None
-        paces = [worker.pace(now) for worker in able]
-        fastest_s = min((p for p in paces if p is not None), default=0.0)
-        best = min(able, key=lambda one: _cost(one, fastest_s, now))
-        return best.replica.replica_id
+        events = self.lengths.left(work.kind, work.guess, work.made)
+        expected = [worker.pace.expected_s(events, now) for worker in able]
+        known = [one for one in expected if one is not None]
+        least_s = min(known, default=0.0)
+        likely = heapq.nsmallest(
+            LOOKS,
+            (
+                (_step(one, least_s), worker.load, worker.name, one, worker)
+                for worker, one in zip(able, expected, strict=True)
+            ),
+        )
+        holding = self._holding(work, work.made, events)
+        *_, expected_s, best = min(likely, key=lambda one: _cost(one, holding))
+        if expected_s and self._waits(work, events, expected_s, now):
+            return None
+        return best.name
 
-    def moves(self, runs, now):
-        """Return the `Run`s that should go on at a faster replica.
+    def _waits(self, work, events, expected_s, now):
+        """Return whether an item should wait for a place that frees soon.
 
-        What a run has left is not known. Lengths have a long tail, so
-        it is taken to be as much as it has made.
+        If so it takes that place from what waits behind it.
         """
-        found = []
-        rooms_by_id = {}
-        for run in sorted(runs, key=lambda one: -one.events):
-            worker = self._workers_by_id.get(run.replica_id)
-            pace_s = worker and worker.pace(now)
-            if not pace_s:
-                continue
-            target = self._faster(run, now, rooms_by_id)
-            if target is None:
-                continue
-            faster_s = target.pace(now)
-            left = min(run.events, MOST_EVENTS_LEFT)
-            is_worth = left * (pace_s - faster_s) > MOVE_GAIN_S
-            if is_worth and pace_s > MOVE_RATIO * faster_s:
-                rooms_by_id[target.replica.replica_id] -= 1
-                found.append(run)
-        return found
-
-    def _faster(self, run, now, rooms_by_id):
-        """Return the fastest replica with room for `run`, or None."""
-        able = [
+        full = [
             worker
             for worker in self._workers_by_id.values()
-            if worker.replica.replica_id != run.replica_id
-            and worker.pace(now)
-            and _may_take(worker, run, now)
-            and rooms_by_id.setdefault(worker.replica.replica_id, worker.room)
-            > 0
+            if worker.ends_s
+            and worker.room <= 0
+            and workers.may_wait(worker, work, now)
         ]
-        return min(able, key=lambda one: one.pace(now), default=None)
-
-
-def _may_take(worker, work, now):
-    replica = worker.replica
+        ends_s, worker = min(
+            (
+                (
+                    worker.ends_s[0] + worker.pace.expected_s(events, now),
+                    worker,
+                )
+                for worker in full
+            ),
+            key=lambda pair: pair[0],
+            default=(expected_s, None),
+        )
+        if ends_s + WAIT_GAIN_S > expected_s:
+            return False
+        heapq.heapreplace(worker.ends_s, ends_s)
+        return True
+
+
+def _step(expected_s, least_s):
+    """Return how a replica's expected time compares with the least one."""
+    if expected_s is None or not least_s:
+        return PACE_STEPS
+    return int(expected_s / least_s * PACE_STEPS)
+
+
+def _cost(likely, holding):
+    """Return what a replica is chosen by; the least goes first."""
+    step, load, name, _, worker = likely
+    fill = worker.memory.fill(holding)
     return (
-        replica.service == work.service
-        and not replica.is_draining
-        and worker.room > 0
-        and worker.not_before <= now
-        and worker.takes(work.model, work.min_version)
+        fill > memory.MARGIN_SHARE,
+        step,
+        max(load, worker.in_slots(fill)),
+        not worker.memory.shares(holding.shared_id),
+        name,
     )
-
-
-def _cost(worker, fastest_s, now):
-    pace_s = worker.pace(now)
-    step = PACE_STEPS
-    if pace_s is not None and fastest_s:
-        step = int(pace_s / fastest_s * PACE_STEPS)
-    return (step, worker.load, worker.replica.replica_id)
--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/batches/moving.py
@@ -0,0 +1,171 @@
+"""Chooses the runs that go on at another replica."""
+
+import heapq
+
+from anvilwell_decisions.batches import memory
+from anvilwell_decisions.batches import moves
+from anvilwell_decisions.batches import workers
+
+# A run that may move is compared with so many replicas that have room, the
+# fastest ones; more differ too little to look at each time.
+TARGETS = 8
+
+
+class Mover:
+    """Chooses among the runs of one holder's batches.
+
+    Parameters
+    ----------
+    lengths : lengths.Lengths
+        What runs have left.
+    """
+
+    def __init__(self, lengths):
+        self._lengths = lengths
+        self.budget = moves.Budget()
+
+    def choose(self, runs, workers_by_id, now):
+        """Return the `moves.Move`s to be made now.
+
+        Parameters
+        ----------
+        runs : list of dispatch.Run
+            Those that may go on elsewhere.
+        workers_by_id : dict
+            The `workers.Worker`s, their memory as of now.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not self.budget.moves:
+            return []
+        choice = _Choice(self._lengths, self.budget, workers_by_id, now)
+        made = choice.moves(runs)
+        self.budget.spend(len(made))
+        return made
+
+
+class _Choice:
+    """One look at all runs."""
+
+    def __init__(self, lengths, budget, workers_by_id, now):
+        self._lengths = lengths
+        self._budget = budget
+        self._workers_by_id = workers_by_id
+        self._now = now
+        self._targets_by_need = {}
+        self._rooms_by_id = {}
+
+    def moves(self, runs):
+        """Return the moves that find a place and are in the budget.
+
+        Those that an engine's memory calls for go first, then those that
+        save most.
+        """
+        reliefs = [relief for relief in self._reliefs(runs) if relief]
+        moved = {relief.run for relief in reliefs}
+        gains = [self._gain(run) for run in runs if run not in moved]
+        wanted = sorted(filter(None, gains), key=lambda one: -one.gain_s)
+        made = reliefs[: self._budget.moves]
+        for move in wanted:
+            if len(made) == self._budget.moves:
+                break
+            # Places went to the moves before.
+            again = self._gain(move.run, is_made=True)
+            if again is not None:
+                made.append(again)
+        return made
+
+    def _reliefs(self, runs):
+        """Yield a `moves.Move` for each engine whose memory is short.
+
+        The run with most to come goes, so that no other has to soon.
+        """
+        for replica_id, worker in self._workers_by_id.items():
+            if not worker.memory.is_short:
+                continue
+            here = [run for run in runs if run.replica_id == replica_id]
+            if len(here) > 1:
+                longest = max(here, key=self._left)
+                yield self._relief(longest, worker)
+
+    def _relief(self, run, worker):
+        left = self._left(run)
+        holding = memory.holding(
+            run.prompt,
+            self._lengths.tokens_an_event(run.kind),
+            run.events,
+            left,
+        )
+        fitting = [
+            target
+            for target in self._targets(run)
+            if self._has_room(target, run) and target.memory.fits(holding)
+        ]
+        if not fitting:
+            return None
+        self._take(fitting[0])
+        stay_s = worker.pace.expected_s(left, self._now) or 0.0
+        go_s = fitting[0].pace.expected_s(left, self._now)
+        return self._made(run, left, stay_s, stay_s - go_s, moves.Cause.MEMORY)
+
+    def _gain(self, run, is_made=False):
+        """Return the best `moves.Move` of a run for its time, or None."""
+        worker = self._workers_by_id.get(run.replica_id)
+        if worker is None:
+            return None
+        left = self._left(run)
+        stay_s = worker.pace.expected_s(left, self._now)
+        if not stay_s:
+            return None
+        go_s, target = min(
+            (
+                (target.pace.expected_s(left, self._now), target)
+                for target in self._targets(run)
+                if self._has_room(target, run)
+            ),
+            key=lambda pair: pair[0],
+            default=(stay_s, None),
+        )
+        gain_s = moves.gain_s(
+            stay_s, go_s, run.moved, self._budget.least_gain_s
+        )
+        if not gain_s:
+            return None
+        if is_made:
+            self._take(target)
+        return self._made(run, left, stay_s, gain_s, moves.Cause.FASTER)
+
+    def _made(self, run, left, stay_s, gain_s, cause):
+        text = run.events * self._lengths.tokens_an_event(run.kind)
+        tokens = run.prompt.tokens + text
+        return moves.Move(run, left, stay_s, gain_s, tokens, cause)
+
+    def _left(self, run):
+        return self._lengths.left(run.kind, run.guess, run.events)
+
+    def _targets(self, run):
+        """Return the fastest replicas with room for runs like `run`."""
+        need = (run.service, run.model, run.min_version)
+        if need not in self._targets_by_need:
+            able = [
+                worker
+                for worker in self._workers_by_id.values()
+                if workers.may_take(worker, run, self._now)
+                and worker.pace.expected_s(1, self._now) is not None
+            ]
+            self._targets_by_need[need] = heapq.nsmallest(
+                TARGETS,
+                able,
+                key=lambda one: one.pace.expected_s(1, self._now),
+            )
+        return self._targets_by_need[need]
+
+    def _has_room(self, target, run):
+        replica_id = target.replica.replica_id
+        room = self._rooms_by_id.get(replica_id, target.room)
+        return replica_id != run.replica_id and room > 0
+
+    def _take(self, target):
+        replica_id = target.replica.replica_id
+        room = self._rooms_by_id.get(replica_id, target.room)
+        self._rooms_by_id[replica_id] = room - 1
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -77,11 +77,12 @@
         )
         return messages.fingerprint(request)
 
-    async def run(self, order, replica, saw_gap):
+    async def run(self, order, replica, pace):
         """Run `order` at `replica` and return how that `Ended`.
 
-        ``saw_gap(seconds, now)`` is told the time between two events. The
-        order's progress has all whole events, whatever the end.
+        The replica's ``pace`` (`paces.Pace`) is told the load that its head
+        states and the time between two events. The order's progress has
+        all whole events, whatever the end.
         """
         try:
             connection = await self._pool.take(
@@ -92,7 +93,7 @@
         reply = None
         ended = Ended(End.STOPPED)
         try:
-            reply, ended = await self._run(connection, order, replica, saw_gap)
+            reply, ended = await self._run(connection, order, replica, pace)
         except exceptions.AnvilwellError as error:
             is_cut = error.reason is reasons.Refusal.ANSWER_CUT
             ended = Ended(End.BROKEN, cause=error.message, is_cut=is_cut)
@@ -105,7 +106,7 @@
                 connection.close()
         return ended
 
-    async def _run(self, connection, order, replica, saw_gap):
+    async def _run(self, connection, order, replica, pace):
         headers = self._dialect.to_replica(
             self._dialect.item_headers(order.item, order.host),
             replica.name,
@@ -117,17 +118,19 @@
         async with asyncio.timeout(events.STALL_S):
             reply = await connection.read_head()
         outcome = self._dialect.read_outcome(reply)
+        if outcome.load:
+            pace.saw_load(outcome.load, asyncio.get_running_loop().time())
         ended = _judge(reply, outcome, order)
         if ended is None:
             return await self._read(
-                connection, order, reply, outcome.version, saw_gap
+                connection, order, reply, outcome.version, pace
             )
         if ended.end is End.REFUSED:
             async with asyncio.timeout(events.STALL_S):
                 await connection.read_body(events.MAX_BLOCK_BYTES)
         return reply, ended
 
-    async def _read(self, connection, order, reply, version, saw_gap):
+    async def _read(self, connection, order, reply, version, pace):
         """Collect events until the stream ends."""
         loop = asyncio.get_running_loop()
         buffered = b""
@@ -151,7 +154,7 @@
                 _add(order.progress, event, version)
                 now = loop.time()
                 if last_at is not None:
-                    saw_gap(now - last_at, now)
+                    pace.saw_gap(now - last_at, now)
                 last_at = now
         if buffered.strip():
             raise client.failed(
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -5,6 +5,7 @@
 import random
 
 from anvilwell_decisions.batches import dispatch as dispatches
+from anvilwell_decisions.batches import moves
 from anvilwell_decisions.traffic import facts
 from anvilwell_decisions.traffic import table
 from anvilwell_gateway import alarms
@@ -72,6 +73,7 @@
         self._held_by_id = held_by_id
         self._on_text = on_text
         self._dispatch = dispatches.Dispatch()
+        self._moved = moves.Moved()
         # Services that batches held here have had items for.
         self._services = set()
         # Replicas that changed since they were all looked at.
@@ -138,15 +140,44 @@
     def _move(self, now):
         """Stop runs that should go on at a faster replica."""
         runs = [
-            run._replace(events=self._made(held, run))
+            run._replace(
+                events=held.book.progress_by_id[run.item_id].last_number
+            )
             for held in self._held_by_id.values()
-            if not held.book.is_ended and held.route.is_resumable
             for run in held.runs_by_item.values()
         ]
-        for run in self._dispatch.moves(runs, now):
+        self._dispatch.set_runs(runs, self._tokens_by_service(), now)
+        movable = [run for run in runs if self._may_move(run)]
+        for move in self._dispatch.moves(movable, now):
+            run = move.run
             held = self._held_by_id[run.batch_id]
-            held.tasks_by_item[run.item_id].cancel("a faster replica is free")
+            held.tasks_by_item[run.item_id].cancel(str(move.cause))
+            self._moved.moved(move, now)
             counters.count_retry(reasons.Retry.HEDGE, run.service)
+            _LOG.log(
+                "item-moved",
+                batch_id=run.batch_id,
+                item_id=run.item_id,
+                replica=run.replica_id,
+                cause=str(move.cause),
+                made=run.events,
+                left=round(move.left, 1),
+                stay_s=round(move.stay_s, 3),
+                gain_s=round(move.gain_s, 3),
+                moved=run.moved,
+            )
+
+    def _may_move(self, run):
+        held = self._held_by_id[run.batch_id]
+        return not held.book.is_ended and held.route.is_resumable
+
+    def _tokens_by_service(self):
+        """Return what an engine of each service can hold, in tokens."""
+        current = self._configuration.current
+        services = current.services_by_name if current else {}
+        return {
+            name: service.memory_tokens for name, service in services.items()
+        }
 
     def _works(self, held):
         """Return a `Work` for each item of `held` that should run."""
@@ -174,6 +205,10 @@
                 service,
                 held.submission.model,
                 held.submission.min_version,
+                held.route.name,
+                item.expected_tokens,
+                held.book.progress_by_id[item.item_id].last_number,
+                item.prompt,
             )
             for item in items
         ]
@@ -193,12 +228,6 @@
             )
         return known[item_id]
 
-    @staticmethod
-    def _made(held, run):
-        """Return how many events the run itself has made."""
-        progress = held.book.progress_by_id[run.item_id]
-        return progress.last_number - run.events
-
     @staticmethod
     def _has_text(held, item):
         return bool(held.book.progress_by_id[item.item_id].events)
@@ -224,7 +253,7 @@
         held = self._held_by_id[work.batch_id]
         held.book.started(work.item_id)
         worker = self._dispatch.worker(replica_id)
-        worker.running += 1
+        self._dispatch.placed(work, replica_id)
         progress = held.book.progress_by_id[work.item_id]
         if not held.route.is_resumable:
             progress.restart()
@@ -236,6 +265,10 @@
             work.service,
             work.model,
             work.min_version,
+            work.kind,
+            work.guess,
+            work.prompt,
+            self._moved.times(work.batch_id, work.item_id),
         )
         task = asyncio.create_task(self._run(held, work, worker))
         # Not in the task: one that is cancelled early never runs at all.
@@ -274,9 +307,7 @@
         )
         ended = runners.Ended(runners.End.STOPPED)
         try:
-            ended = await self._runner.run(
-                order, worker.replica, worker.saw_gap
-            )
+            ended = await self._runner.run(order, worker.replica, worker.pace)
         except asyncio.CancelledError as error:
             ended = ended._replace(cause=" ".join(error.args))
             raise
@@ -312,6 +343,7 @@
             worker.saw_versions([seen])
         book = held.book
         if ended.end is runners.End.WHOLE:
+            self._observe(held, work, now)
             book.done(work.item_id)
             held.has_ready.set()
             self._on_text()
@@ -333,6 +365,25 @@
             worker.not_before = now + dispatches.SILENT_PAUSE_S
         held.has_ready.set()
 
+    def _observe(self, held, work, now):
+        """Take in how long a whole text is, and what its moves brought."""
+        events = held.book.progress_by_id[work.item_id].last_number
+        self._dispatch.lengths.observe(work.kind, work.guess, events)
+        brought = self._moved.ended(work.batch_id, work.item_id, events, now)
+        if brought is None:
+            return
+        measures.count_move(brought.gained_s)
+        _LOG.log(
+            "item-move-ended",
+            batch_id=held.batch_id,
+            item_id=work.item_id,
+            moves=brought.moves,
+            expected_s=round(brought.expected_s, 3),
+            gained_s=round(brought.gained_s, 3),
+            tokens_again=round(brought.tokens_again),
+            events=events,
+        )
+
     @staticmethod
     def _restart(held, item_id):
         """Forget a text that no replica can go on with."""
--- a/packages/gateway/anvilwell_gateway/measures.py
+++ b/packages/gateway/anvilwell_gateway/measures.py
@@ -31,6 +31,16 @@
     unit="s",
     description="Time of a call to the key-value service, by kind and path",
 )
+MOVES = _METER.create_counter(
+    "anvilwell_item_moves",
+    unit="1",
+    description="Items that moved and are whole, by whether that saved time",
+)
+MOVES_SECONDS = _METER.create_up_down_counter(
+    "anvilwell_item_moves_saved",
+    unit="s",
+    description="Seconds that moves saved, less those that they cost",
+)
 GAUGES_BY_NAME = {
     name: _METER.create_gauge(f"anvilwell_{name}", description=description)
     for name, description in (
@@ -72,3 +82,9 @@
     for belief in beliefs:
         labels = {"of": belief.of} if belief.of else {}
         GAUGES_BY_NAME[belief.name].set(belief.value, labels)
+
+
+def count_move(gained_s):
+    """Count an item that moved, and what that saved, in seconds."""
+    MOVES.add(1, {"end": "gained" if gained_s > 0 else "lost"})
+    MOVES_SECONDS.add(gained_s)
