--- a/packages/decisions/anvilwell_decisions/batches/book.py
+++ b/packages/decisions/anvilwell_decisions/batches/book.py
@@ -217,6 +217,14 @@
             if item_id not in self._listed_ids
         ]
 
+    @property
+    def has_wanted(self):
+        """Whether as many groups are whole as the trainer waits for."""
+        total = len(self._members_by_group)
+        whole = sum(map(self._is_whole, self._unlisted_groups))
+        listed = total - len(self._unlisted_groups)
+        return listed + whole >= (self.submission.wanted_groups or total)
+
     def list(self, results):
         """Note that `results` stand at the next positions for good."""
         for result in results:
--- a/packages/gateway/anvilwell_gateway/batches/committing.py
+++ b/packages/gateway/anvilwell_gateway/batches/committing.py
@@ -1,15 +1,18 @@
 """Lists the results of one batch, a write at a time."""
 
 import asyncio
+import contextlib
 
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import sizes
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
-# Results that come within this time share one write. It delays a group
-# by at most as much, and saves about half of the writes.
-GATHER_S = 0.06
+# Groups that are whole within this time share one write, unless they are all
+# that the trainer waits for. It reads each half second, so that of two groups
+# that end a step the second is seen that much later if the first one is
+# listed alone.
+GATHER_S = 0.25
 
 _LOG = logs.get_logger(__name__)
 
@@ -35,19 +38,35 @@
     async def run(self):
         """Commit whatever is ready, until the batch is lost."""
         held = self._held
+        loop = asyncio.get_running_loop()
+        wrote_s = 0.0
         while True:
             await held.has_ready.wait()
-            await asyncio.sleep(GATHER_S)
             held.has_ready.clear()
+            if not held.book.ready():
+                continue
+            # What came during a long write has waited enough.
+            await self._gather(GATHER_S - wrote_s)
             results = sizes.fitting(held.book.ready(), records.MAX_VALUE_BYTES)
             if not results:
                 continue
+            began_at = loop.time()
             if not await self._append(results):
                 return
+            wrote_s = loop.time() - began_at
             held.chunks += 1
             held.list(results)
             held.has_ready.set()
 
+    async def _gather(self, wait_s):
+        """Wait for more groups while the trainer needs more than are whole."""
+        held = self._held
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, wait_s)):
+                while not held.book.has_wanted:
+                    await held.has_ready.wait()
+                    held.has_ready.clear()
+
     async def _append(self, results):
         """Write one chunk; return whether the batch is still ours.
 
--- /dev/null
+++ b/packages/gateway/tests/batches/test_committing.py
@@ -0,0 +1,79 @@
+"""Which groups are listed together."""
+
+import asyncio
+import types
+
+from anvilwell_decisions.batches import book as books
+from anvilwell_decisions.traffic import facts
+from anvilwell_gateway.batches import committing
+
+GROUPS = 4
+WANTED = 3
+
+
+class _Store:
+    """Notes when each chunk was written, and how many results it had."""
+
+    def __init__(self):
+        self.chunks = []
+
+    async def append(self, batch_id, claimed, chunk, results):
+        now = asyncio.get_running_loop().time()
+        self.chunks.append((round(now, 3), len(results)))
+
+
+def _commit(run_virtual, whole_at):
+    """Return the chunks of groups of one item, whole at these times."""
+    items = tuple(
+        facts.Item(f"i{n}", "/", (), b"", f"g{n}") for n in range(GROUPS)
+    )
+    book = books.Book(
+        facts.Submission("b", "h", "/", items, wanted_groups=WANTED), 1
+    )
+    store = _Store()
+
+    async def scenario():
+        held = types.SimpleNamespace(
+            batch_id="b",
+            claimed=None,
+            book=book,
+            chunks=0,
+            has_ready=asyncio.Event(),
+            list=book.list,
+        )
+        committer = committing.Committer(store, held, None)
+        task = asyncio.create_task(committer.run())
+        began_at = 0.0
+        for number, at in enumerate(whole_at):
+            await asyncio.sleep(at - began_at)
+            began_at = at
+            book.started(f"i{number}")
+            book.done(f"i{number}")
+            held.has_ready.set()
+        await asyncio.sleep(2 * committing.GATHER_S)
+        task.cancel()
+
+    run_virtual(scenario())
+    return store.chunks
+
+
+def test_groups_that_are_whole_soon_after_another_share_a_write(run_virtual):
+    chunks = _commit(run_virtual, [1.0, 1.1])
+
+    assert chunks == [(1.0 + committing.GATHER_S, 2)]
+
+
+def test_the_last_group_that_the_trainer_needs_ends_the_wait(run_virtual):
+    """A group was listed alone 50 ms before the one that ended its step.
+
+    The trainer read it, and then the last one half a second later.
+    """
+    chunks = _commit(run_virtual, [1.0, 2.0, 2.05])
+
+    assert chunks == [(1.0 + committing.GATHER_S, 1), (2.05, 2)]
+
+
+def test_what_comes_after_that_is_listed_at_once(run_virtual):
+    chunks = _commit(run_virtual, [1.0, 1.0, 1.0, 3.0])
+
+    assert chunks == [(1.0, 3), (3.0, 1)]
