--- a/packages/decisions/anvilwell_decisions/traffic/facts.py
+++ b/packages/decisions/anvilwell_decisions/traffic/facts.py
@@ -17,7 +17,9 @@
     more than once. Answers of ``is_stream`` routes are events, passed on
     as they come; ``is_resumable`` ones may go on at another replica.
     ``max_replicas`` bounds the replicas that one request may be sent to.
-    ``is_open`` routes need no key of an organisation. Times are in seconds.
+    ``is_open`` routes need no key of an organisation. Results of batches are
+    due ``due_s`` after their submission, 0 if at no time. Times are in
+    seconds.
     """
 
     name: str
@@ -35,6 +37,7 @@
     one_version: bool = False
     is_stream: bool = False
     is_open: bool = False
+    due_s: float = 0.0
 
 
 class ServiceFacts(typing.NamedTuple):
--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from anvilwell_decisions.batches import book as books
+from anvilwell_decisions.batches import order
 
 
 class Held:
@@ -25,6 +26,8 @@
         self.route = route
         self.submission = submission
         self.give_up_at = give_up_at
+        submitted_at = give_up_at - route.max_queue_s
+        self.late_at = order.late_at(submitted_at, route.due_s)
         self.opened_at = asyncio.get_running_loop().time()
         self.book = books.Book(
             submission, route.max_replicas, route.one_version
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -6,6 +6,7 @@
 
 from anvilwell_decisions.batches import dispatch as dispatches
 from anvilwell_decisions.batches import moves
+from anvilwell_decisions.batches import order as orders
 from anvilwell_decisions.traffic import facts
 from anvilwell_decisions.traffic import table
 from anvilwell_gateway import alarms
@@ -21,8 +22,6 @@
 # Notices of so many seconds share a look: with 223 agents there are
 # hundreds a second.
 GATHER_S = 0.01
-# Items with some text from before go first.
-_CARRIED, _NEW = 0, 1
 
 _RETRIES_BY_END = {
     runners.End.REFUSED: reasons.Retry.REFUSED_NOT_RUN,
@@ -192,11 +191,13 @@
         service = self._service(held)
         if service is None:
             return []
+        is_late = asyncio.get_running_loop().time() > held.late_at
         return [
             dispatches.Work(
                 (
-                    held.sequence,
-                    _CARRIED if self._has_text(held, item) else _NEW,
+                    orders.place(
+                        held.sequence, is_late, self._has_text(held, item)
+                    ),
                     -item.expected_tokens,
                 ),
                 held.batch_id,
