--- a/packages/bench/anvilwell_bench/commands/capacity_page.py
+++ b/packages/bench/anvilwell_bench/commands/capacity_page.py
@@ -6,7 +6,7 @@
 from anvilwell_bench.slopes import page
 from anvilwell_decisions.capacity import data
 
-PAGE = pathlib.Path("docs/CAPACITY.md")
+PAGE = pathlib.Path("docs/design/capacity-of-the-daemon.md")
 
 
 def capacity_page(args):
