--- a/packages/decisions/anvilwell_decisions/batches/moving.py
+++ b/packages/decisions/anvilwell_decisions/batches/moving.py
@@ -78,13 +78,18 @@
     def _reliefs(self, runs):
         """Yield a `moves.Move` for each engine whose memory is short.
 
-        The run with most to come goes, so that no other has to soon.
+        The run with most to come goes, so that no other has to soon; one
+        that moved before stays, as what waits may take its place again.
         """
         for replica_id, worker in self._workers_by_id.items():
             if not worker.memory.is_short:
                 continue
-            here = [run for run in runs if run.replica_id == replica_id]
-            if len(here) > 1:
+            here = [
+                run
+                for run in runs
+                if run.replica_id == replica_id and not run.moved
+            ]
+            if here and worker.running > 1:
                 longest = max(here, key=self._left)
                 yield self._relief(longest, worker)
 
--- a/packages/decisions/tests/batches/test_dispatch.py
+++ b/packages/decisions/tests/batches/test_dispatch.py
@@ -275,6 +275,16 @@
     assert [move.run.item_id for move in found] == ["l3"] * moves
 
 
+def test_an_item_moves_for_memory_only_once():
+    """All engines were full, and what waited took the place it went for."""
+    dispatch = _dispatch(slots=8)
+    for replica_id in ("r0", "r1", "r2"):
+        _pace(dispatch, replica_id, FAST_S)
+    runs = [run._replace(moved=1) for run in _hungry(dispatch, 19)]
+
+    assert not dispatch.moves(runs, NOW)
+
+
 def test_nothing_moves_for_memory_if_all_engines_are_full():
     dispatch = _dispatch(slots=8, versions=(1,))
     _pace(dispatch, "r0", FAST_S)
