--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -8,6 +8,7 @@
 from anvilwell_decisions.batches import memory
 from anvilwell_decisions.batches import moving
 from anvilwell_decisions.batches import paces
+from anvilwell_decisions.batches import shortlists
 from anvilwell_decisions.batches import workers
 from anvilwell_decisions.traffic import facts
 
@@ -73,6 +74,7 @@
 
     def __init__(self):
         self._workers_by_id = {}
+        self._shortlists = shortlists.Shortlists()
         # Workers with runs at the last look; each run names its own.
         self._busy = []
         self._tokens_by_service = {}
@@ -93,6 +95,7 @@
             )
             for replica in replicas
         }
+        self._shortlists.set_candidates(self._workers_by_id.values())
 
     def change(self, replica_id, replica):
         """Take what one replica is now, None if it may not be used."""
@@ -101,6 +104,10 @@
             self._workers_by_id.pop(replica_id, None)
         else:
             self._workers_by_id[replica_id] = self._renewed(worker, replica)
+        if worker is None or replica is None:
+            self._shortlists.set_candidates(self._workers_by_id.values())
+        else:
+            self._shortlists.clear()
 
     def _renewed(self, worker, replica):
         if worker is None:
@@ -125,6 +132,7 @@
         now : float
             Monotonic time in seconds.
         """
+        self._shortlists.clear()
         is_same = tokens_by_service == self._tokens_by_service
         self._tokens_by_service = tokens_by_service
         known = self._busy if is_same else self._workers_by_id.values()
@@ -168,11 +176,11 @@
         replicas, and the short ones what is left. A long one rather waits
         for a place at a fast replica than to take a free one at a slow one.
         """
-        able = [
-            worker
-            for worker in self._workers_by_id.values()
-            if workers.may_take(worker, work, now)
-        ]
+        able = self._shortlists.find(
+            work.service,
+            (work.service, work.model, work.min_version, now),
+            lambda worker: workers.may_take(worker, work, now),
+        )
         if not able:
             return None
         events = self.lengths.left(work.kind, work.guess, work.made)
@@ -199,7 +207,7 @@
         """
         full = [
             worker
-            for worker in self._workers_by_id.values()
+            for worker in self._busy
             if worker.ends_s
             and worker.room <= 0
             and workers.may_wait(worker, work, now)
