--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -22,6 +22,9 @@
 # Notices of so many seconds share a look: with 223 agents there are
 # hundreds a second.
 GATHER_S = 0.01
+# Looking takes at most so much of an entry's time: with thousands of items
+# one ends every few milliseconds, and the events of all others wait.
+LARGEST_SHARE = 0.2
 
 _RETRIES_BY_END = {
     runners.End.REFUSED: reasons.Retry.REFUSED_NOT_RUN,
@@ -78,6 +81,8 @@
         # Replicas that changed since they were all looked at.
         self._changed_ids = set()
         self._is_behind = True
+        # When the next look for an end may be, in event-loop time.
+        self._not_before = float("-inf")
         self._alarm = alarms.Alarm(self.schedule)
         directory.listen(self._replicas_changed)
         configuration.listen(self.schedule)
@@ -95,13 +100,29 @@
             self._alarm.within(GATHER_S)
 
     def schedule(self):
-        """Start whatever can start now.
+        """Start whatever can start now."""
+        self._alarm.stop()
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        has_work = self._look(began_at)
+        took_s = loop.time() - began_at
+        self._not_before = began_at + took_s / LARGEST_SHARE
+        if has_work:
+            self._alarm.later(RETRY_S)
+
+    def _look_soon(self):
+        """Look once after what happens now, but not all the time."""
+        wait_s = self._not_before - asyncio.get_running_loop().time()
+        if wait_s > 0:
+            self._alarm.within(wait_s)
+        else:
+            self._alarm.soon()
+
+    def _look(self, now):
+        """Start what can start; return whether anything waits or runs.
 
         With nothing to run there is nothing to look at.
         """
-        self._alarm.stop()
-        loop = asyncio.get_running_loop()
-        now = loop.time()
         waiting = sorted(
             work
             for held in self._held_by_id.values()
@@ -111,13 +132,13 @@
         if not waiting and not has_runs:
             self._is_behind = True
             self._changed_ids.clear()
-            return
+            return False
         # What runs has waited before.
         self._learn_replicas({work.service for work in waiting})
         self._move(now)
         for work in waiting:
             self._start(work, now)
-        self._alarm.later(RETRY_S)
+        return True
 
     def _learn_replicas(self, services):
         """Take in the replicas that changed, all of another service."""
@@ -290,7 +311,7 @@
             now = asyncio.get_running_loop().time()
             worker.not_before = now + dispatches.SILENT_PAUSE_S
             _LOG.log("run-fault", item_id=work.item_id, cause=repr(error))
-        self._alarm.soon()
+        self._look_soon()
 
     async def _run(self, held, work, worker):
         progress = held.book.progress_by_id[work.item_id]
