--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -109,6 +109,20 @@
         else:
             self._shortlists.clear()
 
+    def set_limits(self, limit_of):
+        """Take how many places ``limit_of(replica)`` may be used."""
+        for worker in self._workers_by_id.values():
+            worker.limit = limit_of(worker.replica)
+        self._shortlists.clear()
+
+    def workers(self, service):
+        """Return the `workers.Worker` of each replica of a service."""
+        return [
+            worker
+            for worker in self._workers_by_id.values()
+            if worker.replica.service == service
+        ]
+
     def _renewed(self, worker, replica):
         if worker is None:
             worker = workers.Worker(
--- a/packages/decisions/anvilwell_decisions/batches/workers.py
+++ b/packages/decisions/anvilwell_decisions/batches/workers.py
@@ -10,6 +10,8 @@
     def __init__(self, replica, spells):
         self.replica = replica
         self.running = 0
+        # Places that may be used here; None for all.
+        self.limit = None
         self.forget_runs({})
         self.not_before = 0.0
         self.pace = paces.Pace(spells)
@@ -41,7 +43,8 @@
     @property
     def room(self):
         """How many more items would start at once."""
-        return max(1, self.replica.slots) - self.running
+        slots = max(1, self.replica.slots)
+        return (slots if self.limit is None else self.limit) - self.running
 
     def saw_versions(self, versions):
         """Take in `facts.ModelVersion`s; they only rise."""
--- a/packages/gateway/anvilwell_gateway/batches/handing.py
+++ b/packages/gateway/anvilwell_gateway/batches/handing.py
@@ -6,7 +6,7 @@
 
 import pydantic
 
-from anvilwell_gateway.batches import homes
+from anvilwell_gateway.batches import homes as all_homes
 from anvilwell_gateway import bodies
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
@@ -75,23 +75,25 @@
         This VM.
     news : news.News
         The entries that live, and where.
+    homes : all_homes.Homes
+        Which of them run what.
     """
 
-    def __init__(self, vm_id, news):
+    def __init__(self, vm_id, news, homes):
         self._vm_id = vm_id
         self._news = news
-        self._homes = homes.Homes(news)
+        self._homes = homes
         self._pool = client.Pool(asyncio.get_running_loop().time, True)
 
-    async def hand(self, route, request):
-        """Hand `request` on, if another entry is to run it.
+    async def hand(self, route, model, request):
+        """Hand `request` on, if another entry is to run the model's batch.
 
         Returns
         -------
         Handed
             What became of it.
         """
-        home = self._homes.find(homes.service_of(route))
+        home = self._homes.find(all_homes.service_of(route), model)
         if home in (None, self._vm_id):
             return Handed.NOT
         address = self._news.addresses_by_vm[home]
--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -34,6 +34,8 @@
         How those are written.
     known_crashes : crashes.Crashes
         Which items end replicas.
+    sharing : sharing.Sharing
+        Knows which places are for this entry.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         forwarder,
         dialect,
         known_crashes,
+        sharing,
     ):
         self._store = batch_store
         self._configuration = configuration
@@ -62,6 +65,7 @@
             self.held_by_id,
             self._scorer.schedule,
             known_crashes,
+            sharing,
         )
 
     def beliefs(self):
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -8,7 +8,7 @@
 from anvilwell_decisions.traffic import organisations
 from anvilwell_gateway.batches import handing
 from anvilwell_gateway.batches import held as helds
-from anvilwell_gateway.batches import homes
+from anvilwell_gateway.batches import homes as all_homes
 from anvilwell_gateway.batches import records
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -55,10 +55,20 @@
         Reads submissions.
     hander : handing.Hander
         Hands on what another entry is to run.
+    homes : all_homes.Homes
+        Where batches are gathered.
     """
 
     def __init__(
-        self, batch_store, holder, presence, news, owners, dialect, hander
+        self,
+        batch_store,
+        holder,
+        presence,
+        news,
+        owners,
+        dialect,
+        hander,
+        homes,
     ):
         self._store = batch_store
         self._owners = owners
@@ -67,7 +77,7 @@
         self._news = news
         self._dialect = dialect
         self._hander = hander
-        self._homes = homes.Homes(news)
+        self._homes = homes
         self._resolving = set()
         self._accepting = set()
         self._reviews = set()
@@ -91,10 +101,10 @@
         exceptions.KeyValueUnavailable
             If it could not be made durable; ``NOT_RUN`` is a promise.
         """
-        batch_id = self._submission(request).batch_id
+        submission = self._submission(request)
         handed = handing.Handed.NOT
-        if batch_id not in self._holder.held_by_id:
-            handed = await self._hander.hand(route, request)
+        if submission.batch_id not in self._holder.held_by_id:
+            handed = await self._hander.hand(route, submission.model, request)
         if handed is handing.Handed.ACCEPTED:
             return
         try:
@@ -130,10 +140,7 @@
                 reason=reasons.Refusal.KEY_VALUE_UNAVAILABLE,
             )
         owner = self._owner(
-            len(submission.items),
-            digest,
-            time.time(),
-            service=homes.service_of(route),
+            submission, digest, time.time(), all_homes.service_of(route)
         )
         raw = records.Raw(
             request.target,
@@ -195,16 +202,17 @@
             _LOG.log("batch-not-accepted", cause=str(task.exception()))
             self.review()
 
-    def _owner(self, total, digest, submitted_at, service):
+    def _owner(self, submission, digest, submitted_at, service):
         presence = self._presence
         return records.Owner(
             presence.vm_id,
             presence.life,
-            total,
+            len(submission.items),
             digest,
             submitted_at,
             0,
             service,
+            submission.model,
         )
 
     def _open(self, route, submission, claimed, adopted):
@@ -312,7 +320,7 @@
         if owner.vm_id == mine:
             return 0
         others = set(lives_by_vm) | {mine}
-        home = self._homes.find(owner.service)
+        home = self._homes.find(owner.service, owner.model)
         ranked = sorted(
             others,
             key=lambda vm_id: (vm_id != home, _weight(batch_id, vm_id)),
--- a/packages/gateway/anvilwell_gateway/batches/needing.py
+++ b/packages/gateway/anvilwell_gateway/batches/needing.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from anvilwell_gateway.batches import homes
+from anvilwell_gateway.batches import homes as all_homes
 
 # Owners are looked at again after so long, in seconds: a notice is a
 # hundredth of what it would cost to look at each time.
@@ -20,13 +20,15 @@
         Who runs which batch.
     configuration : configuration.ConfigurationFollower
         Its routes say whose batches are gathered together.
+    homes : all_homes.Homes
+        Where they are.
     """
 
-    def __init__(self, news, owners, configuration):
+    def __init__(self, news, owners, configuration, homes):
         self._news = news
         self._owners = owners
         self._configuration = configuration
-        self._homes = homes.Homes(news)
+        self._homes = homes
         self._clock = asyncio.get_running_loop().time
         self._looked_at = float("-inf")
         self._vms_by_service = {}
@@ -46,8 +48,12 @@
         lives_by_vm = self._news.lives_by_vm
         current = self._configuration.current
         routes = current.routes if current else ()
-        gathered = {homes.service_of(one) for one in routes if one.is_batch}
-        pairs = {(name, self._homes.find(name)) for name in gathered}
+        gathered = {
+            all_homes.service_of(one) for one in routes if one.is_batch
+        }
+        pairs = {
+            (name, home) for name in gathered for home in self._homes.all(name)
+        }
         pairs |= {
             (claimed.owner.service, claimed.owner.vm_id)
             for claimed in self._owners.claimed_by_id.values()
@@ -55,6 +61,6 @@
         }
         vms_by_service = {}
         for name, vm_id in pairs:
-            for service in homes.services_in(name) if vm_id else ():
+            for service in all_homes.services_in(name):
                 vms_by_service.setdefault(service, set()).add(vm_id)
         return vms_by_service
--- a/packages/gateway/anvilwell_gateway/batches/records.py
+++ b/packages/gateway/anvilwell_gateway/batches/records.py
@@ -33,7 +33,7 @@
 
     ``life`` names one run of the owner's process, "" once it let go.
     ``digest`` tells a repeated submission from another one, ``service``
-    which batches are gathered at one entry.
+    and ``model`` which batches are gathered at one entry.
     """
 
     vm_id: str
@@ -43,6 +43,7 @@
     submitted_at: float
     parts: int
     service: str = ""
+    model: str = ""
 
 
 class Raw(typing.NamedTuple):
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -1,6 +1,7 @@
 """Chooses replicas for the items of owned batches, and runs them."""
 
 import asyncio
+import collections
 import functools
 import random
 
@@ -11,6 +12,7 @@
 from anvilwell_decisions.traffic import table
 from anvilwell_gateway import alarms
 from anvilwell_gateway.batches import runner as runners
+from anvilwell_gateway.batches import sharing as sharings
 from anvilwell_gateway import measures
 from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import counters
@@ -57,6 +59,8 @@
         Told that a text is whole.
     known_crashes : crashes.Crashes
         Which items end replicas.
+    sharing : sharings.Sharing
+        Knows which places are for this entry.
     """
 
     def __init__(
@@ -67,6 +71,7 @@
         held_by_id,
         on_text,
         known_crashes,
+        sharing,
     ):
         self._crashes = known_crashes
         self._directory = directory
@@ -76,6 +81,12 @@
         self._on_text = on_text
         self._dispatch = dispatches.Dispatch()
         self._moved = moves.Moved()
+        self._sharing = sharing
+        sharing.use_of = self._use
+        sharing.on_change = self._limits_changed
+        self._waiting_by_service = collections.Counter()
+        # When places were last dealt, in event-loop time.
+        self._dealt_at = float("-inf")
         # Services that batches held here have had items for.
         self._services = set()
         # Replicas that changed since they were all looked at.
@@ -132,14 +143,41 @@
         if not waiting and not has_runs:
             self._is_behind = True
             self._changed_ids.clear()
+            self._waiting_by_service.clear()
             return False
         # What runs has waited before.
         self._learn_replicas({work.service for work in waiting})
+        self._deal(now)
         self._move(now)
-        for work in waiting:
-            self._start(work, now)
+        self._waiting_by_service = collections.Counter(
+            work.service for work in waiting if not self._start(work, now)
+        )
+        for service in self._services:
+            self._sharing.ask(service)
         return True
 
+    def _deal(self, now):
+        """Take which places may be used, as homes and loans are now."""
+        if now - self._dealt_at < RETRY_S:
+            return
+        self._dealt_at = now
+        if self._sharing.look(self._services):
+            self._dispatch.set_limits(self._sharing.limit)
+
+    def _use(self, service):
+        """Return the `sharings.Use` of a service's places."""
+        self._learn_replicas({service})
+        return sharings.Use(
+            self._waiting_by_service[service],
+            self._dispatch.workers(service),
+        )
+
+    def _limits_changed(self):
+        """Start what may start now that other places may be used."""
+        self._dispatch.set_limits(self._sharing.limit)
+        if self._waiting_by_service.total():
+            self._look_soon()
+
     def _learn_replicas(self, services):
         """Take in the replicas that changed, all of another service."""
         changed_ids, self._changed_ids = self._changed_ids, set()
@@ -268,10 +306,10 @@
         return held.service
 
     def _start(self, work, now):
-        """Start one item if a replica takes it now."""
+        """Start one item if a replica takes it now; return whether."""
         replica_id = self._dispatch.choose(work, now)
         if replica_id is None:
-            return
+            return False
         held = self._held_by_id[work.batch_id]
         held.book.started(work.item_id)
         worker = self._dispatch.worker(replica_id)
@@ -298,6 +336,7 @@
             functools.partial(self._release, held, work, worker)
         )
         held.tasks_by_item[work.item_id] = task
+        return True
 
     def _release(self, held, work, worker, task):
         """Free the slot and the item of a run that is over."""
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -5,6 +5,7 @@
 from anvilwell_gateway.batches import desk as desks
 from anvilwell_gateway.batches import handing
 from anvilwell_gateway.batches import holder as holders
+from anvilwell_gateway.batches import homes as all_homes
 from anvilwell_gateway.batches import intake as intakes
 from anvilwell_gateway.batches import needing
 from anvilwell_gateway.batches import owners
@@ -12,6 +13,7 @@
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import retention
 from anvilwell_gateway.batches import runner as runners
+from anvilwell_gateway.batches import sharing
 from anvilwell_gateway import notices
 from anvilwell_kernel import exceptions
 
@@ -39,6 +41,10 @@
     def __init__(self, platform, fleet, live_calls, pool, budget):
         self._fleet = fleet
         batch_store = records.BatchStore(fleet.store)
+        self._owners = owners.Owners(fleet.store)
+        fleet.follow(self._owners)
+        homes = all_homes.Homes(fleet.news, fleet.directory, self._owners)
+        self.sharing = sharing.Sharing(fleet.vm_id, fleet.news, homes)
         self.holder = holders.Holder(
             batch_store,
             fleet.directory,
@@ -47,16 +53,17 @@
             live_calls.forwarder,
             platform.dialect,
             live_calls.crashes,
+            self.sharing,
         )
         fleet.store.listen_regained(self.holder.save_soon)
-        self._owners = owners.Owners(fleet.store)
-        fleet.follow(self._owners)
         self.notices = notices.Listener(
             fleet.directory,
             self.holder.needs_by_model,
-            needing.Needing(fleet.news, self._owners, fleet.configuration),
+            needing.Needing(
+                fleet.news, self._owners, fleet.configuration, homes
+            ),
         )
-        self._hander = handing.Hander(fleet.vm_id, fleet.news)
+        self._hander = handing.Hander(fleet.vm_id, fleet.news, homes)
         self._intake = intakes.Intake(
             batch_store,
             self.holder,
@@ -65,6 +72,7 @@
             self._owners,
             platform.dialect,
             self._hander,
+            homes,
         )
         self.passer = passing.Passer(
             self._owners, fleet.news, fleet.vm_id, fleet.failure_domain
@@ -87,6 +95,7 @@
         batches = cls(platform, fleet, live_calls, pool, budget)
         peering.handle(handing.TARGET, batches.take)
         peering.handle(passing.TARGET, batches.answer_peer)
+        peering.handle(sharing.TARGET, batches.sharing.answer)
         peering.handle(notices.TARGET, batches.notices.answer)
         return batches
 
@@ -123,6 +132,7 @@
         await self.holder.stop()
         self.passer.close()
         self._hander.close()
+        self.sharing.close()
 
     async def take(self, request, responder):
         """Accept a batch that another entry was given."""
--- a/packages/gateway/anvilwell_gateway/config.py
+++ b/packages/gateway/anvilwell_gateway/config.py
@@ -28,6 +28,9 @@
         options.CountOrZero,
         Doc("Memory of this VM, in megabytes; 0 if that is not known"),
     ] = 0
+    link_mbps: typing.Annotated[
+        options.Rate, Doc("What its link carries, in Mbit/s; 0: not known")
+    ] = 0.0
     drain_limit_s: typing.Annotated[
         options.Duration,
         Doc("Longest wait at shutdown for requests in flight, in seconds"),
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -187,6 +187,7 @@
         return [
             *self.fleet.beliefs(),
             *self._batches.holder.beliefs(),
+            *self._batches.sharing.beliefs(),
             *self.live_calls.beliefs(),
             measures.Belief("bytes_held", self._budget.held),
         ]
--- a/packages/gateway/anvilwell_gateway/fleet.py
+++ b/packages/gateway/anvilwell_gateway/fleet.py
@@ -38,6 +38,7 @@
             daemon.vm_id,
             daemon.failure_domain,
             daemon.cores * daemon.core_share,
+            daemon.link_mbps,
         )
         self.store.listen_regained(self.presence.renew_soon)
         self.paths = platform.paths
--- a/packages/gateway/anvilwell_gateway/live_keys.py
+++ b/packages/gateway/anvilwell_gateway/live_keys.py
@@ -19,13 +19,15 @@
 class Live(typing.NamedTuple):
     """What a live key says; ``peers`` is where its VM helps others.
 
-    ``capacity`` is what it can process, in cores.
+    ``capacity`` is what it can process, in cores, and ``link_mbps`` what
+    its link carries, in Mbit/s, 0 if it does not know.
     """
 
     life: str
     peers: str
     failure_domain: str = ""
     capacity: float = 1.0
+    link_mbps: float = 0.0
 
 
 _LIVE = pydantic.TypeAdapter(Live)
--- a/packages/gateway/anvilwell_gateway/measures.py
+++ b/packages/gateway/anvilwell_gateway/measures.py
@@ -55,6 +55,8 @@
         ("bytes_held", "Bytes held for callers and peers that read slowly"),
         ("items_waiting", "Items of those that wait for a replica"),
         ("items_running", "Items of those that run"),
+        ("places_borrowed", "Places of replicas that other homes lend it"),
+        ("places_lent", "Places of replicas that it lends other homes"),
         ("items_unscored", "Items of those whose text waits for a score"),
         ("requests_held_back", "Requests held back as they end replicas"),
         ("reports_usage", "Whether this entry reports usage"),
--- a/packages/gateway/anvilwell_gateway/news.py
+++ b/packages/gateway/anvilwell_gateway/news.py
@@ -54,11 +54,9 @@
         }
 
     @property
-    def capacities_by_vm(self):
-        """What each VM that is there can process, in cores."""
-        return {
-            vm_id: live.capacity for vm_id, live in self._live.by_vm.items()
-        }
+    def live_by_vm(self):
+        """The `live_keys.Live` of each VM that is there, by VM."""
+        return self._live.by_vm
 
     def listen(self, callback):
         """Call ``callback(lost_vms, ended_batches)`` on news."""
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -49,10 +49,20 @@
         Where it is.
     capacity : float
         What it can process, in cores.
+    link_mbps : float
+        What its link carries, in Mbit/s; 0 if that is not known.
     """
 
-    def __init__(self, store, vm_id, failure_domain="", capacity=1.0):
+    def __init__(
+        self,
+        store,
+        vm_id,
+        failure_domain="",
+        capacity=1.0,
+        link_mbps=0.0,
+    ):
         self._store = store
+        self._link_mbps = link_mbps
         self._capacity = capacity
         self._failure_domain = failure_domain
         self._task = None
@@ -193,7 +203,11 @@
 
     async def _write(self, key, revision):
         live = live_keys.Live(
-            self.life, self._peers, self._failure_domain, self._capacity
+            self.life,
+            self._peers,
+            self._failure_domain,
+            self._capacity,
+            self._link_mbps,
         )
         value = cbor2.dumps(live)
         swap = keyvalue.Swap(key, revision, value, self._granted)
--- a/packages/gateway/tests/batches/test_holder.py
+++ b/packages/gateway/tests/batches/test_holder.py
@@ -10,6 +10,7 @@
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway.batches import scheduler as schedulers
+from anvilwell_gateway.batches import sharing as sharings
 from anvilwell_gateway import directory as directories
 
 ROUTE = facts.Route("r", "h", "/", (facts.Weighted("lm", 1.0),), True)
@@ -75,6 +76,9 @@
             None,
             None,
             types.SimpleNamespace(is_empty=True),
+            sharings.Sharing(
+                "vm", None, types.SimpleNamespace(all=lambda service: ("vm",))
+            ),
         )
         try:
             return await scenario(holder, directory, runner)
--- /dev/null
+++ b/packages/gateway/tests/batches/test_sharing.py
@@ -0,0 +1,144 @@
+"""Homes of a service lend each other places over a connection."""
+
+import asyncio
+import types
+
+from anvilwell_decisions.batches import dispatch as dispatches
+from anvilwell_decisions.traffic import facts
+from anvilwell_gateway.batches import sharing as sharings
+from anvilwell_gateway.http import messages
+from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
+from anvilwell_kernel import verdict
+
+SLOTS = 4
+REPLICAS = [facts.Replica(f"r{n}", "lm", None, "a", SLOTS) for n in range(20)]
+
+
+class _Responder:
+    async def send(self, status, headers=(), body=b""):
+        self.status, self.body = status, body
+
+
+class _Pool:
+    """Calls the other home's `Sharing` in place of a connection."""
+
+    def __init__(self, peers_by_vm):
+        self._peers_by_vm = peers_by_vm
+        self.is_cut = False
+        self.asked = 0
+
+    async def ask(self, key, address, question, timeout_s, max_bytes):
+        self.asked += 1
+        if self.is_cut:
+            raise exceptions.BackendFailed(
+                "cut",
+                reason=reasons.Refusal.CONNECT_FAILED,
+                verdict=verdict.Verdict.NOT_RUN,
+            )
+        responder = _Responder()
+        await self._peers_by_vm[key].sharing.answer(question, responder)
+        return messages.Reply(responder.status, ()), responder.body
+
+    def close(self):
+        pass
+
+
+class _Home:
+    """One home's dispatch and sharing, and what waits there."""
+
+    def __init__(self, vm_id, peers_by_vm, homes):
+        news = types.SimpleNamespace(
+            addresses_by_vm=dict.fromkeys(homes, "10.0.0.1:1")
+        )
+        self.sharing = sharings.Sharing(
+            vm_id, news, types.SimpleNamespace(all=lambda service: homes)
+        )
+        self.pool = self.sharing._pool = _Pool(peers_by_vm)
+        self.dispatch = dispatches.Dispatch()
+        self.dispatch.set_replicas(REPLICAS)
+        self.waiting = 0
+        self.sharing.use_of = lambda service: sharings.Use(
+            self.waiting, self.dispatch.workers(service)
+        )
+        self.sharing.on_change = lambda: self.dispatch.set_limits(
+            self.sharing.limit
+        )
+        self.sharing.look(["lm"])
+        self.sharing.on_change()
+        peers_by_vm[vm_id] = self
+
+    def fill(self):
+        """Use every place that may be used; return how many were free."""
+        workers = self.dispatch.workers("lm")
+        free = sum(max(0, worker.room) for worker in workers)
+        for worker in workers:
+            worker.running += max(0, worker.room)
+        return free
+
+
+def _run(scenario, homes=("a", "b")):
+    async def run():
+        peers_by_vm = {}
+        return await scenario(
+            *(_Home(vm_id, peers_by_vm, homes) for vm_id in ("a", "b"))
+        )
+
+    return asyncio.run(run())
+
+
+async def _ask(home):
+    home.sharing.ask("lm")
+    await asyncio.gather(*home.sharing._asking)
+
+
+def test_a_full_home_borrows_and_no_replica_is_filled_twice():
+    async def scenario(a, b):
+        own = a.fill()
+        a.waiting = 10
+        await _ask(a)
+        assert a.fill() == 10
+        assert own + b.fill() == SLOTS * len(REPLICAS) - 10
+
+    _run(scenario)
+
+
+def test_a_home_with_items_waiting_lends_nothing():
+    async def scenario(a, b):
+        a.fill()
+        b.fill()
+        a.waiting = b.waiting = 10
+        await _ask(a)
+        assert a.fill() == 0
+
+    _run(scenario)
+
+
+def test_a_home_that_is_cut_off_keeps_its_places():
+    async def scenario(a, b):
+        a.fill()
+        a.waiting = 10
+        a.pool.is_cut = True
+        await _ask(a)
+        assert a.pool.asked == 1
+        assert a.fill() == 0
+
+    _run(scenario)
+
+
+def test_one_home_asks_nobody_and_uses_all():
+    async def scenario(a, b):
+        a.waiting = 10
+        await _ask(a)
+        assert not a.pool.asked
+        assert a.fill() == SLOTS * len(REPLICAS)
+
+    _run(scenario, homes=("a",))
+
+
+def test_a_home_without_batches_asks_nobody():
+    async def scenario(a, b):
+        await _ask(a)
+        assert not a.pool.asked
+
+    _run(scenario)
--- a/packages/gateway/tests/test_notices.py
+++ b/packages/gateway/tests/test_notices.py
@@ -4,9 +4,11 @@
 import types
 
 from anvilwell_decisions.traffic import facts
+from anvilwell_gateway.batches import homes as all_homes
 from anvilwell_gateway.batches import needing
 from anvilwell_gateway.batches import records
 from anvilwell_gateway import directory as directories
+from anvilwell_gateway import live_keys
 from anvilwell_gateway import notices
 from anvilwell_gateway_standins import telling
 import cbor2
@@ -49,7 +51,11 @@
     plain = facts.Route("p", "h", "/p", (facts.Weighted("app", 1.0),))
     news = types.SimpleNamespace(
         lives_by_vm={"e1": "l1", "e2": "l2", "e3": "l3"},
-        capacities_by_vm={"e1": 1.0, "e2": 0.1, "e3": 0.1},
+        live_by_vm={
+            "e1": live_keys.Live("l1", "", "a", 1.0),
+            "e2": live_keys.Live("l2", "", "a", 0.1),
+            "e3": live_keys.Live("l3", "", "a", 0.1),
+        },
     )
     known = types.SimpleNamespace(
         claimed_by_id={
@@ -63,7 +69,9 @@
     )
 
     async def scenario():
-        found = needing.Needing(news, known, configuration)
+        directory = types.SimpleNamespace(replicas_by_id={})
+        homes = all_homes.Homes(news, directory, known)
+        found = needing.Needing(news, known, configuration, homes)
         before = [found.find(s) for s in ("lm", "lm-next", "app", None)]
         del known.claimed_by_id["b1"]
         await asyncio.sleep(needing.LOOK_S)
