--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -254,7 +254,6 @@
     async def _wait_s(self, model):
         """Return how long to wait before a load, None for no load now."""
         wanted = self._versions.wanted_by_model[model]
-        addresses = await self._addresses()
         try:
             report = await self._engine.report()
         except exceptions.AnvilwellError as error:
@@ -262,6 +261,10 @@
             return 0.0
         had = report.version_by_model.get(model, wanted)
         learning = self._keep_task(self._learn_lag(model, wanted, report))
+        if had >= wanted:
+            self._left_out.discard(model)
+            return None
+        addresses = await self._addresses()
         if model not in self._lags_by_model:
             # Without it all engines would load a trainer's first version:
             # 30 loads beyond the free ones in a day of 31 engines.
--- a/packages/gateway/anvilwell_gateway/listing.py
+++ b/packages/gateway/anvilwell_gateway/listing.py
@@ -13,6 +13,9 @@
 # What an entry told is believed for so long, in seconds. A trainer names
 # its next version within it.
 BELIEVED_S = 5.0
+# Registrations that were read so lately do for another model too, in seconds;
+# a stale read may be older.
+FRESH_S = 1.0
 
 _LOG = logs.get_logger(__name__)
 
@@ -36,6 +39,7 @@
         self._service = service
         self._clock = asyncio.get_running_loop().time
         self._digest = None
+        self._reading = asyncio.Lock()
         self._read_at = float("-inf")
         self._unreadable = set()
         self.addresses = ()
@@ -53,8 +57,12 @@
         heard : notices.Heard
             What an entry told of them last.
         """
-        if self._holds(heard):
-            return self.addresses
+        async with self._reading:
+            if self.age_s < FRESH_S or self._holds(heard):
+                return self.addresses
+            return await self._read()
+
+    async def _read(self):
         try:
             snapshot = await self._store.get_prefix(
                 self._codec.replicas_prefix, may_be_stale=True
