--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -201,13 +201,14 @@
         await responder.send(200, (kind,), body)
 
     async def _end(self, call, responder):
-        held = self._holder.held_by_id.get(call.batch_id)
-        if held is not None:
-            self._holder.end(call.batch_id)
-        elif not await self._reader.exists(call.batch_id):
-            await self._not_found(call, responder)
-            return
-        await self._store.end(call.batch_id, END_TIMEOUT_S)
+        if not self._intake.is_ended(call.batch_id):
+            held = self._holder.held_by_id.get(call.batch_id)
+            if held is not None:
+                self._holder.end(call.batch_id)
+            elif not await self._reader.exists(call.batch_id):
+                await self._not_found(call, responder)
+                return
+            await self._store.end(call.batch_id, END_TIMEOUT_S)
         await responder.send(200, (_JSON,), b"{}")
 
     async def _not_found(self, call, responder):
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -232,6 +232,10 @@
         if lost:
             self.review()
 
+    def is_ended(self, batch_id):
+        """Return whether the store is known to say that a batch ended."""
+        return batch_id in self._news.ended
+
     def begin(self):
         """Take over from now on: routes, owners and lives are known."""
         self._may_take = True
