--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -23,6 +23,11 @@
 # Between the calls that show whether the store is there, in seconds. A
 # version is to be in force two seconds after it was named.
 PING_S = 1.0
+# Between looks whether a ping is due: the first is at once when the entry
+# that tells what changes says that it lost the store.
+LOOK_S = 0.1
+# A ping that was answered so lately shows that the store is there.
+ANSWERED_S = 0.5
 # Between looks whether the engine lost a version, by a restart or an order
 # that was carried out late. Its own VM is answered for free.
 WATCH_S = 1.0
@@ -63,11 +68,12 @@
         )
         self._life = None
         self._seen_by_model = {}
-        # An agent holds no lease: whether it is in touch shows in a read.
+        # An agent holds no lease: whether it is in touch shows in a ping.
+        self._pinged_at = float("-inf")
         self._neighbours = neighbours.Neighbours(
             self._vm_id,
             settings.daemon.failure_domain,
-            lambda: True,
+            self._is_answered,
             str(self._backend),
         )
         self._metrics = metrics_page.MetricsPage(
@@ -129,15 +135,22 @@
 
         A neighbour that tells of versions vouches for the store itself.
         """
+        pinged_at = float("-inf")
         while True:
-            await asyncio.sleep(PING_S)
-            if self._versions.is_told:
+            await asyncio.sleep(LOOK_S)
+            if self._versions.is_told or self._clock() - pinged_at < PING_S:
                 continue
+            pinged_at = self._clock()
             try:
                 await self._store.ping()
+                self._pinged_at = self._clock()
             except exceptions.AnvilwellError as error:
                 _LOG.log("store-not-reached", cause=error.message)
 
+    def _is_answered(self):
+        """Return whether the store answers this process."""
+        return self._clock() - self._pinged_at < ANSWERED_S
+
     def _entries_changed(self, live):
         """Take in which entries are there: for notices, news and help."""
         self._paths.set_peers(live.addresses_by_vm)
--- a/packages/gateway/anvilwell_gateway/following.py
+++ b/packages/gateway/anvilwell_gateway/following.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import random
 
 from anvilwell_gateway import feeds
 from anvilwell_gateway import store as stores
@@ -14,10 +15,13 @@
 # Changes that come within this time share one call. It is a quarter of
 # what a change may take at most, and saves about a third of the calls.
 GATHER_S = 0.25
-# Between tries while the store gives no answer. Its first answer to any
-# call of this process has all followers read at once, so this only bounds
-# what is refused meanwhile: each refusal is paid for.
+# Between tries while the store gives no answer, doubled each time up to the
+# longest. Its first answer to any call of this process, a renewal or a ping
+# as a rule, has all followers read at once; each refusal is paid for.
 RETRY_S = 1.0
+LONGEST_RETRY_S = 8.0
+# The share of a wait that is drawn, so that processes spread.
+JITTER_SHARE = 0.3
 # Between questions to a neighbour that does not reach the store: a little
 # more than between its own tries.
 ASK_AGAIN_S = 0.15
@@ -48,6 +52,8 @@
         self._feed = None
         self._asked = None
         self._is_settled = False
+        self._is_out_of_touch = False
+        self._tries = 0
         self.is_loaded = False
 
     @abc.abstractmethod
@@ -101,16 +107,23 @@
             except stores.HistoryGone:
                 _LOG.log("history-gone", prefix=self._prefix)
             except feeds.NotFed as error:
+                self._is_out_of_touch = isinstance(error, feeds.OutOfTouch)
                 if not self._neighbours.failed(self._asked, error):
                     await asyncio.sleep(ASK_AGAIN_S)
             except exceptions.AnvilwellError as error:
                 self._lost(error)
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(self._retry_s())
+
+    def _retry_s(self):
+        """Return how long to wait before the next try, in seconds."""
+        longest_s = min(LONGEST_RETRY_S, RETRY_S * 2**self._tries)
+        self._tries += 1
+        return longest_s * (1 - JITTER_SHARE * random.random())
 
     @property
     def is_told(self):
-        """Whether a neighbour tells what changes, not the store itself."""
-        return self._asked is not None
+        """Whether a neighbour that reaches the store tells what changes."""
+        return self._asked is not None and not self._is_out_of_touch
 
     def _neighbour(self):
         """Return who tells what changes, None for the store itself."""
@@ -138,6 +151,8 @@
         else:
             snapshot = await self._store.get_prefix(self._prefix)
         self._regained()
+        self._is_out_of_touch = False
+        self._tries = 0
         if snapshot.revision < (self._revision or 0):
             raise _older(neighbour)
         if not neighbour:
@@ -159,6 +174,7 @@
             seen = await self._store.watch(
                 self._prefix, revision, WATCH_WAIT_S
             )
+        self._is_out_of_touch = False
         fresh = [
             change
             for change in seen.changes
--- a/packages/gateway/tests/test_following.py
+++ b/packages/gateway/tests/test_following.py
@@ -166,6 +166,26 @@
     assert _swap(monkeypatch, answers, timeout_s=9.0, refused_s=0.0) == LANDED
 
 
+def test_a_store_that_is_away_is_asked_seldom_until_it_answers(run_virtual):
+    async def run():
+        store = _Scripted(get_prefix=[_lost()] * 100)
+        follower = _Follower(store)
+        follower.start()
+        await asyncio.sleep(60.0)
+        asked = len(store.calls)
+        store.answers["get_prefix"] = [_snapshot(5, "p/a")]
+        store.regained()
+        await asyncio.sleep(0.1)
+        seen = follower.seen
+        await follower.stop()
+        return asked, seen
+
+    asked, seen = run_virtual(run())
+    least = 60.0 / following.LONGEST_RETRY_S
+    assert least < asked < 2 * least
+    assert seen == [["p/a"]]
+
+
 @pytest.mark.parametrize("verdict", list(verdicts.Verdict)[:2])
 def test_a_write_says_not_run_only_if_no_try_may_land(monkeypatch, verdict):
     answers = [_lost(verdict)] + [_lost(verdicts.Verdict.NOT_RUN)] * 50
