--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -28,6 +28,8 @@
 LOOK_S = 0.1
 # A ping that was answered so lately shows that the store is there.
 ANSWERED_S = 0.5
+# Versions are followed at the store itself if no entry is known by then.
+FIRST_WAIT_S = 0.5
 # Between looks whether the engine lost a version, by a restart or an order
 # that was carried out late. Its own VM is answered for free.
 WATCH_S = 1.0
@@ -95,23 +97,28 @@
         """Begin to follow and order."""
         await self._metrics.start()
         self._peers.start(self._neighbours)
-        self._versions.start(self._neighbours)
         self._tasks = [
+            asyncio.create_task(self._follow_versions()),
             asyncio.create_task(self._run()),
             asyncio.create_task(self._ping()),
             asyncio.create_task(self._watch_engine()),
             asyncio.create_task(self._watch_keepers()),
         ]
 
+    async def _follow_versions(self):
+        """Follow by an entry from the start, if there is one."""
+        await self._neighbours.until_any(FIRST_WAIT_S)
+        self._versions.start(self._neighbours)
+
     async def drain(self):
         """Give no order any more."""
-        await self._peers.stop()
-        await self._versions.stop()
         moves = self._moves_by_model.values()
         tasks = [*self._tasks, *moves, *self._telling]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._peers.stop()
+        await self._versions.stop()
 
     async def stop(self):
         """Release everything."""
--- a/packages/gateway/anvilwell_gateway/neighbours.py
+++ b/packages/gateway/anvilwell_gateway/neighbours.py
@@ -180,6 +180,7 @@
         self._doubted_until_by_vm = {}
         self._silent_since = float("-inf")
         self._known = asyncio.Event()
+        self._has_entries = asyncio.Event()
 
     def set_entries(self, entries_by_vm):
         """Take in each `Candidate` that is registered."""
@@ -189,6 +190,8 @@
             for vm_id in self._candidates(self._failure_domain)
         }
         self._known.set()
+        if entries_by_vm:
+            self._has_entries.set()
 
     def _candidates(self, failure_domain):
         """Return the entries that may tell what changes in a domain.
@@ -231,6 +234,14 @@
             return
         await asyncio.sleep(SETTLE_S)
 
+    async def until_any(self, limit_s):
+        """Wait until an entry is known, `limit_s` seconds at most."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._has_entries.wait()
+        except TimeoutError:
+            _LOG.log("no-entry-known", waited_s=limit_s)
+
     def find(self):
         """Return the `Neighbour` to ask, None to ask the store itself."""
         candidates = self._candidates(self._failure_domain)
--- a/packages/gateway/anvilwell_gateway/news.py
+++ b/packages/gateway/anvilwell_gateway/news.py
@@ -1,11 +1,15 @@
 """What the store tells of the other VMs: who is there, what has ended."""
 
+import asyncio
+
 from anvilwell_gateway import following
 from anvilwell_gateway import live_keys
 from anvilwell_kernel.telemetry import logs
 
 PREFIX = live_keys.NEWS_PREFIX
 ENDED_PREFIX = f"{PREFIX}ended/"
+# Entries that start with an agent register within so long, in seconds.
+REGISTER_S = 0.2
 
 _LOG = logs.get_logger(__name__)
 
@@ -159,6 +163,20 @@
         super().__init__(store, PREFIX)
         self._on_change = on_change
         self._live = live_keys.LiveKeys()
+        self._has_waited = False
+
+    async def _load(self, neighbour):
+        """Read the whole; once more if no entry is there at the start.
+
+        A watch would tell of one as well, but some prefixes would be
+        watched at the store by then, for as long as they are quiet.
+        """
+        revision = await super()._load(neighbour)
+        if self._live.by_vm or self._has_waited:
+            return revision
+        self._has_waited = True
+        await asyncio.sleep(REGISTER_S)
+        return await super()._load(neighbour)
 
     def load(self, entries_by_key):
         """Take all that is there now."""
