--- a/packages/gateway/tests/test_listing.py
+++ b/packages/gateway/tests/test_listing.py
@@ -48,8 +48,10 @@
         store, clock = _Store(engines), asyncio.get_running_loop().time
         known = listing.Listing(store, _Codec(), "lm")
         addresses = await known.find(notices.Heard())
+        await asyncio.sleep(listing.FRESH_S)
         same = notices.Heard(notices.digest(addresses), clock())
         assert await known.find(same) == addresses
+        await asyncio.sleep(listing.FRESH_S)
         other = notices.Heard(same.digest + 1, clock())
         assert await known.find(other) == addresses
         await asyncio.sleep(listing.BELIEVED_S)
@@ -59,6 +61,19 @@
     assert run_virtual(scenario()) == (engines, reads)
 
 
+def test_what_was_read_just_now_is_not_read_again(run_virtual):
+    async def scenario():
+        store = _Store(2)
+        known = listing.Listing(store, _Codec(), "lm")
+        for _ in range(3):
+            finds = (known.find(notices.Heard()) for _ in range(3))
+            assert len(set(map(tuple, await asyncio.gather(*finds)))) == 1
+            await asyncio.sleep(listing.FRESH_S)
+        return store.reads
+
+    assert run_virtual(scenario()) == 3
+
+
 def test_registrations_that_cannot_be_read_name_nobody(run_virtual):
     async def scenario():
         store = _Store(2)
