--- a/packages/bench/tests/slopes/test_page.py
+++ b/packages/bench/tests/slopes/test_page.py
@@ -5,7 +5,12 @@
 from anvilwell_decisions.capacity import data
 from anvilwell_decisions.capacity import plan
 
-PAGE = pathlib.Path(__file__).parents[4] / "docs" / "design" / "capacity-of-the-daemon.md"
+PAGE = (
+    pathlib.Path(__file__).parents[4]
+    / "docs"
+    / "design"
+    / "capacity-of-the-daemon.md"
+)
 
 
 def test_committed_page_is_what_the_committed_slopes_give():
--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -55,6 +55,7 @@
 
     def __init__(self, settings, platform):
         self._vm_id = settings.daemon.vm_id
+        self._clock = asyncio.get_running_loop().time
         self._backend = settings.agent.backend
         self._engine = platform.engine_at(settings.agent.backend)
         self._store = platform.store
