--- a/packages/decisions/anvilwell_decisions/batches/loading.py
+++ b/packages/decisions/anvilwell_decisions/batches/loading.py
@@ -20,12 +20,10 @@
 # able to take turns with two. An engine carries out one order at a time; if
 # all of nineteen keep four models that are named every four seconds, each
 # loads almost half of the time, and the first item of a step may wait two
-# seconds for that. With two models an engine worth rose by 0.031 there (six
-# pairs, standard error 0.014), and loads fell from 212 to 129 a day.
+# seconds for that.
 LEAST_KEEPERS = 4
-# And it keeps so many at least: trainers do not need equal parts. With one
-# of two models an engine, the trainer with more items had half of the twelve
-# engines, and a day's worth fell from 0.58 to 0.39.
+# And it keeps so many at least: trainers do not need equal parts, and with
+# one model an engine those with more items would have too few of them.
 LEAST_MODELS = 2
 
 
--- a/packages/gateway/anvilwell_gateway/batches/needing.py
+++ b/packages/gateway/anvilwell_gateway/batches/needing.py
@@ -4,8 +4,8 @@
 
 from anvilwell_gateway.batches import homes as all_homes
 
-# Owners are looked at again after so long, in seconds: a notice is a
-# hundredth of what it would cost to look at each time.
+# Owners are looked at again after so long, in seconds: with hundreds of
+# agents, looks at each notice would cost more than the notices.
 LOOK_S = 0.25
 
 
--- a/packages/gateway/anvilwell_gateway/batches/passing.py
+++ b/packages/gateway/anvilwell_gateway/batches/passing.py
@@ -1,11 +1,9 @@
 """Passes a read of results on to the entry that owns the batch.
 
 The owner has them in memory and sees each new one first. An entry that
-does not own the batch would read the store at each question: 650 reads
-of results and 460 of owners in a day of 17 entries. Of many bytes an owner
-in another failure domain only says how many results there are, and the
-store is read when there are more: bytes between domains are dear, 0.018 of
-a day's worth for 0.05 GB of texts, and one call to the store is 0.00003.
+does not own the batch would read the store at each question. Of many bytes
+an owner in another failure domain only says how many results there are, and
+the store is read when there are more: bytes between domains are dear.
 """
 
 import asyncio
--- a/packages/gateway/anvilwell_gateway/batches/saving.py
+++ b/packages/gateway/anvilwell_gateway/batches/saving.py
@@ -8,8 +8,7 @@
 
 # A new owner repeats at most so much of a text, plus what is too short, in
 # seconds. After a loss of all processes a long item has about a second to
-# spare; saving twice as often as before cost 85 calls in a day of 1,700 and
-# brought 0.026 of worth a day, over 70 days with such losses.
+# spare.
 SAVE_S = 0.7
 # Unfinished texts of fewer events are made again in less than half a
 # second; whole ones are kept whatever their length.
--- a/packages/gateway/anvilwell_gateway/crashes.py
+++ b/packages/gateway/anvilwell_gateway/crashes.py
@@ -1,9 +1,7 @@
 """Tells entries which requests end replicas.
 
 A request comes by any entry, so what one has seen must be known to all:
-without it, one caller's lookup ended 13 replicas of a service of three in
-17 s, and every other caller was refused meanwhile; with it, the lookup is
-refused after the second, wherever it comes.
+then it is refused after the second end, wherever it comes.
 Each entry writes to the store which requests a replica cut as it ended; a
 write for each replica that ends at work, and none while all is well. It
 tells the other entries directly as well: the store may be away just then.
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -15,8 +15,7 @@
 # two seconds if it does not, hence a little less.
 RETURN_S = 1.7
 # A replica that leaves may get work for two seconds more; agents tell new
-# versions directly. With 25 replicas 0.6 s saved a quarter of an entry's
-# calls, 2,005 of 8,149 in a quiet day of 23 entries, against 0.25 s.
+# versions directly. Changes that come within this time share a call.
 GATHER_S = 1.2
 # An agent that says that its engine loads, and then nothing, is believed
 # for so long: three times what a load takes.
@@ -24,8 +23,7 @@
 
 # A replica whose address another answers at has ended. Its registration
 # lapses within three heartbeats, some four seconds; until then each call
-# and each item would ask there again, up to 118 times an item after a loss
-# of all VMs.
+# and each item would ask there again.
 ASIDE_S = 5.0
 
 _LOG = logs.get_logger(__name__)
--- a/packages/gateway/anvilwell_gateway/feeds.py
+++ b/packages/gateway/anvilwell_gateway/feeds.py
@@ -1,10 +1,9 @@
 """What an entry that watches the store passes on to its neighbours.
 
 Without this each process watches by itself, so calls to the store are
-processes times changes: with 58 entries and 32 agents 0.20 of what a
-quiet day is worth, three fifths of all that it costs. One entry a failure
-domain watches each prefix; it is a cache with the store's revision, and
-what is written goes to the store under conditions as before.
+processes times changes. One entry a failure domain watches each prefix; it
+is a cache with the store's revision, and what is written goes to the store
+under conditions as before.
 """
 
 import asyncio
--- a/packages/gateway/anvilwell_gateway/neighbours.py
+++ b/packages/gateway/anvilwell_gateway/neighbours.py
@@ -14,8 +14,8 @@
 
 # An entry that is out of touch with the store is doubted only if it still
 # is so long after the store answered this process, in seconds. After an
-# outage all are back in touch within a tenth of a second, some before
-# their neighbour: 319 followers of 90 processes read the whole then.
+# outage all are back in touch within a tenth of a second; those that are
+# before their neighbour would read the whole.
 PATIENCE_S = 0.12
 # What was seen so long ago was another outage.
 FORGIVEN_S = 2.0
--- a/packages/gateway/anvilwell_gateway/notices.py
+++ b/packages/gateway/anvilwell_gateway/notices.py
@@ -1,10 +1,9 @@
 """What agents tell entries directly: what their engines load and have.
 
 An entry learns a new version from the registrations within two seconds,
-and that an engine loads, only from its refusals: these were a third to a
-half of all items sent. Notices take a millisecond, and cost no call to
-the key-value service. They go to the entries that run batches; see
-``audience``.
+and that an engine loads, only from its refusals. Notices take a
+millisecond, and cost no call to the key-value service. They go to the
+entries that run batches; see ``audience``.
 """
 
 import asyncio
