--- a/packages/decisions/tests/batches/test_dispatch.py
+++ b/packages/decisions/tests/batches/test_dispatch.py
@@ -141,6 +141,20 @@
     assert not dispatch.moves([_run("r0", 100)], NOW)
 
 
+def test_a_run_leaves_a_replica_that_turns_slow_for_seconds():
+    dispatch = _dispatch()
+    for replica_id in ("r0", "r1"):
+        for _ in range(4):
+            _pace(dispatch, replica_id, FAST_S)
+    at = NOW
+    for _ in range(17):
+        at += SLOW_S
+        dispatch.worker("r0").pace.saw_gap(SLOW_S, at)
+        dispatch.worker("r1").pace.saw_gap(FAST_S, at)
+
+    assert dispatch.moves([_run("r0", 100)], at)
+
+
 def test_a_replica_that_loads_a_model_gets_no_items_of_it():
     dispatch = _dispatch(versions=(1,))
     replica = dispatch.worker("r0").replica
