--- a/packages/decisions/anvilwell_decisions/batches/moves.py
+++ b/packages/decisions/anvilwell_decisions/batches/moves.py
@@ -13,7 +13,7 @@
 LEAST_GAIN_S = 0.2
 # And it takes so many times less time than to stay, as replicas differ by
 # a little with the load.
-LEAST_RATIO = 1.3
+LEAST_RATIO = 1.1
 # Runs that may be moved for each run that starts: callers pay for the
 # places and prompts of all second runs.
 SHARE = 0.06
