--- a/packages/decisions/anvilwell_decisions/batches/paces.py
+++ b/packages/decisions/anvilwell_decisions/batches/paces.py
@@ -96,7 +96,7 @@
     def saw_gap(self, gap_s, now):
         """Take in the time between two events of one run."""
         if now - self._seen_at > USUAL_AGE_S:
-            self._usual_gaps.clear()
+            self._begin_anew()
         self._forget_spell(now)
         self._seen_at = now
         self._recent.append(_Gap(now, gap_s))
@@ -110,6 +110,14 @@
             pace_s = statistics.median(gap.gap_s for gap in self._recent)
             self._judge(pace_s, now)
 
+    def _begin_anew(self):
+        """Forget all that is known of a replica that was idle for long."""
+        self._recent.clear()
+        self._usual_gaps.clear()
+        self._usual_s = None
+        self._unjudged = 0
+        self._spell = None
+
     def saw_load(self, load, now):
         """Take in an `observations.Observation` of the replica itself.
 
--- a/packages/decisions/tests/batches/test_paces.py
+++ b/packages/decisions/tests/batches/test_paces.py
@@ -116,6 +116,15 @@
     assert load.pace.usual(later) is None
 
 
+@pytest.mark.parametrize("gap_s", [USUAL_S, RATIO * USUAL_S])
+def test_a_replica_that_was_idle_for_long_is_learnt_anew(load, gap_s):
+    """The first runs after a minute without any ended with a fault."""
+    load.now += paces.USUAL_AGE_S + 1.0
+    load.go(1.0, gap_s)
+
+    assert load.pace.usual(load.now) == pytest.approx(gap_s)
+
+
 def test_a_replica_that_tells_of_contention_is_slow_at_once(load):
     _moments(load, 8)
     load.tells(RATIO)
