--- a/packages/gateway/anvilwell_gateway/ends.py
+++ b/packages/gateway/anvilwell_gateway/ends.py
@@ -100,7 +100,8 @@
         for retry_s in RETRIES_S:
             try:
                 return await self._tell(vm_id, told)
-            except exceptions.AnvilwellError:
+            except exceptions.AnvilwellError as error:
+                self._log_untold(vm_id, told, error.message)
                 await asyncio.sleep(retry_s)
         return await self._tell(vm_id, told)
 
