--- a/packages/gateway/anvilwell_gateway/following.py
+++ b/packages/gateway/anvilwell_gateway/following.py
@@ -53,7 +53,7 @@
         self._asked = None
         self._is_settled = False
         self._is_out_of_touch = False
-        self._tries = 0
+        self._next_retry_s = RETRY_S
         self.is_loaded = False
 
     @abc.abstractmethod
@@ -116,9 +116,9 @@
 
     def _retry_s(self):
         """Return how long to wait before the next try, in seconds."""
-        longest_s = min(LONGEST_RETRY_S, RETRY_S * 2**self._tries)
-        self._tries += 1
-        return longest_s * (1 - JITTER_SHARE * random.random())
+        wait_s = self._next_retry_s
+        self._next_retry_s = min(LONGEST_RETRY_S, 2 * wait_s)
+        return wait_s * (1 - JITTER_SHARE * random.random())
 
     @property
     def is_told(self):
@@ -152,7 +152,7 @@
             snapshot = await self._store.get_prefix(self._prefix)
         self._regained()
         self._is_out_of_touch = False
-        self._tries = 0
+        self._next_retry_s = RETRY_S
         if snapshot.revision < (self._revision or 0):
             raise _older(neighbour)
         if not neighbour:
--- a/packages/gateway/tests/test_following.py
+++ b/packages/gateway/tests/test_following.py
@@ -166,6 +166,24 @@
     assert _swap(monkeypatch, answers, timeout_s=9.0, refused_s=0.0) == LANDED
 
 
+def test_a_store_that_is_away_for_hours_is_asked_on(run_virtual):
+    async def scenario():
+        away = [exceptions.KeyValueUnavailable("away") for _ in range(1100)]
+        store = _Scripted(get_prefix=[*away, _snapshot(1, "p/a")])
+        follower = _Follower(store)
+        follower.start()
+        while not follower.seen:
+            await asyncio.sleep(60.0)
+        await follower.stop()
+        return follower.seen
+
+    async def bounded():
+        async with asyncio.timeout(1200 * following.LONGEST_RETRY_S):
+            return await scenario()
+
+    assert run_virtual(bounded()) == [["p/a"]]
+
+
 def test_a_store_that_is_away_is_asked_seldom_until_it_answers(run_virtual):
     async def run():
         store = _Scripted(get_prefix=[_lost()] * 100)
