Tell an entry of ends that it is heard of after

What callers saw: while the store takes no writes, a request that ends replicas could end two more at an entry that had just come, as that entry was never told; every bystander of these replicas was cut, and refused while the service had none.

Cause: an end was told to those entries alone that were known at that moment (Teller.tell). Whoever is heard of later learns from the store, which is away.

Change: each witness keeps its ends for as long as they hold a request back, and notes which life of each entry knows them; whoever is heard of later is told then.

--- a/packages/gateway/anvilwell_gateway/crashes.py
+++ b/packages/gateway/anvilwell_gateway/crashes.py
@@ -83,6 +83,10 @@
             self._teller.cancel()
             await asyncio.gather(self._teller, return_exceptions=True)
 
+    def entries_changed(self):
+        """Tell entries that were heard of since what they lack."""
+        self._direct.entries_changed()
+
     def beliefs(self):
         """Return how many requests are held back."""
         held_back = self._quarantine.held_back(self._loop.time())
--- a/packages/gateway/anvilwell_gateway/ends.py
+++ b/packages/gateway/anvilwell_gateway/ends.py
@@ -10,6 +10,7 @@
 
 import pydantic
 
+from anvilwell_decisions.requests import quarantine as quarantines
 from anvilwell_gateway import bodies
 from anvilwell_gateway.http import client
 from anvilwell_kernel import exceptions
@@ -21,7 +22,8 @@
 # Waits between tries. They outlast a short cut; the store tells what is
 # left, once it takes writes again.
 RETRIES_S = (0.25, 0.5, 1.0, 2.0, 4.0)
-# Ends that wait for one entry, the oldest make room: some racks of replicas.
+# Ends that are kept for entries that lack them, the oldest make room: some
+# racks of replicas.
 MOST_UNTOLD = 256
 MAX_ANSWER_BYTES = 4 << 10
 
@@ -49,9 +51,22 @@
     return bodies.read(_ENDS, body, "ends of replicas")
 
 
+class _Told(typing.NamedTuple):
+    """The ends that one life of an entry is known to know."""
+
+    life: str
+    ends: frozenset
+
+
+_NOTHING = _Told("", frozenset())
+
+
 class Teller:
     """Tells each entry that is known, one message at a time.
 
+    One that is heard of after an end is told of it then. An end is told for
+    as long as it holds a request back.
+
     Parameters
     ----------
     vm_id : str
@@ -63,47 +78,79 @@
     def __init__(self, vm_id, news):
         self._vm_id = vm_id
         self._news = news
-        self._pool = client.Pool(asyncio.get_running_loop().time, True)
-        self._untold_by_vm = {}
+        self._clock = asyncio.get_running_loop().time
+        self._pool = client.Pool(self._clock, True)
+        self._noted_at_by_end = {}
+        self._told_by_vm = {}
         self._tasks_by_vm = {}
 
     def tell(self, end):
         """Tell all other entries of an `End`."""
-        for vm_id in self._news.addresses_by_vm:
-            if vm_id != self._vm_id:
-                self._add(vm_id, end)
-
-    def _add(self, vm_id, end):
-        untold = self._untold_by_vm.setdefault(vm_id, [])
-        untold.append(end)
-        if len(untold) > MOST_UNTOLD:
-            self._log_untold(vm_id, [untold.pop(0)], "too many wait")
-        if vm_id not in self._tasks_by_vm:
-            task = asyncio.create_task(self._tell_on(vm_id))
-            self._tasks_by_vm[vm_id] = task
+        self._noted_at_by_end[end] = self._clock()
+        excess = len(self._noted_at_by_end) - MOST_UNTOLD
+        for oldest in list(self._noted_at_by_end)[: max(0, excess)]:
+            del self._noted_at_by_end[oldest]
+            _LOG.log("end-forgotten", replica=oldest.replica_id)
+        self.entries_changed()
+
+    def entries_changed(self):
+        """Tell each entry that is known what it lacks."""
+        if not self._noted_at_by_end:
+            return
+        vm_ids = set(self._news.addresses_by_vm) - {self._vm_id}
+        self._told_by_vm = {
+            vm_id: told
+            for vm_id, told in self._told_by_vm.items()
+            if vm_id in vm_ids
+        }
+        for vm_id in sorted(vm_ids.difference(self._tasks_by_vm)):
+            if self._untold(vm_id):
+                task = asyncio.create_task(self._tell_on(vm_id))
+                self._tasks_by_vm[vm_id] = task
+
+    def _untold(self, vm_id):
+        """Return the ends that an entry lacks, as far as is known here."""
+        oldest_at = self._clock() - quarantines.LONG_PAUSE_S
+        self._noted_at_by_end = {
+            end: at
+            for end, at in self._noted_at_by_end.items()
+            if at > oldest_at
+        }
+        told = self._told(vm_id, self._life(vm_id))
+        return tuple(end for end in self._noted_at_by_end if end not in told)
+
+    def _life(self, vm_id):
+        return self._news.lives_by_vm.get(vm_id, "")
+
+    def _told(self, vm_id, life):
+        """Return the ends that one life of an entry was told."""
+        known = self._told_by_vm.get(vm_id, _NOTHING)
+        return known.ends if known.life == life else frozenset()
 
     async def _tell_on(self, vm_id):
         """Tell an entry what it lacks, what comes meanwhile too."""
-        untold = self._untold_by_vm[vm_id]
+        waits_s = iter(RETRIES_S)
         try:
-            while untold:
-                told = tuple(untold)
-                await self._tell_until_known(vm_id, told)
-                untold[:] = [end for end in untold if end not in told]
-        except exceptions.AnvilwellError as error:
-            self._log_untold(vm_id, untold, error.message)
+            while untold := self._untold(vm_id):
+                life = self._life(vm_id)
+                try:
+                    await self._tell(vm_id, untold)
+                except exceptions.AnvilwellError as error:
+                    self._log_untold(vm_id, untold, error.message)
+                    wait_s = next(waits_s, None)
+                    if wait_s is None:
+                        return
+                    await asyncio.sleep(wait_s)
+                else:
+                    self._note(vm_id, life, untold)
+                    waits_s = iter(RETRIES_S)
         finally:
             del self._tasks_by_vm[vm_id]
-            del self._untold_by_vm[vm_id]
-
-    async def _tell_until_known(self, vm_id, told):
-        for retry_s in RETRIES_S:
-            try:
-                return await self._tell(vm_id, told)
-            except exceptions.AnvilwellError as error:
-                self._log_untold(vm_id, told, error.message)
-                await asyncio.sleep(retry_s)
-        return await self._tell(vm_id, told)
+
+    def _note(self, vm_id, life, ends):
+        """Note what an entry was told, as long as it would be told."""
+        told = self._told(vm_id, life).intersection(self._noted_at_by_end)
+        self._told_by_vm[vm_id] = _Told(life, told.union(ends))
 
     async def _tell(self, vm_id, told):
         address = self._news.addresses_by_vm.get(vm_id)
--- a/packages/gateway/anvilwell_gateway/live_calls.py
+++ b/packages/gateway/anvilwell_gateway/live_calls.py
@@ -35,6 +35,7 @@
             fleet.news,
         )
         fleet.news.pass_on(crashes.PREFIX, self.crashes)
+        fleet.news.listen_entries(self.crashes.entries_changed)
         self.usage = reports.build(
             settings, platform, fleet.presence, fleet.news
         )
--- a/packages/gateway/anvilwell_gateway/news.py
+++ b/packages/gateway/anvilwell_gateway/news.py
@@ -35,6 +35,7 @@
         self._paths = ways
         self._nearby = nearby
         self._listeners = []
+        self._entry_listeners = []
         self._takers_by_prefix = {}
         self._live = live_keys.LiveKeys()
         self.ended = set()
@@ -66,6 +67,10 @@
         """Call ``callback(lost_vms, ended_batches)`` on news."""
         self._listeners.append(callback)
 
+    def listen_entries(self, callback):
+        """Call ``callback()`` when other entries may be there than before."""
+        self._entry_listeners.append(callback)
+
     def pass_on(self, prefix, taker):
         """Have `taker` load and change what lies under a longer prefix.
 
@@ -96,7 +101,7 @@
             if self.lives_by_vm.get(vm_id) != life
         }
         fresh = ended - self.ended
-        self._tell_paths()
+        self._tell_of_entries()
         self.ended |= ended
         for prefix, taker in self._takers_by_prefix.items():
             taker.load(
@@ -128,7 +133,7 @@
         vm_id = self._live.change(change)
         before = lives_before.get(vm_id)
         now = self.lives_by_vm.get(vm_id)
-        self._tell_paths()
+        self._tell_of_entries()
         _LOG.log("peer", peer=vm_id, is_live=now is not None)
         if before and before != now:
             self._tell({vm_id}, set())
@@ -141,11 +146,13 @@
         for callback in self._listeners:
             callback(lost, ended)
 
-    def _tell_paths(self):
+    def _tell_of_entries(self):
         addresses_by_vm = self.addresses_by_vm
         addresses_by_vm.pop(self._presence.vm_id, None)
         self._paths.set_peers(addresses_by_vm)
         self._nearby.set_entries(self._live.candidates_by_vm)
+        for callback in self._entry_listeners:
+            callback()
 
 
 class Peers(following.Follower):
--- a/packages/gateway/tests/test_ends.py
+++ b/packages/gateway/tests/test_ends.py
@@ -41,7 +41,8 @@
             pool = _Pool()
             monkeypatch.setattr(ends.client, "Pool", lambda *_: pool)
             news = types.SimpleNamespace(
-                addresses_by_vm={"entry-1": "a:1", "entry-2": "a:2"}
+                addresses_by_vm={"entry-1": "a:1", "entry-2": "a:2"},
+                lives_by_vm={"entry-1": "one", "entry-2": "two"},
             )
             teller = ends.Teller("entry-1", news)
             try:
@@ -69,6 +70,31 @@
     play(scenario)
 
 
+def test_an_entry_that_is_heard_of_after_an_end_is_told_of_it(play):
+    """Else it lets the same request end two replicas of its own."""
+
+    async def scenario(teller, pool, news):
+        teller.tell(END)
+        await asyncio.sleep(60.0)
+        news.addresses_by_vm["entry-3"] = "a:3"
+        news.lives_by_vm["entry-2"] = "another"
+        teller.entries_changed()
+        await asyncio.sleep(0.01)
+        assert pool.told == [
+            ("entry-2", (END,)),
+            ("entry-2", (END,)),
+            ("entry-3", (END,)),
+        ]
+        teller.entries_changed()
+        await asyncio.sleep(3600.0)
+        news.addresses_by_vm["entry-4"] = "a:4"
+        teller.entries_changed()
+        await asyncio.sleep(0.01)
+        assert len(pool.told) == 3
+
+    play(scenario)
+
+
 def test_an_entry_is_told_again_that_did_not_answer(play):
     async def scenario(teller, pool, news):
         pool.failures = len(ends.RETRIES_S)
