Tell an entry of ends until it answers or they are old

What callers saw: an entry that one witness could not reach for 7.75 s, with the store away, never learned of its ends: the request ended two replicas more there. Suspected by reading; the test shows it: before, an entry that is silent for five minutes was told nothing when it answered again.

Cause: six tries, then the ends were dropped for that entry.

Change: the last wait, 4 s, repeats while the entry is known to live and the end holds a request back (600 s); one that registers again is told then.

test_an_entry_that_stays_silent_is_given_up_until_the_next_end held the fault fast: it asked that nothing is told before the next end. Two tests take its place: silent for five minutes, with the tries bounded as before and then told (failed before), and silent for an hour, given up by then, with the same expectation as the old one.

--- a/packages/gateway/anvilwell_gateway/ends.py
+++ b/packages/gateway/anvilwell_gateway/ends.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import typing
 
 import pydantic
@@ -19,8 +20,8 @@
 TARGET = "/ends"
 # An entry answers within milliseconds; one that does not is not there.
 TIMEOUT_S = 0.5
-# Waits between tries. They outlast a short cut; the store tells what is
-# left, once it takes writes again.
+# Waits between tries, the last one again and again: an entry that can't be
+# reached from here may take callers all the same.
 RETRIES_S = (0.25, 0.5, 1.0, 2.0, 4.0)
 # Ends that are kept for entries that lack them, the oldest make room: some
 # racks of replicas.
@@ -61,6 +62,11 @@
 _NOTHING = _Told("", frozenset())
 
 
+def _waits_s():
+    """Return the waits between tries at one entry, in seconds."""
+    return itertools.chain(RETRIES_S, itertools.repeat(RETRIES_S[-1]))
+
+
 class Teller:
     """Tells each entry that is known, one message at a time.
 
@@ -128,34 +134,35 @@
         return known.ends if known.life == life else frozenset()
 
     async def _tell_on(self, vm_id):
-        """Tell an entry what it lacks, what comes meanwhile too."""
-        waits_s = iter(RETRIES_S)
+        """Tell an entry that lives what it lacks, what comes meanwhile too.
+
+        One that is not known to live is told once it is heard of again.
+        """
+        waits_s = _waits_s()
         try:
-            while untold := self._untold(vm_id):
+            while self._lives(vm_id) and (untold := self._untold(vm_id)):
                 life = self._life(vm_id)
                 try:
                     await self._tell(vm_id, untold)
                 except exceptions.AnvilwellError as error:
                     self._log_untold(vm_id, untold, error.message)
-                    wait_s = next(waits_s, None)
-                    if wait_s is None:
-                        return
-                    await asyncio.sleep(wait_s)
+                    await asyncio.sleep(next(waits_s))
                 else:
                     self._note(vm_id, life, untold)
-                    waits_s = iter(RETRIES_S)
+                    waits_s = _waits_s()
         finally:
             del self._tasks_by_vm[vm_id]
 
+    def _lives(self, vm_id):
+        return vm_id in self._news.addresses_by_vm
+
     def _note(self, vm_id, life, ends):
         """Note what an entry was told, as long as it would be told."""
         told = self._told(vm_id, life).intersection(self._noted_at_by_end)
         self._told_by_vm[vm_id] = _Told(life, told.union(ends))
 
     async def _tell(self, vm_id, told):
-        address = self._news.addresses_by_vm.get(vm_id)
-        if address is None:
-            raise exceptions.Refused("the entry is not known to live")
+        address = self._news.addresses_by_vm[vm_id]
         question = bodies.question(TARGET, address, told)
         reply, _ = await self._pool.ask(
             vm_id, address, question, TIMEOUT_S, MAX_ANSWER_BYTES
--- a/packages/gateway/tests/test_ends.py
+++ b/packages/gateway/tests/test_ends.py
@@ -105,12 +105,29 @@
     play(scenario)
 
 
-def test_an_entry_that_stays_silent_is_given_up_until_the_next_end(play):
+def test_an_entry_that_stays_silent_is_told_once_it_answers(play):
+    """Cut off from one witness for minutes, it took callers all the same."""
+
     async def scenario(teller, pool, news):
-        pool.failures = len(ends.RETRIES_S) + 1
+        pool.failures = 100
         teller.tell(END)
-        await asyncio.sleep(3600.0)
+        await asyncio.sleep(300.0)
+        failures = 100 - pool.failures
+        assert failures <= len(ends.RETRIES_S) + 300.0 / ends.RETRIES_S[-1]
         assert pool.told == []
+        pool.failures = 0
+        await asyncio.sleep(ends.RETRIES_S[-1] + 0.01)
+        assert pool.told == [("entry-2", (END,))]
+
+    play(scenario)
+
+
+def test_an_entry_that_stays_silent_is_given_up_once_an_end_is_old(play):
+    async def scenario(teller, pool, news):
+        pool.failures = 1 << 20
+        teller.tell(END)
+        await asyncio.sleep(3600.0)
+        pool.failures = 0
         teller.tell(LATER)
         await asyncio.sleep(0.01)
         assert pool.told == [("entry-2", (LATER,))]
