Ask other entries, at the start, which requests end replicas

What callers saw: an entry that starts while the store takes no writes can't register, so no other hears of it or tells it; yet it is ready and let a request that all others held back end two more replicas.

Cause: an entry learns what was told before its start from the store alone.

Change: an entry that starts asks two others that it knows of, at random, until two have answered; ages go along, so that a pause is not begun anew. Weighed: that each entry passes on what it was told (77 messages for each start at 77 entries, and none to one that nobody knows), asking all.

--- a/packages/decisions/anvilwell_decisions/requests/quarantine.py
+++ b/packages/decisions/anvilwell_decisions/requests/quarantine.py
@@ -37,6 +37,17 @@
     at: float
 
 
+class Known(typing.NamedTuple):
+    """The replicas that ended under a request, and how long ago the last.
+
+    ``age_s`` is in seconds.
+    """
+
+    fingerprint: str
+    replica_ids: tuple[str, ...]
+    age_s: float
+
+
 class Quarantine:
     """Counts the replicas that ended under each request.
 
@@ -93,9 +104,18 @@
         before = known.replica_ids if known else frozenset()
         if not before.issuperset(replica_ids):
             self._records_by_fingerprint[fingerprint] = _Record(
-                before.union(replica_ids), now
+                before.union(replica_ids), max(now, known.at) if known else now
             )
 
+    def known(self, now):
+        """Return a `Known` of each request, those with most ends first."""
+        self._forget_old(now)
+        known = [
+            Known(fingerprint, tuple(sorted(ids)), now - at)
+            for fingerprint, (ids, at) in self._records_by_fingerprint.items()
+        ]
+        return sorted(known, key=lambda one: -len(one.replica_ids))
+
     def answered(self, fingerprint):
         """Note that a replica answered a request whole: it ends none."""
         self._records_by_fingerprint.pop(fingerprint, None)
--- a/packages/decisions/tests/requests/test_quarantine.py
+++ b/packages/decisions/tests/requests/test_quarantine.py
@@ -57,6 +57,17 @@
     assert quarantine.ends(BAD) == 1
 
 
+def test_what_is_passed_on_ends_no_later_than_what_was_seen():
+    first, second = quarantines.Quarantine(), quarantines.Quarantine()
+    for number in range(quarantines.SUSPECT_ENDS):
+        _end(first, f"r{number}", 0.0)
+    for one in first.known(2.0):
+        second.learn(one.fingerprint, one.replica_ids, 2.0 - one.age_s)
+
+    assert second.wait_s(BAD, 2.0) == first.wait_s(BAD, 2.0) > 0
+    assert first.known(quarantines.LONG_PAUSE_S) == []
+
+
 def test_a_cut_at_a_replica_that_goes_on_does_not_count():
     quarantine = quarantines.Quarantine()
     for number in range(9):
--- /dev/null
+++ b/packages/gateway/anvilwell_gateway/catching_up.py
@@ -0,0 +1,107 @@
+"""Asks other entries which requests end replicas, when this one starts.
+
+Others tell an entry what they see from the moment they hear of it. One that
+starts while the store is away knows nothing of what was told before, and can't
+register, so that nobody hears of it; yet it may take callers.
+"""
+
+import asyncio
+import random
+
+import pydantic
+
+from anvilwell_decisions.requests import quarantine as quarantines
+from anvilwell_gateway import bodies
+from anvilwell_gateway.http import client
+from anvilwell_kernel import exceptions
+from anvilwell_kernel.telemetry import logs
+
+TARGET = "/ends/known"
+# Every entry is told of every end, so one would do; a second one covers for
+# one that was cut off, or has just started itself.
+ENOUGH = 2
+TIMEOUT_S = 0.5
+# Between rounds of questions, as long as too few have answered.
+RETRY_S = 1.0
+# Requests in one answer, those with the most ends first.
+MOST_KNOWN = 4096
+MAX_ANSWER_BYTES = 1 << 20
+
+
+_KNOWN = pydantic.TypeAdapter(tuple[quarantines.Known, ...])
+
+_LOG = logs.get_logger(__name__)
+
+
+class CatchUp:
+    """Learns what a few other entries know.
+
+    Parameters
+    ----------
+    vm_id : str
+        This VM, which is not asked.
+    news : news.News
+        The entries that live, and where.
+    take : callable
+        Takes each `quarantine.Known`.
+    """
+
+    def __init__(self, vm_id, news, take):
+        self._vm_id = vm_id
+        self._news = news
+        self._take = take
+        self._pool = client.Pool(asyncio.get_running_loop().time)
+        self._answered = set()
+        self._task = None
+
+    def entries_changed(self):
+        """Ask the entries that are known now, until enough have answered."""
+        if len(self._answered) < ENOUGH and self._task is None:
+            self._task = asyncio.create_task(self._ask_on())
+
+    async def _ask_on(self):
+        """Ask one after another; wait for news if all have answered."""
+        try:
+            while vm_ids := self._unasked():
+                for vm_id in vm_ids:
+                    await self._ask(vm_id)
+                await asyncio.sleep(RETRY_S)
+        finally:
+            self._task = None
+
+    def _unasked(self):
+        """Return some entries to ask, none once enough have answered."""
+        missing = ENOUGH - len(self._answered)
+        unasked = set(self._news.addresses_by_vm).difference(
+            self._answered, (self._vm_id,)
+        )
+        return random.sample(sorted(unasked), min(missing, len(unasked)))
+
+    async def _ask(self, vm_id):
+        address = self._news.addresses_by_vm.get(vm_id)
+        if address is None:
+            return
+        try:
+            reply, body = await self._pool.ask(
+                vm_id,
+                address,
+                bodies.question(TARGET, address, None),
+                TIMEOUT_S,
+                MAX_ANSWER_BYTES,
+            )
+            if reply.status != 200:
+                raise client.failed(f"status {reply.status}")
+            known = bodies.read(_KNOWN, body, "known ends")
+        except exceptions.AnvilwellError as error:
+            _LOG.log("ends-not-asked", entry=vm_id, cause=error.message)
+            return
+        self._answered.add(vm_id)
+        for one in known:
+            self._take(one)
+
+    async def stop(self):
+        """Ask no more."""
+        if self._task:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._pool.close()
--- a/packages/gateway/anvilwell_gateway/crashes.py
+++ b/packages/gateway/anvilwell_gateway/crashes.py
@@ -15,6 +15,7 @@
 import pydantic
 
 from anvilwell_decisions.requests import quarantine as quarantines
+from anvilwell_gateway import catching_up
 from anvilwell_gateway import ends as ends_of_replicas
 from anvilwell_gateway.http import client
 from anvilwell_gateway import measures
@@ -27,7 +28,9 @@
 
 PREFIX = f"{news.PREFIX}crashes/"
 # Other entries tell and ask under these targets.
-TARGETS = frozenset((ends_of_replicas.TARGET, trials.TARGET))
+TARGETS = frozenset(
+    (ends_of_replicas.TARGET, catching_up.TARGET, trials.TARGET)
+)
 # A replica whose process has ended refuses a connection within a round
 # trip, a millisecond or two. A VM that is silent tells nothing in time.
 LOOK_S = 0.1
@@ -66,6 +69,7 @@
         self._loop = asyncio.get_running_loop()
         self._quarantine = quarantines.Quarantine()
         self._direct = ends_of_replicas.Teller(vm_id, peers)
+        self._catch_up = catching_up.CatchUp(vm_id, peers, self._catch)
         self._trials = trials.Trials(vm_id, peers, self._quarantine)
         self._untold_by_replica = {}
         self._told_by_replica = {}
@@ -78,14 +82,16 @@
     async def stop(self):
         """Tell no more."""
         await self._direct.stop()
+        await self._catch_up.stop()
         await self._trials.stop()
         if self._teller:
             self._teller.cancel()
             await asyncio.gather(self._teller, return_exceptions=True)
 
     def entries_changed(self):
-        """Tell entries that were heard of since what they lack."""
+        """Tell and ask the entries that were heard of since."""
         self._direct.entries_changed()
+        self._catch_up.entries_changed()
 
     def beliefs(self):
         """Return how many requests are held back."""
@@ -174,10 +180,23 @@
             wait_s = self._trials.decide(trials.read(request.body))
             await responder.send(200, (), cbor2.dumps(wait_s))
             return
+        if request.path == catching_up.TARGET:
+            known = self._quarantine.known(self._loop.time())
+            most = known[: catching_up.MOST_KNOWN]
+            await responder.send(200, (), cbor2.dumps(most))
+            return
         for end in ends_of_replicas.read(request.body):
             self._take(end)
         await responder.send(200)
 
+    def _catch(self, known):
+        """Take in what another entry knew before this one started."""
+        self._quarantine.learn(
+            known.fingerprint,
+            known.replica_ids,
+            self._loop.time() - known.age_s,
+        )
+
     def _take(self, end):
         now = self._loop.time()
         for fingerprint in end.fingerprints:
--- /dev/null
+++ b/packages/gateway/tests/test_catching_up.py
@@ -0,0 +1,62 @@
+"""What an entry asks of others when it starts, in virtual time."""
+
+import asyncio
+import types
+
+import cbor2
+
+from anvilwell_decisions.requests import quarantine as quarantines
+from anvilwell_gateway import catching_up
+from anvilwell_gateway.http import client
+from anvilwell_gateway.http import messages
+
+KNOWN = quarantines.Known("f1", ("r1", "r2"), 3.0)
+
+
+class _Pool:
+    """Stands for the entries; those in `silent` do not answer."""
+
+    def __init__(self):
+        self.silent = set()
+        self.asked = []
+
+    async def ask(self, key, address, question, timeout_s, max_bytes):
+        await asyncio.sleep(0.001)
+        self.asked.append(key)
+        if key in self.silent:
+            raise client.failed("no answer")
+        return messages.Reply(200, ()), cbor2.dumps([KNOWN])
+
+    def close(self):
+        pass
+
+
+def test_enough_entries_are_asked_until_they_answer(run_virtual, monkeypatch):
+    """One that knew nothing let a request end what others had held back."""
+    pool = _Pool()
+    monkeypatch.setattr(catching_up.client, "Pool", lambda *_: pool)
+    entries = {f"entry-{number}": f"a:{number}" for number in range(9)}
+    news = types.SimpleNamespace(addresses_by_vm={"entry-0": "a:0"})
+    taken = []
+
+    async def scenario():
+        catch_up = catching_up.CatchUp("entry-0", news, taken.append)
+        catch_up.entries_changed()
+        await asyncio.sleep(60.0)
+        assert not pool.asked
+        news.addresses_by_vm = entries
+        pool.silent = set(entries)
+        catch_up.entries_changed()
+        await asyncio.sleep(60.0)
+        assert not taken
+        pool.silent = set()
+        await asyncio.sleep(2 * catching_up.RETRY_S)
+        assert taken == [KNOWN] * catching_up.ENOUGH
+        asked = len(pool.asked)
+        assert asked <= catching_up.ENOUGH * 62 / catching_up.RETRY_S
+        catch_up.entries_changed()
+        await asyncio.sleep(60.0)
+        assert len(pool.asked) == asked
+        await catch_up.stop()
+
+    run_virtual(scenario())
