Let two entries decide on a trial, so that a change moves one at most

A request that had ended two replicas could be tried twice at once after its short pause: when the decider left during a trial, its successor knew of none; and while one entry lacked an entry that others knew, both asked another decider, and both were let.

Cause: whoever was asked granted, by its own memory alone, and who is asked hangs on the list of entries of the one that asks.

Change: two deciders, the first two by rank, both have to grant, in this order. Lists that differ by one entry share one of the two. Left: lists that differ by two of the first entries let one more replica end. Weighed: a new decider that waits as long as a trial lasts (bystanders wait too while entries start), a decider that refuses if it would not choose itself (two that do not know each other still grant both). It costs two messages more for each trial, and a request waits for both deciders.

--- a/packages/gateway/anvilwell_gateway/trials.py
+++ b/packages/gateway/anvilwell_gateway/trials.py
@@ -1,8 +1,10 @@
 """Asks which entry may try a request that has ended replicas.
 
-One entry, chosen by the request's fingerprint, knows the trial under way;
-the others ask it, a message before and one after. Where it can't be asked,
-the request waits: its pause grows by what its lease or a cut link takes.
+Two entries, chosen by the request's fingerprint, know the trial under way;
+the others ask both, a message before and one after. One that has left or has
+just come moves only one of the two, so whoever asks meanwhile, or knows other
+entries, still asks one that knows. Where they can't be asked, the request
+waits: its pause grows by what a lease or a cut link takes.
 """
 
 import asyncio
@@ -20,6 +22,7 @@
 from anvilwell_kernel.telemetry import logs
 
 TARGET = "/trials"
+DECIDERS = 2
 # An entry answers within milliseconds, and the caller's time runs.
 TIMEOUT_S = 0.2
 MAX_ANSWER_BYTES = 4 << 10
@@ -81,27 +84,50 @@
     async def tried(self, fingerprint):
         """Give how long a request must wait, 0 if it may be tried now."""
         trier = f"{self._vm_id}/{next(self._numbers)}"
-        wait_s = await self._ask(fingerprint, trier, is_over=False)
+        granted = []
         try:
-            yield wait_s
+            yield await self._begin(fingerprint, trier, granted)
         finally:
-            if not wait_s:
-                over = self._ask(fingerprint, trier, is_over=True)
-                task = asyncio.create_task(over)
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
-
-    async def _ask(self, fingerprint, trier, is_over):
-        """Return how long to wait, in seconds."""
+            task = asyncio.create_task(self._end(fingerprint, trier, granted))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _begin(self, fingerprint, trier, granted):
+        """Return how long to wait, in seconds.
+
+        Who grants the trial is added to `granted`. All ask the first one
+        first: of two that ask at once one gets both.
+        """
+        for decider in self._deciders(fingerprint):
+            wait_s = await self._ask(decider, fingerprint, trier, False)
+            if wait_s:
+                return wait_s
+            granted.append(decider)
+        return 0.0
+
+    async def _end(self, fingerprint, trier, granted):
+        """Tell those that granted a trial that it is over."""
+        for decider in granted:
+            await self._ask(decider, fingerprint, trier, True)
+
+    def _deciders(self, fingerprint):
+        """Return who decides, this entry alone if it knows no other."""
+        vm_ids = choice.ranked(
+            f"try {fingerprint}", self._news.addresses_by_vm
+        )
+        return vm_ids[:DECIDERS] or [self._vm_id]
+
+    async def _ask(self, decider, fingerprint, trier, is_over):
+        """Return how long one decider has the request wait, in seconds."""
         replica_ids = self._quarantine.replica_ids(fingerprint)
         question = Question(
             fingerprint, trier, is_over, tuple(sorted(replica_ids))
         )
-        addresses_by_vm = self._news.addresses_by_vm
-        decider = choice.chosen(f"try {fingerprint}", list(addresses_by_vm))
-        if decider in (None, self._vm_id):
+        if decider == self._vm_id:
             return self.decide(question)
-        address = addresses_by_vm[decider]
+        address = self._news.addresses_by_vm.get(decider)
+        if address is None:
+            return trials.RETRY_S
         try:
             reply, body = await self._pool.ask(
                 decider,
--- a/packages/gateway/tests/test_trials.py
+++ b/packages/gateway/tests/test_trials.py
@@ -14,7 +14,6 @@
 from anvilwell_gateway import trials
 
 ADDRESSES_BY_VM = {f"entry-{number}": f"a:{number}" for number in range(4)}
-NEWS = types.SimpleNamespace(addresses_by_vm=ADDRESSES_BY_VM)
 PAUSE_S = quarantines.SHORT_PAUSE_S
 DECIDER = choice.chosen("try f", list(ADDRESSES_BY_VM))
 OTHERS = sorted(set(ADDRESSES_BY_VM) - {DECIDER})
@@ -26,6 +25,11 @@
     def __init__(self, trials_by_vm):
         self._trials_by_vm = trials_by_vm
         self.is_cut = False
+        # What each entry knows of the others.
+        self.news_by_vm = {
+            vm_id: types.SimpleNamespace(addresses_by_vm=dict(ADDRESSES_BY_VM))
+            for vm_id in ADDRESSES_BY_VM
+        }
 
     async def ask(self, key, address, question, timeout_s, max_bytes):
         await asyncio.sleep(0.001)
@@ -53,7 +57,8 @@
             }
             for vm_id, quarantine in quarantine_by_vm.items():
                 quarantine.learn("f", ["r1", "r2"], 0.0)
-                trials_by_vm[vm_id] = trials.Trials(vm_id, NEWS, quarantine)
+                news = pool.news_by_vm[vm_id]
+                trials_by_vm[vm_id] = trials.Trials(vm_id, news, quarantine)
             await asyncio.sleep(PAUSE_S)
             await scenario(trials_by_vm, quarantine_by_vm, pool)
             for one in trials_by_vm.values():
@@ -79,6 +84,48 @@
     play(scenario)
 
 
+def test_a_decider_that_is_replaced_leaves_one_that_knows_the_trial(play):
+    """Its successor knew of no trial and had the request tried twice."""
+
+    async def scenario(trials_by_vm, quarantine_by_vm, pool):
+        async with trials_by_vm[OTHERS[0]].tried("f") as wait_s:
+            assert wait_s == 0
+            for news in pool.news_by_vm.values():
+                del news.addresses_by_vm[DECIDER]
+            for vm_id in OTHERS[1:]:
+                async with trials_by_vm[vm_id].tried("f") as wait_s:
+                    assert wait_s == decisions.RETRY_S
+        await asyncio.sleep(0.01)
+        async with trials_by_vm[OTHERS[1]].tried("f") as wait_s:
+            assert wait_s == 0
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("unknown", ADDRESSES_BY_VM)
+@pytest.mark.parametrize("first", OTHERS)
+def test_entries_whose_lists_differ_do_not_try_at_once(play, unknown, first):
+    """One did not know the newest entry yet; each asked another decider."""
+
+    async def scenario(trials_by_vm, quarantine_by_vm, pool):
+        del pool.news_by_vm[OTHERS[1]].addresses_by_vm[unknown]
+        triers = {OTHERS[1], first}
+        waits = await asyncio.gather(
+            *(_wait_s(trials_by_vm[vm_id], 0.1) for vm_id in sorted(triers))
+        )
+        assert waits.count(0) == 1
+
+    play(scenario)
+
+
+async def _wait_s(one, took_s):
+    """Return how long an entry must wait to try, or try for `took_s`."""
+    async with one.tried("f") as wait_s:
+        if not wait_s:
+            await asyncio.sleep(took_s)
+        return wait_s
+
+
 def test_what_a_trial_ended_is_known_before_the_next_one(play):
     async def scenario(trials_by_vm, quarantine_by_vm, pool):
         async with trials_by_vm[OTHERS[0]].tried("f"):
