Count a replica's end that a look finds out late

On a busy VM a replica that had ended passed for one whose connection was cut: the look gave up after 0.1 s, and the end counted only once the registration had lapsed, four seconds later, or never while the store was away. Until then the request went on to further replicas, here and elsewhere.

Cause: one look decided, and its time limit, meant for how long the request waits, was also that of the evidence.

Change: the request waits 0.1 s as before; the look goes on for two seconds, and a refusal counts whenever it comes. The test (a connection that is refused after 0.15 s) failed before: the request was never suspect. Left: a VM that is silent for longer still shows by its registration alone.

--- a/packages/gateway/anvilwell_gateway/crashes.py
+++ b/packages/gateway/anvilwell_gateway/crashes.py
@@ -34,6 +34,8 @@
 # A replica whose process has ended refuses a connection within a round
 # trip, a millisecond or two. A VM that is silent tells nothing in time.
 LOOK_S = 0.1
+# A refusal that is later still counts: this VM or the replica's may be busy.
+LONGEST_LOOK_S = 2.0
 # Ends that come together share a write: a rack's replicas end at once.
 GATHER_S = 0.05
 # Replicas' ends in one write; the store takes 32 keys.
@@ -75,6 +77,7 @@
         self._told_by_replica = {}
         self._revisions_by_key = {}
         self._teller = None
+        self._looks = set()
         self._lease = 0
         self._lease_until = float("-inf")
         directory.listen(self._replicas_changed)
@@ -84,9 +87,10 @@
         await self._direct.stop()
         await self._catch_up.stop()
         await self._trials.stop()
-        if self._teller:
-            self._teller.cancel()
-            await asyncio.gather(self._teller, return_exceptions=True)
+        tasks = [*self._looks, *([self._teller] if self._teller else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def entries_changed(self):
         """Tell and ask the entries that were heard of since."""
@@ -140,16 +144,25 @@
     async def cut(self, fingerprint, replica):
         """Note that `replica` cut an answer; find out whether it ended.
 
-        What may follow is known once this returns, within `LOOK_S`.
+        What may follow is known once this returns, within `LOOK_S`, but
+        for a replica that refuses connections only later.
         """
         replica_id = replica.replica_id
         now = self._loop.time()
         if self._quarantine.cut(fingerprint, replica_id, now):
             self._counted(replica_id, {fingerprint})
-        elif not self._directory.lives(replica_id) or await _refuses(
-            replica.address
-        ):
+        elif not self._directory.lives(replica_id):
             self._ended(replica_id)
+        else:
+            look = asyncio.create_task(self._look(replica))
+            self._looks.add(look)
+            look.add_done_callback(self._looks.discard)
+            await asyncio.wait({look}, timeout=LOOK_S)
+
+    async def _look(self, replica):
+        """Find out whether a replica has ended."""
+        if await _refuses(replica.address):
+            self._ended(replica.replica_id)
 
     def load(self, entries_by_key):
         """Take in all ends that were told."""
@@ -314,7 +327,7 @@
 async def _refuses(address):
     """Return whether nothing listens at a replica's address any more."""
     try:
-        connection = await client.Connection.open(address, LOOK_S)
+        connection = await client.Connection.open(address, LONGEST_LOOK_S)
     except exceptions.BackendFailed as error:
         return isinstance(error.__cause__, ConnectionRefusedError)
     connection.close()
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -10,6 +10,7 @@
 from anvilwell_gateway import crashes
 from anvilwell_gateway import directory as directories
 from anvilwell_gateway import ends
+from anvilwell_gateway.http import client
 from anvilwell_kernel import exceptions
 from anvilwell_outside.ports import keyvalue
 
@@ -82,11 +83,20 @@
 def play(run_virtual, monkeypatch):
     """Return what runs a scenario with a store and a directory."""
 
-    def run(scenario, refuses=True):
+    def run(scenario, refuses=True, refuses_after_s=None):
         async def look(address):
             return refuses
 
-        monkeypatch.setattr(crashes, "_refuses", look)
+        async def open_(address, timeout_s):
+            left_s = timeout_s - refuses_after_s
+            await asyncio.sleep(min(timeout_s, refuses_after_s))
+            cause = ConnectionRefusedError() if left_s > 0 else TimeoutError()
+            raise client.failed("no connection") from cause
+
+        if refuses_after_s is None:
+            monkeypatch.setattr(crashes, "_refuses", look)
+        else:
+            monkeypatch.setattr(client.Connection, "open", open_)
 
         async def body():
             store, directory = _Store(), _Directory()
@@ -123,6 +133,23 @@
     play(scenario, refuses=False)
 
 
+def test_a_replica_that_refuses_late_counts_all_the_same(play):
+    """On a busy VM an end passed for a cut, as the look took too long."""
+
+    async def scenario(known, store, directory):
+        began_at = asyncio.get_running_loop().time()
+        await known.cut("f1", REPLICA)
+        took_s = asyncio.get_running_loop().time() - began_at
+        assert took_s == pytest.approx(crashes.LOOK_S)
+        assert not known.is_suspect("f1")
+        await asyncio.sleep(crashes.LOOK_S)
+        assert known.is_suspect("f1")
+        await asyncio.sleep(1.0)
+        assert store.told() == ["f1"]
+
+    play(scenario, refuses_after_s=1.5 * crashes.LOOK_S)
+
+
 @pytest.mark.parametrize("fault", ["down", "lost", "lease"])
 def test_an_end_is_told_once_the_store_takes_it(play, fault):
     async def scenario(known, store, directory):
