--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -206,6 +206,14 @@
     play(scenario)
 
 
+def test_a_pause_does_not_begin_anew_at_an_entry_that_starts(play):
+    async def scenario(known, store, directory):
+        known._catch(quarantines.Known("f1", ("r1", "r2"), 3.0))
+        assert known.wait_s("f1") == quarantines.SHORT_PAUSE_S - 3.0
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     "value", [b"", b"\xff", cbor2.dumps({"a": 1}), cbor2.dumps(["r", [7]])]
 )
