Tell the owner of a batch directly that the batch has ended

Engines worked for nobody meanwhile.

Ruled out by reading: a take-over that opens an ended batch. Lives and ends are heard in one order, so whoever hears that an owner is gone knows older ends.

Change: the end goes to the owner, if that is known to live, while it is written; the answer waits for both, 0.4 s at most for the owner. The store tells it as before, and who takes the batch over learns it there.

--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -208,9 +208,17 @@
             elif not await self._reader.exists(call.batch_id):
                 await self._not_found(call, responder)
                 return
-            await self._store.end(call.batch_id, END_TIMEOUT_S)
+            await asyncio.gather(
+                self._store.end(call.batch_id, END_TIMEOUT_S),
+                self._passer.end(call.batch_id),
+            )
         await responder.send(200, (_JSON,), b"{}")
 
+    async def end_for_peer(self, request, responder):
+        """End a batch of ours that was ended at another entry."""
+        self._holder.end(passing.read_end(request.body))
+        await responder.send(200)
+
     async def _not_found(self, call, responder):
         _LOG.log("batch-unknown", batch_id=call.batch_id, verb=call.verb.value)
         await responder.send(404)
--- a/packages/gateway/anvilwell_gateway/batches/passing.py
+++ b/packages/gateway/anvilwell_gateway/batches/passing.py
@@ -1,9 +1,12 @@
-"""Passes a read of results on to the entry that owns the batch.
+"""Passes reads of results, and ends, on to the entry that owns a batch.
 
-The owner has them in memory and sees each new one first. An entry that
+The owner has results in memory and sees each new one first. An entry that
 does not own the batch would read the store at each question. Of many bytes
 an owner in another failure domain only says how many results there are, and
 the store is read when there are more: bytes between domains are dear.
+
+An owner learns of an end from the store as well, but that may take seconds
+if its watch has failed, and items would go on to engines until then.
 """
 
 import asyncio
@@ -19,6 +22,7 @@
 from anvilwell_kernel.telemetry import logs
 
 TARGET = "/results"
+END_TARGET = "/batches/ended"
 # What an answer takes beyond the wait that was asked for, in seconds. An
 # owner that needs longer is passed by: the store has what it listed.
 MARGIN_S = 0.4
@@ -50,6 +54,7 @@
 
 _QUESTION = pydantic.TypeAdapter(Question)
 _PAGE = pydantic.TypeAdapter(Page)
+_BATCH_ID = pydantic.TypeAdapter(str)
 
 
 def read_question(body):
@@ -63,8 +68,19 @@
     return bodies.read(_QUESTION, body, "question for results")
 
 
+def read_end(body):
+    """Return the id of the batch that a request's body says has ended.
+
+    Raises
+    ------
+    exceptions.BadRequest
+        If it holds none.
+    """
+    return bodies.read(_BATCH_ID, body, "id of a batch")
+
+
 class Passer:
-    """Asks owners of batches for results.
+    """Asks owners of batches for results, and tells them of ends.
 
     Parameters
     ----------
@@ -90,32 +106,55 @@
         vm_id = self._owner(question.batch_id)
         if vm_id is None:
             return None
-        address = self._news.addresses_by_vm[vm_id]
         is_near = self._news.domains_by_vm[vm_id] == self._failure_domain
         question = question._replace(with_results=is_near)
-        request = bodies.question(TARGET, address, question)
-        timeout_s = question.wait_s + MARGIN_S
         try:
-            reply, body = await self._pool.ask(
-                vm_id, address, request, timeout_s, MAX_ANSWER_BYTES
+            body = await self._send(
+                vm_id, TARGET, question, question.wait_s + MARGIN_S
             )
-            if reply.status == 200:
-                return _PAGE.validate_python(cbor2.loads(body))
-            cause = f"status {reply.status}"
+            return _PAGE.validate_python(cbor2.loads(body))
         except (
             exceptions.BackendFailed,
             cbor2.CBORError,
             ValueError,
         ) as error:
-            cause = repr(error)
-        _LOG.log(
-            "owner-not-asked",
-            batch_id=question.batch_id,
-            owner=vm_id,
-            cause=cause,
-        )
+            _LOG.log(
+                "owner-not-asked",
+                batch_id=question.batch_id,
+                owner=vm_id,
+                cause=repr(error),
+            )
         return None
 
+    async def end(self, batch_id):
+        """Tell the owner of a batch, if it lives, that the batch ended."""
+        vm_id = self._owner(batch_id)
+        if vm_id is None:
+            return
+        try:
+            await self._send(vm_id, END_TARGET, batch_id, MARGIN_S)
+        except exceptions.BackendFailed as error:
+            _LOG.log(
+                "owner-not-told",
+                batch_id=batch_id,
+                owner=vm_id,
+                cause=error.message,
+            )
+
+    async def _send(self, vm_id, target, content, timeout_s):
+        """Return the body of a VM's answer."""
+        address = self._news.addresses_by_vm[vm_id]
+        reply, body = await self._pool.ask(
+            vm_id,
+            address,
+            bodies.question(target, address, content),
+            timeout_s,
+            MAX_ANSWER_BYTES,
+        )
+        if reply.status != 200:
+            raise client.failed(f"status {reply.status}")
+        return body
+
     def _owner(self, batch_id):
         """Return another VM that owns a batch and lives, or None."""
         claimed = self._owners.claimed_by_id.get(batch_id)
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -95,6 +95,7 @@
         batches = cls(platform, fleet, live_calls, pool, budget)
         peering.handle(handing.TARGET, batches.take)
         peering.handle(passing.TARGET, batches.answer_peer)
+        peering.handle(passing.END_TARGET, batches.desk.end_for_peer)
         peering.handle(sharing.TARGET, batches.sharing.answer)
         peering.handle(notices.TARGET, batches.notices.answer)
         return batches
