Delete what an owner that is gone left of an ended batch

Of a batch that had ended and whose owner was gone some 1 MB of results stayed in the store for ever, and every entry followed its owner key and its end for ever.

Cause: nobody takes an ended batch over, and owners alone delete.

It costs one read and one write a batch.

--- a/packages/gateway/anvilwell_gateway/batches/retention.py
+++ b/packages/gateway/anvilwell_gateway/batches/retention.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from anvilwell_decisions.duties import choice
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -16,17 +17,31 @@
 class Retention:
     """Has each owner delete its settled batches after their time.
 
+    What an owner that is gone leaves of an ended batch is nobody's: nobody
+    takes such a batch over. One entry that lives deletes it.
+
     Parameters
     ----------
     batch_store : records.BatchStore
         Where batches lie.
     holder : holder.Holder
         The batches of this process.
+    owners : owners.Owners
+        Who owns which batch.
+    news : news.News
+        Which owners live, and which batches have ended.
+    vm_id : str
+        This VM.
     """
 
-    def __init__(self, batch_store, holder):
+    def __init__(self, batch_store, holder, owners, news, vm_id):
         self._store = batch_store
         self._holder = holder
+        self._owners = owners
+        self._news = news
+        self._vm_id = vm_id
+        # When each was seen first. Clocks of the day differ between VMs.
+        self._left_at_by_batch = {}
         self._task = None
 
     def start(self):
@@ -52,17 +67,54 @@
             if held.book.is_settled and now - held.opened_at > KEEP_S
         ]
         for held in old:
-            try:
-                await self._store.remove(
-                    held.batch_id, held.claimed.owner.parts, held.chunks
-                )
-            except exceptions.AnvilwellError as error:
-                _LOG.log(
-                    "batch-not-deleted",
-                    batch_id=held.batch_id,
-                    cause=error.message,
-                )
+            owner = held.claimed.owner
+            if not await self._remove(held.batch_id, owner, held.chunks):
                 return
             self._holder.held_by_id.pop(held.batch_id, None)
             await held.stop("the batch is deleted")
-            _LOG.log("batch-deleted", batch_id=held.batch_id)
+        await self._remove_left(now)
+
+    async def _remove_left(self, now):
+        """Delete what owners that are gone left `KEEP_S` before `now`."""
+        self._left_at_by_batch = {
+            batch_id: self._left_at_by_batch.get(batch_id, now)
+            for batch_id in self._left()
+        }
+        old = [
+            (batch_id, self._owners.claimed_by_id[batch_id].owner)
+            for batch_id, left_at in self._left_at_by_batch.items()
+            if now - left_at > KEEP_S and self._is_ours(batch_id)
+        ]
+        for batch_id, owner in old:
+            if not await self._remove(batch_id, owner):
+                return
+
+    def _is_ours(self, batch_id):
+        """Return whether this entry deletes what is left of a batch."""
+        duty = f"delete {batch_id}"
+        return choice.chosen(duty, self._news.lives_by_vm) == self._vm_id
+
+    def _left(self):
+        """Return the ended batches whose owners are gone."""
+        lives_by_vm = self._news.lives_by_vm
+        return [
+            batch_id
+            for batch_id, claimed in self._owners.claimed_by_id.items()
+            if batch_id in self._news.ended
+            and batch_id not in self._holder.held_by_id
+            and lives_by_vm.get(claimed.owner.vm_id) != claimed.owner.life
+        ]
+
+    async def _remove(self, batch_id, owner, chunks=None):
+        """Delete a batch; return whether that was possible."""
+        try:
+            if chunks is None:
+                _, chunks = await self._store.results(batch_id)
+            await self._store.remove(batch_id, owner.parts, chunks)
+        except exceptions.AnvilwellError as error:
+            _LOG.log(
+                "batch-not-deleted", batch_id=batch_id, cause=error.message
+            )
+            return False
+        _LOG.log("batch-deleted", batch_id=batch_id)
+        return True
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -77,7 +77,9 @@
         self.passer = passing.Passer(
             self._owners, fleet.news, fleet.vm_id, fleet.failure_domain
         )
-        self.retention = retention.Retention(batch_store, self.holder)
+        self.retention = retention.Retention(
+            batch_store, self.holder, self._owners, fleet.news, fleet.vm_id
+        )
         self.desk = desks.Desk(
             batch_store,
             self.holder,
