Take one turn for each refused caller, not two

What callers saw: those whom a short service refused were told to come back twice as late as meant; the first of all after 0.50 s in place of 0.25 s.

The log named the first, the answer bore the second.

Change: asked once.

--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -145,9 +145,6 @@
             fingerprint=attempt.fingerprint,
             **self._fields(attempt, route, call),
         )
-        retry_after_s = (
-            self._retry_after_s(attempt, error) if not_run else None
-        )
         headers = self._dialect.failure_headers(call.request_id, retry_after_s)
         await responder.send(status, headers)
 
