End tasks in one place, and log those that had failed

Change: gateway/tasks.py, used by sixteen modules; a task that ended by an error leaves `task-failed` in the log. Attempts and the server keep their own lines, as they look at the outcomes.

--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -16,6 +16,7 @@
 from anvilwell_gateway import neighbours
 from anvilwell_gateway import news
 from anvilwell_gateway import notices
+from anvilwell_gateway import tasks
 from anvilwell_gateway import versions
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
@@ -114,10 +115,7 @@
     async def drain(self):
         """Give no order any more."""
         moves = self._moves_by_model.values()
-        tasks = [*self._tasks, *moves, *self._telling]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await tasks.stop(*self._tasks, *moves, *self._telling)
         await self._peers.stop()
         await self._versions.stop()
 
--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -4,6 +4,7 @@
 
 from anvilwell_decisions.batches import book as books
 from anvilwell_decisions.batches import order
+from anvilwell_gateway import tasks
 
 
 class Held:
@@ -92,8 +93,6 @@
 
     async def stop(self, cause):
         """Stop all that runs for the batch; `cause` says why in the log."""
-        tasks = self._tasks()
-        tasks += [task for task in (self.committer, self.saver) if task]
-        for task in tasks:
-            task.cancel(cause)
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await tasks.stop(
+            *self._tasks(), self.committer, self.saver, cause=cause
+        )
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -10,6 +10,7 @@
 from anvilwell_gateway.batches import held as helds
 from anvilwell_gateway.batches import homes as all_homes
 from anvilwell_gateway.batches import records
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import logs
@@ -397,10 +398,7 @@
         self.is_draining = True
         if self._resolving:
             await asyncio.wait(self._resolving, timeout=ACCEPT_TIMEOUT_S)
-        tasks = [*self._resolving, *self._reviews]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await tasks.stop(*self._resolving, *self._reviews)
 
 
 def _check_same(owner, digest, submission):
--- a/packages/gateway/anvilwell_gateway/batches/retention.py
+++ b/packages/gateway/anvilwell_gateway/batches/retention.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from anvilwell_decisions.duties import choice
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -50,9 +51,7 @@
 
     async def stop(self):
         """Look no more."""
-        if self._task:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await tasks.stop(self._task)
 
     async def _run(self):
         while True:
--- a/packages/gateway/anvilwell_gateway/catching_up.py
+++ b/packages/gateway/anvilwell_gateway/catching_up.py
@@ -13,6 +13,7 @@
 from anvilwell_decisions.requests import quarantine as quarantines
 from anvilwell_gateway import bodies
 from anvilwell_gateway.http import client
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -101,7 +102,5 @@
 
     async def stop(self):
         """Ask no more."""
-        if self._task:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await tasks.stop(self._task)
         self._pool.close()
--- a/packages/gateway/anvilwell_gateway/crashes.py
+++ b/packages/gateway/anvilwell_gateway/crashes.py
@@ -20,6 +20,7 @@
 from anvilwell_gateway.http import client
 from anvilwell_gateway import measures
 from anvilwell_gateway import news
+from anvilwell_gateway import tasks
 from anvilwell_gateway import trials
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import counters
@@ -87,10 +88,7 @@
         await self._direct.stop()
         await self._catch_up.stop()
         await self._trials.stop()
-        tasks = [*self._looks, *([self._teller] if self._teller else [])]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await tasks.stop(self._teller, *self._looks)
 
     def entries_changed(self):
         """Tell and ask the entries that were heard of since."""
--- a/packages/gateway/anvilwell_gateway/duties/holding.py
+++ b/packages/gateway/anvilwell_gateway/duties/holding.py
@@ -12,6 +12,7 @@
 from anvilwell_decisions.duties import choice
 from anvilwell_decisions.leases import leadership
 from anvilwell_gateway import news as news_
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import logs
@@ -129,9 +130,7 @@
     async def stop(self):
         """Take the duty no more; it ends with this process's lease."""
         task, self._task = self._task, None
-        if task:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        await tasks.stop(task)
 
     def load(self, entries_by_key):
         """Take what the store tells of the holder."""
--- a/packages/gateway/anvilwell_gateway/duties/reporting.py
+++ b/packages/gateway/anvilwell_gateway/duties/reporting.py
@@ -17,6 +17,7 @@
 from anvilwell_gateway import bodies
 from anvilwell_gateway import measures
 from anvilwell_gateway import store as stores
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 from anvilwell_outside.ports import keyvalue
@@ -111,8 +112,7 @@
         task, self._task = self._task, None
         if task is None:
             return
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await tasks.stop(task)
         if self._loaded_for is None:
             if self._duty.tenure:
                 cause = "the ledger was being read or written"
--- a/packages/gateway/anvilwell_gateway/duties/telling.py
+++ b/packages/gateway/anvilwell_gateway/duties/telling.py
@@ -15,6 +15,7 @@
 from anvilwell_decisions.duties import usage
 from anvilwell_gateway import bodies
 from anvilwell_gateway.http import client
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -101,8 +102,7 @@
         """Tell no more, after a last time."""
         task, self._task = self._task, None
         if task:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            await tasks.stop(task)
             await self._tell(self._duty.holder)
         self._pool.close()
 
--- a/packages/gateway/anvilwell_gateway/ends.py
+++ b/packages/gateway/anvilwell_gateway/ends.py
@@ -14,6 +14,7 @@
 from anvilwell_decisions.requests import quarantine as quarantines
 from anvilwell_gateway import bodies
 from anvilwell_gateway.http import client
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -181,8 +182,5 @@
 
     async def stop(self):
         """Tell no more."""
-        tasks = list(self._tasks_by_vm.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await tasks.stop(*self._tasks_by_vm.values())
         self._pool.close()
--- a/packages/gateway/anvilwell_gateway/following.py
+++ b/packages/gateway/anvilwell_gateway/following.py
@@ -6,6 +6,7 @@
 
 from anvilwell_gateway import feeds
 from anvilwell_gateway import store as stores
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -82,9 +83,7 @@
     async def stop(self):
         """Follow no more."""
         task, self._task = self._task, None
-        if task:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        await tasks.stop(task)
 
     def restart(self):
         """Give up a watch that may hang, and read anew."""
--- a/packages/gateway/anvilwell_gateway/paths.py
+++ b/packages/gateway/anvilwell_gateway/paths.py
@@ -18,6 +18,7 @@
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
 from anvilwell_gateway import measures
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 from anvilwell_kernel import verdict as verdicts
@@ -233,9 +234,7 @@
 
     async def close(self):
         """Probe no more and close the connections to peers."""
-        if self._probing:
-            self._probing.cancel()
-            await asyncio.gather(self._probing, return_exceptions=True)
+        await tasks.stop(self._probing)
         self._pool.close()
 
     def _failed(self, name, began_at, cause):
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -8,6 +8,7 @@
 
 from anvilwell_gateway import live_keys
 from anvilwell_gateway import measures
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 from anvilwell_outside.ports import keyvalue
@@ -90,8 +91,7 @@
         task, self._task = self._task, None
         if task is None:
             return
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await tasks.stop(task)
         # From now on another may hold what goes with the lease.
         self._session.lease = 0
         if self._lease:
--- a/packages/gateway/anvilwell_gateway/retirement.py
+++ b/packages/gateway/anvilwell_gateway/retirement.py
@@ -4,6 +4,7 @@
 
 from anvilwell_gateway import following
 from anvilwell_gateway import store as stores
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 from anvilwell_outside.ports import keyvalue
@@ -43,9 +44,7 @@
     async def stop(self):
         """Answer no more."""
         await super().stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await tasks.stop(*self._tasks)
 
     def _answer(self, key):
         task = asyncio.create_task(self._write(key))
--- a/packages/gateway/anvilwell_gateway/standing_in.py
+++ b/packages/gateway/anvilwell_gateway/standing_in.py
@@ -9,6 +9,7 @@
 
 from anvilwell_decisions.batches import loading
 from anvilwell_gateway import moving
+from anvilwell_gateway import tasks
 from anvilwell_kernel.telemetry import logs
 
 # Between looks at the engines, in seconds.
@@ -78,12 +79,7 @@
 
     async def stop(self):
         """Order no more."""
-        tasks = [*self._tasks_by_move.values()]
-        if self._looking:
-            tasks.append(self._looking)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await tasks.stop(self._looking, *self._tasks_by_move.values())
 
     async def _look_on(self):
         while True:
--- a/packages/gateway/anvilwell_gateway/trials.py
+++ b/packages/gateway/anvilwell_gateway/trials.py
@@ -18,6 +18,7 @@
 from anvilwell_decisions.requests import trials
 from anvilwell_gateway import bodies
 from anvilwell_gateway.http import client
+from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -161,7 +162,5 @@
 
     async def stop(self):
         """Tell nobody more."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await tasks.stop(*self._tasks)
         self._pool.close()
