Ask other processes of ours in one place

No behaviour changes, but that a lender's refusal is logged as BackendFailed, not as ValueError. Tests of the gateway, of batches, usage and crashing requests passed.

--- a/packages/gateway/anvilwell_gateway/batches/passing.py
+++ b/packages/gateway/anvilwell_gateway/batches/passing.py
@@ -143,17 +143,14 @@
 
     async def _send(self, vm_id, target, content, timeout_s):
         """Return the body of a VM's answer."""
-        address = self._news.addresses_by_vm[vm_id]
-        reply, body = await self._pool.ask(
+        return await bodies.ask(
+            self._pool,
             vm_id,
-            address,
-            bodies.question(target, address, content),
-            timeout_s,
-            MAX_ANSWER_BYTES,
+            self._news.addresses_by_vm[vm_id],
+            target,
+            content,
+            bodies.Limits(timeout_s, MAX_ANSWER_BYTES),
         )
-        if reply.status != 200:
-            raise client.failed(f"status {reply.status}")
-        return body
 
     def _owner(self, batch_id):
         """Return another VM that owns a batch and lives, or None."""
--- a/packages/gateway/anvilwell_gateway/batches/sharing.py
+++ b/packages/gateway/anvilwell_gateway/batches/sharing.py
@@ -18,8 +18,7 @@
 # a place that is free elsewhere.
 ASK_S = 0.2
 # A lender answers from memory. One that needs longer keeps its places.
-TIMEOUT_S = 0.3
-MAX_ANSWER_BYTES = 1 << 20
+LIMITS = bodies.Limits(timeout_s=0.3, max_bytes=1 << 20)
 
 _ASK = pydantic.TypeAdapter(places.Ask)
 _COUNTS = pydantic.TypeAdapter(dict[str, int])
@@ -125,13 +124,10 @@
         address = self._news.addresses_by_vm.get(lender)
         if address is None:
             return
-        question = bodies.question(TARGET, address, ask)
         try:
-            reply, body = await self._pool.ask(
-                lender, address, question, TIMEOUT_S, MAX_ANSWER_BYTES
+            body = await bodies.ask(
+                self._pool, lender, address, TARGET, ask, LIMITS
             )
-            if reply.status != 200:
-                raise ValueError(f"status {reply.status}")
             counts_by_replica = _COUNTS.validate_python(cbor2.loads(body))
         except (
             exceptions.BackendFailed,
--- a/packages/gateway/anvilwell_gateway/bodies.py
+++ b/packages/gateway/anvilwell_gateway/bodies.py
@@ -1,11 +1,37 @@
-"""Bodies of calls between our own processes."""
+"""Calls between our own processes, and their bodies."""
+
+import typing
 
 import cbor2
 
+from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
 from anvilwell_kernel import exceptions
 
 
+class Limits(typing.NamedTuple):
+    """How long an answer may take, in seconds, and how many bytes."""
+
+    timeout_s: float
+    max_bytes: int
+
+
+async def ask(pool, vm_id, address, target, content, limits):
+    """Return the body of the answer of the process on another VM.
+
+    Raises
+    ------
+    exceptions.BackendFailed
+        If there is none, or its status is not 200.
+    """
+    reply, body = await pool.ask(
+        vm_id, address, question(target, address, content), *limits
+    )
+    if reply.status != 200:
+        raise client.failed(f"status {reply.status}")
+    return body
+
+
 def question(target, address, content):
     """Return the request that asks the process at `address`."""
     host = ("Host", str(address))
--- a/packages/gateway/anvilwell_gateway/catching_up.py
+++ b/packages/gateway/anvilwell_gateway/catching_up.py
@@ -21,12 +21,11 @@
 # Every entry is told of every end, so one would do; a second one covers for
 # one that was cut off, or has just started itself.
 ENOUGH = 2
-TIMEOUT_S = 0.5
+LIMITS = bodies.Limits(timeout_s=0.5, max_bytes=1 << 20)
 # Between rounds of questions, as long as too few have answered.
 RETRY_S = 1.0
 # Requests in one answer, those with the most ends first.
 MOST_KNOWN = 4096
-MAX_ANSWER_BYTES = 1 << 20
 
 
 _KNOWN = pydantic.TypeAdapter(tuple[quarantines.Known, ...])
@@ -83,15 +82,9 @@
         if address is None:
             return
         try:
-            reply, body = await self._pool.ask(
-                vm_id,
-                address,
-                bodies.question(TARGET, address, None),
-                TIMEOUT_S,
-                MAX_ANSWER_BYTES,
+            body = await bodies.ask(
+                self._pool, vm_id, address, TARGET, None, LIMITS
             )
-            if reply.status != 200:
-                raise client.failed(f"status {reply.status}")
             known = bodies.read(_KNOWN, body, "known ends")
         except exceptions.AnvilwellError as error:
             _LOG.log("ends-not-asked", entry=vm_id, cause=error.message)
--- a/packages/gateway/anvilwell_gateway/duties/telling.py
+++ b/packages/gateway/anvilwell_gateway/duties/telling.py
@@ -28,8 +28,7 @@
 # A window is told as whole so long after its end, in seconds: most of what
 # began in it has an answer by then, or its first event.
 CLOSE_S = 0.6
-TIMEOUT_S = 0.5
-MAX_ANSWER_BYTES = 4 << 10
+LIMITS = bodies.Limits(timeout_s=0.5, max_bytes=4 << 10)
 
 _TOLD = pydantic.TypeAdapter(usage.Told)
 _TRUE_TIME = pydantic.TypeAdapter(float | None)
@@ -168,12 +167,9 @@
         address = self._news.addresses_by_vm.get(holder)
         if address is None:
             raise exceptions.Refused("the holder is not known to live")
-        question = bodies.question(TARGET, address, told)
-        reply, body = await self._pool.ask(
-            holder, address, question, TIMEOUT_S, MAX_ANSWER_BYTES
+        body = await bodies.ask(
+            self._pool, holder, address, TARGET, told, LIMITS
         )
-        if reply.status != 200:
-            raise client.failed(f"status {reply.status}")
         return bodies.read(_TRUE_TIME, body, "true time")
 
 
--- a/packages/gateway/anvilwell_gateway/ends.py
+++ b/packages/gateway/anvilwell_gateway/ends.py
@@ -20,14 +20,13 @@
 
 TARGET = "/ends"
 # An entry answers within milliseconds; one that does not is not there.
-TIMEOUT_S = 0.5
+LIMITS = bodies.Limits(timeout_s=0.5, max_bytes=4 << 10)
 # Waits between tries, the last one again and again: an entry that can't be
 # reached from here may take callers all the same.
 RETRIES_S = (0.25, 0.5, 1.0, 2.0, 4.0)
 # Ends that are kept for entries that lack them, the oldest make room: some
 # racks of replicas.
 MOST_UNTOLD = 256
-MAX_ANSWER_BYTES = 4 << 10
 
 
 class End(typing.NamedTuple):
@@ -164,12 +163,7 @@
 
     async def _tell(self, vm_id, told):
         address = self._news.addresses_by_vm[vm_id]
-        question = bodies.question(TARGET, address, told)
-        reply, _ = await self._pool.ask(
-            vm_id, address, question, TIMEOUT_S, MAX_ANSWER_BYTES
-        )
-        if reply.status != 200:
-            raise client.failed(f"status {reply.status}")
+        await bodies.ask(self._pool, vm_id, address, TARGET, told, LIMITS)
 
     @staticmethod
     def _log_untold(vm_id, untold, cause):
--- a/packages/gateway/anvilwell_gateway/trials.py
+++ b/packages/gateway/anvilwell_gateway/trials.py
@@ -25,8 +25,7 @@
 TARGET = "/trials"
 DECIDERS = 2
 # An entry answers within milliseconds, and the caller's time runs.
-TIMEOUT_S = 0.2
-MAX_ANSWER_BYTES = 4 << 10
+LIMITS = bodies.Limits(timeout_s=0.2, max_bytes=4 << 10)
 
 
 class Question(typing.NamedTuple):
@@ -130,15 +129,9 @@
         if address is None:
             return trials.RETRY_S
         try:
-            reply, body = await self._pool.ask(
-                decider,
-                address,
-                bodies.question(TARGET, address, question),
-                TIMEOUT_S,
-                MAX_ANSWER_BYTES,
+            body = await bodies.ask(
+                self._pool, decider, address, TARGET, question, LIMITS
             )
-            if reply.status != 200:
-                raise client.failed(f"status {reply.status}")
             return bodies.read(_WAIT_S, body, "wait")
         except exceptions.AnvilwellError as error:
             _LOG.log(
