Ask others at the start with the pauses that ends are told with

Found on reading the change once more: an entry whose others do not answer, or do not know the question yet as in a rolling upgrade, asked each second for ever.

--- a/packages/gateway/anvilwell_gateway/catching_up.py
+++ b/packages/gateway/anvilwell_gateway/catching_up.py
@@ -12,6 +12,7 @@
 
 from anvilwell_decisions.requests import quarantine as quarantines
 from anvilwell_gateway import bodies
+from anvilwell_gateway import ends
 from anvilwell_gateway.http import client
 from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
@@ -22,8 +23,6 @@
 # one that was cut off, or has just started itself.
 ENOUGH = 2
 LIMITS = bodies.Limits(timeout_s=0.5, max_bytes=1 << 20)
-# Between rounds of questions, as long as too few have answered.
-RETRY_S = 1.0
 # Requests in one answer, those with the most ends first.
 MOST_KNOWN = 4096
 
@@ -62,10 +61,12 @@
     async def _ask_on(self):
         """Ask one after another; wait for news if all have answered."""
         try:
-            while vm_ids := self._unasked():
-                for vm_id in vm_ids:
+            for wait_s in ends.waits_s():
+                for vm_id in self._unasked():
                     await self._ask(vm_id)
-                await asyncio.sleep(RETRY_S)
+                if not self._unasked():
+                    return
+                await asyncio.sleep(wait_s)
         finally:
             self._task = None
 
--- a/packages/gateway/anvilwell_gateway/ends.py
+++ b/packages/gateway/anvilwell_gateway/ends.py
@@ -62,8 +62,8 @@
 _NOTHING = _Told("", frozenset())
 
 
-def _waits_s():
-    """Return the waits between tries at one entry, in seconds."""
+def waits_s():
+    """Return the waits between tries at other entries, in seconds."""
     return itertools.chain(RETRIES_S, itertools.repeat(RETRIES_S[-1]))
 
 
@@ -138,7 +138,7 @@
 
         One that is not known to live is told once it is heard of again.
         """
-        waits_s = _waits_s()
+        pauses_s = waits_s()
         try:
             while self._lives(vm_id) and (untold := self._untold(vm_id)):
                 life = self._life(vm_id)
@@ -146,10 +146,10 @@
                     await self._tell(vm_id, untold)
                 except exceptions.AnvilwellError as error:
                     self._log_untold(vm_id, untold, error.message)
-                    await asyncio.sleep(next(waits_s))
+                    await asyncio.sleep(next(pauses_s))
                 else:
                     self._note(vm_id, life, untold)
-                    waits_s = _waits_s()
+                    pauses_s = waits_s()
         finally:
             del self._tasks_by_vm[vm_id]
 
