Tell an owner of an end once the store has it

Cause: an owner that is told of an end keeps what the batch left unfinished for the next one, in the store. It was told while the end was written, so while the store was away the texts were lost, and the groups that come again ran from their start; before the direct message the owner heard of the end, and kept the texts, once the store was back.

Change: first the store, then the owner. The test failed before the change: the batch was ended at its owner though the trainer was told 503.

--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -208,10 +208,9 @@
             elif not await self._reader.exists(call.batch_id):
                 await self._not_found(call, responder)
                 return
-            await asyncio.gather(
-                self._store.end(call.batch_id, END_TIMEOUT_S),
-                self._passer.end(call.batch_id),
-            )
+            await self._store.end(call.batch_id, END_TIMEOUT_S)
+            # Sooner, the owner could not keep its texts if the store is away.
+            await self._passer.end(call.batch_id)
         await responder.send(200, (_JSON,), b"{}")
 
     async def end_for_peer(self, request, responder):
