Log where a page of results came from, and which writes and requests ended

A page's line said whether this entry owned the batch, not whether the page came from memory, from the owner's word or from the store, nor how many results were known there; a write of results that landed left no line, nor did a request that was cut. No decision is changed.

--- a/packages/gateway/anvilwell_gateway/batches/committing.py
+++ b/packages/gateway/anvilwell_gateway/batches/committing.py
@@ -56,6 +56,13 @@
             wrote_s = loop.time() - began_at
             held.chunks += 1
             held.list(results)
+            _LOG.routine(
+                "results-listed",
+                batch_id=held.batch_id,
+                chunk=held.chunks - 1,
+                listed=len(held.book.listed),
+                took_s=round(wrote_s, 3),
+            )
             held.has_ready.set()
 
     async def _gather(self, wait_s):
--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -130,11 +130,13 @@
     async def _read(self, call, responder):
         is_owner = call.batch_id in self._holder.held_by_id
         question = passing.Question(call.batch_id, call.after, call.wait_s)
-        found = await self._own_page(question)
+        found, source = await self._own_page(question), "memory"
         if found is None and not is_owner:
-            found = await self._passer.ask(question)
+            found, source = await self._passer.ask(question), "owner"
         if found is None or found.results is None:
-            found = await self._stored_page(question, found)
+            told, found = found, await self._stored_page(question, found)
+            is_told = told and told.listed <= question.after
+            source = "owner" if is_told else "store"
         if found is None:
             await self._not_found(call, responder)
             return
@@ -145,7 +147,8 @@
             batch_id=call.batch_id,
             after=call.after,
             results=len(page),
-            is_owner=is_owner,
+            listed=found.listed,
+            source=source,
         )
         body = self._dialect.write_page(total, page, call.after + len(page))
         await responder.send(200, (_JSON,), body)
--- a/packages/gateway/anvilwell_gateway/front.py
+++ b/packages/gateway/anvilwell_gateway/front.py
@@ -114,6 +114,14 @@
             if responder.has_started:
                 raise
             await self._fail(call, error, responder)
+        except asyncio.CancelledError:
+            _LOG.routine(
+                "request-cut",
+                request_id=call.request_id,
+                status=responder.status,
+                is_draining=self._is_draining,
+            )
+            raise
 
     async def _dispatch(self, call, request, responder):
         callers = self._live_calls.callers
