Say nothing is there only if no write of results is in doubt

Callers saw a result and then, once the batch had ended, nothing at its position, at the owner and at each entry that asks it.

Cause: two places say how much is listed, the store and the owner's book, and the book is behind from the moment in which a write lands until its answer is there: 4 ms as a rule, for ever if the answer is lost and the repeats are too. An entry that reads the store meanwhile (the owner is slow, or lists more than the asker knows) shows more than the owner does. Before the end the owner waits for more, which hides it.

Change: an owner whose write is under way waits a tenth of a second for it and then leaves the answer to the store, for its own callers and for the entries that ask it; if the store is away, 503. Results that the book has are passed on as before, since they never change. So an empty page comes either from the store or from an owner that knows of each write that may have landed, and each answer shows at least what any answer before it showed.

--- a/packages/gateway/anvilwell_gateway/batches/committing.py
+++ b/packages/gateway/anvilwell_gateway/batches/committing.py
@@ -51,6 +51,7 @@
             if not results:
                 continue
             began_at = loop.time()
+            held.begin_write()
             if not await self._append(results):
                 return
             wrote_s = loop.time() - began_at
--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -22,6 +22,9 @@
 # last for seconds and trainers come back once, so not at once.
 STORE_RETRY_AFTER_S = 2.5
 END_TIMEOUT_S = 2.0
+# A write that takes longer may have landed without an answer; many times
+# the store's usual answer.
+DOUBT_S = 0.1
 
 _LOG = logs.get_logger(__name__)
 _JSON = ("Content-Type", "application/json")
@@ -154,13 +157,21 @@
         await responder.send(200, (_JSON,), body)
 
     async def _own_page(self, question):
-        """Return the `passing.Page` of a batch of ours, or None."""
+        """Return the `passing.Page` of a batch of ours.
+
+        None if it is not ours, or if only the store can say whether there
+        is a result.
+        """
         held = self._holder.held_by_id.get(question.batch_id)
         if held is None:
             return None
         if question.wait_s and not held.book.is_ended:
             await held.wait_listed(question.after, question.wait_s)
         listed = held.book.listed
+        if len(listed) <= question.after:
+            await held.wait_known(DOUBT_S)
+        if len(listed) <= question.after and held.is_in_doubt:
+            return None
         return passing.Page(
             held.book.total, len(listed), tuple(listed[question.after :])
         )
@@ -182,7 +193,7 @@
         question = passing.read_question(request.body)
         page = await self._own_page(question)
         if page is None:
-            raise exceptions.NotFound("the batch is not owned here")
+            raise exceptions.NotFound("only the store can tell")
         results = None
         is_little = sizes.size(page.results) <= MAX_FAR_BYTES
         if question.with_results or is_little:
--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -1,6 +1,7 @@
 """One batch that this process owns."""
 
 import asyncio
+import contextlib
 
 from anvilwell_decisions.batches import book as books
 from anvilwell_decisions.batches import order
@@ -48,15 +49,27 @@
         # A save has failed or is under way.
         self.is_unsaved = False
         self._listed = asyncio.Event()
+        self._is_known = asyncio.Event()
+        self._is_known.set()
 
     @property
     def batch_id(self):
         """The batch's id."""
         return self.submission.batch_id
 
+    @property
+    def is_in_doubt(self):
+        """Whether the store may list more than the book."""
+        return not self._is_known.is_set()
+
+    def begin_write(self):
+        """Note that results may land from now on."""
+        self._is_known.clear()
+
     def list(self, results):
         """List results that are committed, and wake who waits."""
         self.book.list(results)
+        self._is_known.set()
         listed, self._listed = self._listed, asyncio.Event()
         listed.set()
 
@@ -69,6 +82,12 @@
         except TimeoutError:
             return
 
+    async def wait_known(self, wait_s):
+        """Wait until no write is under way, at most `wait_s`."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._is_known.wait()
+
     def texts(self, least_events=1):
         """Return the `Progress` of the unlisted texts that can be used on.
 
