Answer a read that waits from whoever has the batch when it ends waiting

A caller whose read waited at an owner that lost the batch meanwhile (taken over, or let go as the entry stops) got nothing, up to a second later, though the next owner may have listed results by then that others had read.

Cause: the read kept the book that it began to wait at. Change: a batch that is held no more wakes who waits for it, and a book speaks only while its batch is held; else the store is read.

--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -170,12 +170,17 @@
         listed = held.book.listed
         if len(listed) <= question.after:
             await held.wait_known(DOUBT_S)
-        if len(listed) <= question.after and held.is_in_doubt:
+        if len(listed) <= question.after and not self._is_certain(held):
             return None
         return passing.Page(
             held.book.total, len(listed), tuple(listed[question.after :])
         )
 
+    def _is_certain(self, held):
+        """Return whether nothing is listed but what the book has."""
+        is_ours = self._holder.held_by_id.get(held.batch_id) is held
+        return is_ours and not held.is_in_doubt
+
     async def _stored_page(self, question, told):
         """Return the `passing.Page` from the store, or None.
 
--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -48,7 +48,8 @@
         self.to_save = asyncio.Event()
         # A save has failed or is under way.
         self.is_unsaved = False
-        self._listed = asyncio.Event()
+        self._changed = asyncio.Event()
+        self._is_stopped = False
         self._is_known = asyncio.Event()
         self._is_known.set()
 
@@ -70,17 +71,24 @@
         """List results that are committed, and wake who waits."""
         self.book.list(results)
         self._is_known.set()
-        listed, self._listed = self._listed, asyncio.Event()
-        listed.set()
+        self._wake()
+
+    def _wake(self):
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     async def wait_listed(self, position, wait_s):
-        """Wait until a result stands at `position`, at most `wait_s`."""
-        try:
+        """Wait until a result stands at `position`, at most `wait_s`.
+
+        Ends sooner if the batch is held no more.
+        """
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                while len(self.book.listed) <= position:
-                    await self._listed.wait()
-        except TimeoutError:
-            return
+                while not self._has(position) and not self._is_stopped:
+                    await self._changed.wait()
+
+    def _has(self, position):
+        return len(self.book.listed) > position
 
     async def wait_known(self, wait_s):
         """Wait until no write is under way, at most `wait_s`."""
@@ -112,6 +120,8 @@
 
     async def stop(self, cause):
         """Stop all that runs for the batch; `cause` says why in the log."""
+        self._is_stopped = True
+        self._wake()
         await tasks.stop(
             *self._tasks(), self.committer, self.saver, cause=cause
         )
