Have an owner that the store has not answered lately say no more than it has

A caller at an owner that is cut off from the store was told that nothing more is there, though others may have taken the batch over and listed more. The same entry refused to say so to other entries, by a check of its own.

Cause: whether a book may speak for the batch was asked in one of two places. Change: the one place that decides whether an empty page is certain asks it as well, for callers and entries alike; results that the book has are passed on in any case, since they never change, which saves reads of the store.

--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -49,10 +49,21 @@
         Asks the owners of others' batches.
     budget : buffers.Budget
         What may be held for callers that read slowly.
+    may_vouch : callable
+        Return whether the store answered so lately that no other process
+        can own what this one holds.
     """
 
     def __init__(
-        self, batch_store, holder, intake, dialect, owners, passer, budget
+        self,
+        batch_store,
+        holder,
+        intake,
+        dialect,
+        owners,
+        passer,
+        budget,
+        may_vouch,
     ):
         self._store = batch_store
         self._holder = holder
@@ -60,6 +71,7 @@
         self._dialect = dialect
         self._passer = passer
         self._budget = budget
+        self._may_vouch = may_vouch
         self._reader = readers.Reader(batch_store, dialect, owners)
 
     async def submit(self, route, call, request, responder):
@@ -179,7 +191,7 @@
     def _is_certain(self, held):
         """Return whether nothing is listed but what the book has."""
         is_ours = self._holder.held_by_id.get(held.batch_id) is held
-        return is_ours and not held.is_in_doubt
+        return is_ours and not held.is_in_doubt and self._may_vouch()
 
     async def _stored_page(self, question, told):
         """Return the `passing.Page` from the store, or None.
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -88,6 +88,7 @@
             self._owners,
             self.passer,
             budget,
+            fleet.presence.may_vouch,
         )
         self._beginning = None
 
@@ -96,7 +97,7 @@
         """Return an entry's batches; peers ask for them by `peering`."""
         batches = cls(platform, fleet, live_calls, pool, budget)
         peering.handle(handing.TARGET, batches.take)
-        peering.handle(passing.TARGET, batches.answer_peer)
+        peering.handle(passing.TARGET, batches.desk.answer_peer)
         peering.handle(passing.END_TARGET, batches.desk.end_for_peer)
         peering.handle(sharing.TARGET, batches.sharing.answer)
         peering.handle(notices.TARGET, batches.notices.answer)
@@ -144,9 +145,3 @@
         if route is None or not route.is_batch:
             raise exceptions.Refused("the route is not known here")
         await self.desk.submit_peer(route, handed, responder)
-
-    async def answer_peer(self, request, responder):
-        """Tell another entry of a batch that this one owns."""
-        if not self._fleet.presence.may_vouch():
-            raise exceptions.Refused("the store is silent here")
-        await self.desk.answer_peer(request, responder)
