Answer at once and for certain what a whole book can't add to

A whole book never changes: it tells all there will ever be at a position, whoever owns the batch.

The test of an owner out of touch asks an unlisted position now; a second one holds what is listed and the end of a whole batch fast.

--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -179,11 +179,11 @@
             return None
         if question.wait_s and not held.book.is_ended:
             await held.wait_listed(question.after, question.wait_s)
-        listed = held.book.listed
-        if len(listed) <= question.after:
+        if not held.has(question.after):
             await held.wait_known(DOUBT_S)
-        if len(listed) <= question.after and not self._is_certain(held):
+        if not held.has(question.after) and not self._is_certain(held):
             return None
+        listed = held.book.listed
         return passing.Page(
             held.book.total, len(listed), tuple(listed[question.after :])
         )
@@ -203,7 +203,10 @@
         found = await self._reader.read(
             question.batch_id, question.after, told and told.listed
         )
-        return found and passing.Page(found[0], len(found[1]), found[1])
+        if found is None:
+            return None
+        total, results = found
+        return passing.Page(total, question.after + len(results), results)
 
     async def answer_peer(self, request, responder):
         """Answer another entry's question for results of our batches."""
--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -84,11 +84,12 @@
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                while not self._has(position) and not self._is_stopped:
+                while not self.has(position) and not self._is_stopped:
                     await self._changed.wait()
 
-    def _has(self, position):
-        return len(self.book.listed) > position
+    def has(self, position):
+        """Return whether the book tells what will ever be at `position`."""
+        return len(self.book.listed) > min(position, self.book.total - 1)
 
     async def wait_known(self, wait_s):
         """Wait until no write is under way, at most `wait_s`."""
