Open a batch only as what this very submission wrote

What callers saw: results that had been read were gone while a batch was taken over, for as long as its new owner had no whole group to write; and a batch ran with the items of another submission of its id that had been answered with a conflict.

Cause: a submission opened an empty book whenever the owner in the store was this process. That is so as well after a take-over whose reads are under way, and while an earlier submission of the id is being accepted. Two books of one batch then ran: the second replaced the first, whose tasks went on, and the first one's loss, told by id, had the second one forgotten. The end of one of two submissions also ended the protection of the other from being taken for an orphan.

Fix: a submission opens a batch only if the owner's entry is the very one that it wrote; any other entry of ours is opened by the take-over alone, with what the store lists. The holder keeps one claim of a batch, the newest, and stops the one that it replaces; a batch is forgotten by claim and not by id. Submissions under way are counted.

--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -11,6 +11,7 @@
 from anvilwell_kernel.telemetry import logs
 
 _LEAVING = "this entry stops"
+_REPLACED = "this entry claimed the batch again"
 
 _LOG = logs.get_logger(__name__)
 
@@ -95,7 +96,15 @@
         return self._configuration.routes
 
     def open(self, held):
-        """Begin to run a batch that is ours."""
+        """Begin to run a batch that is ours.
+
+        A newer claim replaces an older one; an older one comes too late.
+        """
+        known = self.held_by_id.get(held.batch_id)
+        if known:
+            if known.claimed.revision >= held.claimed.revision:
+                return
+            self._keep_task(known.stop(_REPLACED))
         self._sequence += 1
         held.sequence = (held.claimed.owner.submitted_at, self._sequence)
         self.held_by_id[held.batch_id] = held
@@ -163,11 +172,20 @@
                 cause=error.message,
             )
 
-    async def drop(self, batch_id, cause):
+    def forget(self, held):
+        """Answer for a batch no more; return whether it was answered for.
+
+        A newer claim of the batch stays.
+        """
+        if self.held_by_id.get(held.batch_id) is not held:
+            return False
+        del self.held_by_id[held.batch_id]
+        return True
+
+    async def drop(self, held, cause):
         """Forget a batch that is another's now."""
-        held = self.held_by_id.pop(batch_id, None)
-        if held is not None:
-            _LOG.log("batch-dropped", batch_id=batch_id, cause=cause)
+        if self.forget(held):
+            _LOG.log("batch-dropped", batch_id=held.batch_id, cause=cause)
             await held.stop(cause)
             self.on_lost()
 
@@ -200,7 +218,7 @@
         _LOG.log("batch-let-go", batch_id=held.batch_id, texts=len(saved))
 
     def _taken(self, held, cause):
-        self._keep_task(self.drop(held.batch_id, cause))
+        self._keep_task(self.drop(held, cause))
 
     def _give_up(self, held):
         if self.held_by_id.get(held.batch_id) is held:
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -1,6 +1,7 @@
 """Takes batches from trainers, and takes them over from dead owners."""
 
 import asyncio
+import collections
 import time
 
 import xxhash
@@ -80,7 +81,8 @@
         self._hander = hander
         self._homes = homes
         self._resolving = set()
-        self._accepting = set()
+        # How many submissions of each batch are under way.
+        self._accepting = collections.Counter()
         self._reviews = set()
         self._taking = set()
         self._opening = {}
@@ -167,19 +169,21 @@
         """Write the batch and open it, also after the caller has left.
 
         A write that was sent may land late. Then the batch is ours, and
-        nobody else would run it.
+        nobody else would run it. What another call wrote may have results,
+        so it is not opened here, even if this process owns it.
         """
         batch_id = submission.batch_id
-        self._accepting.add(batch_id)
+        self._accepting[batch_id] += 1
         try:
             claimed, carried = await self._store_batch(
                 route, batch_id, owner, raw
             )
+            if claimed.owner == owner._replace(parts=claimed.owner.parts):
+                self._open(route, submission, claimed, ((), 0, carried))
         finally:
-            self._accepting.discard(batch_id)
-        mine = claimed.owner.life == self._presence.life
-        if mine and batch_id not in self._holder.held_by_id:
-            self._open(route, submission, claimed, ((), 0, carried))
+            self._accepting[batch_id] -= 1
+            if not self._accepting[batch_id]:
+                del self._accepting[batch_id]
         return claimed
 
     async def _store_batch(self, route, batch_id, owner, raw):
@@ -254,7 +258,7 @@
             claimed = self._owners.claimed_by_id[batch_id]
             held = self._holder.held_by_id.get(batch_id)
             if held and claimed.revision > held.claimed.revision:
-                self._start(self._drop(batch_id))
+                self._start(self._drop(held))
             elif batch_id not in self._taking and self._may_be_orphan(
                 batch_id
             ):
@@ -266,8 +270,8 @@
         self._reviews.add(task)
         task.add_done_callback(self._reviews.discard)
 
-    async def _drop(self, batch_id):
-        await self._holder.drop(batch_id, "another process owns it")
+    async def _drop(self, held):
+        await self._holder.drop(held, "another process owns it")
 
     def _may_be_orphan(self, batch_id):
         """Return whether a batch's owner is gone, as far as is told."""
--- a/packages/gateway/anvilwell_gateway/batches/retention.py
+++ b/packages/gateway/anvilwell_gateway/batches/retention.py
@@ -38,7 +38,7 @@
     def __init__(self, batch_store, holder, owners, news, vm_id):
         self._store = batch_store
         self._holder = holder
-        self._owners = owners
+        self.owners = owners
         self._news = news
         self._vm_id = vm_id
         # When each was seen first. Clocks of the day differ between VMs.
@@ -69,7 +69,7 @@
             owner = held.claimed.owner
             if not await self._remove(held.batch_id, owner, held.chunks):
                 return
-            self._holder.held_by_id.pop(held.batch_id, None)
+            self._holder.forget(held)
             await held.stop("the batch is deleted")
         await self._remove_left(now)
 
@@ -80,7 +80,7 @@
             for batch_id in self._left()
         }
         old = [
-            (batch_id, self._owners.claimed_by_id[batch_id].owner)
+            (batch_id, self.owners.claimed_by_id[batch_id].owner)
             for batch_id, left_at in self._left_at_by_batch.items()
             if now - left_at > KEEP_S and self._is_ours(batch_id)
         ]
@@ -98,7 +98,7 @@
         lives_by_vm = self._news.lives_by_vm
         return [
             batch_id
-            for batch_id, claimed in self._owners.claimed_by_id.items()
+            for batch_id, claimed in self.owners.claimed_by_id.items()
             if batch_id in self._news.ended
             and batch_id not in self._holder.held_by_id
             and lives_by_vm.get(claimed.owner.vm_id) != claimed.owner.life
--- a/packages/gateway/tests/batches/test_holder.py
+++ b/packages/gateway/tests/batches/test_holder.py
@@ -51,13 +51,14 @@
         return runners.Ended(runners.End.WHOLE)
 
 
-def _held(batch_id):
+def _held(batch_id, revision=1):
     items = tuple(
         facts.Item(f"{batch_id}-{n}", "/", (), b"", "g") for n in range(2)
     )
     submission = facts.Submission(batch_id, "h", "/", items)
     now = asyncio.get_running_loop().time()
-    return helds.Held(records.Claimed(OWNER, 1), ROUTE, submission, now + 60)
+    claimed = records.Claimed(OWNER, revision)
+    return helds.Held(claimed, ROUTE, submission, now + 60)
 
 
 def _run(scenario):
@@ -181,3 +182,19 @@
         assert {item_id for item_id, _ in runner.asked} == {"b1-0", "b1-1"}
 
     _run(scenario)
+
+
+def test_only_the_newest_claim_of_a_batch_runs_and_is_answered_for():
+    """The loss of an older one had this entry forget the newer one."""
+
+    async def scenario(holder, directory, runner):
+        older, newer = _held("b1"), _held("b1", 2)
+        holder.open(older)
+        holder.open(newer)
+        holder.open(_held("b1"))
+        await holder.drop(older, "another process owns it")
+        assert holder.held_by_id == {"b1": newer}
+        await _until(older.committer.cancelled)
+        assert not newer.committer.done()
+
+    _run(scenario)
