Do not open a batch that was taken over meanwhile

What callers saw: an entry showed fewer results than had been read, until it had a whole group to write or heard of another change of the owner.

Cause: between its claim and the opening an entry reads the store. If another process takes the batch over in that time, the change of its owner is told while nothing is held, so nothing is dropped; the batch was opened with what had been read, and no later word came. The same held for a submission whose write had landed and whose other reads hung.

Evidence: the test failed before, "assert [] == [{'id': 'item...".

Fix: whatever opens a batch first asks whether a newer claim is known. One that becomes known later drops the batch, as before.

--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -221,6 +221,15 @@
         )
 
     def _open(self, route, submission, claimed, adopted):
+        """Open a batch, unless it was taken over before it could be.
+
+        The change of its owner was told while nobody held it here, and is
+        not told again.
+        """
+        batch_id = submission.batch_id
+        if self._owners.is_superseded(batch_id, claimed):
+            _LOG.log("batch-not-opened", batch_id=batch_id)
+            return
         loop = asyncio.get_running_loop()
         age_s = max(0.0, time.time() - claimed.owner.submitted_at)
         give_up_at = loop.time() + route.max_queue_s - age_s
@@ -228,8 +237,8 @@
         results, held.chunks, saved = adopted
         held.book.adopt(results, saved)
         self._holder.open(held)
-        if submission.batch_id in self._news.ended:
-            self._holder.end(submission.batch_id)
+        if batch_id in self._news.ended:
+            self._holder.end(batch_id)
 
     def _heard(self, lost, ended):
         for batch_id in ended:
@@ -255,9 +264,8 @@
         if not self._may_take:
             return
         for batch_id in batch_ids:
-            claimed = self._owners.claimed_by_id[batch_id]
             held = self._holder.held_by_id.get(batch_id)
-            if held and claimed.revision > held.claimed.revision:
+            if held and self._owners.is_superseded(batch_id, held.claimed):
                 self._start(self._drop(held))
             elif batch_id not in self._taking and self._may_be_orphan(
                 batch_id
--- a/packages/gateway/anvilwell_gateway/batches/owners.py
+++ b/packages/gateway/anvilwell_gateway/batches/owners.py
@@ -30,6 +30,11 @@
         """Call ``callback(batch_ids)`` when these have an owner anew."""
         self._listeners.append(callback)
 
+    def is_superseded(self, batch_id, claimed):
+        """Return whether a batch is known to have a newer claim."""
+        known = self.claimed_by_id.get(batch_id)
+        return known is not None and known.revision > claimed.revision
+
     def load(self, entries_by_key):
         """Take all owners that are there."""
         self.claimed_by_id = {}
