Look again for orphans that could not be taken when their loss was told

What callers saw: nothing of a batch ran any more, until some other process was lost or the store was read anew (17.6 s in the test, when its watch of the stand-in gave up).

Cause: an owner's loss is told once. A batch is passed by then if it is being submitted once more here, or being taken over here; and a take-over in which another process was quicker counted as the end of the matter, though that process may have been lost before it was over.

Evidence: both tests timed out before (after 10 s).

Fix: a submission looks at its batch once more when it ends, however it ends, and a take-over ends only when the batch is opened, is gone, or has an owner that lives.

--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -184,6 +184,8 @@
             self._accepting[batch_id] -= 1
             if not self._accepting[batch_id]:
                 del self._accepting[batch_id]
+            # Its owner may have been lost meanwhile.
+            self._look_at({batch_id})
         return claimed
 
     async def _store_batch(self, route, batch_id, owner, raw):
@@ -205,7 +207,6 @@
         self._resolving.discard(task)
         if not task.cancelled() and task.exception():
             _LOG.log("batch-not-accepted", cause=str(task.exception()))
-            self.review()
 
     def _owner(self, submission, digest, submitted_at, service):
         presence = self._presence
@@ -221,7 +222,7 @@
         )
 
     def _open(self, route, submission, claimed, adopted):
-        """Open a batch, unless it was taken over before it could be.
+        """Open a batch, unless it was taken over first; return whether.
 
         The change of its owner was told while nobody held it here, and is
         not told again.
@@ -229,7 +230,7 @@
         batch_id = submission.batch_id
         if self._owners.is_superseded(batch_id, claimed):
             _LOG.log("batch-not-opened", batch_id=batch_id)
-            return
+            return False
         loop = asyncio.get_running_loop()
         age_s = max(0.0, time.time() - claimed.owner.submitted_at)
         give_up_at = loop.time() + route.max_queue_s - age_s
@@ -239,6 +240,7 @@
         self._holder.open(held)
         if batch_id in self._news.ended:
             self._holder.end(batch_id)
+        return True
 
     def _heard(self, lost, ended):
         for batch_id in ended:
@@ -260,7 +262,10 @@
         self._look_at(set(self._owners.claimed_by_id))
 
     def _look_at(self, batch_ids):
-        """Drop those of the batches that are another's, take orphans."""
+        """Drop those of the batches that are another's, take orphans.
+
+        A batch whose owner isn't known yet is looked at once that is told.
+        """
         if not self._may_take:
             return
         for batch_id in batch_ids:
@@ -345,7 +350,11 @@
         return ranked.index(mine) + (owner.vm_id in others)
 
     async def _take(self, batch_id):
-        """Take a batch if its owner is gone; return if that is settled."""
+        """Take a batch if its owner is gone; return if that is settled.
+
+        It is not if somebody else was quicker: while a batch is being taken
+        here, no loss of another owner has it taken.
+        """
         # In this order: whoever owned the batch at the first read and is
         # not there at the second is gone.
         claimed = await self._store.owner(batch_id)
@@ -361,26 +370,31 @@
         try:
             claimed = await self._store.claim(batch_id, claimed, mine)
         except records.Taken:
-            return True
+            return False
         _LOG.log("batch-taken-over", batch_id=batch_id, owner=owner.vm_id)
         opened = asyncio.get_running_loop().create_future()
         self._opening[opened] = owner.submitted_at
         try:
-            await self._adopt(batch_id, claimed)
+            return await self._adopt(batch_id, claimed)
         finally:
             del self._opening[opened]
             opened.set_result(None)
-        return True
 
     async def _adopt(self, batch_id, claimed):
-        """Open a batch of an earlier owner with what that left."""
+        """Open a batch of an earlier owner with what that left.
+
+        Returns
+        -------
+        bool
+            Whether there is no more to do.
+        """
         raw = await self._store.raw(batch_id, claimed.owner.parts)
         results, chunks = await self._store.results(batch_id)
         saved = await self._store.saved(batch_id)
         submission, route = self._read(raw)
         if route is None:
             _LOG.log("batch-without-route", batch_id=batch_id)
-            return
+            return True
         older = [
             opened
             for opened, submitted_at in self._opening.items()
@@ -388,7 +402,7 @@
         ]
         if older:
             await asyncio.wait(older, timeout=OLDER_FIRST_S)
-        self._open(route, submission, claimed, (results, chunks, saved))
+        return self._open(route, submission, claimed, (results, chunks, saved))
 
     def _submission(self, request):
         """Return the `facts.Submission` in a caller's request."""
