Read all anew when the lease has lapsed

What callers saw: an entry went on to answer for batches, and to show what it had of them in memory, though another process had taken them over; up to the length of a watch (15 s) after it was registered again.

Cause: the store lets a lease lapse whose process lives, for instance one that was suspended with its VM. The process registers again under the same life and vouches with the first answer. That others may have taken its batches it learned from its watch of the owners alone, and one that hangs is noticed only if another call fails too; a renewal that is told that the lease is gone is no failure.

Evidence: the test timed out before (10 s, its watches hung); now it takes 0.75 s, most of that the time to the next renewal.

Fix: a lapsed lease counts as a sign that watches may hang: as after an outage, all that is followed is read anew with the next answer.

--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -153,9 +153,19 @@
 
     def key_lost(self):
         """Note that the live key is gone; it is written again."""
-        self._lease = self._session.lease = 0
+        self._lapsed()
         self._rewrite.set()
 
+    def _lapsed(self):
+        """Note that others may have taken over what goes with the lease.
+
+        A watch that hangs would not tell of it, so all is read anew from the
+        store's next answer on, which is the one to the new lease at latest.
+        """
+        if self._lease:
+            self._store.note_failure()
+        self._lease = self._session.lease = 0
+
     async def _keep(self):
         was_in_touch = None
         while True:
@@ -190,7 +200,7 @@
         if self._lease and await self._store.keep_alive(self._lease):
             self._session.renewed(self._lease, sent_at, TTL_S)
             return
-        self._lease = self._session.lease = 0
+        self._lapsed()
         if not self._granted:
             if self._has_failed:
                 # A tenth of a grant's price, while the store is away.
