Give up the rest of a batch that is taken over after its route ended

What callers saw: the rest of such a batch was never listed, neither done nor given up, and its new owner claimed it again with each change of the owner that it had made itself, some six calls to the store each time.

Cause: a batch whose route is gone was claimed and not opened, so that it went on to look like an orphan of this process.

Fix: the batch is opened on a route whose time is over: what was listed is shown, and the rest is given up as it is where the batch was held as its route ended. Saved texts are not used, for whether they may have several versions only the route says.

--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from anvilwell_decisions.traffic import facts
 from anvilwell_decisions.traffic import organisations
 from anvilwell_gateway.batches import handing
 from anvilwell_gateway.batches import held as helds
@@ -394,7 +395,8 @@
         submission, route = self._read(raw)
         if route is None:
             _LOG.log("batch-without-route", batch_id=batch_id)
-            return True
+            # Whether a saved text would do, only its route could say.
+            route, saved = _ended_route(submission), ()
         older = [
             opened
             for opened, submitted_at in self._opening.items()
@@ -427,6 +429,13 @@
         await tasks.stop(*self._resolving, *self._reviews)
 
 
+def _ended_route(submission):
+    """Return a route on which the rest of a batch is given up at once."""
+    return facts.Route(
+        "", submission.host, submission.path, (), True, max_queue_s=0.0
+    )
+
+
 def _check_same(owner, digest, submission):
     if owner.digest != digest:
         raise exceptions.Conflict(
