Keep a batch that nobody has ended

What callers saw: a batch of which all was listed and that its trainer had not ended yet was gone three minutes after its submission, though results stay where they are for as long as a batch is open.

Cause: what is deleted after its time was any settled batch, and one is settled as well when nothing of it has to run any more.

Evidence: the test failed before, "assert [] == [{'id': 'item...".

--- a/packages/gateway/anvilwell_gateway/batches/retention.py
+++ b/packages/gateway/anvilwell_gateway/batches/retention.py
@@ -10,6 +10,9 @@
 # Results stay readable for 120 s after the submission; the rest is for
 # clocks that differ and reads under way.
 KEEP_S = 180.0
+# The same for a batch of which all is listed and that nobody has ended: it
+# stays readable until then, unless its trainer is gone for good.
+KEEP_OPEN_S = 86400.0
 LOOK_S = 20.0
 
 _LOG = logs.get_logger(__name__)
@@ -59,11 +62,11 @@
             await self.remove_old(asyncio.get_running_loop().time())
 
     async def remove_old(self, now):
-        """Delete what was settled and opened `KEEP_S` before `now`."""
+        """Delete what was settled and opened long enough before `now`."""
         old = [
             held
             for held in self._holder.held_by_id.values()
-            if held.book.is_settled and now - held.opened_at > KEEP_S
+            if held.book.is_settled and now - held.opened_at > _keep_s(held)
         ]
         for held in old:
             owner = held.claimed.owner
@@ -117,3 +120,7 @@
             return False
         _LOG.log("batch-deleted", batch_id=batch_id)
         return True
+
+
+def _keep_s(held):
+    return KEEP_S if held.book.is_ended else KEEP_OPEN_S
