--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -1,10 +1,12 @@
 """Takes batches from trainers, and takes them over from dead owners."""
 
 import asyncio
+import collections
 import time
 
 import xxhash
 
+from anvilwell_decisions.traffic import facts
 from anvilwell_decisions.traffic import organisations
 from anvilwell_gateway.batches import handing
 from anvilwell_gateway.batches import held as helds
@@ -80,7 +82,8 @@
         self._hander = hander
         self._homes = homes
         self._resolving = set()
-        self._accepting = set()
+        # How many submissions of each batch are under way.
+        self._accepting = collections.Counter()
         self._reviews = set()
         self._taking = set()
         self._opening = {}
@@ -167,19 +170,23 @@
         """Write the batch and open it, also after the caller has left.
 
         A write that was sent may land late. Then the batch is ours, and
-        nobody else would run it.
+        nobody else would run it. What another call wrote may have results,
+        so it is not opened here, even if this process owns it.
         """
         batch_id = submission.batch_id
-        self._accepting.add(batch_id)
+        self._accepting[batch_id] += 1
         try:
             claimed, carried = await self._store_batch(
                 route, batch_id, owner, raw
             )
+            if claimed.owner == owner._replace(parts=claimed.owner.parts):
+                self._open(route, submission, claimed, ((), 0, carried))
         finally:
-            self._accepting.discard(batch_id)
-        mine = claimed.owner.life == self._presence.life
-        if mine and batch_id not in self._holder.held_by_id:
-            self._open(route, submission, claimed, ((), 0, carried))
+            self._accepting[batch_id] -= 1
+            if not self._accepting[batch_id]:
+                del self._accepting[batch_id]
+            # Its owner may have been lost meanwhile.
+            self._look_at({batch_id})
         return claimed
 
     async def _store_batch(self, route, batch_id, owner, raw):
@@ -201,7 +208,6 @@
         self._resolving.discard(task)
         if not task.cancelled() and task.exception():
             _LOG.log("batch-not-accepted", cause=str(task.exception()))
-            self.review()
 
     def _owner(self, submission, digest, submitted_at, service):
         presence = self._presence
@@ -217,6 +223,15 @@
         )
 
     def _open(self, route, submission, claimed, adopted):
+        """Open a batch, unless it was taken over first; return whether.
+
+        The change of its owner was told while nobody held it here, and is
+        not told again.
+        """
+        batch_id = submission.batch_id
+        if self._owners.is_superseded(batch_id, claimed):
+            _LOG.log("batch-not-opened", batch_id=batch_id)
+            return False
         loop = asyncio.get_running_loop()
         age_s = max(0.0, time.time() - claimed.owner.submitted_at)
         give_up_at = loop.time() + route.max_queue_s - age_s
@@ -224,8 +239,9 @@
         results, held.chunks, saved = adopted
         held.book.adopt(results, saved)
         self._holder.open(held)
-        if submission.batch_id in self._news.ended:
-            self._holder.end(submission.batch_id)
+        if batch_id in self._news.ended:
+            self._holder.end(batch_id)
+        return True
 
     def _heard(self, lost, ended):
         for batch_id in ended:
@@ -247,14 +263,16 @@
         self._look_at(set(self._owners.claimed_by_id))
 
     def _look_at(self, batch_ids):
-        """Drop those of the batches that are another's, take orphans."""
+        """Drop those of the batches that are another's, take orphans.
+
+        A batch whose owner isn't known yet is looked at once that is told.
+        """
         if not self._may_take:
             return
         for batch_id in batch_ids:
-            claimed = self._owners.claimed_by_id[batch_id]
             held = self._holder.held_by_id.get(batch_id)
-            if held and claimed.revision > held.claimed.revision:
-                self._start(self._drop(batch_id))
+            if held and self._owners.is_superseded(batch_id, held.claimed):
+                self._start(self._drop(held))
             elif batch_id not in self._taking and self._may_be_orphan(
                 batch_id
             ):
@@ -266,8 +284,8 @@
         self._reviews.add(task)
         task.add_done_callback(self._reviews.discard)
 
-    async def _drop(self, batch_id):
-        await self._holder.drop(batch_id, "another process owns it")
+    async def _drop(self, held):
+        await self._holder.drop(held, "another process owns it")
 
     def _may_be_orphan(self, batch_id):
         """Return whether a batch's owner is gone, as far as is told."""
@@ -333,7 +351,11 @@
         return ranked.index(mine) + (owner.vm_id in others)
 
     async def _take(self, batch_id):
-        """Take a batch if its owner is gone; return if that is settled."""
+        """Take a batch if its owner is gone; return if that is settled.
+
+        It is not if somebody else was quicker: while a batch is being taken
+        here, no loss of another owner has it taken.
+        """
         # In this order: whoever owned the batch at the first read and is
         # not there at the second is gone.
         claimed = await self._store.owner(batch_id)
@@ -349,26 +371,32 @@
         try:
             claimed = await self._store.claim(batch_id, claimed, mine)
         except records.Taken:
-            return True
+            return False
         _LOG.log("batch-taken-over", batch_id=batch_id, owner=owner.vm_id)
         opened = asyncio.get_running_loop().create_future()
         self._opening[opened] = owner.submitted_at
         try:
-            await self._adopt(batch_id, claimed)
+            return await self._adopt(batch_id, claimed)
         finally:
             del self._opening[opened]
             opened.set_result(None)
-        return True
 
     async def _adopt(self, batch_id, claimed):
-        """Open a batch of an earlier owner with what that left."""
+        """Open a batch of an earlier owner with what that left.
+
+        Returns
+        -------
+        bool
+            Whether there is no more to do.
+        """
         raw = await self._store.raw(batch_id, claimed.owner.parts)
         results, chunks = await self._store.results(batch_id)
         saved = await self._store.saved(batch_id)
         submission, route = self._read(raw)
         if route is None:
             _LOG.log("batch-without-route", batch_id=batch_id)
-            return
+            # Whether a saved text would do, only its route could say.
+            route, saved = _ended_route(submission), ()
         older = [
             opened
             for opened, submitted_at in self._opening.items()
@@ -376,7 +404,7 @@
         ]
         if older:
             await asyncio.wait(older, timeout=OLDER_FIRST_S)
-        self._open(route, submission, claimed, (results, chunks, saved))
+        return self._open(route, submission, claimed, (results, chunks, saved))
 
     def _submission(self, request):
         """Return the `facts.Submission` in a caller's request."""
@@ -401,6 +429,13 @@
         await tasks.stop(*self._resolving, *self._reviews)
 
 
+def _ended_route(submission):
+    """Return a route on which the rest of a batch is given up at once."""
+    return facts.Route(
+        "", submission.host, submission.path, (), True, max_queue_s=0.0
+    )
+
+
 def _check_same(owner, digest, submission):
     if owner.digest != digest:
         raise exceptions.Conflict(
