--- a/packages/gateway/tests/batches/test_committing.py
+++ b/packages/gateway/tests/batches/test_committing.py
@@ -39,6 +39,7 @@
             book=book,
             chunks=0,
             has_ready=asyncio.Event(),
+            begin_write=lambda: None,
             list=book.list,
         )
         committer = committing.Committer(store, held, None)
