Answer for handlers that fail before their answer, however they fail

What callers saw: a reset without an answer if a handler was ended by a ConnectionError that was not of the caller's connection, by a cancellation by another part (as a submission's write by the stop of the intake), or by an error that nothing answered.

Cause: the server took each of these for the end of the caller's connection. Only an answer that has begun can't be ended otherwise than by a reset.

Before, for each of the three errors: AssertionError: assert b' 500 ' in b'' Now the caller gets 500, which promises nothing, and the log says why.

--- a/packages/gateway/anvilwell_gateway/http/server.py
+++ b/packages/gateway/anvilwell_gateway/http/server.py
@@ -122,6 +122,7 @@
         self.budget = budget or buffers.Budget()
         self._connections = set()
         self.limits = FIRST_LIMITS
+        # Whether each connection ends after the answer under way.
         self.is_draining = False
 
     @property
@@ -305,10 +306,13 @@
     @staticmethod
     async def _take_result(handler, responder):
         """Answer for a handler that failed in a way nobody foresaw."""
-        error = handler.exception()
+        error = _error(handler)
         if error is None:
             return
-        if isinstance(error, exceptions.AnvilwellError | ConnectionError):
+        is_known = isinstance(
+            error, exceptions.AnvilwellError | ConnectionError
+        )
+        if responder.has_started and is_known:
             raise error
         _LOG.log("handler-failed", cause=repr(error))
         if responder.has_started:
@@ -344,3 +348,10 @@
             headers = (("Retry-After", str(BUSY_RETRY_AFTER_S)),)
         await responder.send(status, headers)
         return None
+
+
+def _error(task):
+    """Return what a task that is over failed with, or None."""
+    if task.cancelled():
+        return asyncio.CancelledError("the handler was cancelled")
+    return task.exception()
--- /dev/null
+++ b/packages/gateway/tests/http/test_finishing.py
@@ -0,0 +1,79 @@
+"""What a server has read is answered, whatever ends its connections."""
+
+import asyncio
+
+from anvilwell_gateway.http import server as servers
+from anvilwell_kernel.config import options
+from anvilwell_kernel import exceptions
+import pytest
+
+HERE = options.Address("127.0.0.1", 0)
+REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n"
+WHOLE = REQUEST + b"x"
+# Longer than any test takes.
+LONG_S = 600.0
+
+
+class _Site:
+    """A server whose handler answers once it may, and one caller."""
+
+    def __init__(self):
+        self.may_answer = asyncio.Event()
+        self.came = asyncio.Semaphore(0)
+        self.server = servers.Server(HERE, self._answer)
+        self.server.limits = servers.FIRST_LIMITS._replace(
+            idle_timeout_s=LONG_S, header_timeout_s=LONG_S
+        )
+
+    async def _answer(self, request, responder):
+        self.came.release()
+        await self.may_answer.wait()
+        await responder.send(200, (), request.body)
+
+    async def connect(self):
+        """Return a caller's streams; the server waits for its request."""
+        known = len(self.server._connections)
+        streams = await asyncio.open_connection("127.0.0.1", self.server.port)
+        while len(self.server._connections) == known:
+            await asyncio.sleep(0)
+        return streams
+
+    def feed(self, data):
+        """Have the server read `data` at this very moment."""
+        (connection,) = self.server._connections
+        connection._reader.feed_data(data)
+
+
+def _run(scenario, run=asyncio.run):
+    async def main():
+        site = _Site()
+        await site.server.start()
+        try:
+            return await scenario(site)
+        finally:
+            await site.server.stop()
+
+    return run(main())
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        ConnectionResetError("a replica"),
+        asyncio.CancelledError("a part that stops"),
+        exceptions.Refused("nobody took it"),
+    ],
+)
+def test_a_handler_that_fails_before_its_answer_is_answered_for(error):
+    """Whatever looked like a fault of the caller's connection reset it."""
+
+    async def scenario(site):
+        site.may_answer.wait = _raise
+        reader, writer = await site.connect()
+        writer.write(WHOLE)
+        return await reader.readline()
+
+    async def _raise():
+        raise error
+
+    assert b" 500 " in _run(scenario)
