Serve what was read as an idle connection's time ends

What callers saw: a request that reached the process in the turn of the loop in which the idle time was over was read and thrown away: the connection ended without an answer, and without a line in the log.

Cause: the timeout cancels the wait for bytes though they lie in the reader. The connection was closed without a look at them.

Before, with a request and the timer in one turn of a virtual loop: AssertionError: assert b' 200 ' in b'' Now reading is paused first and the reader looked into once more; what it holds is served. What comes later is never read, so its caller knows. The same holds for the limits of heads and bodies.

--- a/packages/gateway/anvilwell_gateway/http/server.py
+++ b/packages/gateway/anvilwell_gateway/http/server.py
@@ -281,10 +281,26 @@
             async with asyncio.timeout(timeout_s):
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError:
-            return False
+            data = await self._look_once_more()
+            if not data:
+                return False
         self._conn.receive_data(data)
         return True
 
+    async def _look_once_more(self):
+        """Return what was read as the time ended; read nothing after it.
+
+        It would be lost with the connection, and nobody would know.
+        """
+        self._writer.transport.pause_reading()
+        try:
+            async with asyncio.timeout(0):
+                data = await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            return b""
+        self._writer.transport.resume_reading()
+        return data
+
     async def _run(self, request):
         responder = Responder(
             self._conn, self._writer, self._must_close, self._server.budget
@@ -340,6 +356,7 @@
         _LOG.log("request-refused", status=status, cause=cause)
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return None
+        self._writer.transport.resume_reading()
         responder = Responder(
             self._conn, self._writer, lambda: True, self._server.budget
         )
--- a/packages/gateway/tests/http/test_finishing.py
+++ b/packages/gateway/tests/http/test_finishing.py
@@ -56,6 +56,23 @@
     return run(main())
 
 
+def test_what_comes_as_the_idle_time_ends_is_answered(run_virtual):
+    """Was read and thrown away: its caller saw the connection end.
+
+    Time passes at once here when nothing else is to be done, so the timer
+    and the request fall into one turn of the loop.
+    """
+
+    async def scenario(site):
+        site.may_answer.set()
+        site.server.limits = servers.FIRST_LIMITS
+        reader, writer = await site.connect()
+        writer.write(WHOLE)
+        return await reader.readline()
+
+    assert b" 200 " in _run(scenario, run_virtual)
+
+
 @pytest.mark.parametrize(
     "error",
     [
