Keep a draining connection that holds a next request

What callers saw: a request that the process had read while it served another one on the same connection got no answer, as the first answer said `Connection: close`.

Cause: whether a connection ends was decided by the drain alone, not by what had been read already.

Before: AssertionError: assert 1 == 2 (answers to two requests, the second of which was read before the first was answered). Now the first answer leaves the connection open, and the last one ends it.

--- a/packages/gateway/anvilwell_gateway/http/server.py
+++ b/packages/gateway/anvilwell_gateway/http/server.py
@@ -65,9 +65,9 @@
 
     async def start(self, status, headers):
         """Send the head; without a length the body goes in chunks."""
-        self.status = status
-        if self._must_close():
+        if await self._must_close():
             headers = (*headers, ("Connection", "close"))
+        self.status = status
         head = h11.Response(
             status_code=status, headers=messages.encode_headers(headers)
         )
@@ -349,8 +349,16 @@
             self._conn.receive_data(data)
         await asyncio.get_running_loop().create_future()
 
-    def _must_close(self):
-        return self._server.is_draining
+    async def _must_close(self):
+        """Return whether the connection ends after the answer.
+
+        It does not while it holds a next request, which was read.
+        """
+        if not self._server.is_draining:
+            return False
+        # The watcher takes what has come.
+        await asyncio.sleep(0)
+        return not self._conn.trailing_data[0]
 
     async def _refuse(self, status, cause):
         _LOG.log("request-refused", status=status, cause=cause)
@@ -358,7 +366,7 @@
             return None
         self._writer.transport.resume_reading()
         responder = Responder(
-            self._conn, self._writer, lambda: True, self._server.budget
+            self._conn, self._writer, _always, self._server.budget
         )
         headers = ()
         if status == 503:
@@ -372,3 +380,7 @@
     if task.cancelled():
         return asyncio.CancelledError("the handler was cancelled")
     return task.exception()
+
+
+async def _always():
+    return True
--- a/packages/gateway/tests/http/test_finishing.py
+++ b/packages/gateway/tests/http/test_finishing.py
@@ -73,6 +73,23 @@
     assert b" 200 " in _run(scenario, run_virtual)
 
 
+def test_requests_that_were_read_behind_another_are_answered():
+    """`Connection: close` on the first answer threw the second away."""
+
+    async def scenario(site):
+        reader, writer = await site.connect()
+        site.server.is_draining = True
+        writer.write(WHOLE)
+        await site.came.acquire()
+        site.feed(WHOLE)
+        site.may_answer.set()
+        return await reader.read()
+
+    answers = _run(scenario)
+    assert answers.count(b" 200 ") == 2
+    assert answers.count(b"Connection: close") == 1
+
+
 @pytest.mark.parametrize(
     "error",
     [
