Answer requests that are under way when the drain's limit strikes

What callers saw: a drain that took too long ended in a reset of each request under way, which the caller can't tell from a crash.

Cause: the limit ended the drain, and nothing stood between that and the stop of all parts, which resets.

A stream that has begun can only be reset.

--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -119,6 +119,9 @@
         await self._peers.stop()
         await self._versions.stop()
 
+    async def cut(self):
+        """Do nothing: nobody waits for an agent's answer."""
+
     async def stop(self):
         """Release everything."""
         await self.drain()
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -173,6 +173,10 @@
         await self.live_calls.usage.stop()
         await self.peering.finish()
 
+    async def cut(self):
+        """Answer what is under way at the end of the drain's limit."""
+        await asyncio.gather(self.front.cut(), self.peering.cut())
+
     async def stop(self):
         """Close everything."""
         await self._stand_in.stop()
--- a/packages/gateway/anvilwell_gateway/front.py
+++ b/packages/gateway/anvilwell_gateway/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from anvilwell_gateway import cutting
 from anvilwell_gateway.http import server as servers
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -59,6 +60,7 @@
         self._health = servers.Server(
             settings.ready, self._answer_health, early.take(settings.ready)
         )
+        self._cutter = cutting.Cutter(self._server)
         self._is_draining = False
         self._started_at = asyncio.get_running_loop().time()
         fleet.configuration.listen(self._configured)
@@ -92,6 +94,10 @@
         """Take nothing new, and answer what callers have sent."""
         await self._server.finish()
 
+    async def cut(self):
+        """Answer what is under way now, without a promise."""
+        await self._cutter.cut()
+
     async def stop(self):
         """Close everything."""
         await self._server.stop()
@@ -113,7 +119,8 @@
     async def _answer(self, request, responder):
         call = self._dialect.read_call(request.headers)
         try:
-            await self._dispatch(call, request, responder)
+            async with self._cutter.guard():
+                await self._dispatch(call, request, responder)
         except exceptions.AnvilwellError as error:
             if responder.has_started:
                 raise
--- a/packages/gateway/anvilwell_gateway/peering.py
+++ b/packages/gateway/anvilwell_gateway/peering.py
@@ -1,5 +1,6 @@
 """Where other VMs of ours ask this entry for help."""
 
+from anvilwell_gateway import cutting
 from anvilwell_gateway.http import server as servers
 from anvilwell_gateway import paths
 from anvilwell_kernel.config import options
@@ -27,6 +28,7 @@
         self._server.limits = servers.FIRST_LIMITS._replace(
             max_body_bytes=paths.MAX_ANSWER_BYTES
         )
+        self._cutter = cutting.Cutter(self._server)
 
     @property
     def address(self):
@@ -45,13 +47,18 @@
         """Take nothing new, and answer what peers have sent."""
         await self._server.finish()
 
+    async def cut(self):
+        """Answer what is under way now, without a promise."""
+        await self._cutter.cut()
+
     async def stop(self):
         """Close everything."""
         await self._server.stop()
 
     async def _answer(self, request, responder):
         try:
-            await self._handler(request)(request, responder)
+            async with self._cutter.guard():
+                await self._handler(request)(request, responder)
         except exceptions.AnvilwellError as error:
             if responder.has_started:
                 raise
--- a/packages/gateway/anvilwell_gateway/process.py
+++ b/packages/gateway/anvilwell_gateway/process.py
@@ -18,7 +18,7 @@
     Parameters
     ----------
     part : entry.Entry or agent.Agent
-        What starts, drains and stops.
+        What starts, drains and stops. A drain that takes too long is cut.
     drain_limit_s : float
         Longest drain, in seconds.
     reloader : reloading.Reloader
@@ -51,6 +51,7 @@
             await part.drain()
     except TimeoutError:
         _LOG.log("not-drained")
+        await part.cut()
         return os.EX_TEMPFAIL
     _LOG.log("drained")
     return os.EX_OK
@@ -65,5 +66,8 @@
     async def drain(self):
         """Do nothing."""
 
+    async def cut(self):
+        """Do nothing."""
+
     async def stop(self):
         """Do nothing."""
