Answer what the pages of readiness and metrics have read before they end

What callers saw: a question that was read in the process's last moment got a reset.

Cause: these pages were closed as abruptly as the others.

Before, with a question read at the moment of the stop, for both pages: AssertionError: assert False (b''.startswith(b'HTTP/1.1 ')) Now they end as the front does, within 0.3 s.

--- a/packages/gateway/anvilwell_gateway/front.py
+++ b/packages/gateway/anvilwell_gateway/front.py
@@ -101,6 +101,7 @@
     async def stop(self):
         """Close everything."""
         await self._server.stop()
+        await cutting.Cutter(self._health).cut()
         await self._health.stop()
 
     def _configured(self):
--- a/packages/gateway/anvilwell_gateway/metrics_page.py
+++ b/packages/gateway/anvilwell_gateway/metrics_page.py
@@ -1,5 +1,6 @@
 """Serves the metrics of one process."""
 
+from anvilwell_gateway import cutting
 from anvilwell_gateway.http import server as servers
 from anvilwell_gateway import measures
 from anvilwell_kernel.telemetry import provider
@@ -23,6 +24,11 @@
         self._path = section.path
         self._beliefs = beliefs
 
+    async def stop(self):
+        """Answer what was read, and close everything."""
+        await cutting.Cutter(self).cut()
+        await super().stop()
+
     async def _answer(self, request, responder):
         if request.path != self._path:
             await responder.send(404)
