Wait for replicas until the last sixth of the grace

What callers saw: an answer that a replica was still at work on was cut 6.5 s after SIGTERM. The rule on whole requests excuses only what a replica is still at work on in the last sixth of the grace of 8 s, so from 6.67 s on.

Cause: the drain's limit was chosen before the rule's sixth.

Only a drain with requests of such length takes longer than before.

--- a/packages/gateway/anvilwell_gateway/config.py
+++ b/packages/gateway/anvilwell_gateway/config.py
@@ -34,7 +34,7 @@
     drain_limit_s: typing.Annotated[
         options.Duration,
         Doc("Longest wait at shutdown for requests in flight, in seconds"),
-    ] = 6.5
+    ] = 6.9
 
 
 class KeyValueSection(typing.NamedTuple):
