Give up a batch as without a route only by the newest configuration

Callers would have seen all items of a batch listed as given up, for good, if its owner was lost before the entry that took it over had heard of the configuration that added its route.

Cause: a route that is not known here was taken for one that has ended. Change: before a batch is given up so, the configuration is read from the store and put in force.

Evidence: test_a_route_that_is_not_known_yet_has_not_ended failed before (all items given up) and passes; the test of a route that has ended passes still.

--- a/packages/gateway/anvilwell_gateway/batches/holder.py
+++ b/packages/gateway/anvilwell_gateway/batches/holder.py
@@ -95,6 +95,11 @@
         """Return the routes in force."""
         return self._configuration.routes
 
+    async def newest_routes(self):
+        """Return the routes that the store has now, in force from here on."""
+        await self._configuration.catch_up()
+        return self.routes()
+
     def open(self, held):
         """Begin to run a batch that is ours.
 
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -392,7 +392,8 @@
         raw = await self._store.raw(batch_id, claimed.owner.parts)
         results, chunks = await self._store.results(batch_id)
         saved = await self._store.saved(batch_id)
-        submission, route = self._read(raw)
+        submission = self._submission(self._dialect.stored_request(raw))
+        route = await self._route(submission)
         if route is None:
             _LOG.log("batch-without-route", batch_id=batch_id)
             # Whether a saved text would do, only its route could say.
@@ -412,11 +413,14 @@
             self._dialect.read_submission(request), request.organisation
         )
 
-    def _read(self, raw):
-        request = self._dialect.stored_request(raw)
-        submission = self._submission(request)
-        routes = self._holder.routes()
-        return submission, routes.find(submission.host, submission.path)
+    async def _route(self, submission):
+        """Return a batch's route, None if it has ended.
+
+        One that is not known here may be new.
+        """
+        place = submission.host, submission.path
+        known = self._holder.routes().find(*place)
+        return known or (await self._holder.newest_routes()).find(*place)
 
     async def stop(self):
         """Take nothing over any more, once who waits has an answer.
--- a/packages/gateway/anvilwell_gateway/configuration.py
+++ b/packages/gateway/anvilwell_gateway/configuration.py
@@ -45,6 +45,22 @@
         if change.key == self._prefix and change.value is not None:
             self._take(change.value)
 
+    async def catch_up(self):
+        """Put in force what the store has now.
+
+        Raises
+        ------
+        exceptions.KeyValueUnavailable
+            If the store can't be asked.
+        """
+        entry = await self._store.get(self._prefix)
+        known = self._revisions_by_key.get(self._prefix, 0)
+        if entry and entry.revision >= known:
+            self._revisions_by_key[self._prefix] = entry.revision
+            self._take(entry.value)
+        if self._reading:
+            await asyncio.wait((self._reading,))
+
     def beliefs(self):
         """Return the version in force and its age, if there is one."""
         if self.current is None:
