Take no counts of usage any more once the duty is left, or wait for peers

Two findings of a reviewer in the drain of an entry. And the end of the peers' address waited for a watch that is relayed for a peer, up to 15 s, so that the drain reached its limit: peers are waited for one second, then answered 504; by reading, no run showed it.

--- a/packages/gateway/anvilwell_gateway/duties/reporting.py
+++ b/packages/gateway/anvilwell_gateway/duties/reporting.py
@@ -95,9 +95,10 @@
         Raises
         ------
         exceptions.Refused
-            If this process does not hold the duty.
+            If this process does not hold the duty, or has left it.
         """
-        if self._duty.holder != self._presence.vm_id:
+        is_holder = self._duty.holder == self._presence.vm_id
+        if self._task is None or not is_holder:
             raise exceptions.Refused("this VM does not report usage")
         self._true_time.hear(told.vm_id, told.wall_time, self._clock())
         self._gathered.take(told)
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -19,6 +19,9 @@
 # After SIGTERM: the balancer asks once a second and needs two misses, so
 # for so long new connections still come.
 LEAVE_S = 2.6
+# How long peers are waited for, in seconds. A watch that is relayed for one
+# may wait for many times as long.
+PEERS_S = 1.0
 
 _LOG = logs.get_logger(__name__)
 
@@ -171,7 +174,14 @@
         await asyncio.sleep(leave_at - loop.time())
         await self.front.finish()
         await self.live_calls.usage.stop()
-        await self.peering.finish()
+        await self._finish_peers()
+
+    async def _finish_peers(self):
+        try:
+            async with asyncio.timeout(PEERS_S):
+                await self.peering.finish()
+        except TimeoutError:
+            await self.peering.cut()
 
     async def cut(self):
         """Answer what is under way at the end of the drain's limit."""
