--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -22,6 +22,9 @@
 # last for seconds and trainers come back once, so not at once.
 STORE_RETRY_AFTER_S = 2.5
 END_TIMEOUT_S = 2.0
+# A write that takes longer may have landed without an answer; many times
+# the store's usual answer.
+DOUBT_S = 0.1
 
 _LOG = logs.get_logger(__name__)
 _JSON = ("Content-Type", "application/json")
@@ -46,10 +49,21 @@
         Asks the owners of others' batches.
     budget : buffers.Budget
         What may be held for callers that read slowly.
+    may_vouch : callable
+        Return whether the store answered so lately that no other process
+        can own what this one holds.
     """
 
     def __init__(
-        self, batch_store, holder, intake, dialect, owners, passer, budget
+        self,
+        batch_store,
+        holder,
+        intake,
+        dialect,
+        owners,
+        passer,
+        budget,
+        may_vouch,
     ):
         self._store = batch_store
         self._holder = holder
@@ -57,6 +71,7 @@
         self._dialect = dialect
         self._passer = passer
         self._budget = budget
+        self._may_vouch = may_vouch
         self._reader = readers.Reader(batch_store, dialect, owners)
 
     async def submit(self, route, call, request, responder):
@@ -154,17 +169,30 @@
         await responder.send(200, (_JSON,), body)
 
     async def _own_page(self, question):
-        """Return the `passing.Page` of a batch of ours, or None."""
+        """Return the `passing.Page` of a batch of ours.
+
+        None if it is not ours, or if only the store can say whether there
+        is a result.
+        """
         held = self._holder.held_by_id.get(question.batch_id)
         if held is None:
             return None
         if question.wait_s and not held.book.is_ended:
             await held.wait_listed(question.after, question.wait_s)
+        if not held.has(question.after):
+            await held.wait_known(DOUBT_S)
+        if not held.has(question.after) and not self._is_certain(held):
+            return None
         listed = held.book.listed
         return passing.Page(
             held.book.total, len(listed), tuple(listed[question.after :])
         )
 
+    def _is_certain(self, held):
+        """Return whether nothing is listed but what the book has."""
+        is_ours = self._holder.held_by_id.get(held.batch_id) is held
+        return is_ours and not held.is_in_doubt and self._may_vouch()
+
     async def _stored_page(self, question, told):
         """Return the `passing.Page` from the store, or None.
 
@@ -175,14 +203,17 @@
         found = await self._reader.read(
             question.batch_id, question.after, told and told.listed
         )
-        return found and passing.Page(found[0], len(found[1]), found[1])
+        if found is None:
+            return None
+        total, results = found
+        return passing.Page(total, question.after + len(results), results)
 
     async def answer_peer(self, request, responder):
         """Answer another entry's question for results of our batches."""
         question = passing.read_question(request.body)
         page = await self._own_page(question)
         if page is None:
-            raise exceptions.NotFound("the batch is not owned here")
+            raise exceptions.NotFound("only the store can tell")
         results = None
         is_little = sizes.size(page.results) <= MAX_FAR_BYTES
         if question.with_results or is_little:
--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -1,6 +1,7 @@
 """One batch that this process owns."""
 
 import asyncio
+import contextlib
 
 from anvilwell_decisions.batches import book as books
 from anvilwell_decisions.batches import order
@@ -47,27 +48,54 @@
         self.to_save = asyncio.Event()
         # A save has failed or is under way.
         self.is_unsaved = False
-        self._listed = asyncio.Event()
+        self._changed = asyncio.Event()
+        self._is_stopped = False
+        self._is_known = asyncio.Event()
+        self._is_known.set()
 
     @property
     def batch_id(self):
         """The batch's id."""
         return self.submission.batch_id
 
+    @property
+    def is_in_doubt(self):
+        """Whether the store may list more than the book."""
+        return not self._is_known.is_set()
+
+    def begin_write(self):
+        """Note that results may land from now on."""
+        self._is_known.clear()
+
     def list(self, results):
         """List results that are committed, and wake who waits."""
         self.book.list(results)
-        listed, self._listed = self._listed, asyncio.Event()
-        listed.set()
+        self._is_known.set()
+        self._wake()
+
+    def _wake(self):
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     async def wait_listed(self, position, wait_s):
-        """Wait until a result stands at `position`, at most `wait_s`."""
-        try:
+        """Wait until a result stands at `position`, at most `wait_s`.
+
+        Ends sooner if the batch is held no more.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while not self.has(position) and not self._is_stopped:
+                    await self._changed.wait()
+
+    def has(self, position):
+        """Return whether the book tells what will ever be at `position`."""
+        return len(self.book.listed) > min(position, self.book.total - 1)
+
+    async def wait_known(self, wait_s):
+        """Wait until no write is under way, at most `wait_s`."""
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                while len(self.book.listed) <= position:
-                    await self._listed.wait()
-        except TimeoutError:
-            return
+                await self._is_known.wait()
 
     def texts(self, least_events=1):
         """Return the `Progress` of the unlisted texts that can be used on.
@@ -93,6 +121,8 @@
 
     async def stop(self, cause):
         """Stop all that runs for the batch; `cause` says why in the log."""
+        self._is_stopped = True
+        self._wake()
         await tasks.stop(
             *self._tasks(), self.committer, self.saver, cause=cause
         )
--- a/packages/gateway/anvilwell_gateway/batches/retention.py
+++ b/packages/gateway/anvilwell_gateway/batches/retention.py
@@ -10,6 +10,9 @@
 # Results stay readable for 120 s after the submission; the rest is for
 # clocks that differ and reads under way.
 KEEP_S = 180.0
+# The same for a batch of which all is listed and that nobody has ended: it
+# stays readable until then, unless its trainer is gone for good.
+KEEP_OPEN_S = 86400.0
 LOOK_S = 20.0
 
 _LOG = logs.get_logger(__name__)
@@ -38,7 +41,7 @@
     def __init__(self, batch_store, holder, owners, news, vm_id):
         self._store = batch_store
         self._holder = holder
-        self._owners = owners
+        self.owners = owners
         self._news = news
         self._vm_id = vm_id
         # When each was seen first. Clocks of the day differ between VMs.
@@ -59,17 +62,17 @@
             await self.remove_old(asyncio.get_running_loop().time())
 
     async def remove_old(self, now):
-        """Delete what was settled and opened `KEEP_S` before `now`."""
+        """Delete what was settled and opened long enough before `now`."""
         old = [
             held
             for held in self._holder.held_by_id.values()
-            if held.book.is_settled and now - held.opened_at > KEEP_S
+            if held.book.is_settled and now - held.opened_at > _keep_s(held)
         ]
         for held in old:
             owner = held.claimed.owner
             if not await self._remove(held.batch_id, owner, held.chunks):
                 return
-            self._holder.held_by_id.pop(held.batch_id, None)
+            self._holder.forget(held)
             await held.stop("the batch is deleted")
         await self._remove_left(now)
 
@@ -80,7 +83,7 @@
             for batch_id in self._left()
         }
         old = [
-            (batch_id, self._owners.claimed_by_id[batch_id].owner)
+            (batch_id, self.owners.claimed_by_id[batch_id].owner)
             for batch_id, left_at in self._left_at_by_batch.items()
             if now - left_at > KEEP_S and self._is_ours(batch_id)
         ]
@@ -98,7 +101,7 @@
         lives_by_vm = self._news.lives_by_vm
         return [
             batch_id
-            for batch_id, claimed in self._owners.claimed_by_id.items()
+            for batch_id, claimed in self.owners.claimed_by_id.items()
             if batch_id in self._news.ended
             and batch_id not in self._holder.held_by_id
             and lives_by_vm.get(claimed.owner.vm_id) != claimed.owner.life
@@ -117,3 +120,7 @@
             return False
         _LOG.log("batch-deleted", batch_id=batch_id)
         return True
+
+
+def _keep_s(held):
+    return KEEP_S if held.book.is_ended else KEEP_OPEN_S
--- a/packages/gateway/anvilwell_gateway/http/server.py
+++ b/packages/gateway/anvilwell_gateway/http/server.py
@@ -65,9 +65,9 @@
 
     async def start(self, status, headers):
         """Send the head; without a length the body goes in chunks."""
-        self.status = status
-        if self._must_close():
+        if await self._must_close():
             headers = (*headers, ("Connection", "close"))
+        self.status = status
         head = h11.Response(
             status_code=status, headers=messages.encode_headers(headers)
         )
@@ -122,7 +122,10 @@
         self.budget = budget or buffers.Budget()
         self._connections = set()
         self.limits = FIRST_LIMITS
+        # Whether each connection ends after the answer under way.
         self.is_draining = False
+        # Whether a connection without a request ends at once.
+        self.is_finishing = False
 
     @property
     def port(self):
@@ -143,21 +146,43 @@
             self._accept, backlog=listening.BACKLOG, limit=READ_BYTES, **place
         )
 
-    async def stop(self):
-        """Stop listening and close all connections."""
+    async def finish(self):
+        """Answer all that was read, and end each connection in order.
+
+        Takes as long as the handlers and the callers' reading do.
+        """
+        self.is_draining = self.is_finishing = True
+        self._close_listener()
+        for connection in self._connections:
+            connection.end_idle()
+        while self._connections:
+            await asyncio.wait([one.task for one in self._connections])
+
+    def _close_listener(self):
         if self._listener:
             self._listener.close()
+
+    async def stop(self):
+        """Stop listening and reset all connections."""
+        self._close_listener()
         tasks = [one.task for one in self._connections]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _accept(self, reader, writer):
+        if self.is_finishing:
+            # Nothing was read of it yet.
+            writer.close()
+            return
         connection = _Connection(self, self._handle, reader, writer)
         connection.task = asyncio.current_task()
         self._connections.add(connection)
         try:
             await connection.serve()
+            writer.close()
+            # The end of an answer may still have to go out.
+            await writer.wait_closed()
         except (
             ConnectionError,
             asyncio.CancelledError,
@@ -180,6 +205,8 @@
         self._reader = reader
         self._writer = writer
         self._held_bytes = 0
+        # The limit of the wait for bytes under way, if there is one.
+        self._limit = None
         self.is_serving = False
         self.task = None
         self._conn = h11.Connection(
@@ -198,6 +225,12 @@
         finally:
             self._server.budget.give(self._held_bytes)
 
+    def end_idle(self):
+        """End the wait for a request, unless one is being served."""
+        is_waiting = self._limit and not self._limit.expired()
+        if is_waiting and not self.is_serving:
+            self._limit.reschedule(asyncio.get_running_loop().time())
+
     async def _serve_one(self):
         """Serve one request; return whether another may follow."""
         head = await self._read_head()
@@ -244,11 +277,19 @@
             has_begun = bool(self._conn.trailing_data[0])
             if has_begun:
                 timeout_s = limits.header_timeout_s
+            if self._server.is_finishing:
+                timeout_s = 0.0
             if not await self._receive(timeout_s):
                 if has_begun:
-                    await self._refuse(408, "the head did not come in time")
+                    await self._refuse_head()
                 return None
 
+    async def _refuse_head(self):
+        if self._server.is_finishing:
+            await self._refuse(503, "this process stops")
+        else:
+            await self._refuse(408, "the head did not come in time")
+
     async def _read_body(self):
         """Return the whole body, or None after a refusal."""
         parts = []
@@ -277,13 +318,31 @@
     async def _receive(self, timeout_s):
         """Feed what comes to the parser; return False on a timeout."""
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as self._limit:
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError:
-            return False
+            data = await self._look_once_more()
+            if not data:
+                return False
+        finally:
+            self._limit = None
         self._conn.receive_data(data)
         return True
 
+    async def _look_once_more(self):
+        """Return what was read as the time ended; read nothing after it.
+
+        It would be lost with the connection, and nobody would know.
+        """
+        self._writer.transport.pause_reading()
+        try:
+            async with asyncio.timeout(0):
+                data = await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            return b""
+        self._writer.transport.resume_reading()
+        return data
+
     async def _run(self, request):
         responder = Responder(
             self._conn, self._writer, self._must_close, self._server.budget
@@ -305,10 +364,13 @@
     @staticmethod
     async def _take_result(handler, responder):
         """Answer for a handler that failed in a way nobody foresaw."""
-        error = handler.exception()
+        error = _error(handler)
         if error is None:
             return
-        if isinstance(error, exceptions.AnvilwellError | ConnectionError):
+        is_known = isinstance(
+            error, exceptions.AnvilwellError | ConnectionError
+        )
+        if responder.has_started and is_known:
             raise error
         _LOG.log("handler-failed", cause=repr(error))
         if responder.has_started:
@@ -329,18 +391,38 @@
             self._conn.receive_data(data)
         await asyncio.get_running_loop().create_future()
 
-    def _must_close(self):
-        return self._server.is_draining
+    async def _must_close(self):
+        """Return whether the connection ends after the answer.
+
+        It does not while it holds a next request, which was read.
+        """
+        if not self._server.is_draining:
+            return False
+        # The watcher takes what has come.
+        await asyncio.sleep(0)
+        return not self._conn.trailing_data[0]
 
     async def _refuse(self, status, cause):
         _LOG.log("request-refused", status=status, cause=cause)
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return None
+        self._writer.transport.resume_reading()
         responder = Responder(
-            self._conn, self._writer, lambda: True, self._server.budget
+            self._conn, self._writer, _always, self._server.budget
         )
         headers = ()
         if status == 503:
             headers = (("Retry-After", str(BUSY_RETRY_AFTER_S)),)
         await responder.send(status, headers)
         return None
+
+
+def _error(task):
+    """Return what a task that is over failed with, or None."""
+    if task.cancelled():
+        return asyncio.CancelledError("the handler was cancelled")
+    return task.exception()
+
+
+async def _always():
+    return True
