Show again what an entry has shown, whatever an owner says; keep open batches an hour

An entry that had read results from the store and was then told by an owner that there are fewer believed the owner. No owner should say so any more; this keeps one entry from contradicting itself all the same.

--- a/packages/gateway/anvilwell_gateway/batches/desk.py
+++ b/packages/gateway/anvilwell_gateway/batches/desk.py
@@ -149,14 +149,13 @@
         found, source = await self._own_page(question), "memory"
         if found is None and not is_owner:
             found, source = await self._passer.ask(question), "owner"
-        if found is None or found.results is None:
+        if found is None or not found.results:
             told, found = found, await self._stored_page(question, found)
-            is_told = told and told.listed <= question.after
-            source = "owner" if is_told else "store"
+            source = source if told is found else "store"
         if found is None:
             await self._not_found(call, responder)
             return
-        total, results = found.total, found.results
+        total, results = found.total, found.results or ()
         page = sizes.fitting(results, self._budget.page_bytes(MAX_PAGE_BYTES))
         _LOG.routine(
             "batch-read",
@@ -202,8 +201,9 @@
 
         What the owner `told` saves the call if there is nothing new.
         """
-        if told and told.listed <= question.after:
-            return told._replace(results=())
+        known = self._reader.listed(question.batch_id)
+        if told and max(told.listed, known) <= question.after:
+            return told
         found = await self._reader.read(
             question.batch_id, question.after, told and told.listed
         )
--- a/packages/gateway/anvilwell_gateway/batches/reader.py
+++ b/packages/gateway/anvilwell_gateway/batches/reader.py
@@ -60,6 +60,11 @@
         self._keep(self._kept_by_id, batch_id, kept)
         return kept.total, kept.results[after:]
 
+    def listed(self, batch_id):
+        """Return how many results of a batch have been read here."""
+        kept = self._kept_by_id.get(batch_id)
+        return len(kept.results) if kept else 0
+
     async def body(self, batch_id, item_id):
         """Return the body of an item, or None if there is none."""
         items = self._items_by_batch.get(batch_id)
--- a/packages/gateway/anvilwell_gateway/batches/retention.py
+++ b/packages/gateway/anvilwell_gateway/batches/retention.py
@@ -12,7 +12,7 @@
 KEEP_S = 180.0
 # The same for a batch of which all is listed and that nobody has ended: it
 # stays readable until then, unless its trainer is gone for good.
-KEEP_OPEN_S = 86400.0
+KEEP_OPEN_S = 3600.0
 LOOK_S = 20.0
 
 _LOG = logs.get_logger(__name__)
