--- a/packages/gateway/anvilwell_gateway/batches/held.py
+++ b/packages/gateway/anvilwell_gateway/batches/held.py
@@ -88,7 +88,10 @@
                     await self._changed.wait()
 
     def has(self, position):
-        """Return whether the book tells what will ever be at `position`."""
+        """Return whether the book tells what will ever be at `position`.
+
+        Nothing comes behind the last one, so a whole book tells of all.
+        """
         return len(self.book.listed) > min(position, self.book.total - 1)
 
     async def wait_known(self, wait_s):
