Write down the sabotage of what protects positions and requests

A read that is not woken as its batch goes was not, since it ends by its own limit a second later; test_a_read_that_waits_ends_with_the_batch notices it now (it failed with the wake taken away).

--- a/packages/gateway/tests/batches/test_holder.py
+++ b/packages/gateway/tests/batches/test_holder.py
@@ -198,3 +198,18 @@
         assert not newer.committer.done()
 
     _run(scenario)
+
+
+def test_a_read_that_waits_ends_with_the_batch():
+    """It waited for its whole time for a batch that another process had."""
+
+    async def scenario(holder, directory, runner):
+        held = _held("b1")
+        holder.open(held)
+        waiting = asyncio.create_task(held.wait_listed(0, 3600.0))
+        await asyncio.sleep(0)
+        await holder.drop(held, "another process owns it")
+        async with asyncio.timeout(10.0):
+            await waiting
+
+    _run(scenario)
