--- a/packages/gateway/tests/http/test_finishing.py
+++ b/packages/gateway/tests/http/test_finishing.py
@@ -103,6 +103,8 @@
 
 
 def test_a_request_under_way_is_answered_before_the_server_has_finished():
+    """Its connection would be ended with the idle ones."""
+
     async def scenario(site):
         reader, writer = await site.connect()
         writer.write(WHOLE)
@@ -118,6 +120,8 @@
 
 @pytest.mark.parametrize("rest", [b"x", b"x" + WHOLE])
 def test_a_body_that_comes_while_the_server_finishes_is_taken(rest):
+    """A request that had begun to come would be thrown away half read."""
+
     async def scenario(site):
         site.may_answer.set()
         reader, writer = await site.connect()
@@ -134,6 +138,8 @@
 
 
 def test_half_a_head_is_refused_as_the_server_finishes():
+    """Its caller would not know that nothing ran."""
+
     async def scenario(site):
         reader, _ = await site.connect()
         site.feed(REQUEST[:9])
