Read limits of cold replicas, allowed regions and regions of failure domains

Two new deployments state how many requests per second a cold replica tolerates, which failure domains lie in which region, and the limits of evacuations. The adapter dropped these fields.

No decision uses them yet.

--- a/packages/decisions/anvilwell_decisions/traffic/facts.py
+++ b/packages/decisions/anvilwell_decisions/traffic/facts.py
@@ -21,6 +21,9 @@
     ``is_open`` no organisation's key is needed. Results of batches are due
     ``due_s`` after their submission; 0 means no due time. Times are in
     seconds.
+
+    Requests may be served, cached and stored only in ``allowed_regions``;
+    None means in any region.
     """
 
     name: str
@@ -39,6 +42,7 @@
     is_stream: bool = False
     is_open: bool = False
     due_s: float = 0.0
+    allowed_regions: frozenset[str] | None = None
 
 
 class ServiceFacts(typing.NamedTuple):
@@ -47,11 +51,20 @@
     ``slots`` is how many requests one engine runs at a time, 0 if the service
     has no slots. ``memory_tokens`` is how many tokens of prompts and texts one
     engine can hold, 0 if unknown.
+
+    A replica is cold for ``cold_duration_s`` seconds after its start. A cold
+    replica tolerates ``cold_rate`` requests per second from all senders
+    together and crashes well above that; 0 means that it has no such limit.
+    A replica accepts ``max_connections`` connections from all senders
+    together, 0 if unknown.
     """
 
     name: str
     slots: int = 0
     memory_tokens: int = 0
+    cold_duration_s: float = 0.0
+    cold_rate: float = 0.0
+    max_connections: int = 0
 
 
 class CallerLimits(typing.NamedTuple):
@@ -66,12 +79,15 @@
 class Organisation(typing.NamedTuple):
     """An organisation that sends requests, identified by any of its keys.
 
-    Its ``priority`` overrides that of a route, unless it is None.
+    Its ``priority`` overrides that of a route, unless it is None. Its requests
+    may be served, cached and stored only in ``allowed_regions``, None for any
+    region. A route's own list applies as well.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 class Configuration(typing.NamedTuple):
@@ -102,6 +118,9 @@
 
     ``versions`` holds the weight version of each of its models; ``loading``
     names the models that it is loading and takes no new items for.
+
+    ``cold_s`` is how much longer the replica stays cold, in seconds, as of
+    the time at which it wrote its registration; 0 if it is warm.
     """
 
     replica_id: str
@@ -114,6 +133,7 @@
     loading: tuple[str, ...] = ()
     name: str = ""
     started_ms: int = 0
+    cold_s: float = 0.0
 
 
 class ScoringCall(typing.NamedTuple):
--- a/packages/gateway/anvilwell_gateway/config.py
+++ b/packages/gateway/anvilwell_gateway/config.py
@@ -110,6 +110,34 @@
     ] = 3.0
 
 
+class ColdReplicasSection(typing.NamedTuple):
+    """``[cold_replicas]``: limit on requests to replicas that are cold.
+
+    Applies to services whose configuration states a rate for cold replicas.
+    """
+
+    rate_factor: typing.Annotated[
+        options.Rate,
+        Doc("Allowed multiple of a service's rate for cold replicas"),
+    ] = 1.0
+    extra_requests: typing.Annotated[
+        options.CountOrZero,
+        Doc("Requests allowed beyond that in any second"),
+    ] = 0
+
+
+class EvacuationSection(typing.NamedTuple):
+    """``[evacuation]``: operators may evacuate failure domains.
+
+    Evacuations are ignored without this section.
+    """
+
+    limit_s: typing.Annotated[
+        options.Duration,
+        Doc("Time after which no request may reach the replicas, in seconds"),
+    ]
+
+
 class MetricsSection(typing.NamedTuple):
     """``[metrics]``: the metrics page of this process."""
 
@@ -127,6 +155,10 @@
     agent: AgentSection | None = None
     organisations: OrganisationsSection = OrganisationsSection()
     usage: UsageSection | None = None
+    cold_replicas: ColdReplicasSection = ColdReplicasSection()
+    evacuation: EvacuationSection | None = None
+    # The region of each failure domain.
+    regions: dict[options.Name, options.Name] | None = None
 
 
 def load(path, role):
@@ -143,4 +175,18 @@
             what = f"missing, but the role is {role}"
             yield problems.Problem("", role, "", what, f"add [{role}]")
 
-    return loader.load(path, Settings, (check,))
+    return loader.load(path, Settings, (check, _check_regions))
+
+
+def _check_regions(sections_by_name):
+    """Yield a problem if this VM's failure domain has no region."""
+    regions = sections_by_name.get("regions")
+    daemon = sections_by_name.get("daemon")
+    if regions and daemon and daemon.failure_domain not in regions:
+        yield problems.Problem(
+            "",
+            "regions",
+            daemon.failure_domain,
+            "missing, but it is the failure domain of this VM",
+            f"add {daemon.failure_domain} = the name of its region",
+        )
--- a/packages/gateway/anvilwell_gateway/dialect.py
+++ b/packages/gateway/anvilwell_gateway/dialect.py
@@ -27,7 +27,8 @@
     ``not_run`` is whether the replica guarantees that the request did not
     run, and ``is_other`` whether the response is from another replica than
     the one that was called. ``load`` is the load that the replica reports,
-    None if it reports none.
+    None if it reports none. ``cold_s`` is how much longer the replica is cold,
+    in seconds, None if it doesn't say.
     """
 
     request_id: str
@@ -36,6 +37,7 @@
     version: int = 0
     load: server_loads.ServerLoad | None = None
     is_other: bool = False
+    cold_s: float | None = None
 
     @property
     def is_sealed(self):
--- a/packages/gateway/anvilwell_gateway/fleet.py
+++ b/packages/gateway/anvilwell_gateway/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from anvilwell_decisions.traffic import regions
 from anvilwell_gateway import cluster_state
 from anvilwell_gateway import configuration as configurations
 from anvilwell_gateway import directory as directories
@@ -29,6 +30,7 @@
         daemon = settings.daemon
         self.store = platform.store
         self.failure_domain = daemon.failure_domain
+        self.regions = regions.Regions(daemon.failure_domain, settings.regions)
         self.configuration = configurations.ConfigurationFollower(
             self.store, platform.codec
         )
--- a/packages/gateway/anvilwell_gateway/store_codec.py
+++ b/packages/gateway/anvilwell_gateway/store_codec.py
@@ -10,6 +10,9 @@
     replicas_prefix = ""
     versions_prefix = ""
     retire_prefix = ""
+    # Each key under this prefix ends with the name of a failure domain that is
+    # to be evacuated.
+    evacuations_prefix = ""
 
     def read_configuration(self, value):
         """Decode the `facts.Configuration` in `value`.
