Confirm keys from all answers of the store while draining

With strict revocation an entry that drains refused callers with keys (503) some three seconds after SIGTERM, though the store answered: only renewals of the lease counted as answers, and a drain ends the lease.

The lease stays ended. Without strict revocation no call is added and no other decision changes.

--- a/packages/gateway/anvilwell_gateway/admission.py
+++ b/packages/gateway/anvilwell_gateway/admission.py
@@ -93,7 +93,7 @@
         have been revoked since. Applies only with strict revocation.
         """
         limit_s = self._settings.revocation_limit_s - MAX_CONFIGURATION_DELAY_S
-        is_late = self._presence.answer_age_s() > limit_s
+        is_late = self._presence.silence_s() > limit_s
         if self._settings.strict_revocation and is_late:
             raise _uncertain(
                 "keys can't be confirmed: the store does not answer"
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -177,7 +177,7 @@
         await self._substitute_orderer.stop()
         await self._batches.release()
         await self.live_calls.usage.release_duty()
-        await self.fleet.presence.stop()
+        await self.fleet.presence.drain()
         await asyncio.sleep(close_at - loop.time())
         await self.frontend.finish()
         await self.live_calls.usage.stop()
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -59,6 +59,8 @@
         Its processing capacity, in cores.
     link_mbps : float
         The bandwidth of its link, in Mbit/s; 0 if unknown.
+    asks_after_end : bool
+        Whether a process that drains still asks whether the store answers.
     """
 
     def __init__(
@@ -68,12 +70,16 @@
         failure_domain="",
         capacity=1.0,
         link_mbps=0.0,
+        asks_after_end=False,
     ):
         self._store = store
         self._link_mbps = link_mbps
+        self._asks_after_end = asks_after_end
         self._capacity = capacity
         self._failure_domain = failure_domain
         self._task = None
+        self._asking_task = None
+        self._has_ended = False
         self._lease = 0
         self._pending_lease = 0
         self._pending_since = 0.0
@@ -96,14 +102,23 @@
         self._peers = str(peers)
         self._task = asyncio.create_task(self._keep())
 
+    async def drain(self):
+        """End the lease, but keep asking the store if that is configured."""
+        await self.stop()
+        if self._asks_after_end:
+            self._asking_task = asyncio.create_task(self._keep_asking())
+
     async def stop(self):
         """End the lease, so that others take over at once."""
+        asking_task, self._asking_task = self._asking_task, None
+        await tasks.stop(asking_task)
         task, self._task = self._task, None
         if task is None:
             return
         await tasks.stop(task)
         # From here on, others may own what the lease protects.
         self._session.lease = 0
+        self._has_ended = True
         if self._lease:
             try:
                 await self._store.revoke(self._lease)
@@ -143,6 +158,17 @@
         """Return the time since the store's last answer, in seconds."""
         return asyncio.get_running_loop().time() - self._answered_at
 
+    def silence_s(self):
+        """Return how long the store has been silent, in seconds.
+
+        Renewals show that until the lease is ended, and the answers to all
+        calls afterwards.
+        """
+        if not self._has_ended:
+            return self.answer_age_s()
+        silent_since = max(self._answered_at, self._store.answered_at)
+        return asyncio.get_running_loop().time() - silent_since
+
     def gauge_values(self):
         """Return whether this process is registered and the store answers."""
         return [
@@ -208,6 +234,19 @@
             except TimeoutError:
                 pass
 
+    async def _keep_asking(self):
+        """Ask whether the store answers, without a lease, until cancelled."""
+        wait_s = RENEW_S
+        while True:
+            await asyncio.sleep(wait_s)
+            try:
+                await self._store.ping()
+                self._note_answer(asyncio.get_running_loop().time())
+                wait_s = RENEW_S
+            except exceptions.AnvilwellError as error:
+                wait_s = RETRY_S
+                _LOG.log("store-not-asked", cause=error.message)
+
     def _note_answer(self, now):
         if self._has_answered and now - self._answered_at >= LONG_OUTAGE_S:
             self._regained_at = now
--- a/packages/gateway/anvilwell_gateway/store.py
+++ b/packages/gateway/anvilwell_gateway/store.py
@@ -44,6 +44,8 @@
     def __init__(self):
         self._regained_listeners = []
         self._is_unanswered = False
+        # When the store last answered a call, on the event loop's clock.
+        self.answered_at = float("-inf")
         self._started_at_by_call = {}
         self._cancelled_calls = set()
 
@@ -64,9 +66,10 @@
 
         If that ends an outage, notify the listeners and cancel hung calls.
         """
+        loop = asyncio.get_running_loop()
+        self.answered_at = loop.time()
         if self._is_unanswered:
             self._is_unanswered = False
-            loop = asyncio.get_running_loop()
             for callback in self._regained_listeners:
                 loop.call_soon(callback)
             self._cancel_hung_calls(loop.time())
--- /dev/null
+++ b/packages/gateway/tests/test_presence.py
@@ -0,0 +1,92 @@
+"""Tests of what a process that drains still asks of the store."""
+
+import asyncio
+
+from anvilwell_gateway import presence as presences
+from anvilwell_gateway import store as stores
+from anvilwell_kernel import exceptions
+from anvilwell_outside.ports import keyvalue
+import pytest
+
+
+class _Store(stores.OutageTracker):
+    """A store that records its calls and refuses them while it is silent."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_silent = False
+        self.calls = []
+
+    def _call(self, name, answer=None):
+        self.calls.append(name)
+        if self.is_silent:
+            raise exceptions.KeyValueUnavailable("silent")
+        self.note_success()
+        return answer
+
+    async def grant(self, ttl_s):
+        return self._call("grant", 7)
+
+    async def get(self, key):
+        return self._call("get")
+
+    async def swap(self, swaps):
+        return self._call("swap", keyvalue.SwapResult(True, 1, {}))
+
+    async def keep_alive(self, lease):
+        return self._call("renew", True)
+
+    async def revoke(self, lease):
+        self._call("revoke")
+
+    async def ping(self):
+        self._call("ping")
+
+
+async def _drained(store, asks_after_end):
+    """Return a `Presence` that has registered and begun to drain."""
+    presence = presences.Presence(store, "vm", asks_after_end=asks_after_end)
+    presence.start("a:1")
+    await asyncio.sleep(presences.RENEW_S / 2)
+    await presence.drain()
+    store.calls.clear()
+    return presence
+
+
+@pytest.mark.parametrize(
+    ("asks_after_end", "called"), [(True, {"ping"}), (False, set())]
+)
+def test_a_draining_process_asks_only_where_it_has_to(
+    asks_after_end, called, run_virtual
+):
+    """Guard against a renewal of the ended lease, and calls of others."""
+    store = _Store()
+
+    async def scenario():
+        presence = await _drained(store, asks_after_end)
+        await asyncio.sleep(5 * presences.RENEW_S)
+        silence_s = presence.silence_s()
+        await presence.stop()
+        asked = set(store.calls)
+        await asyncio.sleep(5 * presences.RENEW_S)
+        return asked, silence_s, presence.session.lease
+
+    asked, silence_s, lease = run_virtual(scenario())
+    assert asked == called
+    assert (silence_s <= presences.RENEW_S) == asks_after_end
+    assert lease == 0
+
+
+def test_a_silent_store_is_noticed_during_the_drain(run_virtual):
+    """Guard against keys that are confirmed though the store is silent."""
+    store = _Store()
+
+    async def scenario():
+        presence = await _drained(store, asks_after_end=True)
+        store.is_silent = True
+        await asyncio.sleep(3.0)
+        silence_s = presence.silence_s()
+        await presence.stop()
+        return silence_s
+
+    assert run_virtual(scenario()) == 3.0
