Give the reasons of constants without measurements

Comments in decisions and gateway told how a value was measured or tuned, with figures of single runs that change with the deployment. Change: they give the reason in a few words, with a figure only where it is the reason. Values stay as they are; only comments are changed.

--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -24,8 +24,8 @@
 # reached or has stopped responding.
 SILENT_PAUSE_S = 1.0
 # Expected times are compared in steps of a sixth of the shortest one and count
-# as equal within a step. Replicas of one service differ by about a third, slow
-# ones by a factor of three.
+# as equal within a step, so that replicas of about the same speed share the
+# work. Slow ones differ by several steps.
 PACE_STEPS = 6
 # Number of replicas whose memory use is compared for an item: those with the
 # shortest expected time and, among equals, the lowest load.
--- a/packages/decisions/anvilwell_decisions/batches/loading.py
+++ b/packages/decisions/anvilwell_decisions/batches/loading.py
@@ -8,7 +8,8 @@
 # for that model, and loads get slower if more than two fifths of the engines
 # load at once.
 MAX_LOADING_SHARE = 0.4
-# Time between two waves of engines that load, in seconds; a load takes 0.9 s.
+# Time between two waves of engines that load, in seconds: a little more than a
+# load takes.
 LOAD_WAVE_S = 1.0
 # Delay in seconds before the first engines load a new version. A trainer names
 # the version of a step when it submits the step's items. These may start on
@@ -23,10 +24,8 @@
 # Each model is loaded by at least this many engines. Enough engines must be
 # left when some are lost, and there must be two engines for each of two
 # versions so that the engines can take turns at loading. An engine loads as
-# few models as this minimum allows because it carries out one order at a time:
-# if each of nineteen engines loads four models that get a new version every
-# four seconds, it spends almost half of its time on loads, and the first item
-# of a step may wait two seconds for them.
+# few models as this minimum allows because it carries out one order at a time,
+# and items wait while it loads.
 MIN_ENGINES_PER_MODEL = 4
 # Each engine loads at least this many models. Trainers need unequal shares of
 # the engines; if each engine loaded one model only, trainers with more items
--- a/packages/decisions/anvilwell_decisions/batches/memory.py
+++ b/packages/decisions/anvilwell_decisions/batches/memory.py
@@ -9,8 +9,7 @@
 # exceed the expected one.
 MAX_PEAK_SHARE = 0.95
 # Share of an engine's memory above which the memory counts as nearly full. The
-# margin is needed because a run takes about three hundredths of an engine's
-# memory between two checks of all runs.
+# margin is for what a run adds between two checks of all runs.
 NEARLY_FULL_SHARE = 0.9
 
 
--- a/packages/decisions/anvilwell_decisions/batches/move_selection.py
+++ b/packages/decisions/anvilwell_decisions/batches/move_selection.py
@@ -7,7 +7,7 @@
 from anvilwell_decisions.batches import workers
 
 # Number of replicas with a free slot that are compared for a run: the fastest
-# ones. The gain from comparing more replicas isn't worth the time.
+# ones. It bounds the time of the comparison.
 MAX_TARGETS = 8
 
 
--- a/packages/decisions/anvilwell_decisions/batches/scoring.py
+++ b/packages/decisions/anvilwell_decisions/batches/scoring.py
@@ -3,15 +3,15 @@
 import collections
 
 # Share of a service's slots that the scoring calls of one entry may use. Texts
-# are completed in bursts of about fifty, which then need scores. The other
-# half stays free for live calls to the same service, which have priority.
+# are completed in bursts, which then need scores. The other half stays free
+# for live calls to the same service, which have priority.
 SLOTS_SHARE = 0.5
 # Number of slots assumed for a service that doesn't state its slots: as many
 # as one small replica has.
 DEFAULT_SLOTS = 6
 # After a refusal the limit of concurrent calls is multiplied by
-# `REFUSED_SHARE`, and no call starts for `REFUSED_PAUSE_S` seconds. A full
-# replica frees a slot about every 15 ms.
+# `REFUSED_SHARE`, and no call starts for `REFUSED_PAUSE_S` seconds, in which a
+# full replica frees a slot.
 REFUSED_SHARE = 0.5
 REFUSED_PAUSE_S = 0.1
 # Longest delay before an item without a score is scored again, in seconds. The
--- a/packages/decisions/anvilwell_decisions/batches/slots.py
+++ b/packages/decisions/anvilwell_decisions/batches/slots.py
@@ -15,7 +15,7 @@
 
 from anvilwell_decisions.duties import rendezvous
 
-# Items that one core can run at once, at about 26 events a second each.
+# Items that one core can run at once; it forwards each event of them.
 ITEMS_PER_CORE = 1000
 # Largest number of cores that count towards a VM's capacity. An entry runs on
 # one thread, so more cores don't help.
--- a/packages/decisions/anvilwell_decisions/capacity/roles/entry.py
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/entry.py
@@ -46,7 +46,7 @@
     message_us = lines["control.messages.cpu"].slope / 2
     report_us = lines["entry.reports.cpu"].slope + message_us
     pings_s = _PINGS / PING_INTERVAL_S
-    # The cost of a ping is not measured; that of a message is an upper bound.
+    # A ping costs at most as much as a message.
     return links * (REPORTS_S * report_us + pings_s * message_us) / _US
 
 
--- a/packages/gateway/anvilwell_gateway/agent.py
+++ b/packages/gateway/anvilwell_gateway/agent.py
@@ -315,8 +315,7 @@
         addresses = await self._addresses()
         if model not in self._lags_by_model:
             # If the lag were not known first, all engines would load a
-            # trainer's first version: with 31 engines, that made 30 loads a
-            # day beyond those that cost nothing.
+            # trainer's first version.
             await lag_task
         lag = self._lags_by_model.get(model)
         position = self._load_position(
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -19,8 +19,8 @@
 from anvilwell_kernel import verdict as verdicts
 
 # How long a submission waits for a store that refuses its calls, in seconds.
-# Trainers have been observed to retry six times with hardly a pause between,
-# so that their attempts span an outage of eight seconds.
+# Trainers retry a few times with hardly a pause between, so the wait of each
+# attempt lets them together outlast a short outage.
 REFUSED_TIMEOUT_S = 1.2
 # How long a submission waits for a store that does not answer, in seconds. It
 # is a little longer than the wait for a store that refuses, so that an outcome
--- a/packages/gateway/anvilwell_gateway/batches/saving.py
+++ b/packages/gateway/anvilwell_gateway/batches/saving.py
@@ -7,8 +7,8 @@
 from anvilwell_kernel.telemetry import logs
 
 # Interval between saves, in seconds. A new owner repeats at most this much of
-# each text, and texts shorter than MIN_SAVED_EVENTS. After a loss of all
-# processes a long item has only about one second to spare.
+# each text, and texts shorter than MIN_SAVED_EVENTS. A long item has little
+# time to spare after a loss of all processes.
 SAVE_INTERVAL_S = 0.7
 # Unfinished texts of fewer events are not saved: they are generated again in
 # less than half a second. Complete texts are saved whatever their length.
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -21,8 +21,8 @@
 # Longest time between two passes over waiting and running items, in seconds:
 # a tenth of the shortest stall.
 PASS_INTERVAL_S = 0.1
-# Notices that arrive within this time share a pass, in seconds. With 223
-# agents there are hundreds of notices per second.
+# Notices that arrive within this time share a pass, in seconds. Large
+# deployments have hundreds of notices per second.
 NOTICE_DELAY_S = 0.01
 # Largest share of an entry's time that may be spent on passes; a pass starts
 # and moves all items that can start or move. With thousands of items a run
--- a/packages/gateway/anvilwell_gateway/batches/submission_forwarding.py
+++ b/packages/gateway/anvilwell_gateway/batches/submission_forwarding.py
@@ -15,9 +15,9 @@
 from anvilwell_kernel import verdict as verdicts
 
 TARGET = "/batches"
-# How long to wait for the home's response, in seconds. With a store that
-# answers in 4 ms, an entry answers within 20 ms. After the timeout, this entry
-# can still accept the batch within the trainer's target of half a second.
+# How long to wait for the home's response, in seconds: many times what it
+# usually takes. After the timeout, this entry can still accept the batch
+# within the trainer's target of half a second.
 TIMEOUT_S = 0.4
 MAX_RESPONSE_BYTES = 64 << 10
 _ACCEPTED = 202
--- a/packages/gateway/anvilwell_gateway/events.py
+++ b/packages/gateway/anvilwell_gateway/events.py
@@ -4,7 +4,8 @@
 BLOCK_END = b"\n\n"
 # Limit of one event, in bytes.
 MAX_BLOCK_BYTES = 1 << 20
-# Longest wait for a response head or the next event, in seconds; after it
-# the run continues at another replica. Events come every 40 ms, from a slow
-# replica every 150 ms, and pause for about 0.4 s while it loads weights.
+# Longest wait for a response head or the next event, in seconds; after it the
+# run continues at another replica. It is longer than the pause in which a
+# replica loads weights, about 0.4 s, and many times the interval between
+# events.
 STALL_TIMEOUT_S = 0.8
--- a/packages/gateway/anvilwell_gateway/frontend.py
+++ b/packages/gateway/anvilwell_gateway/frontend.py
@@ -14,10 +14,10 @@
 POLL_INTERVAL_S = 0.02
 # Retry-After of each 503 response that this module sends, in seconds.
 NOT_CONFIGURED_RETRY_AFTER_S = 0.3
-# How long a live call waits for the first configuration and replica list,
-# and a batch for the registration of this entry, in seconds. They arrive 30
-# and 70 ms after the start if the store answers. A refusal would use up one
-# of the caller's few retries.
+# How long a live call waits for the first configuration and replica list, and
+# a batch for the registration of this entry, in seconds: several times what
+# they take if the store answers. A refusal would use up one of the caller's
+# few retries.
 STARTUP_WAIT_S = 0.25
 # Later than this after the start, in seconds, requests no longer wait but
 # are refused at once: the store is then unreachable, perhaps for seconds.
--- a/packages/gateway/anvilwell_gateway/neighbours.py
+++ b/packages/gateway/anvilwell_gateway/neighbours.py
@@ -14,9 +14,9 @@
 
 # How long an entry that has lost contact with the store may take to regain it
 # after the store answered this process, in seconds; only then is the entry
-# skipped. After an outage all processes regain contact within a tenth of a
-# second; without the grace period, those that do so before their neighbour
-# would each read all keys.
+# skipped. After an outage all processes regain contact at almost the same
+# time; without the grace period, those that do so before their neighbour would
+# each read all keys.
 RECONNECT_GRACE_S = 0.12
 # A lost contact that was first seen longer ago than this, in seconds, belongs
 # to an earlier outage.
--- a/packages/gateway/anvilwell_gateway/prefix_follower.py
+++ b/packages/gateway/anvilwell_gateway/prefix_follower.py
@@ -15,14 +15,12 @@
 # and a watch without changes has to return within that time.
 WATCH_WAIT_S = 15.0
 # Changes that arrive within this time are fetched with one call, in seconds.
-# It is a quarter of the time that a change may take to arrive, and saves about
-# a third of the calls.
+# It is a quarter of the time that a change may take to arrive.
 COALESCE_S = 0.25
 # Wait between attempts while the store does not answer, in seconds; it doubles
-# after each attempt up to the maximum. Longer waits cost little, as the first
-# answer to any call of this process, usually a lease renewal or a ping, makes
-# all followers read at once. Shorter waits would cost more, as refused calls
-# are charged too.
+# after each attempt up to the maximum. Refused calls are charged too, and a
+# long wait does little harm, as the first answer to any call of this process,
+# usually a lease renewal or a ping, makes all followers read at once.
 RETRY_S = 1.0
 MAX_RETRY_S = 8.0
 # Fraction of each wait that is random, so that the retries of many processes
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -14,8 +14,8 @@
 from anvilwell_outside.ports import keyvalue
 
 # Lifetime of the lease, in seconds. Other processes take over this long after
-# a crash. Five attempts to renew fit in it; with half of the answers lost, one
-# lease in thirty lapses.
+# a crash. Five attempts to renew fit in it, so that a lease seldom lapses
+# while answers are lost.
 TTL_S = 3.5
 RENEW_S = 0.7
 # Wait after a failed renewal, in seconds.
--- a/packages/gateway/anvilwell_gateway/store.py
+++ b/packages/gateway/anvilwell_gateway/store.py
@@ -13,8 +13,8 @@
 # the usual answer time and a fraction of a call's timeout.
 HANG_THRESHOLD_S = 0.1
 # Wait between attempts of a write whose answer was lost, in seconds. It is
-# many times the service's usual answer time (4 ms), yet allows several
-# attempts in the two seconds that a caller waits.
+# many times the service's usual answer time, yet allows several attempts in
+# the two seconds that a caller waits.
 WRITE_RETRY_S = 0.15
 
 _LOG = logs.get_logger(__name__)
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -14,7 +14,7 @@
 MAX_FAILURE_BYTES = 1 << 20
 # Share of the route's target latency that a resumable stream waits for its
 # first event before another replica gets the request, so that the second
-# replica can still meet the target. An engine needs about 30 ms.
+# replica can still meet the target.
 FIRST_STALL_SHARE = 0.5
 # Time in which a caller must read an event, in seconds. After it a resumable
 # stream releases its replica, because replicas cut responses that are not
