--- a/packages/decisions/anvilwell_decisions/capacity/roles/rollout.py
+++ b/packages/decisions/anvilwell_decisions/capacity/roles/rollout.py
@@ -13,7 +13,6 @@
 SETTLED_POLL_INTERVAL_S = 2.0
 # Time until the leader has the status of a replica that has swapped.
 STATUS_DELAY_S = 0.5
-RELAY_CONCURRENCY = 16
 _US = 1e6
 
 
--- a/packages/kernel/anvilwell_kernel/config/options.py
+++ b/packages/kernel/anvilwell_kernel/config/options.py
@@ -7,7 +7,6 @@
 
 import pydantic
 
-_DIGITS = r"[0-9]+"
 _DECIMAL = r"(0|[1-9][0-9]*)"
 _NAME = r"^[A-Za-z0-9]([A-Za-z0-9_.-]{0,61}[A-Za-z0-9])?$"
 
