--- a/packages/decisions/tests/configuration/test_agreement.py
+++ b/packages/decisions/tests/configuration/test_agreement.py
@@ -1,5 +1,7 @@
 """Checks the safety of the agreement protocol under random faults."""
 
+import configuration_network as networks
+import configuration_node as nodes
 import configuration_world as worlds
 import hypothesis
 from hypothesis import stateful
@@ -10,7 +12,7 @@
 
 NODES = strategies.sampled_from(("a1", "b1", "a2", "b2"))
 ENTRIES = strategies.sampled_from(("a1", "b1"))
-FATES = strategies.sampled_from(worlds.Fate)
+FATES = strategies.sampled_from(networks.Fate)
 CUTS = strategies.sampled_from(
     (
         frozenset(),
@@ -22,10 +24,10 @@
 )
 CALL_FATES = strategies.sampled_from(
     (
-        worlds.Fate.DELIVER,
-        worlds.Fate.LOSE_ANSWER,
-        worlds.Fate.LATE,
-        worlds.Fate.DROP,
+        networks.Fate.DELIVER,
+        networks.Fate.LOSE_ANSWER,
+        networks.Fate.LATE,
+        networks.Fate.DROP,
     )
 )
 NODE_FAULTS = strategies.sampled_from(("crash", "restart", "pause", "leave"))
@@ -59,7 +61,7 @@
     @stateful.rule(vm_id=ENTRIES)
     def change_to_unreadable(self, vm_id):
         self.changes += 1
-        self._propose(vm_id, f"{worlds.UNREADABLE}-{self.changes}")
+        self._propose(vm_id, f"{nodes.UNREADABLE}-{self.changes}")
         self._deliver(10)
 
     @stateful.rule(index=strategies.integers(0, 12), fate=FATES)
@@ -84,7 +86,7 @@
 
     @stateful.rule()
     def pass_fence(self):
-        self.world.advance(worlds.BOUNDS.fence_s)
+        self.world.advance(nodes.BOUNDS.fence_s)
 
     @stateful.rule(vm_id=NODES, fault=NODE_FAULTS)
     def fail_node(self, vm_id, fault):
@@ -148,12 +150,12 @@
         node = self.world.nodes_by_id[vm_id]
         if self._is_free(node):
             node.propose(
-                outcomes.Request(text, worlds.SERVICE, text, "operator")
+                outcomes.Request(text, nodes.SERVICE, text, "operator")
             )
 
     def _deliver(self, count):
         for _ in range(count):
-            self.world.step(0, worlds.Fate.DELIVER)
+            self.world.step(0, networks.Fate.DELIVER)
 
     def _leaving_nodes(self):
         return [
--- a/packages/decisions/tests/configuration/test_scenarios.py
+++ b/packages/decisions/tests/configuration/test_scenarios.py
@@ -1,5 +1,7 @@
 """Tests single failures of the agreement protocol, step by step."""
 
+import configuration_network as networks
+import configuration_node as nodes
 import configuration_world as worlds
 import pytest
 
@@ -23,7 +25,7 @@
     node = world.nodes_by_id[vm_id]
     node.propose(
         outcomes.Request(
-            text, worlds.SERVICE, text, "operator", expected_generation
+            text, nodes.SERVICE, text, "operator", expected_generation
         )
     )
     return node.proposal
@@ -33,14 +35,14 @@
     for _ in range(200):
         if is_reached():
             return
-        world.step(0, worlds.Fate.DELIVER)
+        world.step(0, networks.Fate.DELIVER)
     raise AssertionError("the condition was not reached after 200 steps")
 
 
 def swap_in_transit(world):
     """Return whether the accepting write is in transit."""
     return any(
-        isinstance(item, worlds.Call)
+        isinstance(item, networks.Call)
         and isinstance(item.action, proposal.CompareAndSwap)
         for item in world.wire
     )
@@ -57,12 +59,12 @@
     world = make_world()
     lost = propose(world, "a1", "second")
     deliver_until(world, lambda: swap_in_transit(world))
-    world.step_call(worlds.Fate.LOSE_ANSWER)
+    world.step_call(networks.Fate.LOSE_ANSWER)
     world.nodes_by_id["a1"].is_paused = True
     for _ in range(20):
         world.advance(worlds.STEP_S)
         for _ in range(20):
-            world.step(0, worlds.Fate.DELIVER)
+            world.step(0, networks.Fate.DELIVER)
     world.nodes_by_id["a1"].is_paused = False
     world.settle()
     propose(world, "b1", "third")
@@ -94,7 +96,7 @@
     propose(world, "a1", "second")
     for _ in range(12):
         for _ in range(20):
-            world.step(0, worlds.Fate.DELIVER)
+            world.step(0, networks.Fate.DELIVER)
         world.advance(worlds.STEP_S)
     assert world.refused_texts == {"second"}
     world.settle()
@@ -118,8 +120,8 @@
     world = make_world()
     propose(world, "a1", "second")
     deliver_until(world, lambda: swap_in_transit(world))
-    world.step_call(worlds.Fate.LATE)
-    late = [one for one in world.wire if isinstance(one, worlds.Call)]
+    world.step_call(networks.Fate.LATE)
+    late = [one for one in world.wire if isinstance(one, networks.Call)]
     assert len(late) == 1
     world.wire.remove(late[0])
     world.nodes_by_id["a1"].is_alive = False
@@ -135,7 +137,7 @@
     world = make_world()
     propose(world, "a1", "second")
     deliver_until(world, lambda: swap_in_transit(world))
-    world.step_call(worlds.Fate.LATE)
+    world.step_call(networks.Fate.LATE)
     world.store.is_up = False
     world.advance(1.875)
     world.flush()
@@ -161,7 +163,7 @@
     world.wire.append(swap)
     deliver_until(world, lambda: 2 in world.accepted_at_by_generation)
     world.cut = frozenset(("b2",))
-    world.advance(worlds.BOUNDS.fence_s)
+    world.advance(nodes.BOUNDS.fence_s)
     world.check()
 
 
@@ -172,14 +174,14 @@
     deliver_until(world, lambda: swap_in_transit(world))
     swap = world.wire.pop()
     assert [one.key for one in swap.action.writes] == [
-        registry.record_key(worlds.SERVICE)
+        registry.record_key(nodes.SERVICE)
     ]
     world.nodes_by_id[vm_id].start()
     world.flush()
     world.wire.append(swap)
     deliver_until(world, lambda: 2 in world.accepted_at_by_generation)
     world.cut = frozenset((vm_id,))
-    world.advance(worlds.BOUNDS.fence_s)
+    world.advance(nodes.BOUNDS.fence_s)
     world.check()
 
 
@@ -194,7 +196,7 @@
     world.flush()
     assert world.generation_served(starting) == 1
     world.cut = frozenset(("b2",))
-    world.advance(worlds.BOUNDS.sponsor_s)
+    world.advance(nodes.BOUNDS.sponsor_s)
     assert world.generation_served(starting) is None
 
 
@@ -214,7 +216,7 @@
     """Run the other nodes while `vm_id` is isolated."""
     for _ in range(round(seconds / 0.25)):
         world.wire = [
-            one for one in world.wire if not worlds.involves(one, vm_id)
+            one for one in world.wire if not networks.involves(one, vm_id)
         ]
         world.flush()
         world.advance(0.25)
@@ -254,7 +256,7 @@
     propose(world, "a1", "second")
     deliver_until(world, sponsor.pending)
     answer = sponsor.handle(
-        messages.SponsorRequest([worlds.SERVICE]), world.now
+        messages.SponsorRequest([nodes.SERVICE]), world.now
     )
     assert not answer.granted
 
@@ -272,9 +274,9 @@
 
 def test_one_older_daemon_that_cannot_read_the_text_causes_refusal():
     world = make_world()
-    propose(world, "a1", worlds.UNREADABLE)
+    propose(world, "a1", nodes.UNREADABLE)
     world.settle()
-    assert world.refused_texts == {worlds.UNREADABLE}
+    assert world.refused_texts == {nodes.UNREADABLE}
     assert set(served_by_id(world).values()) == {1}
 
 
@@ -315,6 +317,6 @@
     propose(world, "a1", "second")
     deliver_until(world, lambda: 2 in world.accepted_at_by_generation)
     world.wire.clear()
-    world.advance(worlds.BOUNDS.fence_s)
+    world.advance(nodes.BOUNDS.fence_s)
     world.check()
     assert set(served_by_id(world).values()) <= {None, 2}
