Send nothing to replicas of evacuated failure domains

Operators of a new deployment evacuate failure domains by a key in the store and expect that no request reaches their replicas later than a limit. The key was ignored.

Change: with [evacuation] in the settings, entries follow the keys. The directory offers no replica of an evacuated failure domain, and none before the keys were read; until then the entry is not ready. Requests that were assigned earlier are checked again right before their bytes are written, so that an attempt or item that waited for a connection, or a stream that its caller read slowly, does not reach the replica late. What runs there finishes.

--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -25,10 +25,15 @@
 FIRST_FAILURE_STATUS = 500
 # Refusals after which the chosen replica did not receive the request.
 _NOT_REACHED_REASONS = frozenset(
-    (reasons.Refusal.CONNECT_FAILED, reasons.Refusal.OTHER_REPLICA)
+    (
+        reasons.Refusal.CONNECT_FAILED,
+        reasons.Refusal.EVACUATED,
+        reasons.Refusal.OTHER_REPLICA,
+    )
 )
 _RETRIES_BY_REFUSAL = {
     reasons.Refusal.CONNECT_FAILED: reasons.Retry.CONNECT_FAILED,
+    reasons.Refusal.EVACUATED: reasons.Retry.DRAINED,
     reasons.Refusal.OTHER_REPLICA: reasons.Retry.DRAINED,
     reasons.Refusal.OVERLOADED: reasons.Retry.REFUSED_NOT_RUN,
     reasons.Refusal.ANSWER_CUT: reasons.Retry.ANSWER_CUT,
@@ -308,6 +313,7 @@
             return response
         except exceptions.AnvilwellError as error:
             verdict = error.verdict
+            failed = error.reason is not reasons.Refusal.EVACUATED
             raise
         except asyncio.CancelledError:
             # The attempt was cancelled by the response to another attempt, by
@@ -386,7 +392,10 @@
         if not isinstance(error, exceptions.AnvilwellError):
             raise error
         self._last_error = error
-        self._not_reached += error.reason in _NOT_REACHED_REASONS
+        self._not_reached += (
+            error.reason in _NOT_REACHED_REASONS
+            and error.verdict is verdicts.Verdict.NOT_RUN
+        )
         self._verdict = verdicts.combine(self._verdict, error.verdict)
         _LOG.log(
             "attempt-failed",
@@ -413,7 +422,7 @@
         if self._last_error is None:
             raise exceptions.Refused(
                 f"no replica of {self._service} is available",
-                reason=reasons.Refusal.NO_REPLICA,
+                reason=self._forwarder.no_replica_reason(self._service),
             )
         raise exceptions.BackendFailed(
             self._last_error.message,
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -15,13 +15,15 @@
 class RunEnd(enum.StrEnum):
     """How a run ended.
 
-    ``OTHER_REPLICA`` means that another replica answers at the address,
+    ``EVACUATED`` means that the failure domain was evacuated before the item
+    was sent, ``OTHER_REPLICA`` that another replica answers at the address,
     ``TOO_OLD`` that the version does not satisfy the bounds of the batch, and
     ``IMPOSSIBLE`` that the replica rejected the item itself.
     """
 
     WHOLE = "whole"
     REFUSED = "refused"
+    EVACUATED = "evacuated"
     OTHER_REPLICA = "other-replica"
     TOO_OLD = "too-old"
     FAILED = "failed"
@@ -67,9 +69,12 @@
         Encodes requests to replicas and decodes their responses.
     pool : client.Pool
         Connections to the replicas.
+    may_receive : callable
+        Returns whether a replica may be sent an item now.
     """
 
-    def __init__(self, dialect, pool):
+    def __init__(self, dialect, pool, may_receive):
+        self._may_receive = may_receive
         self._dialect = dialect
         self._pool = pool
 
@@ -91,6 +96,8 @@
         recorded in ``pace`` (`paces.Pace`). All complete events are added to
         the progress in `run_request`, however the run ends.
         """
+        if not self._may_receive(replica):
+            return RunResult(RunEnd.EVACUATED)
         try:
             connection = await self._pool.acquire(
                 replica.replica_id, replica.address
@@ -118,6 +125,8 @@
         return result
 
     async def _run(self, connection, run_request, replica, pace):
+        if not self._may_receive(replica):
+            return None, RunResult(RunEnd.EVACUATED)
         headers = self._dialect.replica_headers(
             self._dialect.item_headers(run_request.item, run_request.host),
             replica.name,
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -32,6 +32,7 @@
 
 _RETRIES_BY_END = {
     runners.RunEnd.REFUSED: reasons.Retry.REFUSED_NOT_RUN,
+    runners.RunEnd.EVACUATED: reasons.Retry.DRAINED,
     runners.RunEnd.OTHER_REPLICA: reasons.Retry.DRAINED,
     runners.RunEnd.TOO_OLD: reasons.Retry.STALE_VERSION,
     runners.RunEnd.FAILED: reasons.Retry.BACKEND_FAILED,
@@ -447,7 +448,7 @@
             self._reset_text(batch, waiting_item.item_id)
         elif result.end is runners.RunEnd.BROKEN:
             worker.not_before = now + dispatches.BROKEN_PAUSE_S
-        else:
+        elif result.end is not runners.RunEnd.EVACUATED:
             worker.not_before = now + dispatches.SILENT_PAUSE_S
         batch.has_new_results.set()
 
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -53,7 +53,9 @@
             batch_store,
             fleet.directory,
             fleet.configuration,
-            runners.Runner(platform.dialect, pool),
+            runners.Runner(
+                platform.dialect, pool, fleet.directory.may_receive
+            ),
             live_calls.forwarder,
             platform.dialect,
             live_calls.crash_tracker,
--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -4,6 +4,7 @@
 import itertools
 import typing
 
+from anvilwell_gateway import evacuations as evacuation_states
 from anvilwell_gateway import measures
 from anvilwell_gateway import prefix_follower
 from anvilwell_kernel import exceptions
@@ -51,12 +52,24 @@
 
 
 class Directory(prefix_follower.PrefixFollower):
-    """Keeps the registered replicas by id and reports their changes."""
+    """Keeps the registered replicas by id and reports their changes.
+
+    Parameters
+    ----------
+    store : store.AsyncStore
+        The store to follow.
+    codec : store_codec.StoreCodec
+        Decodes registrations.
+    evacuations : evacuations.Evacuations, optional
+        Says which failure domains may be sent requests; by default all.
+    """
 
     coalesce_s = COALESCE_S
 
-    def __init__(self, store, codec):
+    def __init__(self, store, codec, evacuations=None):
         super().__init__(store, codec.replicas_prefix)
+        self._evacuations = evacuations or evacuation_states.NoEvacuations()
+        self._evacuations.listen(self._evacuations_changed)
         self._codec = codec
         self._listeners = []
         self._regained_at = float("-inf")
@@ -92,6 +105,27 @@
         """Return a replica if it may receive new work, or None."""
         return self._usable_by_id.get(replica_id)
 
+    def may_receive(self, replica):
+        """Return whether a request may be sent to a chosen replica now.
+
+        Its failure domain may have been evacuated since it was chosen.
+        """
+        return self._evacuations.allows(replica.failure_domain)
+
+    def is_evacuated(self, service):
+        """Return whether evacuations leave a service without replicas."""
+        return bool(self._evacuations.evacuated) and any(
+            replica.service == service and not self.may_receive(replica)
+            for replica in self.replicas_by_id.values()
+        )
+
+    def _evacuations_changed(self, domains):
+        """Update the replicas in some failure domains, or all for None."""
+        for replica_id, replica in self.replicas_by_id.items():
+            if domains is None or replica.failure_domain in domains:
+                self._refresh(replica_id, is_membership=True)
+        self._notify()
+
     def is_present(self, replica_id):
         """Return whether a replica is registered and not known to be gone."""
         known = replica_id in self.replicas_by_id
@@ -212,6 +246,7 @@
             replica is not None
             and not replica.is_draining
             and replica_id not in self._readmission_by_id
+            and self.may_receive(replica)
         )
         before = self._usable_by_id.pop(replica_id, None)
         now = self._with_notice(replica) if is_usable else None
--- a/packages/gateway/anvilwell_gateway/fleet.py
+++ b/packages/gateway/anvilwell_gateway/fleet.py
@@ -6,6 +6,7 @@
 from anvilwell_gateway import cluster_state
 from anvilwell_gateway import configuration as configurations
 from anvilwell_gateway import directory as directories
+from anvilwell_gateway import evacuations
 from anvilwell_gateway import feeds
 from anvilwell_gateway import measures
 from anvilwell_gateway import neighbours
@@ -34,7 +35,12 @@
         self.configuration = configurations.ConfigurationFollower(
             self.store, platform.codec
         )
-        self.directory = directories.Directory(self.store, platform.codec)
+        self._evacuations = evacuations.from_config(
+            settings, self.store, platform.codec
+        )
+        self.directory = directories.Directory(
+            self.store, platform.codec, self._evacuations
+        )
         self.presence = presences.Presence(
             self.store,
             daemon.vm_id,
@@ -66,6 +72,8 @@
             self.versions,
             self.retirement,
         ]
+        if settings.evacuation:
+            self.add_follower(self._evacuations)
 
     @classmethod
     def from_config(cls, settings, platform, peer_server):
@@ -85,9 +93,11 @@
 
     @property
     def has_loaded(self):
-        """Whether the configuration and the replicas have been loaded."""
+        """Whether it is known which replicas may be sent which requests."""
         return (
-            self.configuration.current is not None and self.directory.is_loaded
+            self.configuration.current is not None
+            and self.directory.is_loaded
+            and self._evacuations.is_known
         )
 
     def add_follower(self, follower):
@@ -130,6 +140,7 @@
             *self.presence.gauge_values(),
             *self.store_path.gauge_values(),
             *self.directory.gauge_values(),
+            *self._evacuations.gauge_values(),
             measures.GaugeValue(
                 "peers", len(self.cluster_state.incarnations_by_vm)
             ),
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -27,7 +27,11 @@
 # Refusals for lack of capacity. Retry-After spreads their callers over time
 # so that they don't all come back at once.
 _CAPACITY_REFUSALS = frozenset(
-    (reasons.Refusal.OVERLOADED, reasons.Refusal.OVER_SHARE)
+    (
+        reasons.Refusal.EVACUATED,
+        reasons.Refusal.OVERLOADED,
+        reasons.Refusal.OVER_SHARE,
+    )
 )
 
 _LOG = logs.get_logger(__name__)
@@ -217,6 +221,21 @@
         """Return the registered `facts.Replica` with this id, or None."""
         return self._directory.replicas_by_id.get(replica_id)
 
+    def no_replica_reason(self, service):
+        """Return why no replica of a service may receive work."""
+        if self._directory.is_evacuated(service):
+            return reasons.Refusal.EVACUATED
+        return reasons.Refusal.NO_REPLICA
+
+    def _check_may_receive(self, replica):
+        """Raise if the failure domain of a replica is evacuated."""
+        if not self._directory.may_receive(replica):
+            raise client.call_error(
+                f"failure domain {replica.failure_domain} is evacuated",
+                reasons.Refusal.EVACUATED,
+                verdicts.Verdict.NOT_RUN,
+            )
+
     async def fetch_response(self, replica, route, call, request, timeout_s):
         """Return the whole response of one replica.
 
@@ -242,7 +261,8 @@
         return attempts.BufferedResponse(reply.status, reply.headers, body)
 
     async def connect(self, replica):
-        """Return a connection to `replica`."""
+        """Return a connection to `replica`, unless it is evacuated."""
+        self._check_may_receive(replica)
         return await self._pool.acquire(replica.replica_id, replica.address)
 
     def release(self, replica, connection, reply):
@@ -272,6 +292,7 @@
         exceptions.BackendFailed
             Its verdict says whether the replica may have run the request.
         """
+        self._check_may_receive(replica)
         connection.send(
             request.method,
             request.target,
--- a/packages/gateway/anvilwell_gateway/measures.py
+++ b/packages/gateway/anvilwell_gateway/measures.py
@@ -51,6 +51,7 @@
         ("store_through_peer", "Whether a peer relays calls to the store"),
         ("peers", "Live entries"),
         ("replicas", "Replicas that accept new work, by service"),
+        ("domains_evacuated", "Failure domains that are evacuated"),
         ("batches", "Batches that this entry owns"),
         ("bytes_held", "Bytes buffered for slow callers and peers"),
         ("items_waiting", "Items of these batches that wait for a replica"),
--- a/packages/gateway/anvilwell_gateway/prefix_follower.py
+++ b/packages/gateway/anvilwell_gateway/prefix_follower.py
@@ -41,13 +41,15 @@
     A subclass receives full reads through ``load`` and single changes through
     ``change``; it never receives data older than what it received before.
     Changes that arrive within ``coalesce_s`` seconds are fetched with one
-    call.
+    call. While the store does not answer, it is asked at least every
+    ``max_retry_s`` seconds.
 
     The data come from the store itself, or from a neighbouring entry that
     watches the store.
     """
 
     coalesce_s = COALESCE_S
+    max_retry_s = MAX_RETRY_S
 
     def __init__(self, store, prefix):
         self._store = store
@@ -127,8 +129,8 @@
 
     def _retry_s(self):
         """Return the wait before the next attempt, in seconds, with jitter."""
-        wait_s = self._next_retry_s
-        self._next_retry_s = min(MAX_RETRY_S, 2 * wait_s)
+        wait_s = min(self.max_retry_s, self._next_retry_s)
+        self._next_retry_s = 2 * wait_s
         return wait_s * (1 - JITTER_SHARE * random.random())
 
     @property
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -92,10 +92,20 @@
 
         A replica is released while the caller reads too slowly.
         """
+        was_released = False
         while True:
             try:
                 return await self._attempt(replica)
+            except exceptions.BackendFailed as error:
+                if (
+                    not was_released
+                    or error.reason is not reasons.Refusal.EVACUATED
+                ):
+                    raise
+                # The replica counts as reached, as it has sent events.
+                raise client.call_error(error.message, error.reason) from error
             except _ReplicaReleased:
+                was_released = True
                 _LOG.log(
                     "stream-let-go",
                     request_id=self._call.request_id,
@@ -146,6 +156,9 @@
             raise client.call_error(
                 "the replica stopped sending", reasons.Refusal.DEADLINE
             ) from None
+        except exceptions.BackendFailed as error:
+            failed = error.reason is not reasons.Refusal.EVACUATED
+            raise
         except (asyncio.CancelledError, _ReplicaReleased):
             failed = False
             raise
--- a/packages/gateway/anvilwell_gateway/substitute_ordering.py
+++ b/packages/gateway/anvilwell_gateway/substitute_ordering.py
@@ -133,6 +133,7 @@
         known = self._directory.replicas_by_id
         return (
             replica.replica_id in known
+            and self._directory.may_receive(replica)
             and self._clock() - last > AGENT_TIMEOUT_S
         )
 
--- a/packages/gateway/tests/test_suspended.py
+++ b/packages/gateway/tests/test_suspended.py
@@ -142,7 +142,9 @@
         versions=[types.SimpleNamespace(model="m", version=1)],
     )
     directory = types.SimpleNamespace(
-        usable=lambda: [replica], replicas_by_id={"r1": replica}
+        usable=lambda: [replica],
+        may_receive=lambda replica: True,
+        replicas_by_id={"r1": replica},
     )
 
     async def scenario():
--- a/packages/kernel/anvilwell_kernel/reasons.py
+++ b/packages/kernel/anvilwell_kernel/reasons.py
@@ -22,6 +22,7 @@
     DEADLINE = "deadline"
     DRAINING = "draining"
     NO_REPLICA = "no-replica"
+    EVACUATED = "evacuated"
     NOT_CONFIGURED = "not-configured"
     CONFIGURATION_UNCERTAIN = "configuration-uncertain"
     LINK_LOST = "link-lost"
