--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -114,7 +114,9 @@
 
     def is_evacuated(self, service):
         """Return whether evacuations leave a service without replicas."""
-        return bool(self._evacuations.evacuated) and any(
+        if not self._evacuations.evacuated or self.usable(service):
+            return False
+        return any(
             replica.service == service and not self.may_receive(replica)
             for replica in self.replicas_by_id.values()
         )
