Keep live calls and items in allowed regions

A route or an organisation may list allowed regions, and these lists were decoded but ignored: any replica received any request.

Change: a pure decision, traffic/residency.py, used for the candidates of live calls, second attempts, scoring calls and items. Lists without a common region are refused with 403, reason region-not-allowed. The owner record names the location of a batch, only while lists are in force. The peers that relay a store call can be limited per context; no caller limits them yet.

--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -41,7 +41,8 @@
 
     Items with the same ``kind`` have similar lengths. ``expected_tokens`` is
     the caller's estimate of the length, 0 if it gave none. ``events_made`` is
-    the number of events that the text already has from earlier runs.
+    the number of events that the text already has from earlier runs. It may
+    run only in ``allowed_domains``, None for all failure domains.
     """
 
     rank: tuple
@@ -55,6 +56,7 @@
     expected_tokens: int = 0
     events_made: int = 0
     prompt: facts.Prompt = facts.Prompt()
+    allowed_domains: frozenset[str] | None = None
 
 
 class Run(typing.NamedTuple):
@@ -62,7 +64,8 @@
 
     ``events`` is the number of events that the item's text has by now,
     including those of earlier runs; ``earlier_moves`` counts how often the
-    item has been moved to another replica.
+    item has been moved to another replica. It may continue only in
+    ``allowed_domains``, None for all failure domains.
     """
 
     batch_id: str
@@ -76,6 +79,7 @@
     expected_tokens: int = 0
     prompt: facts.Prompt = facts.Prompt()
     earlier_moves: int = 0
+    allowed_domains: frozenset[str] | None = None
 
 
 class Dispatcher:
@@ -207,7 +211,13 @@
         """
         able = self._shortlists.find(
             item.service,
-            (item.service, item.model, item.min_version, now),
+            (
+                item.service,
+                item.model,
+                item.min_version,
+                now,
+                item.allowed_domains,
+            ),
             lambda worker: workers.can_start(worker, item, now),
         )
         if not able:
--- a/packages/decisions/anvilwell_decisions/batches/move_selection.py
+++ b/packages/decisions/anvilwell_decisions/batches/move_selection.py
@@ -156,7 +156,12 @@
 
     def _targets(self, run):
         """Return the fastest replicas with free slots for runs like `run`."""
-        requirement = (run.service, run.model, run.min_version)
+        requirement = (
+            run.service,
+            run.model,
+            run.min_version,
+            run.allowed_domains,
+        )
         if requirement not in self._targets_by_requirement:
             able = [
                 worker
--- a/packages/decisions/anvilwell_decisions/batches/workers.py
+++ b/packages/decisions/anvilwell_decisions/batches/workers.py
@@ -78,6 +78,13 @@
     return (
         replica.service == item.service
         and not replica.is_draining
+        and _is_allowed(replica, item)
         and worker.not_before <= now
         and worker.accepts(item.model, item.min_version)
     )
+
+
+def _is_allowed(replica, item):
+    """Return whether an item may run in the replica's failure domain."""
+    domains = item.allowed_domains
+    return domains is None or replica.failure_domain in domains
--- a/packages/decisions/anvilwell_decisions/outages/paths.py
+++ b/packages/decisions/anvilwell_decisions/outages/paths.py
@@ -42,6 +42,23 @@
         self.current = DIRECT
         return True
 
+    def path_through(self, is_permitted, now):
+        """Return the path for a call that only some peers may relay.
+
+        It is the direct path if none of these peers can be used, though that
+        path is failing.
+
+        Parameters
+        ----------
+        is_permitted : callable
+            Returns whether a peer may relay the call.
+        now : float
+            Monotonic time, s.
+        """
+        if self.current == DIRECT or is_permitted(self.current):
+            return self.current
+        return self._choose_path(now, is_permitted)
+
     def answered(self, path):
         """Record a response on `path`; return whether `current` changed.
 
@@ -86,10 +103,11 @@
             self._held_until = now + DIRECT_HOLD_S
         return self.current != path
 
-    def _choose_path(self, now):
+    def _choose_path(self, now, is_permitted=lambda vm_id: True):
         usable = sorted(
             vm_id
             for vm_id in self._peers
             if self._paused_until_by_vm.get(vm_id, now) <= now
+            and is_permitted(vm_id)
         )
         return self._rng.choice(usable) if usable else DIRECT
--- a/packages/decisions/anvilwell_decisions/traffic/regions.py
+++ b/packages/decisions/anvilwell_decisions/traffic/regions.py
@@ -41,6 +41,14 @@
         """Return the region of a failure domain, None if it is unknown."""
         return self._regions_by_domain.get(failure_domain)
 
+    def domains(self, names):
+        """Return the failure domains in the named regions, as a set."""
+        return frozenset(
+            failure_domain
+            for failure_domain, region in self._regions_by_domain.items()
+            if region in names
+        )
+
     def distance(self, failure_domain):
         """Return the `Distance` from this VM to a failure domain."""
         if failure_domain == self._failure_domain:
--- a/packages/gateway/anvilwell_gateway/admission.py
+++ b/packages/gateway/anvilwell_gateway/admission.py
@@ -1,6 +1,7 @@
 """Checks callers' requests: their route, their key and its organisation."""
 
 from anvilwell_decisions.traffic import organisations
+from anvilwell_decisions.traffic import residency
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 
@@ -42,6 +43,8 @@
             If no route matches.
         exceptions.UnknownKey
             If the route requires a key and the request has no known one.
+        exceptions.RegionNotAllowed
+            If no region is allowed by both its route and its organisation.
         exceptions.Refused
             If the keys in force here may be out of date.
         """
@@ -49,6 +52,7 @@
         if route is None:
             raise exceptions.NotFound("no route matches this path")
         sender = self._sender(request, route.is_open)
+        residency.check(route, sender)
         route = organisations.with_priority(route, sender)
         return route, self._anonymous(request, sender)
 
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -250,7 +250,10 @@
         if self._held_back_s:
             return None
         wanted = request_facts.RequestFacts(
-            self._call.request_id, excluded=frozenset(self.tried_replica_ids)
+            self._call.request_id,
+            excluded=frozenset(
+                (*self.tried_replica_ids, *self._not_allowed_ids())
+            ),
         )
         policy = self._forwarder.policy(self._service)
         replica_id = policy.choose(wanted, self._loop.time())
@@ -263,6 +266,12 @@
         self.tried_replica_ids.append(replica_id)
         return replica
 
+    def _not_allowed_ids(self):
+        """Return the replicas that the lists in force don't allow."""
+        return self._forwarder.not_allowed_ids(
+            self._route, self.organisation, self._service
+        )
+
     async def _attempt(self, replica):
         """Make one attempt; find out whether a cut response was a crash.
 
--- a/packages/gateway/anvilwell_gateway/batches/manager.py
+++ b/packages/gateway/anvilwell_gateway/batches/manager.py
@@ -40,6 +40,8 @@
         Tracks the items that crash replicas.
     slot_sharing : slot_sharing.SlotSharing
         Determines which slots this entry may use.
+    residency : residency.ResidencyRules, optional
+        The allowed regions in force; without it all regions are allowed.
     """
 
     def __init__(
@@ -52,7 +54,9 @@
         dialect,
         crash_tracker,
         slot_sharing,
+        residency=None,
     ):
+        self._residency = residency
         self._store = batch_store
         self._configuration = configuration
         self._sequence = 0
@@ -70,6 +74,7 @@
             self._scoring_scheduler.schedule,
             crash_tracker,
             slot_sharing,
+            residency,
         )
 
     def gauge_values(self):
--- a/packages/gateway/anvilwell_gateway/batches/records.py
+++ b/packages/gateway/anvilwell_gateway/batches/records.py
@@ -40,6 +40,11 @@
     number of values that the submission is split into. ``digest``
     distinguishes a repeated submission from a different one with the same
     id. ``service`` and ``model`` determine the home of the batch.
+
+    ``location`` is the host and the path that it was submitted to, from which
+    an entry finds the allowed regions of the batch before it reads the
+    submission. It is "", and not stored, if no list of allowed regions was in
+    force.
     """
 
     vm_id: str
@@ -50,6 +55,7 @@
     parts: int
     service: str = ""
     model: str = ""
+    location: str = ""
 
 
 class StoredSubmission(typing.NamedTuple):
@@ -74,6 +80,10 @@
     return cbor2.dumps(value)
 
 
+def _dump_owner(owner):
+    return _dump(owner if owner.location else owner[:-1])
+
+
 def _load(adapter, value):
     return adapter.validate_python(cbor2.loads(value))
 
@@ -144,7 +154,7 @@
             raise exceptions.BadRequest("the batch is too large to store")
         owner = owner._replace(parts=len(parts))
         key = f"{OWNER_PREFIX}{batch_id}"
-        swaps = [keyvalue.Swap(key, 0, _dump(owner))]
+        swaps = [keyvalue.Swap(key, 0, _dump_owner(owner))]
         swaps += [
             keyvalue.Swap(_part_key(batch_id, number), 0, part)
             for number, part in enumerate(parts)
@@ -165,7 +175,7 @@
             If another process replaced the owner first.
         """
         key = f"{OWNER_PREFIX}{batch_id}"
-        swap = keyvalue.Swap(key, claim.revision, _dump(owner))
+        swap = keyvalue.Swap(key, claim.revision, _dump_owner(owner))
         result = await stores.swap_until_known(
             self._store, [swap], COMMIT_TIMEOUT_S
         )
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -64,6 +64,8 @@
         Tracks the items that crash replicas.
     slot_sharing : slot_sharings.SlotSharing
         Determines which slots this entry may use.
+    residency : residency.ResidencyRules, optional
+        The allowed regions in force; without it all regions are allowed.
     """
 
     def __init__(
@@ -75,7 +77,9 @@
         on_text_complete,
         crash_tracker,
         slot_sharing,
+        residency=None,
     ):
+        self._residency = residency
         self._crash_tracker = crash_tracker
         self._directory = directory
         self._configuration = configuration
@@ -261,7 +265,8 @@
         if not items:
             return []
         service = self._service(batch)
-        if service is None:
+        bounds = self._bounds(batch)
+        if service is None or (bounds and not bounds.may_own):
             return []
         is_late = asyncio.get_running_loop().time() > batch.late_at
         return [
@@ -282,10 +287,16 @@
                 item.expected_tokens,
                 batch.state.progress_by_id[item.item_id].last_number,
                 item.prompt,
+                bounds and bounds.domains,
             )
             for item in items
         ]
 
+    def _bounds(self, batch):
+        """Return the `residency.Bounds` of a batch, None without a list."""
+        rules = self._residency
+        return rules and rules.of_submission(batch.submission)
+
     def _is_held_back(self, batch, item_id):
         """Return whether an item is quarantined as it crashes replicas."""
         if self._crash_tracker.is_empty:
@@ -344,6 +355,7 @@
             self._move_history.count(
                 waiting_item.batch_id, waiting_item.item_id
             ),
+            waiting_item.allowed_domains,
         )
         task = asyncio.create_task(self._run(batch, waiting_item, worker))
         # The slot is released by a callback, as a task that is cancelled
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -58,6 +58,7 @@
             platform.dialect,
             live_calls.crash_tracker,
             self.slot_sharing,
+            fleet.residency,
         )
         fleet.store.listen_regained(self.manager.retry_failed_saves)
         self.notices = notices.NoticeHandler(
--- a/packages/gateway/anvilwell_gateway/fleet.py
+++ b/packages/gateway/anvilwell_gateway/fleet.py
@@ -10,6 +10,7 @@
 from anvilwell_gateway import measures
 from anvilwell_gateway import neighbours
 from anvilwell_gateway import presence as presences
+from anvilwell_gateway import residency as residencies
 from anvilwell_gateway import retirement
 from anvilwell_gateway import store_paths
 from anvilwell_gateway import wanted_versions
@@ -53,6 +54,9 @@
         self.cluster_state = cluster_state.ClusterState(
             self.store, self.presence, self.store_path, self.neighbours
         )
+        self.residency = residencies.ResidencyRules(
+            self.configuration, self.regions, self.cluster_state
+        )
         self.versions = wanted_versions.WantedVersions(
             self.store, platform.codec
         )
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -51,6 +51,8 @@
     count_start : callable
         Called with the organisation and the time of each request that a
         replica started, to count its usage.
+    residency : residency.ResidencyRules, optional
+        The allowed regions in force; without it all regions are allowed.
     """
 
     def __init__(
@@ -62,7 +64,9 @@
         crash_tracker,
         count_start,
         rng=None,
+        residency=None,
     ):
+        self._residency = residency
         self.count_start = count_start
         self.crash_tracker = crash_tracker
         self._configuration = configuration
@@ -217,6 +221,18 @@
         """Return the registered `facts.Replica` with this id, or None."""
         return self._directory.replicas_by_id.get(replica_id)
 
+    def not_allowed_ids(self, route, organisation, service):
+        """Return the replicas outside the allowed regions of a request."""
+        rules = self._residency
+        bounds = rules and rules.of_request(route, organisation)
+        if not bounds:
+            return ()
+        return [
+            replica.replica_id
+            for replica in self._directory.usable(service)
+            if not bounds.may_run(replica.failure_domain)
+        ]
+
     async def fetch_response(self, replica, route, call, request, timeout_s):
         """Return the whole response of one replica.
 
--- a/packages/gateway/anvilwell_gateway/live_calls.py
+++ b/packages/gateway/anvilwell_gateway/live_calls.py
@@ -52,6 +52,7 @@
             fleet.configuration,
             self.crash_tracker,
             self.usage.count_request,
+            residency=fleet.residency,
         )
 
     @classmethod
--- a/packages/gateway/anvilwell_gateway/store_paths.py
+++ b/packages/gateway/anvilwell_gateway/store_paths.py
@@ -7,6 +7,8 @@
 
 import abc
 import asyncio
+import contextlib
+import contextvars
 import itertools
 import random
 import typing
@@ -40,9 +42,31 @@
 _NOT_RUN_STATUS = 503
 _UNKNOWN_STATUS = 504
 
+# Returns whether a peer may relay the calls made in the current context; None
+# if every peer may.
+_MAY_RELAY = contextvars.ContextVar("may_relay", default=None)
+
 _LOG = logs.get_logger(__name__)
 
 
+@contextlib.contextmanager
+def limited_relays(may_relay):
+    """Limit the peers that relay calls made in this context.
+
+    Tasks that are started in the context keep the limit after its end.
+
+    Parameters
+    ----------
+    may_relay : callable
+        Returns whether a VM may relay a call, at the time of the call.
+    """
+    token = _MAY_RELAY.set(may_relay)
+    try:
+        yield
+    finally:
+        _MAY_RELAY.reset(token)
+
+
 class StoreCall(typing.NamedTuple):
     """One call to the service, as encoded by the platform's adapter.
 
@@ -210,8 +234,8 @@
     async def send(self, call):
         """Return the `StoreResponse` to a `StoreCall`."""
         loop = asyncio.get_running_loop()
-        name = self._selector.current
         began_at = loop.time()
+        name = self._choose_path(began_at)
         status = "none"
         try:
             answer = await self._paths_by_name[name].send(call)
@@ -234,6 +258,13 @@
             self._answered(name)
         return answer
 
+    def _choose_path(self, now):
+        """Return the name of the path for a call in the current context."""
+        may_relay = _MAY_RELAY.get()
+        if may_relay is None or self._selector.current == choices.DIRECT:
+            return self._selector.current
+        return self._selector.path_through(may_relay, now)
+
     def gauge_values(self):
         """Return whether calls currently go through a peer."""
         is_through_peer = self._selector.current != choices.DIRECT
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -102,6 +102,10 @@
                     replica=replica.replica_id,
                     last=self._last_number,
                 )
+            if replica.replica_id in self._not_allowed_ids():
+                raise exceptions.RegionNotAllowed(
+                    "the replica's region is no longer allowed"
+                )
 
     def _final_response(self):
         if self._responder.has_started:
--- a/packages/kernel/anvilwell_kernel/exceptions.py
+++ b/packages/kernel/anvilwell_kernel/exceptions.py
@@ -73,6 +73,13 @@
     status = 401
 
 
+class RegionNotAllowed(AnvilwellError):
+    """No region is allowed by all lists that apply to the request."""
+
+    reason = reasons.Refusal.REGION_NOT_ALLOWED
+    status = 403
+
+
 class Conflict(AnvilwellError):
     """The request conflicts with something that was accepted before."""
 
--- a/packages/kernel/anvilwell_kernel/reasons.py
+++ b/packages/kernel/anvilwell_kernel/reasons.py
@@ -40,6 +40,7 @@
     FORBIDDEN = "forbidden"
     UNKNOWN_KEY = "unknown-key"
     QUARANTINED = "quarantined"
+    REGION_NOT_ALLOWED = "region-not-allowed"
 
 
 class Retry(enum.StrEnum):
