Choose homes and share slots within allowed regions

A batch with a list of allowed regions may need a home in a region that the service's usual home isn't in. The two entries would then both count all slots of a replica as theirs.

Change: homes of a service whose batch routes all have lists are chosen in the regions of these lists. The owner of a running batch with a list joins the homes that share the slots, for the replicas that it can use; requests for slots name the failure domains in which they are of use, only while lists are in force. Without lists, homes and messages are unchanged.

--- a/packages/decisions/anvilwell_decisions/batches/slots.py
+++ b/packages/decisions/anvilwell_decisions/batches/slots.py
@@ -66,13 +66,19 @@
     """A borrower's request to a lender for slots of one service.
 
     ``using_by_replica`` is the number of the lender's slots that the borrower
-    uses now, ``wanted`` the number of further slots that it could use.
+    uses now, ``wanted`` the number of further slots that it could use. These
+    must be in ``domains``, None for any failure domain.
     """
 
     service: str
     borrower: str
     wanted: int
     using_by_replica: dict[str, int]
+    domains: frozenset[str] | None = None
+
+    def allows(self, failure_domain):
+        """Return whether slots in a failure domain are of use."""
+        return self.domains is None or failure_domain in self.domains
 
 
 class _Loan(typing.NamedTuple):
@@ -94,6 +100,7 @@
     def __init__(self, vm_id):
         self._vm_id = vm_id
         self._homes = ()
+        self._domains_by_home = {}
         self._owners_by_replica = {}
         self._lent_by_borrower = {}
         self._borrowed_by_lender = {}
@@ -105,26 +112,41 @@
             return ()
         return tuple(home for home in self._homes if home != self._vm_id)
 
-    def set_homes(self, homes):
-        """Set the service's homes; a change drops all loans."""
-        if homes == self._homes:
+    def set_homes(self, homes, domains_by_home=None):
+        """Set the service's homes; a change drops all loans.
+
+        Parameters
+        ----------
+        homes : tuple of str
+            The VMs of the homes.
+        domains_by_home : dict, optional
+            The failure domains of the replicas that some homes can use, as a
+            set; other homes can use all replicas.
+        """
+        domains_by_home = domains_by_home or {}
+        if homes == self._homes and domains_by_home == self._domains_by_home:
             return
         self._homes = homes
+        self._domains_by_home = domains_by_home
         self._owners_by_replica = {}
         self._lent_by_borrower = {}
         self._borrowed_by_lender = {}
 
-    def owner(self, replica_id):
+    def owner(self, replica_id, failure_domain=""):
         """Return the home that a replica is assigned to."""
         owner = self._owners_by_replica.get(replica_id)
         if owner is None:
-            owner = rendezvous.choose_vm(
-                f"places of {replica_id}", self._homes
-            )
+            limits = self._domains_by_home
+            homes = [
+                home
+                for home in self._homes
+                if home not in limits or failure_domain in limits[home]
+            ]
+            owner = rendezvous.choose_vm(f"places of {replica_id}", homes)
             self._owners_by_replica[replica_id] = owner
         return owner
 
-    def limit(self, replica_id, slots, now):
+    def limit(self, replica_id, slots, now, failure_domain=""):
         """Return how many of a replica's slots may be used.
 
         All slots may be used if this VM is the only home or isn't a home. A VM
@@ -133,7 +155,7 @@
         """
         if len(self._homes) < 2 or self._vm_id not in self._homes:
             return slots
-        owner = self.owner(replica_id)
+        owner = self.owner(replica_id, failure_domain)
         if owner == self._vm_id:
             return slots - self._lent_slots(replica_id, now)
         loan = self._borrowed_by_lender.get(owner)
--- a/packages/decisions/anvilwell_decisions/traffic/residency.py
+++ b/packages/decisions/anvilwell_decisions/traffic/residency.py
@@ -20,6 +20,18 @@
     return frozenset.intersection(*given) if given else None
 
 
+def union(lists):
+    """Return what any of some lists allows, None for no limit.
+
+    There is no limit without lists, or if one of them is None. The lists hold
+    regions or failure domains.
+    """
+    known = list(lists)
+    if not known or None in known:
+        return None
+    return frozenset().union(*known)
+
+
 def check(route, organisation):
     """Refuse a request whose lists have no region in common.
 
--- a/packages/decisions/tests/batches/test_slots.py
+++ b/packages/decisions/tests/batches/test_slots.py
@@ -251,3 +251,15 @@
 ):
     capacity = home_slots.item_capacity(cores, link_mbps)
     assert home_slots.homes_needed(items, capacity, MODELS) == homes
+
+
+def test_replicas_are_assigned_to_homes_that_can_use_them():
+    """Guard against slots in a region that their home must not use."""
+    home = home_slots.HomeSlots("h1")
+    home.set_homes(("h0", "h1"), {"h1": frozenset({"a"})})
+    owners_by_domain = {
+        domain: {home.owner(f"{domain}{n}", domain) for n in range(20)}
+        for domain in ("a", "b")
+    }
+    assert owners_by_domain == {"a": {"h0", "h1"}, "b": {"h0"}}
+    assert home.limit("b0", 8, 0.0, "b") == 0
--- a/packages/decisions/tests/outages/test_paths.py
+++ b/packages/decisions/tests/outages/test_paths.py
@@ -55,6 +55,19 @@
     assert choice.current == paths.DIRECT
 
 
+def test_a_call_that_few_peers_may_relay_uses_one_of_them_or_none():
+    """Guard against a body that a peer in another region relays."""
+    choice = _choice(*VMS)
+    _leave_direct(choice)
+    current = choice.current
+    (other, last) = sorted(set(VMS) - {current})
+    assert choice.path_through({other}.__contains__, 0.2) == other
+    _fail(choice, other, 0.2)
+    assert choice.path_through({other}.__contains__, 0.3) == paths.DIRECT
+    assert choice.path_through({other, last}.__contains__, 0.3) == last
+    assert choice.current == current
+
+
 def test_a_failing_peer_is_replaced_by_another():
     choice = _choice("entry-1", "entry-2")
     _leave_direct(choice)
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -9,6 +9,7 @@
 from anvilwell_decisions.batches import item_order
 from anvilwell_decisions.batches import moves
 from anvilwell_decisions.traffic import facts
+from anvilwell_decisions.traffic import residency as residencies
 from anvilwell_decisions.traffic import table
 from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway.batches import slot_sharing as slot_sharings
@@ -92,6 +93,8 @@
         slot_sharing.usage_of = self._slot_usage
         slot_sharing.on_change = self._limits_changed
         self._waiting_by_service = collections.Counter()
+        # The failure domains that waiting items need, if these have lists.
+        self._domains_by_service = {}
         # When the slot limits were last updated, in event-loop time.
         self._limits_refreshed_at = float("-inf")
         # All services that items of owned batches have needed so far.
@@ -162,15 +165,27 @@
         )
         self._refresh_limits(now)
         self._move(now)
+        left = [one for one in waiting if not self._start(one, now)]
         self._waiting_by_service = collections.Counter(
-            waiting_item.service
-            for waiting_item in waiting
-            if not self._start(waiting_item, now)
+            waiting_item.service for waiting_item in left
         )
+        self._domains_by_service = self._wanted_domains(left)
         for service in self._services:
             self._slot_sharing.request_slots(service)
         return True
 
+    def _wanted_domains(self, waiting):
+        """Return the failure domains in which waiting items may run."""
+        if not (self._residency and self._residency.is_active):
+            return {}
+        lists_by_service = collections.defaultdict(set)
+        for one in waiting:
+            lists_by_service[one.service].add(one.allowed_domains)
+        return {
+            service: residencies.union(lists)
+            for service, lists in lists_by_service.items()
+        }
+
     def _refresh_limits(self, now):
         """Update the slot limits from the current homes and loans."""
         if now - self._limits_refreshed_at < PASS_INTERVAL_S:
@@ -185,6 +200,7 @@
         return slot_sharings.SlotUsage(
             self._waiting_by_service[service],
             self._dispatcher.workers(service),
+            self._domains_by_service.get(service),
         )
 
     def _limits_changed(self):
--- a/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
+++ b/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
@@ -30,11 +30,13 @@
 class SlotUsage(typing.NamedTuple):
     """Use of one service's replicas by the items of this entry.
 
-    ``waiting`` is the number of items for which no slot is free.
+    ``waiting`` is the number of items for which no slot is free. They can use
+    slots in ``domains`` only, None for all failure domains.
     """
 
     waiting: int
     workers: list
+    domains: frozenset[str] | None = None
 
 
 class SlotSharing:
@@ -76,7 +78,9 @@
             service_slots = self._slots_by_service.setdefault(
                 service, home_slots.HomeSlots(self._vm_id)
             )
-            service_slots.set_homes(self._homes.all(service))
+            service_slots.set_homes(
+                self._homes.all(service), self._homes.domains_by_home(service)
+            )
         return before or any(map(self.is_split, services))
 
     def limit(self, replica):
@@ -85,7 +89,9 @@
         if service_slots is None or not service_slots.lenders:
             return None
         now = asyncio.get_running_loop().time()
-        return service_slots.limit(replica.replica_id, replica.slots, now)
+        return service_slots.limit(
+            replica.replica_id, replica.slots, now, replica.failure_domain
+        )
 
     def is_split(self, service):
         """Return whether a service has several homes."""
@@ -102,7 +108,7 @@
         using_by_lender = {lender: {} for lender in service_slots.lenders}
         for worker in usage.workers:
             replica_id = worker.replica.replica_id
-            owner = service_slots.owner(replica_id)
+            owner = _owner(service_slots, worker)
             if worker.running and owner in using_by_lender:
                 using_by_lender[owner][replica_id] = worker.running
         for lender, using_by_replica in using_by_lender.items():
@@ -114,7 +120,11 @@
             if is_due and (usage.waiting or using_by_replica):
                 self._requested_at_by_key[service, lender] = now
                 slot_request = home_slots.SlotRequest(
-                    service, self._vm_id, usage.waiting, using_by_replica
+                    service,
+                    self._vm_id,
+                    usage.waiting,
+                    using_by_replica,
+                    usage.domains,
                 )
                 self._start(
                     self._send_request(
@@ -135,9 +145,12 @@
         address = self._cluster_state.addresses_by_vm.get(lender)
         if address is None:
             return
+        # Entries of earlier releases don't know the domains.
+        has_domains = slot_request.domains is not None
+        content = slot_request if has_domains else slot_request[:-1]
         try:
             body = await peer_calls.call(
-                self._pool, lender, address, TARGET, slot_request, CALL_LIMITS
+                self._pool, lender, address, TARGET, content, CALL_LIMITS
             )
             counts_by_replica = _COUNTS.validate_python(cbor2.loads(body))
         except (
@@ -162,12 +175,14 @@
         own = [
             worker
             for worker in usage.workers
-            if service_slots.owner(worker.replica.replica_id) == self._vm_id
+            if _owner(service_slots, worker) == self._vm_id
         ]
         free_slots_by_replica = {
             worker.replica.replica_id: worker.free_slots
             for worker in own
-            if not usage.waiting and worker.not_before <= now
+            if not usage.waiting
+            and worker.not_before <= now
+            and slot_request.allows(worker.replica.failure_domain)
         }
         slots = sum(worker.replica.slots for worker in own)
         counts_by_replica = service_slots.lend(
@@ -202,3 +217,9 @@
         for task in self._tasks:
             task.cancel()
         self._pool.close()
+
+
+def _owner(service_slots, worker):
+    """Return the home that a worker's replica is assigned to."""
+    replica = worker.replica
+    return service_slots.owner(replica.replica_id, replica.failure_domain)
--- a/packages/gateway/anvilwell_gateway/residency.py
+++ b/packages/gateway/anvilwell_gateway/residency.py
@@ -90,6 +90,20 @@
             self._lists_by_organisation.get(organisation),
         )
 
+    def of_routes(self, service):
+        """Return the `residency.Bounds` common to a service's batches.
+
+        None if any batch route allows any region.
+
+        Parameters
+        ----------
+        service : str
+            The gathering key of the routes.
+        """
+        if not self.is_active:
+            return None
+        return self._bounds(residency.union(self._lists_of_routes(service)))
+
     def of_submission(self, submission):
         """Return the `residency.Bounds` of a batch, None without a list."""
         if not self.is_active:
@@ -119,15 +133,17 @@
             host, slash, path = owner.location.partition("/")
             lists = self._route_lists(host, f"{slash}{path}")
         else:
-            lists = [
-                route.allowed_regions
-                for route in self._configuration.current.routes
-                if route.is_batch
-                and all_homes.gathering_key(route) == owner.service
-            ]
+            lists = self._lists_of_routes(owner.service)
         id_prefix = batch_id.removesuffix(organisations.unowned_id(batch_id))
         return self._bounds(*lists, self._lists_by_id_prefix.get(id_prefix))
 
+    def _lists_of_routes(self, service):
+        return [
+            route.allowed_regions
+            for route in self._configuration.current.routes
+            if route.is_batch and all_homes.gathering_key(route) == service
+        ]
+
     def _route_lists(self, host, path):
         route = self._configuration.routes.find(host, path)
         return () if route is None else (route.allowed_regions,)
--- a/packages/gateway/tests/batches/test_homes.py
+++ b/packages/gateway/tests/batches/test_homes.py
@@ -12,7 +12,7 @@
 VERSIONS = tuple(facts.ModelVersion(model, 1) for model in MODELS)
 
 
-def _homes(replicas, items=176):
+def _homes(replicas, items=176, rules=None):
     cluster_state = types.SimpleNamespace(
         live_by_vm={
             f"vm{n}": live_keys.LiveKeyValue(
@@ -38,7 +38,7 @@
             for step in range(9)
         }
     )
-    return all_homes.Homes(cluster_state, directory, owners)
+    return all_homes.Homes(cluster_state, directory, owners, rules)
 
 
 @pytest.mark.parametrize(
@@ -78,5 +78,49 @@
     assert now[2] not in (first, second, third)
 
 
+def _rules(of_routes=None, of_batch=None):
+    """Return rules whose bounds are the sets of VMs that may own batches."""
+    return types.SimpleNamespace(
+        is_active=True,
+        of_routes=lambda service: of_routes,
+        of_batch=lambda batch_id, owner: of_batch,
+        owners=lambda bounds: set(bounds),
+    )
+
+
+def test_lists_move_the_homes_only_of_the_batches_that_they_limit():
+    """Guard against homes that change for batches without a list."""
+    common = _homes(3).find("lm", "m0")
+    others = {f"vm{n}" for n in range(6)} - {common}
+    homes = _homes(3, rules=_rules())
+    assert homes.all("lm") == (common,)
+    assert homes.find("lm", "m0") == common
+    ranked = homes.ranked("lm", "m0", others)
+    assert set(ranked) == others
+    assert homes.ranked("lm", "m0", others | {common}) == [common, *ranked]
+    # With a list on all routes of the service, its slots need no second home.
+    homes = _homes(3, rules=_rules(of_routes=others))
+    assert homes.all("lm") == (ranked[0],)
+
+
+def test_the_owner_of_a_batch_with_a_list_shares_the_slots():
+    """Guard against two entries that both use all slots of a replica."""
+    common = _homes(3).find("lm", "m0")
+    (owner, *_) = sorted({f"vm{n}" for n in range(6)} - {common})
+    bounds = types.SimpleNamespace(domains=frozenset("a"))
+    homes = _homes(3, rules=_rules(of_batch=bounds))
+    homes._cluster_state.ended = {"m1-0"}
+    claims_by_id = homes._owners.claims_by_id
+    for batch_id, incarnation in (("m0-0", "life"), ("m0-1", "earlier")):
+        claim = claims_by_id[batch_id]
+        claims_by_id[batch_id] = claim._replace(
+            owner=claim.owner._replace(vm_id=owner, incarnation=incarnation)
+        )
+    assert homes.all("lm") == (common, owner)
+    assert homes.domains_by_home("lm") == {owner: {"a"}}
+    claims_by_id["m1-0"] = claims_by_id.pop("m0-0")
+    assert homes.all("lm") == (common,)
+
+
 def test_routes_over_several_services_have_one_home():
     assert len(_homes(3000, 2000).all("lm,other")) == 1
--- a/packages/gateway/tests/batches/test_manager.py
+++ b/packages/gateway/tests/batches/test_manager.py
@@ -78,7 +78,12 @@
             None,
             types.SimpleNamespace(is_empty=True),
             slot_sharing.SlotSharing(
-                "vm", None, types.SimpleNamespace(all=lambda service: ("vm",))
+                "vm",
+                None,
+                types.SimpleNamespace(
+                    all=lambda service: ("vm",),
+                    domains_by_home=lambda service: {},
+                ),
             ),
         )
         try:
--- a/packages/gateway/tests/batches/test_slot_sharing.py
+++ b/packages/gateway/tests/batches/test_slot_sharing.py
@@ -56,7 +56,10 @@
         self.slot_sharing = slot_sharing.SlotSharing(
             vm_id,
             cluster_state,
-            types.SimpleNamespace(all=lambda service: homes),
+            types.SimpleNamespace(
+                all=lambda service: homes,
+                domains_by_home=lambda service: {},
+            ),
         )
         self.pool = self.slot_sharing._pool = _Pool(peers_by_vm)
         self.dispatch = dispatches.Dispatcher()
