Keep batches, texts and store calls in allowed regions

An entry in a region that isn't allowed accepted, took over, cached and ran batches, and calls to the store with bodies went through any peer.

Change: submissions go to an entry in an allowed region, to the next one if the home fails, and are refused with 503 rather than accepted elsewhere. Takeovers and deletions of orphans, which read results, are left to entries in allowed regions. Calls to the store that hold a body or a text are relayed by peers in allowed regions only. Entries elsewhere don't cache what they read for callers. When a list changes, runs and scoring calls that are no longer allowed are stopped, and a batch is handed over, or waits without runs if no live entry may own it.

--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -64,6 +64,8 @@
         Forwards batches whose home is another entry.
     homes : all_homes.Homes
         The homes of each service.
+    residency : residency.ResidencyRules
+        The allowed regions in force.
     """
 
     def __init__(
@@ -76,7 +78,9 @@
         dialect,
         submission_forwarder,
         homes,
+        residency,
     ):
+        self._residency = residency
         self._store = batch_store
         self._owners = owners
         self._manager = manager
@@ -95,6 +99,7 @@
         self.is_draining = False
         cluster_state.listen(self._on_news)
         owners.listen(self._check_ownership)
+        residency.listen(self.check_all_owners)
         manager.on_lost = self.check_all_owners
 
     async def accept(self, route, request):
@@ -144,6 +149,7 @@
             raise exceptions.Refused(
                 "this VM is stopping", reason=reasons.Refusal.DRAINING
             )
+        self._check_region(route, request)
         if not self._presence.is_registered:
             # Other entries would consider the owner dead and take the batch
             # over.
@@ -174,6 +180,15 @@
         claim = accepting.result()
         _check_same(claim.owner, digest, submission)
 
+    def _check_region(self, route, request):
+        """Refuse a batch that this VM may not own."""
+        bounds = self._residency.of_request(route, request.organisation)
+        if not self._residency.may_own(bounds):
+            raise exceptions.Refused(
+                "no entry in an allowed region has accepted the batch",
+                reason=reasons.Refusal.REGION_NOT_ALLOWED,
+            )
+
     async def _write(self, route, submission, owner, stored_submission):
         """Store the batch and open it, even after the caller has left.
 
@@ -185,9 +200,10 @@
         batch_id = submission.batch_id
         self._accepting_counts[batch_id] += 1
         try:
-            claim, carried = await self._store_batch(
-                route, batch_id, owner, stored_submission
-            )
+            with self._residency.relays_of_submission(submission):
+                claim, carried = await self._store_batch(
+                    route, batch_id, owner, stored_submission
+                )
             if claim.owner == owner._replace(parts=claim.owner.parts):
                 self._open(route, submission, claim, ((), 0, carried))
         finally:
@@ -233,6 +249,9 @@
             0,
             service,
             submission.model,
+            f"{submission.host}{submission.path}"
+            if self._residency.is_active
+            else "",
         )
 
     def _open(self, route, submission, claim, restored):
@@ -307,11 +326,17 @@
         return (
             claim is not None
             and not self.is_draining
+            and self._may_own(batch_id, claim.owner)
             and self._is_orphan(
                 batch_id, claim.owner, self._cluster_state.incarnations_by_vm
             )
         )
 
+    def _may_own(self, batch_id, owner):
+        """Return whether the lists of a batch let this VM own it."""
+        rules = self._residency
+        return rules.may_own(rules.of_batch(batch_id, owner))
+
     async def _take_over(self, batch_id):
         """Take over an orphaned batch when it is this entry's turn."""
         try:
@@ -364,7 +389,13 @@
         if owner.vm_id == own_vm_id:
             return 0
         others = set(incarnations_by_vm) | {own_vm_id}
-        home = self._homes.find(owner.service, owner.model)
+        bounds = self._residency.of_batch(batch_id, owner)
+        if bounds is None:
+            home = self._homes.find(owner.service, owner.model)
+        else:
+            others &= self._residency.owners(bounds) | {own_vm_id}
+            homes = self._homes.ranked(owner.service, owner.model, bounds)
+            home = next(iter(homes), None)
         ranked = sorted(
             others,
             key=lambda vm_id: (
@@ -389,6 +420,8 @@
             return True
         if not self._is_orphan(batch_id, claim.owner, incarnations_by_vm):
             return False
+        if not self._may_own(batch_id, claim.owner):
+            return False
         owner = claim.owner
         new_owner = owner._replace(
             vm_id=self._presence.vm_id, incarnation=self._presence.incarnation
@@ -414,11 +447,12 @@
         bool
             Whether it was opened.
         """
-        stored_submission = await self._store.submission(
-            batch_id, claim.owner.parts
-        )
-        results, chunks = await self._store.results(batch_id)
-        saved = await self._store.saved(batch_id)
+        with self._residency.relays_of_batch(batch_id, claim.owner):
+            stored_submission = await self._store.submission(
+                batch_id, claim.owner.parts
+            )
+            results, chunks = await self._store.results(batch_id)
+            saved = await self._store.saved(batch_id)
         submission = self._submission(
             self._dialect.stored_request(stored_submission)
         )
--- a/packages/gateway/anvilwell_gateway/batches/manager.py
+++ b/packages/gateway/anvilwell_gateway/batches/manager.py
@@ -1,8 +1,10 @@
 """Manages the batches that this process owns, from opening to release."""
 
 import asyncio
+import contextlib
 
 from anvilwell_gateway.batches import committing
+from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import saving
 from anvilwell_gateway.batches import scheduler as schedulers
 from anvilwell_gateway.batches import scoring_scheduler as scoring_schedulers
@@ -62,9 +64,15 @@
         self._sequence = 0
         self._tasks = set()
         self.on_lost = _ignore
+        self.on_opened = _ignore
         self.batches_by_id = {}
         self._scoring_scheduler = scoring_schedulers.ScoringScheduler(
-            forwarder, directory, configuration, dialect, self.batches_by_id
+            forwarder,
+            directory,
+            configuration,
+            dialect,
+            self.batches_by_id,
+            residency,
         )
         self._scheduler = schedulers.Scheduler(
             directory,
@@ -126,9 +134,10 @@
         committer = committing.Committer(
             self._store, batch, self._on_ownership_lost
         )
-        batch.committer = asyncio.create_task(committer.run())
         saver = saving.Saver(self._store, batch)
-        batch.saver = asyncio.create_task(saver.run())
+        with self._limited_relays(batch):
+            batch.committer = asyncio.create_task(committer.run())
+            batch.saver = asyncio.create_task(saver.run())
         batch.has_new_results.set()
         loop = asyncio.get_running_loop()
         loop.call_at(batch.abandon_at, self._abandon, batch)
@@ -141,6 +150,13 @@
         )
         self._scheduler.schedule()
         self._scoring_scheduler.schedule()
+        self.on_opened()
+
+    def _limited_relays(self, batch):
+        """Limit the peers that relay store calls for a batch."""
+        if self._residency is None:
+            return contextlib.nullcontext()
+        return self._residency.relays_of_submission(batch.submission)
 
     def retry_failed_saves(self):
         """Save texts whose save failed, now that the store answers again."""
@@ -179,9 +195,10 @@
         if not saved:
             return
         try:
-            await self._store.carry(
-                batch.route, batch.submission.organisation, saved
-            )
+            with self._limited_relays(batch):
+                await self._store.carry(
+                    batch.route, batch.submission.organisation, saved
+                )
         except exceptions.AnvilwellError as error:
             _LOG.log(
                 "texts-not-carried",
@@ -212,6 +229,27 @@
         self.batches_by_id.clear()
         await asyncio.gather(*(self._save(batch) for batch in batches))
 
+    def hand_over(self, batch, cause):
+        """Release one batch, so that another entry takes it over."""
+        if self.remove(batch):
+            _LOG.log("batch-dropped", batch_id=batch.batch_id, cause=cause)
+            self._start_task(self._release(batch))
+
+    async def _release(self, batch):
+        await self._save(batch)
+        while True:
+            try:
+                await self._store.release(batch.batch_id, batch.claim)
+                return
+            except records.OwnedElsewhere:
+                return
+            except exceptions.AnvilwellError as error:
+                _LOG.log(
+                    "batch-not-released",
+                    batch_id=batch.batch_id,
+                    cause=error.message,
+                )
+
     async def stop(self):
         """Stop all batches and both schedulers."""
         batches = list(self.batches_by_id.values())
@@ -227,7 +265,8 @@
         if batch.state.needs_no_runs or not saved:
             return
         try:
-            await self._store.save(batch.batch_id, saved)
+            with self._limited_relays(batch):
+                await self._store.save(batch.batch_id, saved)
         except exceptions.AnvilwellError as error:
             _LOG.log(
                 "texts-not-saved", batch_id=batch.batch_id, cause=error.message
@@ -245,4 +284,4 @@
 
 
 def _ignore():
-    """Do nothing; the default of ``on_lost``."""
+    """Do nothing; the default of ``on_lost`` and ``on_opened``."""
--- a/packages/gateway/anvilwell_gateway/batches/reader.py
+++ b/packages/gateway/anvilwell_gateway/batches/reader.py
@@ -1,6 +1,7 @@
 """Reads batches that other entries own from the store, and caches them."""
 
 import collections
+import contextlib
 import typing
 
 # Number of batches that are cached; the least recently read one is evicted
@@ -33,9 +34,13 @@
         Decodes submissions.
     owners : owners.Owners
         The local copy of the owners of batches.
+    residency : residency.ResidencyRules
+        The allowed regions in force.
     """
 
-    def __init__(self, batch_store, dialect, owners):
+    def __init__(self, batch_store, dialect, owners, residency):
+        self._residency = residency
+        residency.listen(self._clear)
         self._store = batch_store
         self._owners = owners
         self._dialect = dialect
@@ -55,19 +60,26 @@
             If the store cannot be read.
         """
         cached = self._cached_by_id.get(batch_id)
-        if cached is None:
+        owner = None
+        if cached is None or self._residency.is_active:
             claim = await self._find_claim(batch_id)
             if claim is None:
                 return None
-            cached = CachedBatch(claim.owner.total, [], 0, claim.owner.parts)
+            owner = claim.owner
+        if cached is None:
+            cached = CachedBatch(owner.total, [], 0, owner.parts)
         # This reads ahead if `after` is cached already: the trainer asks for
         # the new results next.
         if len(cached.results) < (cached.total if listed is None else listed):
-            more, chunks = await self._store.results(batch_id, cached.chunks)
+            with self._limited_relays(batch_id, owner):
+                more, chunks = await self._store.results(
+                    batch_id, cached.chunks
+                )
             cached = cached._replace(
                 results=cached.results + more, chunks=chunks
             )
-        self._cache(self._cached_by_id, batch_id, cached)
+        if self._may_cache(batch_id, owner):
+            self._cache(self._cached_by_id, batch_id, cached)
         return cached.total, cached.results[after:]
 
     def cached_count(self, batch_id):
@@ -82,13 +94,17 @@
             claim = await self._find_claim(batch_id)
             if claim is None:
                 return None
-            stored_submission = await self._store.submission(
-                batch_id, claim.owner.parts
-            )
+            owner = claim.owner
+            with self._limited_relays(batch_id, owner):
+                stored_submission = await self._store.submission(
+                    batch_id, owner.parts
+                )
             submission = self._dialect.read_submission(
                 self._dialect.stored_request(stored_submission)
             )
             items = {item.item_id: item.body for item in submission.items}
+            if not self._may_cache(batch_id, owner):
+                return items.get(item_id)
         self._cache(self._items_by_batch, batch_id, items)
         return items.get(item_id)
 
@@ -107,6 +123,26 @@
         known = self._owners.claims_by_id.get(batch_id)
         return known or await self._store.owner(batch_id)
 
+    def _limited_relays(self, batch_id, owner):
+        """Limit the peers that relay what is read for a caller here."""
+        if not self._residency.is_active:
+            return contextlib.nullcontext()
+        return self._residency.relays_of_batch(
+            batch_id, owner, is_callers_entry=True
+        )
+
+    def _may_cache(self, batch_id, owner):
+        """Return whether the lists of a batch let this VM cache it."""
+        rules = self._residency
+        return not rules.is_active or rules.may_own(
+            rules.of_batch(batch_id, owner)
+        )
+
+    def _clear(self):
+        """Drop the cached batches, which may no longer be allowed here."""
+        self._cached_by_id.clear()
+        self._items_by_batch.clear()
+
     @staticmethod
     def _cache(cached_by_id, batch_id, value):
         cached_by_id[batch_id] = value
--- a/packages/gateway/anvilwell_gateway/batches/records.py
+++ b/packages/gateway/anvilwell_gateway/batches/records.py
@@ -186,6 +186,17 @@
             return Claim(owner, entry.revision)
         raise OwnedElsewhere(f"batch {batch_id} is owned by another process")
 
+    async def release(self, batch_id, claim):
+        """Give up the claim on a batch, so that it is taken over.
+
+        Raises
+        ------
+        OwnedElsewhere
+            If another process replaced the owner first.
+        """
+        released = claim.owner._replace(incarnation="")
+        await self.take_over(batch_id, claim, released)
+
     async def submission(self, batch_id, parts):
         """Return the `StoredSubmission` of a batch."""
         found = [
--- a/packages/gateway/anvilwell_gateway/batches/request_handler.py
+++ b/packages/gateway/anvilwell_gateway/batches/request_handler.py
@@ -55,6 +55,8 @@
     can_confirm_ownership : callable
         Returns whether the store answered recently enough that no other
         process can own a batch of this one.
+    residency : residency.ResidencyRules
+        The allowed regions in force.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         owner_client,
         budget,
         can_confirm_ownership,
+        residency,
     ):
         self._store = batch_store
         self._manager = manager
@@ -76,7 +79,7 @@
         self._budget = budget
         self._can_confirm_ownership = can_confirm_ownership
         self._owners = owners
-        self._reader = readers.Reader(batch_store, dialect, owners)
+        self._reader = readers.Reader(batch_store, dialect, owners, residency)
 
     async def submit(self, route, call, request, responder):
         """Accept a batch; respond once it is durable."""
--- a/packages/gateway/anvilwell_gateway/batches/retention.py
+++ b/packages/gateway/anvilwell_gateway/batches/retention.py
@@ -38,9 +38,14 @@
         The live entries and the ended batches.
     vm_id : str
         This VM.
+    residency : residency.ResidencyRules
+        The allowed regions in force.
     """
 
-    def __init__(self, batch_store, manager, owners, cluster_state, vm_id):
+    def __init__(
+        self, batch_store, manager, owners, cluster_state, vm_id, residency
+    ):
+        self._residency = residency
         self._store = batch_store
         self._manager = manager
         self.owners = owners
@@ -99,10 +104,13 @@
     def _is_deleted_here(self, batch_id):
         """Return whether this entry is the one that deletes an orphan."""
         duty = f"delete {batch_id}"
-        return (
-            rendezvous.choose_vm(duty, self._cluster_state.incarnations_by_vm)
-            == self._vm_id
-        )
+        vm_ids = self._cluster_state.incarnations_by_vm
+        owner = self.owners.claims_by_id[batch_id].owner
+        bounds = self._residency.of_batch(batch_id, owner)
+        if bounds is not None:
+            # To delete a batch, its results are read.
+            vm_ids = self._residency.owners(bounds)
+        return rendezvous.choose_vm(duty, vm_ids) == self._vm_id
 
     def _orphaned(self):
         """Return the ids of ended batches whose owners are gone."""
@@ -120,7 +128,8 @@
         """Delete a batch from the store; return whether it succeeded."""
         try:
             if chunks is None:
-                _, chunks = await self._store.results(batch_id)
+                with self._residency.relays_of_batch(batch_id, owner):
+                    _, chunks = await self._store.results(batch_id)
             await self._store.remove(batch_id, owner.parts, chunks)
         except exceptions.AnvilwellError as error:
             _LOG.log(
--- a/packages/gateway/anvilwell_gateway/batches/scoring_scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scoring_scheduler.py
@@ -39,11 +39,22 @@
     batches_by_id : dict
         The batches that this process owns, updated by the
         `manager.BatchManager`.
+    residency : residency.ResidencyRules, optional
+        The allowed regions in force; without it all regions are allowed.
     """
 
     def __init__(
-        self, forwarder, directory, configuration, dialect, batches_by_id
+        self,
+        forwarder,
+        directory,
+        configuration,
+        dialect,
+        batches_by_id,
+        residency=None,
     ):
+        self._residency = residency
+        if residency is not None:
+            residency.listen(self._restart_bounded_calls)
         self._forwarder = forwarder
         self._directory = directory
         self._configuration = configuration
@@ -91,7 +102,7 @@
             return False
         scoring_call = batch.state.items_by_id[item_id].scoring_call
         route = self._route(scoring_call)
-        if route is None:
+        if route is None or not self._may_own(batch):
             return False
         limiter = self._limiter(route, slots_by_service)
         if not limiter.may_start(now):
@@ -109,6 +120,24 @@
         )
         return True
 
+    def _may_own(self, batch):
+        """Return whether the lists of a batch let this VM run it."""
+        rules = self._residency
+        bounds = rules and rules.of_submission(batch.submission)
+        return bounds is None or bounds.may_own
+
+    def _restart_bounded_calls(self):
+        """Stop the calls that have lists; each starts again under these."""
+        for batch in self._batches_by_id.values():
+            for item_id, task in batch.scorings_by_item.items():
+                scoring_call = batch.state.items_by_id[item_id].scoring_call
+                route = self._route(scoring_call)
+                organisation = batch.submission.organisation
+                if route is None or self._residency.of_request(
+                    route, organisation
+                ):
+                    task.cancel("the allowed regions have changed")
+
     def _route(self, scoring_call):
         """Return the route of a call, marked as idempotent."""
         path = scoring_call.target.partition("?")[0]
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -9,6 +9,7 @@
 from anvilwell_gateway.batches import owner_client
 from anvilwell_gateway.batches import owners
 from anvilwell_gateway.batches import records
+from anvilwell_gateway.batches import relocation
 from anvilwell_gateway.batches import request_handler as request_handlers
 from anvilwell_gateway.batches import retention
 from anvilwell_gateway.batches import runner as runners
@@ -44,7 +45,10 @@
         self._owners = owners.Owners(fleet.store)
         fleet.add_follower(self._owners)
         homes = all_homes.Homes(
-            fleet.cluster_state, fleet.directory, self._owners
+            fleet.cluster_state,
+            fleet.directory,
+            self._owners,
+            fleet.residency,
         )
         self.slot_sharing = slot_sharing.SlotSharing(
             fleet.vm_id, fleet.cluster_state, homes
@@ -69,7 +73,7 @@
             ),
         )
         self._submission_forwarder = submission_forwarding.SubmissionForwarder(
-            fleet.vm_id, fleet.cluster_state, homes
+            fleet.vm_id, fleet.cluster_state, homes, fleet.residency
         )
         self._intake = intakes.Intake(
             batch_store,
@@ -80,6 +84,7 @@
             platform.dialect,
             self._submission_forwarder,
             homes,
+            fleet.residency,
         )
         self.owner_client = owner_client.OwnerClient(
             self._owners,
@@ -93,6 +98,7 @@
             self._owners,
             fleet.cluster_state,
             fleet.vm_id,
+            fleet.residency,
         )
         self.request_handler = request_handlers.BatchRequestHandler(
             batch_store,
@@ -103,7 +109,12 @@
             self.owner_client,
             budget,
             self._can_confirm_ownership,
+            fleet.residency,
+        )
+        self._relocator = relocation.Relocator(
+            self.manager, fleet.directory, fleet.residency
         )
+        fleet.cluster_state.listen_entries(self._relocator.hand_over)
         self._start_task = None
 
     @classmethod
--- a/packages/gateway/anvilwell_gateway/batches/submission_forwarding.py
+++ b/packages/gateway/anvilwell_gateway/batches/submission_forwarding.py
@@ -20,6 +20,9 @@
 # can still accept the batch within the trainer's target of half a second.
 TIMEOUT_S = 0.4
 MAX_RESPONSE_BYTES = 64 << 10
+# Largest number of entries that a batch is forwarded to, one after another, if
+# this entry may not accept it. Two may be lost at once.
+MAX_TARGETS = 3
 _ACCEPTED = 202
 _REFUSED = 503
 
@@ -78,9 +81,12 @@
         The live entries and their addresses.
     homes : all_homes.Homes
         The homes of each service.
+    residency : residency.ResidencyRules
+        The allowed regions in force.
     """
 
-    def __init__(self, vm_id, cluster_state, homes):
+    def __init__(self, vm_id, cluster_state, homes, residency):
+        self._residency = residency
         self._vm_id = vm_id
         self._cluster_state = cluster_state
         self._homes = homes
@@ -94,9 +100,30 @@
         ForwardOutcome
             Whether the home accepted it.
         """
-        home = self._homes.find(all_homes.gathering_key(route), model)
-        if home in (None, self._vm_id):
-            return ForwardOutcome.NOT
+        outcomes = [ForwardOutcome.NOT]
+        for vm_id in self._targets(route, model, request):
+            outcomes.append(await self._send(vm_id, request))
+            if outcomes[-1] is ForwardOutcome.ACCEPTED:
+                return ForwardOutcome.ACCEPTED
+        is_unknown = ForwardOutcome.UNKNOWN in outcomes
+        return ForwardOutcome.UNKNOWN if is_unknown else ForwardOutcome.NOT
+
+    def _targets(self, route, model, request):
+        """Return the VMs to forward a batch to, one after another.
+
+        If this VM may not own the batch, others than its home are tried too.
+        """
+        service = all_homes.gathering_key(route)
+        bounds = self._residency.of_request(route, request.organisation)
+        if bounds is None:
+            homes = [self._homes.find(service, model)]
+        else:
+            count = 1 if bounds.may_own else MAX_TARGETS
+            homes = self._homes.ranked(service, model, bounds)[:count]
+        return [home for home in homes if home not in (None, self._vm_id)]
+
+    async def _send(self, home, request):
+        """Forward `request` to one entry; return the `ForwardOutcome`."""
         address = self._cluster_state.addresses_by_vm[home]
         submission = ForwardedSubmission(
             request.target,
