Log changed lists of allowed regions and batches that wait for one

Operators could not tell from the log since when a list was in force, nor why nothing of a batch ran.

--- a/packages/gateway/anvilwell_gateway/batches/relocation.py
+++ b/packages/gateway/anvilwell_gateway/batches/relocation.py
@@ -1,8 +1,12 @@
 """Applies changed lists of allowed regions to the batches of this VM."""
 
+from anvilwell_kernel.telemetry import logs
+
 _RUN_CAUSE = "its region is no longer allowed"
 _BATCH_CAUSE = "this VM's region is not allowed"
 
+_LOG = logs.get_logger(__name__)
+
 
 class Relocator:
     """Stops runs and hands over batches that are no longer allowed here.
@@ -39,9 +43,12 @@
             return
         for batch in list(self._manager.batches_by_id.values()):
             bounds = self._residency.of_submission(batch.submission)
-            is_allowed = self._residency.may_own(bounds)
-            if not is_allowed and self._residency.owners(bounds):
+            if self._residency.may_own(bounds):
+                continue
+            if self._residency.owners(bounds):
                 self._manager.hand_over(batch, _BATCH_CAUSE)
+            else:
+                _LOG.log("batch-waits", batch_id=batch.batch_id)
 
     def _stop_runs(self, batch):
         """Stop the runs that are no longer allowed; limit the others."""
--- a/packages/gateway/anvilwell_gateway/residency.py
+++ b/packages/gateway/anvilwell_gateway/residency.py
@@ -6,6 +6,9 @@
 from anvilwell_decisions.traffic import residency
 from anvilwell_gateway.batches import homes as all_homes
 from anvilwell_gateway import store_paths
+from anvilwell_kernel.telemetry import logs
+
+_LOG = logs.get_logger(__name__)
 
 
 class ResidencyRules:
@@ -69,6 +72,9 @@
             organisations.owned_id(name, ""): one
             for name, one in lists_by_organisation.items()
         }
+        _LOG.log(
+            "regions-changed", configuration=current.version, lists=len(lists)
+        )
         for callback in self._listeners:
             callback()
 
