Release batches that may not be opened under a changed list

A list that changed between the claim on a batch and its opening left the batch with a live owner that must not run it, and no other entry took it over. This also happened if the submission could not be read then.

Change: a batch that opens under such a list is handed over at once; a claim of this process on a batch that it never opened and may not own is released.

--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -311,6 +311,36 @@
             ):
                 self._taking_over.add(batch_id)
                 self._start(self._take_over(batch_id))
+            elif self._is_stranded(batch_id):
+                self._start(self._release(batch_id))
+
+    def _is_stranded(self, batch_id):
+        """Return whether this process owns a batch that it may not open.
+
+        Its lists changed between the write of the claim and the opening.
+        """
+        claim = self._owners.claims_by_id.get(batch_id)
+        if not self._residency.is_active or claim is None:
+            return False
+        owner = claim.owner
+        return (
+            (owner.vm_id, owner.incarnation)
+            == (self._presence.vm_id, self._presence.incarnation)
+            and not self._may_own(batch_id, owner)
+            and batch_id not in self._taking_over
+            and batch_id not in self._accepting_counts
+            and not self._manager.holds(batch_id)
+        )
+
+    async def _release(self, batch_id):
+        """Release a batch, so that an entry that may own it takes it over."""
+        claim = self._owners.claims_by_id[batch_id]
+        try:
+            await self._store.release(batch_id, claim)
+        except exceptions.AnvilwellError as error:
+            _LOG.log(
+                "batch-not-released", batch_id=batch_id, cause=error.message
+            )
 
     def _start(self, coroutine):
         task = asyncio.create_task(coroutine)
@@ -358,6 +388,8 @@
                 await asyncio.sleep(RANK_DELAY_S)
         finally:
             self._taking_over.discard(batch_id)
+            if self._is_stranded(batch_id):
+                self._start(self._release(batch_id))
 
     def _grace_s(self, owner):
         """Return how long to wait for an owner that is not registered.
--- a/packages/gateway/anvilwell_gateway/batches/manager.py
+++ b/packages/gateway/anvilwell_gateway/batches/manager.py
@@ -66,6 +66,8 @@
         self.on_lost = _ignore
         self.on_opened = _ignore
         self.batches_by_id = {}
+        # Ids of batches that are being handed over to other entries.
+        self._releasing = set()
         self._scoring_scheduler = scoring_schedulers.ScoringScheduler(
             forwarder,
             directory,
@@ -229,26 +231,37 @@
         self.batches_by_id.clear()
         await asyncio.gather(*(self._save(batch) for batch in batches))
 
+    def holds(self, batch_id):
+        """Return whether a batch is open here, or is being handed over."""
+        return batch_id in self.batches_by_id or batch_id in self._releasing
+
     def hand_over(self, batch, cause):
         """Release one batch, so that another entry takes it over."""
         if self.remove(batch):
             _LOG.log("batch-dropped", batch_id=batch.batch_id, cause=cause)
+            self._releasing.add(batch.batch_id)
             self._start_task(self._release(batch))
 
     async def _release(self, batch):
         await self._save(batch)
-        while True:
-            try:
-                await self._store.release(batch.batch_id, batch.claim)
-                return
-            except records.OwnedElsewhere:
-                return
-            except exceptions.AnvilwellError as error:
-                _LOG.log(
-                    "batch-not-released",
-                    batch_id=batch.batch_id,
-                    cause=error.message,
-                )
+        while not await self._try_release(batch):
+            pass
+        self._releasing.discard(batch.batch_id)
+
+    async def _try_release(self, batch):
+        """Release a batch; return whether this process owns it no more."""
+        try:
+            await self._store.release(batch.batch_id, batch.claim)
+        except records.OwnedElsewhere:
+            return True
+        except exceptions.AnvilwellError as error:
+            _LOG.log(
+                "batch-not-released",
+                batch_id=batch.batch_id,
+                cause=error.message,
+            )
+            return False
+        return True
 
     async def stop(self):
         """Stop all batches and both schedulers."""
