--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -9,6 +9,7 @@
 from anvilwell_decisions.batches import item_order
 from anvilwell_decisions.batches import moves
 from anvilwell_decisions.traffic import facts
+from anvilwell_decisions.traffic import residency as residencies
 from anvilwell_decisions.traffic import table
 from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway.batches import slot_sharing as slot_sharings
@@ -65,6 +66,8 @@
         Tracks the items that crash replicas.
     slot_sharing : slot_sharings.SlotSharing
         Determines which slots this entry may use.
+    residency : residency.ResidencyRules, optional
+        The allowed regions in force; without it all regions are allowed.
     """
 
     def __init__(
@@ -76,7 +79,9 @@
         on_text_complete,
         crash_tracker,
         slot_sharing,
+        residency=None,
     ):
+        self._residency = residency
         self._crash_tracker = crash_tracker
         self._directory = directory
         self._configuration = configuration
@@ -89,6 +94,8 @@
         slot_sharing.usage_of = self._slot_usage
         slot_sharing.on_change = self._limits_changed
         self._waiting_by_service = collections.Counter()
+        # The failure domains that waiting items need, if these have lists.
+        self._domains_by_service = {}
         # When the slot limits were last updated, in event-loop time.
         self._limits_refreshed_at = float("-inf")
         # All services that items of owned batches have needed so far.
@@ -159,15 +166,27 @@
         )
         self._refresh_limits(now)
         self._move(now)
+        left = [one for one in waiting if not self._start(one, now)]
         self._waiting_by_service = collections.Counter(
-            waiting_item.service
-            for waiting_item in waiting
-            if not self._start(waiting_item, now)
+            waiting_item.service for waiting_item in left
         )
+        self._domains_by_service = self._wanted_domains(left)
         for service in self._services:
             self._slot_sharing.request_slots(service)
         return True
 
+    def _wanted_domains(self, waiting):
+        """Return the failure domains in which waiting items may run."""
+        if not (self._residency and self._residency.is_active):
+            return {}
+        lists_by_service = collections.defaultdict(set)
+        for one in waiting:
+            lists_by_service[one.service].add(one.allowed_domains)
+        return {
+            service: residencies.union(lists)
+            for service, lists in lists_by_service.items()
+        }
+
     def _refresh_limits(self, now):
         """Update the slot limits from the current homes and loans."""
         if now - self._limits_refreshed_at < PASS_INTERVAL_S:
@@ -182,6 +201,7 @@
         return slot_sharings.SlotUsage(
             self._waiting_by_service[service],
             self._dispatcher.workers(service),
+            self._domains_by_service.get(service),
         )
 
     def _limits_changed(self):
@@ -262,7 +282,8 @@
         if not items:
             return []
         service = self._service(batch)
-        if service is None:
+        bounds = self._bounds(batch)
+        if service is None or (bounds and not bounds.may_own):
             return []
         is_late = asyncio.get_running_loop().time() > batch.late_at
         return [
@@ -283,10 +304,16 @@
                 item.expected_tokens,
                 batch.state.progress_by_id[item.item_id].last_number,
                 item.prompt,
+                bounds and bounds.domains,
             )
             for item in items
         ]
 
+    def _bounds(self, batch):
+        """Return the `residency.Bounds` of a batch, None without a list."""
+        rules = self._residency
+        return rules and rules.of_submission(batch.submission)
+
     def _is_held_back(self, batch, item_id):
         """Return whether an item is quarantined as it crashes replicas."""
         if self._crash_tracker.is_empty:
@@ -345,6 +372,7 @@
             self._move_history.count(
                 waiting_item.batch_id, waiting_item.item_id
             ),
+            waiting_item.allowed_domains,
         )
         task = asyncio.create_task(self._run(batch, waiting_item, worker))
         # The slot is released by a callback, as a task that is cancelled
