Limit the requests to replicas that may be cold

Cause: a cold replica crashes well above its rate. 12 free slots took 12 items at once from one entry while a second entry also sent requests, and 26 requests reached one cold replica in one second.

Change: for services with a cold_rate, each entry sends at most its share of half of the limit to a replica in any sliding window of 1.1 s, so that any two views of the owner stay within the limit. Items, live calls, second attempts and scoring calls hold a permit that counts from the decision on and is checked again when the request is written. A new owner, an entry without its lease, and one that has just learned of the others send nothing to a cold replica. Lent slots carry one request per second each. Live calls that no replica may be sent are refused with cold-limit and the wait. Services without a rate are asked for nothing.

--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -79,9 +79,17 @@
 
 
 class Dispatcher:
-    """Assigns the items of the batches that one entry owns to replicas."""
+    """Assigns the items of the batches that one entry owns to replicas.
 
-    def __init__(self):
+    Parameters
+    ----------
+    sends_of : callable, optional
+        Returns the `send_windows.ReplicaSends` of a replica that may be cold,
+        None for other replicas.
+    """
+
+    def __init__(self, sends_of=None):
+        self._sends_of = sends_of
         self._workers_by_id = {}
         self._shortlists = shortlists.Shortlists()
         # Workers with runs; a worker is listed once for each of its runs.
@@ -141,6 +149,7 @@
             )
             worker.clear_runs(self._tokens_by_service)
         worker.replica = replica
+        worker.sends = self._sends_of and self._sends_of(replica)
         worker.update_versions(replica.versions)
         return worker
 
@@ -182,7 +191,13 @@
         return self.move_selector.choose(runs, self._workers_by_id, now)
 
     def record_assignment(self, item, replica_id):
-        """Record that a `WaitingItem` was assigned to a replica."""
+        """Record that a `WaitingItem` was assigned to a replica.
+
+        Returns
+        -------
+        send_windows.Permit or None
+            Permit to send the item, if the replica may be cold.
+        """
         worker = self._workers_by_id[replica_id]
         worker.running += 1
         left = self.lengths.remaining_events(
@@ -191,6 +206,7 @@
         worker.memory.add(self._memory_demand(item, item.events_made, left))
         self._busy_workers.append(worker)
         self.move_selector.budget.record_start()
+        return worker.sends and worker.sends.reserve()
 
     def _memory_demand(self, one, events_made, left):
         """Return the `memory.MemoryDemand` of a `WaitingItem` or `Run`."""
@@ -223,6 +239,7 @@
             (
                 (
                     _pace_step(one, shortest_s),
+                    worker.is_cold,
                     worker.load,
                     worker.name,
                     one,
@@ -235,7 +252,10 @@
         *_, expected_s, best = min(
             candidates, key=lambda one: _sort_key(one, demand)
         )
-        if expected_s and self._should_wait(item, events, expected_s, now):
+        if expected_s and (
+            self._should_wait(item, events, expected_s, now)
+            or self._should_await_turn(item, events, expected_s, now)
+        ):
             return None
         return best.name
 
@@ -268,6 +288,45 @@
         heapq.heapreplace(worker.run_ends_s, ends_s)
         return True
 
+    def _should_await_turn(self, item, events, expected_s, now):
+        """Return whether an item should wait until it may be sent.
+
+        That is for a replica with free slots that has been sent as many
+        requests as it may be, and would complete the text earlier. The turn
+        is reserved.
+        """
+        if self._sends_of is None:
+            return False
+        limited = (
+            worker
+            for worker in self._workers_by_id.values()
+            if worker.sends is not None
+            and worker.free_slots > 0
+            and not worker.may_send(now)
+            and workers.can_start_once_free(worker, item, now)
+        )
+        expected = (
+            (
+                worker.sends.turn_wait_s(now),
+                worker,
+                worker.pace.expected_s(events, now),
+            )
+            for worker in limited
+        )
+        ends_s, worker = min(
+            (
+                (wait_s + run_s, worker)
+                for wait_s, worker, run_s in expected
+                if run_s is not None
+            ),
+            key=lambda pair: pair[0],
+            default=(expected_s, None),
+        )
+        if ends_s + MIN_WAIT_GAIN_S > expected_s:
+            return False
+        worker.sends.await_turn()
+        return True
+
 
 def _pace_step(expected_s, shortest_s):
     """Return a replica's expected time in fractions of the shortest one."""
@@ -278,11 +337,12 @@
 
 def _sort_key(candidate, demand):
     """Return the sort key of a candidate replica; the lowest is chosen."""
-    step, load, name, _, worker = candidate
+    step, is_cold, load, name, _, worker = candidate
     peak_share = worker.memory.peak_share(demand)
     return (
         peak_share > memory.MAX_PEAK_SHARE,
         step,
+        is_cold,
         max(load, worker.round_down_to_slots(peak_share)),
         not worker.memory.has_shared_prompt(demand.shared_id),
         name,
--- a/packages/decisions/anvilwell_decisions/batches/move_selection.py
+++ b/packages/decisions/anvilwell_decisions/batches/move_selection.py
@@ -173,10 +173,15 @@
 
     def _has_free_slot(self, target, run):
         replica_id = target.replica.replica_id
-        free_slots = self._free_slots_by_id.get(replica_id, target.free_slots)
+        free_slots = self._free_slots(target)
         return replica_id != run.replica_id and free_slots > 0
 
+    def _free_slots(self, target):
+        return self._free_slots_by_id.get(
+            target.replica.replica_id, target.available_slots(self._now)
+        )
+
     def _take_slot(self, target):
         replica_id = target.replica.replica_id
-        free_slots = self._free_slots_by_id.get(replica_id, target.free_slots)
+        free_slots = self._free_slots(target)
         self._free_slots_by_id[replica_id] = free_slots - 1
--- a/packages/decisions/anvilwell_decisions/batches/slots.py
+++ b/packages/decisions/anvilwell_decisions/batches/slots.py
@@ -62,6 +62,11 @@
     return max(1, min(models, math.ceil(items / home_capacity)))
 
 
+def choose_owner(replica_id, homes):
+    """Return the home that a replica is assigned to, None without homes."""
+    return rendezvous.choose_vm(f"places of {replica_id}", homes)
+
+
 class SlotRequest(typing.NamedTuple):
     """A borrower's request to a lender for slots of one service.
 
@@ -118,9 +123,7 @@
         """Return the home that a replica is assigned to."""
         owner = self._owners_by_replica.get(replica_id)
         if owner is None:
-            owner = rendezvous.choose_vm(
-                f"places of {replica_id}", self._homes
-            )
+            owner = choose_owner(replica_id, self._homes)
             self._owners_by_replica[replica_id] = owner
         return owner
 
@@ -136,7 +139,11 @@
         owner = self.owner(replica_id)
         if owner == self._vm_id:
             return slots - self._lent_slots(replica_id, now)
-        loan = self._borrowed_by_lender.get(owner)
+        return self.borrowed(replica_id, now)
+
+    def borrowed(self, replica_id, now):
+        """Return how many of a replica's slots its owner lends this home."""
+        loan = self._borrowed_by_lender.get(self.owner(replica_id))
         if loan is None or loan.until <= now:
             return 0
         return loan.counts_by_replica.get(replica_id, 0)
--- a/packages/decisions/anvilwell_decisions/batches/workers.py
+++ b/packages/decisions/anvilwell_decisions/batches/workers.py
@@ -14,6 +14,8 @@
         self.limit = None
         self.clear_runs({})
         self.not_before = 0.0
+        # `send_windows.ReplicaSends` of a replica that may be cold, else None.
+        self.sends = None
         self.pace = paces.Pace(slowdowns)
         self._version_by_model = {}
         self.update_versions(replica.versions)
@@ -47,6 +49,21 @@
         slots = max(1, self.replica.slots)
         return (slots if self.limit is None else self.limit) - self.running
 
+    @property
+    def is_cold(self):
+        """Whether the replica counts as cold."""
+        return self.sends is not None and self.sends.is_cold
+
+    def may_send(self, now):
+        """Return whether the replica may be sent one more request."""
+        return self.sends is None or self.sends.may_send(now)
+
+    def available_slots(self, now):
+        """Return how many items may be sent to free slots now."""
+        if self.sends is None:
+            return self.free_slots
+        return min(self.free_slots, self.sends.spare(now))
+
     def update_versions(self, versions):
         """Record `facts.ModelVersion`s; lower versions are ignored."""
         for model, version in versions:
@@ -69,11 +86,18 @@
 
 def can_start(worker, item, now):
     """Return whether `worker` can start a `WaitingItem` or `Run` now."""
-    return worker.free_slots > 0 and can_start_once_free(worker, item, now)
+    return (
+        worker.free_slots > 0
+        and can_start_once_free(worker, item, now)
+        and worker.may_send(now)
+    )
 
 
 def can_start_once_free(worker, item, now):
-    """Return whether `worker` could start the item given a free slot."""
+    """Return whether `worker` could start the item given a free slot.
+
+    It may also have to wait until the replica may be sent a request.
+    """
     replica = worker.replica
     return (
         replica.service == item.service
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -25,7 +25,11 @@
 FIRST_FAILURE_STATUS = 500
 # Refusals after which the chosen replica did not receive the request.
 _NOT_REACHED_REASONS = frozenset(
-    (reasons.Refusal.CONNECT_FAILED, reasons.Refusal.OTHER_REPLICA)
+    (
+        reasons.Refusal.CONNECT_FAILED,
+        reasons.Refusal.OTHER_REPLICA,
+        reasons.Refusal.COLD_LIMIT,
+    )
 )
 _RETRIES_BY_REFUSAL = {
     reasons.Refusal.CONNECT_FAILED: reasons.Retry.CONNECT_FAILED,
@@ -79,6 +83,8 @@
         # How long the entries that grant trials hold the request back, in
         # seconds.
         self._trial_wait_s = 0.0
+        # Permits to send the request to replicas that may be cold.
+        self._permits_by_id = {}
         self.tried_replica_ids = []
         # Number of replicas that answered 500: they ran the request and
         # failed.
@@ -249,11 +255,7 @@
             return None
         if self._held_back_s:
             return None
-        wanted = request_facts.RequestFacts(
-            self._call.request_id, excluded=frozenset(self.tried_replica_ids)
-        )
-        policy = self._forwarder.policy(self._service)
-        replica_id = policy.choose(wanted, self._loop.time())
+        replica_id = self._choose_id()
         replica = replica_id and self._forwarder.replica(replica_id)
         if not replica:
             return None
@@ -263,6 +265,23 @@
         self.tried_replica_ids.append(replica_id)
         return replica
 
+    def _choose_id(self):
+        """Return the id of a replica that may be sent the request, or None.
+
+        Warm replicas are preferred to cold ones.
+        """
+        policy = self._forwarder.policy(self._service)
+        for excluded in self._forwarder.cold_replicas.exclusions(
+            self._service, frozenset(self.tried_replica_ids)
+        ):
+            wanted = request_facts.RequestFacts(
+                self._call.request_id, excluded=excluded
+            )
+            replica_id = policy.choose(wanted, self._loop.time())
+            if replica_id is not None:
+                return replica_id
+        return None
+
     async def _attempt(self, replica):
         """Make one attempt; find out whether a cut response was a crash.
 
@@ -271,7 +290,9 @@
         """
         tracker = self._forwarder.crash_tracker
         try:
-            answer = await self._ask(replica)
+            with self._forwarder.cold_replicas.permit(replica) as permit:
+                self._permits_by_id[replica.replica_id] = permit
+                answer = await self._ask(replica)
         except exceptions.BackendFailed as error:
             if error.reason is reasons.Refusal.ANSWER_CUT:
                 await tracker.note_cut(self.fingerprint, replica)
@@ -303,6 +324,7 @@
                 self._call,
                 self._request,
                 self._deadline - started_at,
+                self._permits_by_id[replica.replica_id],
             )
             failed = response.status >= FIRST_FAILURE_STATUS
             return response
@@ -410,6 +432,7 @@
                 verdict=self._verdict,
                 retry_after=self._held_back_s,
             )
+        self._check_cold_limit()
         if self._last_error is None:
             raise exceptions.Refused(
                 f"no replica of {self._service} is available",
@@ -421,6 +444,20 @@
             verdict=self._verdict,
         )
 
+    def _check_cold_limit(self):
+        """Raise if no replica was tried as all are at their limit."""
+        if self._sent_count or not self._may_repeat:
+            return
+        wait_s = self._forwarder.cold_replicas.wait_s(self._service)
+        if wait_s is not None:
+            raise exceptions.Refused(
+                f"replicas of {self._service} may be cold, and have been sent "
+                "as many requests as they may",
+                reason=reasons.Refusal.COLD_LIMIT,
+                verdict=self._verdict,
+                retry_after=wait_s,
+            )
+
 
 def _limit(route, call):
     """Return a request's time limit, in seconds, and where it comes from."""
--- a/packages/gateway/anvilwell_gateway/batches/manager.py
+++ b/packages/gateway/anvilwell_gateway/batches/manager.py
@@ -40,6 +40,8 @@
         Tracks the items that crash replicas.
     slot_sharing : slot_sharing.SlotSharing
         Determines which slots this entry may use.
+    cold_replicas : cold_replicas.ColdReplicas, optional
+        Limits the items sent to replicas that may be cold.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         dialect,
         crash_tracker,
         slot_sharing,
+        cold_replicas=None,
     ):
         self._store = batch_store
         self._configuration = configuration
@@ -70,6 +73,7 @@
             self._scoring_scheduler.schedule,
             crash_tracker,
             slot_sharing,
+            cold_replicas,
         )
 
     def gauge_values(self):
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -17,7 +17,8 @@
 
     ``OTHER_REPLICA`` means that another replica answers at the address,
     ``TOO_OLD`` that the version does not satisfy the bounds of the batch, and
-    ``IMPOSSIBLE`` that the replica rejected the item itself.
+    ``IMPOSSIBLE`` that the replica rejected the item itself. With
+    ``HELD_BACK`` the item was not sent, as the replica may be cold.
     """
 
     WHOLE = "whole"
@@ -30,6 +31,7 @@
     UNREACHABLE = "unreachable"
     STALLED = "stalled"
     STOPPED = "stopped"
+    HELD_BACK = "held-back"
 
 
 class RunResult(typing.NamedTuple):
@@ -47,7 +49,10 @@
 
 
 class RunRequest(typing.NamedTuple):
-    """An item to run, its text so far, and the bounds of its run."""
+    """An item to run, its text so far, and the bounds of its run.
+
+    ``permit`` is the `send_windows.Permit` for a replica that may be cold.
+    """
 
     item: typing.Any
     host: str
@@ -56,6 +61,7 @@
     one_version: bool
     timeout_s: float
     organisation: str = ""
+    permit: typing.Any = None
 
 
 class Runner:
@@ -125,6 +131,9 @@
             run_request.progress.last_number,
             run_request.organisation,
         )
+        permit = run_request.permit
+        if permit and not permit.use(asyncio.get_running_loop().time()):
+            return None, RunResult(RunEnd.HELD_BACK)
         connection.send(
             "POST", run_request.item.target, headers, run_request.item.body
         )
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -64,6 +64,8 @@
         Tracks the items that crash replicas.
     slot_sharing : slot_sharings.SlotSharing
         Determines which slots this entry may use.
+    cold_replicas : cold_replicas.ColdReplicas, optional
+        Limits the items sent to replicas that may be cold.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         on_text_complete,
         crash_tracker,
         slot_sharing,
+        cold_replicas=None,
     ):
         self._crash_tracker = crash_tracker
         self._directory = directory
@@ -82,7 +85,9 @@
         self._runner = runner
         self._batches_by_id = batches_by_id
         self._on_text_complete = on_text_complete
-        self._dispatcher = dispatches.Dispatcher()
+        self._dispatcher = dispatches.Dispatcher(
+            cold_replicas and cold_replicas.sends
+        )
         self._move_history = moves.MoveHistory()
         self._slot_sharing = slot_sharing
         slot_sharing.usage_of = self._slot_usage
@@ -100,7 +105,7 @@
         self._next_pass_at = float("-inf")
         self._timer = timers.Timer(self.schedule)
         directory.listen(self._replicas_changed)
-        configuration.listen(self.schedule)
+        configuration.listen(self._configuration_changed)
 
     def stop(self):
         """Start no more runs."""
@@ -114,6 +119,11 @@
         else:
             self._timer.schedule_within(NOTICE_DELAY_S)
 
+    def _configuration_changed(self):
+        """Run a pass; services may have limits for cold replicas now."""
+        self._needs_full_update = True
+        self.schedule()
+
     def schedule(self):
         """Run a pass now: start and move all items that can start or move."""
         self._timer.cancel()
@@ -326,7 +336,7 @@
         batch = self._batches_by_id[waiting_item.batch_id]
         batch.state.mark_running(waiting_item.item_id)
         worker = self._dispatcher.worker(replica_id)
-        self._dispatcher.record_assignment(waiting_item, replica_id)
+        permit = self._dispatcher.record_assignment(waiting_item, replica_id)
         progress = batch.state.progress_by_id[waiting_item.item_id]
         if not batch.route.is_resumable:
             progress.restart()
@@ -345,12 +355,16 @@
                 waiting_item.batch_id, waiting_item.item_id
             ),
         )
-        task = asyncio.create_task(self._run(batch, waiting_item, worker))
+        task = asyncio.create_task(
+            self._run(batch, waiting_item, worker, permit)
+        )
         # The slot is released by a callback, as a task that is cancelled
         # before its first step never runs its own code.
         task.add_done_callback(
             functools.partial(self._release_slot, batch, waiting_item, worker)
         )
+        if permit is not None:
+            task.add_done_callback(lambda _: permit.close())
         batch.tasks_by_item[waiting_item.item_id] = task
         return True
 
@@ -370,7 +384,7 @@
             )
         self._schedule_soon()
 
-    async def _run(self, batch, waiting_item, worker):
+    async def _run(self, batch, waiting_item, worker, permit):
         progress = batch.state.progress_by_id[waiting_item.item_id]
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -383,6 +397,7 @@
             batch.route.one_version,
             max(0.0, batch.abandon_at - started_at),
             batch.submission.organisation,
+            permit,
         )
         result = runners.RunResult(runners.RunEnd.STOPPED)
         try:
@@ -434,6 +449,8 @@
             batch.has_new_results.set()
             self._on_text_complete()
             return
+        if result.end is runners.RunEnd.HELD_BACK:
+            return
         counters.count_retry(_RETRIES_BY_END[result.end], waiting_item.service)
         if result.end is runners.RunEnd.FAILED:
             state.count_failure(waiting_item.item_id)
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -58,7 +58,10 @@
             platform.dialect,
             live_calls.crash_tracker,
             self.slot_sharing,
+            live_calls.cold_replicas,
         )
+        live_calls.cold_replicas.homes_of = homes.all
+        live_calls.cold_replicas.borrowed_slots = self.slot_sharing.borrowed
         fleet.store.listen_regained(self.manager.retry_failed_saves)
         self.notices = notices.NoticeHandler(
             fleet.directory,
--- a/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
+++ b/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
@@ -87,6 +87,13 @@
         now = asyncio.get_running_loop().time()
         return service_slots.limit(replica.replica_id, replica.slots, now)
 
+    def borrowed(self, service, replica_id, now):
+        """Return how many of a replica's slots its owner lends this home."""
+        service_slots = self._slots_by_service.get(service)
+        if service_slots is None:
+            return 0
+        return service_slots.borrowed(replica_id, now)
+
     def is_split(self, service):
         """Return whether a service has several homes."""
         service_slots = self._slots_by_service.get(service)
@@ -165,7 +172,7 @@
             if service_slots.owner(worker.replica.replica_id) == self._vm_id
         ]
         free_slots_by_replica = {
-            worker.replica.replica_id: worker.free_slots
+            worker.replica.replica_id: worker.available_slots(now)
             for worker in own
             if not usage.waiting and worker.not_before <= now
         }
@@ -173,6 +180,12 @@
         counts_by_replica = service_slots.lend(
             slot_request, slots, free_slots_by_replica, now
         )
+        for worker in own:
+            lent = counts_by_replica.get(worker.replica.replica_id, 0)
+            if worker.sends is not None and lent:
+                worker.sends.lend(
+                    slot_request.borrower, lent, now + home_slots.LOAN_S
+                )
         _LOG.routine(
             "places-lent",
             borrower=slot_request.borrower,
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -48,6 +48,8 @@
         The configuration in force, whose version is logged.
     crash_tracker : crash_tracker.CrashTracker
         Records which requests crash replicas.
+    cold_replicas : cold_replicas.ColdReplicas
+        Limits the requests to replicas that may be cold.
     count_start : callable
         Called with the organisation and the time of each request that a
         replica started, to count its usage.
@@ -60,11 +62,13 @@
         pool,
         configuration,
         crash_tracker,
+        cold_replicas,
         count_start,
         rng=None,
     ):
         self.count_start = count_start
         self.crash_tracker = crash_tracker
+        self.cold_replicas = cold_replicas
         self._configuration = configuration
         self._dialect = dialect
         self._directory = directory
@@ -217,7 +221,9 @@
         """Return the registered `facts.Replica` with this id, or None."""
         return self._directory.replicas_by_id.get(replica_id)
 
-    async def fetch_response(self, replica, route, call, request, timeout_s):
+    async def fetch_response(
+        self, replica, route, call, request, timeout_s, permit=None
+    ):
         """Return the whole response of one replica.
 
         Returns
@@ -232,7 +238,7 @@
         connection = await self.connect(replica)
         try:
             reply = await self.send_request(
-                connection, replica, call, request, timeout_s
+                connection, replica, call, request, timeout_s, permit=permit
             )
             body = await connection.read_body(MAX_BUFFERED_BYTES)
         except BaseException:
@@ -254,7 +260,14 @@
         return self._dialect.read_event(block)
 
     async def send_request(
-        self, connection, replica, call, request, timeout_s, resume_after=0
+        self,
+        connection,
+        replica,
+        call,
+        request,
+        timeout_s,
+        resume_after=0,
+        permit=None,
     ):
         """Send a request on a connection and return the response's head.
 
@@ -262,6 +275,8 @@
         ----------
         resume_after : int
             Number of the last event that the caller received of a stream.
+        permit : cold_replicas.Permit, optional
+            Permit to send the request, if the replica may be cold.
 
         Returns
         -------
@@ -272,6 +287,8 @@
         exceptions.BackendFailed
             Its verdict says whether the replica may have run the request.
         """
+        if permit is not None:
+            permit.use()
         connection.send(
             request.method,
             request.target,
--- a/packages/gateway/anvilwell_gateway/live_calls.py
+++ b/packages/gateway/anvilwell_gateway/live_calls.py
@@ -5,6 +5,7 @@
 """
 
 from anvilwell_gateway import admission
+from anvilwell_gateway import cold_replicas
 from anvilwell_gateway import crash_tracker
 from anvilwell_gateway.duties import usage_accounting
 from anvilwell_gateway import forwarding
@@ -42,6 +43,14 @@
             crash_tracker.PREFIX, self.crash_tracker
         )
         fleet.cluster_state.listen_entries(self.crash_tracker.entries_changed)
+        self.cold_replicas = cold_replicas.ColdReplicas(
+            settings.cold_replicas,
+            fleet.vm_id,
+            fleet.configuration,
+            fleet.directory,
+            fleet.cluster_state,
+            fleet.presence,
+        )
         self.usage = usage_accounting.build(
             settings, platform, fleet.presence, fleet.cluster_state
         )
@@ -51,6 +60,7 @@
             pool,
             fleet.configuration,
             self.crash_tracker,
+            self.cold_replicas,
             self.usage.count_request,
         )
 
@@ -81,4 +91,8 @@
 
     def gauge_values(self):
         """Return the current `measures.GaugeValue` list of live calls."""
-        return [*self.crash_tracker.gauge_values(), *self.usage.gauge_values()]
+        return [
+            *self.crash_tracker.gauge_values(),
+            *self.cold_replicas.gauge_values(),
+            *self.usage.gauge_values(),
+        ]
--- a/packages/gateway/anvilwell_gateway/measures.py
+++ b/packages/gateway/anvilwell_gateway/measures.py
@@ -41,6 +41,11 @@
     unit="s",
     description="Seconds that moves of items saved, less those they cost",
 )
+COLD_LIMITS = _METER.create_counter(
+    "anvilwell_cold_limits",
+    unit="1",
+    description="Times that a replica's limit held requests back, by service",
+)
 GAUGES_BY_NAME = {
     name: _METER.create_gauge(f"anvilwell_{name}", description=description)
     for name, description in (
@@ -51,6 +56,7 @@
         ("store_through_peer", "Whether a peer relays calls to the store"),
         ("peers", "Live entries"),
         ("replicas", "Replicas that accept new work, by service"),
+        ("cold_replicas", "Replicas that count as cold, by service"),
         ("batches", "Batches that this entry owns"),
         ("bytes_held", "Bytes buffered for slow callers and peers"),
         ("items_waiting", "Items of these batches that wait for a replica"),
@@ -86,6 +92,11 @@
         GAUGES_BY_NAME[value.name].set(value.value, labels)
 
 
+def count_cold_limit(service):
+    """Count that requests wait for a replica that may be cold."""
+    COLD_LIMITS.add(1, {"service": service})
+
+
 def count_move(gained_s):
     """Count a completed item that moved, and the seconds that it gained."""
     MOVES.add(1, {"end": "gained" if gained_s > 0 else "lost"})
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -165,6 +165,7 @@
                 self._request,
                 self._deadline - self._loop.time(),
                 self._last_number,
+                self._permits_by_id[replica.replica_id],
             )
 
     def _stall_s(self):
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -51,7 +51,7 @@
     async def scenario():
         directory, pool = _Directory(), _Pool()
         forwarder = forwarding.Forwarder(
-            None, directory, pool, None, None, None
+            None, directory, pool, None, None, None, None
         )
         directory.add("r1", "lm")
         policy = forwarder.policy("lm")
--- a/packages/kernel/anvilwell_kernel/reasons.py
+++ b/packages/kernel/anvilwell_kernel/reasons.py
@@ -40,6 +40,7 @@
     FORBIDDEN = "forbidden"
     UNKNOWN_KEY = "unknown-key"
     QUARANTINED = "quarantined"
+    COLD_LIMIT = "cold-limit"
 
 
 class Retry(enum.StrEnum):
