--- a/packages/decisions/anvilwell_decisions/batches/slots.py
+++ b/packages/decisions/anvilwell_decisions/batches/slots.py
@@ -110,6 +110,10 @@
             return ()
         return tuple(home for home in self._homes if home != self._vm_id)
 
+    def lenders_to_guest(self):
+        """Return the homes if this VM is not one of them, else ()."""
+        return () if self._vm_id in self._homes else self._homes
+
     def set_homes(self, homes):
         """Set the service's homes; a change drops all loans."""
         if homes == self._homes:
--- a/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
+++ b/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
@@ -101,12 +101,19 @@
 
     def request_slots(self, service):
         """Request slots from other homes; report which of theirs are used."""
-        if not self.is_split(service):
+        service_slots = self._slots_by_service.get(service)
+        if service_slots is None or not (
+            service_slots.lenders or service_slots.lenders_to_guest()
+        ):
             return
         now = asyncio.get_running_loop().time()
         usage = self.usage_of(service)
-        service_slots = self._slots_by_service[service]
-        using_by_lender = {lender: {} for lender in service_slots.lenders}
+        lenders = service_slots.lenders
+        if _has_limits(usage):
+            # An entry that isn't a home may send little to replicas that may
+            # be cold, unless their owners lend it slots.
+            lenders = service_slots.lenders_to_guest() or lenders
+        using_by_lender = {lender: {} for lender in lenders}
         for worker in usage.workers:
             replica_id = worker.replica.replica_id
             owner = service_slots.owner(replica_id)
@@ -215,3 +222,8 @@
         for task in self._tasks:
             task.cancel()
         self._pool.close()
+
+
+def _has_limits(usage):
+    """Return whether the replicas of a `SlotUsage` may be cold."""
+    return any(worker.sends is not None for worker in usage.workers)
--- a/packages/gateway/tests/batches/test_slot_sharing.py
+++ b/packages/gateway/tests/batches/test_slot_sharing.py
@@ -4,6 +4,7 @@
 import types
 
 from anvilwell_decisions.batches import dispatch as dispatches
+from anvilwell_decisions.requests import send_windows
 from anvilwell_decisions.traffic import facts
 from anvilwell_gateway.batches import slot_sharing
 from anvilwell_gateway.http import messages
@@ -49,7 +50,7 @@
 class _Home:
     """One home's dispatcher and slot sharing, and its waiting items."""
 
-    def __init__(self, vm_id, peers_by_vm, homes):
+    def __init__(self, vm_id, peers_by_vm, homes, sends_of):
         cluster_state = types.SimpleNamespace(
             addresses_by_vm=dict.fromkeys(homes, "10.0.0.1:1")
         )
@@ -59,7 +60,7 @@
             types.SimpleNamespace(all=lambda service: homes),
         )
         self.pool = self.slot_sharing._pool = _Pool(peers_by_vm)
-        self.dispatch = dispatches.Dispatcher()
+        self.dispatch = dispatches.Dispatcher(sends_of)
         self.dispatch.set_replicas(REPLICAS)
         self.waiting = 0
         self.slot_sharing.usage_of = lambda service: slot_sharing.SlotUsage(
@@ -81,11 +82,14 @@
         return free
 
 
-def _run(scenario, homes=("a", "b")):
+def _run(scenario, homes=("a", "b"), sends_of=None):
     async def run():
         peers_by_vm = {}
         return await scenario(
-            *(_Home(vm_id, peers_by_vm, homes) for vm_id in ("a", "b"))
+            *(
+                _Home(vm_id, peers_by_vm, homes, sends_of)
+                for vm_id in ("a", "b")
+            )
         )
 
     return asyncio.run(run())
@@ -146,3 +150,30 @@
         assert not a.pool.call_count
 
     _run(scenario)
+
+
+def test_lent_slots_of_replicas_that_may_be_cold_carry_requests():
+    """Guard against more requests of lender and borrower than of one."""
+
+    def sends_of(replica):
+        return send_windows.ReplicaSends(
+            send_windows.SendWindow(), lambda now: 2, lambda: True
+        )
+
+    async def scenario(a, b):
+        now = asyncio.get_running_loop().time()
+        b.waiting = 20
+        await _ask(b)
+        borrowed = [
+            b.slot_sharing.borrowed("lm", replica.replica_id, now)
+            for replica in REPLICAS
+        ]
+        spare = [
+            worker.sends.spare(now + 0.1)
+            for worker in a.dispatch.workers("lm")
+        ]
+        assert sum(borrowed) > 0
+        assert sum(borrowed) + sum(spare) == 2 * len(REPLICAS)
+
+    _run(scenario, ("a",), sends_of)
+    _run(scenario, ("a", "b"), sends_of)
