--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -90,6 +90,8 @@
 
     def __init__(self, sends_of=None):
         self._sends_of = sends_of
+        # Services with replicas that may be cold.
+        self._limited_services = set()
         self._workers_by_id = {}
         self._shortlists = shortlists.Shortlists()
         # Workers with runs; a worker is listed once for each of its runs.
@@ -150,6 +152,8 @@
             worker.clear_runs(self._tokens_by_service)
         worker.replica = replica
         worker.sends = self._sends_of and self._sends_of(replica)
+        if worker.sends is not None:
+            self._limited_services.add(replica.service)
         worker.update_versions(replica.versions)
         return worker
 
@@ -295,7 +299,7 @@
         requests as it may be, and would complete the text earlier. The turn
         is reserved.
         """
-        if self._sends_of is None:
+        if item.service not in self._limited_services:
             return False
         limited = (
             worker
