Don't count requests that the limit held back as failures of a replica

Cause: a request whose permit was lost while its connection opened ended its attempt as a failure, and three of these eject a replica that was never asked.

Change: attempts and streams that end with cold-limit count as no failure.

Result: tests of live calls, streams, scoring and the gateway pass.

--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -330,6 +330,8 @@
             return response
         except exceptions.AnvilwellError as error:
             verdict = error.verdict
+            # A request that was held back says nothing about the replica.
+            failed = error.reason is not reasons.Refusal.COLD_LIMIT
             raise
         except asyncio.CancelledError:
             # The attempt was cancelled by the response to another attempt, by
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -146,6 +146,9 @@
             raise client.call_error(
                 "the replica stopped sending", reasons.Refusal.DEADLINE
             ) from None
+        except exceptions.AnvilwellError as error:
+            failed = error.reason is not reasons.Refusal.COLD_LIMIT
+            raise
         except (asyncio.CancelledError, _ReplicaReleased):
             failed = False
             raise
