--- a/packages/bench/anvilwell_bench/virtual/cold_replicas.py
+++ b/packages/bench/anvilwell_bench/virtual/cold_replicas.py
@@ -108,18 +108,29 @@
             self.views.pop(0)
         since, vm_ids, home = self.views[0]
         self._ownership.set_homes((home,), since)
-        owner = home if shares.owner else None
+        return cold_allowances.Sender(
+            self._ownership.owned_since(REPLICA) if shares.owner else None,
+            now < self.contact_until,
+            float("-inf"),
+            other_share=self._other_share(shares, vm_ids, home),
+        )
+
+    def _other_share(self, shares, vm_ids, home):
         key = (home, shares)
         if key not in self._shares:
+            owner = home if shares.owner else None
             others = [one for one in vm_ids if one != owner]
             self._shares[key] = cold_allowances.other_share(
                 self.vm_id, REPLICA, others, shares.others
             )
-        return cold_allowances.Sender(
-            self._ownership.owned_since(REPLICA) if shares.owner else None,
-            now < self.contact_until,
-            float("-inf"),
-            other_share=self._shares[key],
+        return self._shares[key]
+
+    def may_send(self, approach):
+        """Return whether the entry may send anything in any of its views."""
+        return any(
+            home == self.vm_id or self._other_share(shares, vm_ids, home)
+            for _, vm_ids, home in self.views
+            for shares in (approach.warm, approach.cold)
         )
 
 
@@ -135,7 +146,11 @@
     )
     entries = [_Entry(vm_id, vm_ids, rng) for vm_id in vm_ids]
     _apply_fault(entries, scenario, rng)
-    senders = entries[:1] if only_home else entries
+    senders = [
+        entry
+        for entry in (entries[:1] if only_home else entries)
+        if entry.may_send(approach)
+    ]
     times = []
     for tick in range(int(END_S / TICK_S)):
         now = tick * TICK_S
