--- a/packages/decisions/anvilwell_decisions/batches/slots.py
+++ b/packages/decisions/anvilwell_decisions/batches/slots.py
@@ -62,6 +62,28 @@
     return max(1, min(models, math.ceil(items / home_capacity)))
 
 
+def choose_owner(replica_id, homes, failure_domain="", domains_by_home=None):
+    """Return the home that a replica is assigned to, None without homes.
+
+    Parameters
+    ----------
+    replica_id, failure_domain : str
+        The replica and its failure domain.
+    homes : iterable of str
+        The VMs of the homes.
+    domains_by_home : dict, optional
+        The failure domains of the replicas that some homes can use, as a set;
+        other homes can use all replicas.
+    """
+    limits = domains_by_home or {}
+    able = [
+        home
+        for home in homes
+        if home not in limits or failure_domain in limits[home]
+    ]
+    return rendezvous.choose_vm(f"places of {replica_id}", able)
+
+
 class SlotRequest(typing.NamedTuple):
     """A borrower's request to a lender for slots of one service.
 
@@ -112,6 +134,10 @@
             return ()
         return tuple(home for home in self._homes if home != self._vm_id)
 
+    def lenders_to_guest(self):
+        """Return the homes if this VM is not one of them, else ()."""
+        return () if self._vm_id in self._homes else self._homes
+
     def set_homes(self, homes, domains_by_home=None):
         """Set the service's homes; a change drops all loans.
 
@@ -136,13 +162,9 @@
         """Return the home that a replica is assigned to."""
         owner = self._owners_by_replica.get(replica_id)
         if owner is None:
-            limits = self._domains_by_home
-            homes = [
-                home
-                for home in self._homes
-                if home not in limits or failure_domain in limits[home]
-            ]
-            owner = rendezvous.choose_vm(f"places of {replica_id}", homes)
+            owner = choose_owner(
+                replica_id, self._homes, failure_domain, self._domains_by_home
+            )
             self._owners_by_replica[replica_id] = owner
         return owner
 
@@ -158,6 +180,11 @@
         owner = self.owner(replica_id, failure_domain)
         if owner == self._vm_id:
             return slots - self._lent_slots(replica_id, now)
+        return self.borrowed(replica_id, now, failure_domain)
+
+    def borrowed(self, replica_id, now, failure_domain=""):
+        """Return how many of a replica's slots its owner lends this home."""
+        owner = self.owner(replica_id, failure_domain)
         loan = self._borrowed_by_lender.get(owner)
         if loan is None or loan.until <= now:
             return 0
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -23,12 +23,16 @@
 RETURN_MARGIN_S = 0.005
 # Lowest HTTP status that says that the replica failed the request.
 FIRST_FAILURE_STATUS = 500
+# Refusals by this entry itself before a request is sent to a replica.
+HELD_BACK_REASONS = frozenset(
+    (reasons.Refusal.COLD_LIMIT, reasons.Refusal.EVACUATED)
+)
 # Refusals after which the chosen replica did not receive the request.
 _NOT_REACHED_REASONS = frozenset(
     (
         reasons.Refusal.CONNECT_FAILED,
-        reasons.Refusal.EVACUATED,
         reasons.Refusal.OTHER_REPLICA,
+        *HELD_BACK_REASONS,
     )
 )
 _RETRIES_BY_REFUSAL = {
@@ -84,6 +88,8 @@
         # How long the entries that grant trials hold the request back, in
         # seconds.
         self._trial_wait_s = 0.0
+        # Permits to send the request to replicas that may be cold.
+        self._permits_by_id = {}
         self.tried_replica_ids = []
         # Number of replicas that answered 500: they ran the request and
         # failed.
@@ -254,14 +260,7 @@
             return None
         if self._held_back_s:
             return None
-        wanted = request_facts.RequestFacts(
-            self._call.request_id,
-            excluded=frozenset(
-                (*self.tried_replica_ids, *self._not_allowed_ids())
-            ),
-        )
-        policy = self._forwarder.policy(self._service)
-        replica_id = policy.choose(wanted, self._loop.time())
+        replica_id = self._choose_id()
         replica = replica_id and self._forwarder.replica(replica_id)
         if not replica:
             return None
@@ -271,6 +270,27 @@
         self.tried_replica_ids.append(replica_id)
         return replica
 
+    def _choose_id(self):
+        """Return the id of a replica that may be sent the request, or None.
+
+        Warm replicas are preferred to cold ones.
+        """
+        policy = self._forwarder.policy(self._service)
+        for excluded in self._forwarder.cold_replicas.exclusions(
+            self._service, self._excluded_ids()
+        ):
+            wanted = request_facts.RequestFacts(
+                self._call.request_id, excluded=excluded
+            )
+            replica_id = policy.choose(wanted, self._loop.time())
+            if replica_id is not None:
+                return replica_id
+        return None
+
+    def _excluded_ids(self):
+        """Return the replicas that were tried or that no list allows."""
+        return frozenset((*self.tried_replica_ids, *self._not_allowed_ids()))
+
     def _not_allowed_ids(self):
         """Return the replicas that the lists in force don't allow."""
         return self._forwarder.not_allowed_ids(
@@ -285,7 +305,9 @@
         """
         tracker = self._forwarder.crash_tracker
         try:
-            answer = await self._ask(replica)
+            with self._forwarder.cold_replicas.permit(replica) as permit:
+                self._permits_by_id[replica.replica_id] = permit
+                answer = await self._ask(replica)
         except exceptions.BackendFailed as error:
             if error.reason is reasons.Refusal.ANSWER_CUT:
                 await tracker.note_cut(self.fingerprint, replica)
@@ -317,12 +339,14 @@
                 self._call,
                 self._request,
                 self._deadline - started_at,
+                self._permits_by_id[replica.replica_id],
             )
             failed = response.status >= FIRST_FAILURE_STATUS
             return response
         except exceptions.AnvilwellError as error:
             verdict = error.verdict
-            failed = error.reason is not reasons.Refusal.EVACUATED
+            # A request that was held back says nothing about the replica.
+            failed = error.reason not in HELD_BACK_REASONS
             raise
         except asyncio.CancelledError:
             # The attempt was cancelled by the response to another attempt, by
@@ -428,6 +452,7 @@
                 verdict=self._verdict,
                 retry_after=self._held_back_s,
             )
+        self._check_cold_limit()
         if self._last_error is None:
             raise exceptions.Refused(
                 f"no replica of {self._service} is available",
@@ -439,6 +464,20 @@
             verdict=self._verdict,
         )
 
+    def _check_cold_limit(self):
+        """Raise if no replica was tried as all are at their limit."""
+        if self._sent_count or not self._may_repeat:
+            return
+        wait_s = self._forwarder.cold_replicas.wait_s(self._service)
+        if wait_s is not None:
+            raise exceptions.Refused(
+                f"replicas of {self._service} may be cold, and have been sent "
+                "as many requests as they may",
+                reason=reasons.Refusal.COLD_LIMIT,
+                verdict=self._verdict,
+                retry_after=wait_s,
+            )
+
 
 def _limit(route, call):
     """Return a request's time limit, in seconds, and where it comes from."""
--- a/packages/gateway/anvilwell_gateway/batches/manager.py
+++ b/packages/gateway/anvilwell_gateway/batches/manager.py
@@ -44,6 +44,8 @@
         Determines which slots this entry may use.
     residency : residency.ResidencyRules, optional
         The allowed regions in force; without it all regions are allowed.
+    cold_replicas : cold_replicas.ColdReplicas, optional
+        Limits the items sent to replicas that may be cold.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         crash_tracker,
         slot_sharing,
         residency=None,
+        cold_replicas=None,
     ):
         self._residency = residency
         self._store = batch_store
@@ -85,6 +88,7 @@
             crash_tracker,
             slot_sharing,
             residency,
+            cold_replicas,
         )
 
     def gauge_values(self):
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -65,7 +65,11 @@
             live_calls.crash_tracker,
             self.slot_sharing,
             fleet.residency,
+            live_calls.cold_replicas,
         )
+        live_calls.cold_replicas.homes_of = homes.all
+        live_calls.cold_replicas.domains_by_home_of = homes.domains_by_home
+        live_calls.cold_replicas.borrowed_slots = self.slot_sharing.borrowed
         fleet.store.listen_regained(self.manager.retry_failed_saves)
         self.notices = notices.NoticeHandler(
             fleet.directory,
--- a/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
+++ b/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
@@ -93,6 +93,15 @@
             replica.replica_id, replica.slots, now, replica.failure_domain
         )
 
+    def borrowed(self, replica, now):
+        """Return how many of a replica's slots its owner lends this home."""
+        service_slots = self._slots_by_service.get(replica.service)
+        if service_slots is None:
+            return 0
+        return service_slots.borrowed(
+            replica.replica_id, now, replica.failure_domain
+        )
+
     def is_split(self, service):
         """Return whether a service has several homes."""
         service_slots = self._slots_by_service.get(service)
@@ -100,12 +109,19 @@
 
     def request_slots(self, service):
         """Request slots from other homes; report which of theirs are used."""
-        if not self.is_split(service):
+        service_slots = self._slots_by_service.get(service)
+        if service_slots is None or not (
+            service_slots.lenders or service_slots.lenders_to_guest()
+        ):
             return
         now = asyncio.get_running_loop().time()
         usage = self.usage_of(service)
-        service_slots = self._slots_by_service[service]
-        using_by_lender = {lender: {} for lender in service_slots.lenders}
+        lenders = service_slots.lenders
+        if _has_limits(usage):
+            # An entry that isn't a home may send little to replicas that may
+            # be cold, unless their owners lend it slots.
+            lenders = service_slots.lenders_to_guest() or lenders
+        using_by_lender = {lender: {} for lender in lenders}
         for worker in usage.workers:
             replica_id = worker.replica.replica_id
             owner = _owner(service_slots, worker)
@@ -178,7 +194,7 @@
             if _owner(service_slots, worker) == self._vm_id
         ]
         free_slots_by_replica = {
-            worker.replica.replica_id: worker.free_slots
+            worker.replica.replica_id: worker.available_slots(now)
             for worker in own
             if not usage.waiting
             and worker.not_before <= now
@@ -188,6 +204,12 @@
         counts_by_replica = service_slots.lend(
             slot_request, slots, free_slots_by_replica, now
         )
+        for worker in own:
+            lent = counts_by_replica.get(worker.replica.replica_id, 0)
+            if worker.sends is not None and lent:
+                worker.sends.lend(
+                    slot_request.borrower, lent, now + home_slots.LOAN_S
+                )
         _LOG.routine(
             "places-lent",
             borrower=slot_request.borrower,
@@ -223,3 +245,8 @@
     """Return the home that a worker's replica is assigned to."""
     replica = worker.replica
     return service_slots.owner(replica.replica_id, replica.failure_domain)
+
+
+def _has_limits(usage):
+    """Return whether the replicas of a `SlotUsage` may be cold."""
+    return any(worker.sends is not None for worker in usage.workers)
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -160,8 +160,8 @@
             raise client.call_error(
                 "the replica stopped sending", reasons.Refusal.DEADLINE
             ) from None
-        except exceptions.BackendFailed as error:
-            failed = error.reason is not reasons.Refusal.EVACUATED
+        except exceptions.AnvilwellError as error:
+            failed = error.reason not in attempts.HELD_BACK_REASONS
             raise
         except (asyncio.CancelledError, _ReplicaReleased):
             failed = False
@@ -182,6 +182,7 @@
                 self._request,
                 self._deadline - self._loop.time(),
                 self._last_number,
+                self._permits_by_id[replica.replica_id],
             )
 
     def _stall_s(self):
--- a/packages/gateway/tests/test_evacuations.py
+++ b/packages/gateway/tests/test_evacuations.py
@@ -120,7 +120,7 @@
         directory = _SmallDirectory()
         pool = _SlowPool(directory)
         forwarder = forwarding.Forwarder(
-            None, directory, pool, None, None, None
+            None, directory, pool, None, None, None, None
         )
         with pytest.raises(exceptions.BackendFailed) as caught:
             await forwarder.fetch_response(replica, None, None, None, 1.0)
--- a/packages/kernel/anvilwell_kernel/reasons.py
+++ b/packages/kernel/anvilwell_kernel/reasons.py
@@ -42,6 +42,7 @@
     UNKNOWN_KEY = "unknown-key"
     QUARANTINED = "quarantined"
     REGION_NOT_ALLOWED = "region-not-allowed"
+    COLD_LIMIT = "cold-limit"
 
 
 class Retry(enum.StrEnum):
