Count new connections to replicas by kind of work and reason

New connections to replicas are the largest cost on deployments with several regions, and nothing told why they are opened.

The pool now counts each new connection to a replica in anvilwell_new_connections, by kind of work (live call, item, scoring call) and reason, and logs it as connection-opened at routine level. Each lost connection explains one new connection to the same replica; a new connection without a loss was needed as all others were in use. Calls to other VMs and to the store pass no use and are not counted.

The check of the operators' page now also covers the reasons of new connections.

--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -8,6 +8,7 @@
 
 from anvilwell_decisions.requests import facts as request_facts
 from anvilwell_decisions.traffic import table
+from anvilwell_gateway.http import connection_records
 from anvilwell_gateway.http import messages
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -58,13 +59,18 @@
         The caller's request id and limits, read from the headers.
     request : messages.Request
         The request.
+    work : reasons.Work, optional
+        The kind of work, by which new connections are counted.
     """
 
-    def __init__(self, forwarder, route, call, request):
+    def __init__(
+        self, forwarder, route, call, request, work=reasons.Work.LIVE_CALL
+    ):
         self._forwarder = forwarder
         self._route = route
         self._call = call
         self._request = request
+        self._work = work
         self._service = table.choose_service(route, random)
         self._loop = asyncio.get_running_loop()
         self._limit_s, self._limit_source = _limit(route, call)
@@ -299,7 +305,7 @@
         try:
             response = await self._forwarder.fetch_response(
                 replica,
-                self._route,
+                self._use(replica),
                 self._call,
                 self._request,
                 self._deadline - started_at,
@@ -321,6 +327,12 @@
                 self._count_start(started_at)
             self._record_end(replica, started_at, failed, response is not None)
 
+    def _use(self, replica):
+        """Return the `connection_records.Use` of an attempt at a replica."""
+        return connection_records.Use.of_replica(
+            replica, self._work, len(self.tried_replica_ids) > 1
+        )
+
     def _record_start(self, replica):
         """Report the start of an attempt to the policy; return its time."""
         now = self._loop.time()
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -7,6 +7,7 @@
 from anvilwell_decisions.batches import progress as progresses
 from anvilwell_gateway import events
 from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_records
 from anvilwell_gateway.http import messages
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -93,7 +94,11 @@
         """
         try:
             connection = await self._pool.acquire(
-                replica.replica_id, replica.address
+                replica.replica_id,
+                replica.address,
+                use=connection_records.Use.of_replica(
+                    replica, reasons.Work.ITEM
+                ),
             )
         except exceptions.AnvilwellError as error:
             return RunResult(RunEnd.UNREACHABLE, cause=error.message)
--- a/packages/gateway/anvilwell_gateway/batches/scoring_scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scoring_scheduler.py
@@ -10,6 +10,7 @@
 from anvilwell_gateway import measures
 from anvilwell_gateway import timers
 from anvilwell_kernel import exceptions
+from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import logs
 from anvilwell_kernel import verdict as verdicts
 
@@ -189,7 +190,9 @@
             organisation=batch.submission.organisation,
         )
         call = dialects.RequestHead(scoring_call.call_id, limit_s)
-        return self._forwarder.attempts(route, call, request)
+        return self._forwarder.attempts(
+            route, call, request, reasons.Work.SCORING_CALL
+        )
 
     async def _seal(self, attempt, limiter):
         """Return the seal and ""; without a seal, "" and the cause."""
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -79,9 +79,9 @@
         )
         directory.listen(self._replicas_changed)
 
-    def attempts(self, route, call, request):
+    def attempts(self, route, call, request, work=reasons.Work.LIVE_CALL):
         """Return `attempts.Attempts` for a request that is not streamed."""
-        return attempts.Attempts(self, route, call, request)
+        return attempts.Attempts(self, route, call, request, work)
 
     async def forward(self, route, call, request, responder):
         """Send `request` to replicas and one whole response to the caller."""
@@ -217,9 +217,11 @@
         """Return the registered `facts.Replica` with this id, or None."""
         return self._directory.replicas_by_id.get(replica_id)
 
-    async def fetch_response(self, replica, route, call, request, timeout_s):
+    async def fetch_response(self, replica, use, call, request, timeout_s):
         """Return the whole response of one replica.
 
+        `use` is the `connection_records.Use` of a connection to it.
+
         Returns
         -------
         attempts.BufferedResponse
@@ -229,7 +231,7 @@
         exceptions.BackendFailed
             Its verdict says whether the replica may have run the request.
         """
-        connection = await self.connect(replica)
+        connection = await self.connect(replica, use)
         try:
             reply = await self.send_request(
                 connection, replica, call, request, timeout_s
@@ -241,9 +243,11 @@
         self.release(replica, connection, reply)
         return attempts.BufferedResponse(reply.status, reply.headers, body)
 
-    async def connect(self, replica):
-        """Return a connection to `replica`."""
-        return await self._pool.acquire(replica.replica_id, replica.address)
+    async def connect(self, replica, use):
+        """Return a connection to `replica` for a `connection_records.Use`."""
+        return await self._pool.acquire(
+            replica.replica_id, replica.address, use=use
+        )
 
     def release(self, replica, connection, reply):
         """Return a connection to the pool once its response is read whole."""
--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from anvilwell_gateway.http import connection_records
 from anvilwell_gateway.http import messages
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -29,6 +30,7 @@
 DEFAULT_KEEP_ALIVE_S = 4.0
 # Limit on the number of idle connections that are kept for one peer.
 MAX_IDLE_PER_PEER = 32
+_FIRST_ERROR_STATUS = 400
 # Socket options by which a connection fails after three seconds without a
 # reply to TCP keepalive probes. Otherwise a watch on a broken path would
 # hang for its whole 17 s.
@@ -69,7 +71,11 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._idle_watch = None
+        self._status = 0
+        self._is_cut = False
         self.usable_until = 0.0
+        # Called with the connection once it is closed while it is in use.
+        self.on_close = None
 
     @classmethod
     async def open(
@@ -134,6 +140,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = messages.decode_headers(event.headers)
+                self._status = event.status_code
                 return messages.Reply(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise call_error("the response has no head")
@@ -167,6 +174,7 @@
                 data = await self._reader.read(READ_BYTES)
                 self._conn.receive_data(data)
             except (h11.RemoteProtocolError, OSError) as error:
+                self._is_cut = True
                 raise call_error(
                     f"the response broke off: {error}",
                     reasons.Refusal.ANSWER_CUT,
@@ -190,6 +198,7 @@
         if not is_done or conn.trailing_data[0]:
             return False
         conn.start_next_cycle()
+        self._status = 0
         keep_alive_s = (
             _keep_alive_s(reply, default_keep_alive_s) - KEEP_ALIVE_MARGIN_S
         )
@@ -220,6 +229,18 @@
         if self._idle_watch:
             self._idle_watch.cancel()
         self._writer.transport.abort()
+        on_close, self.on_close = self.on_close, None
+        if on_close:
+            on_close(self)
+
+    @property
+    def close_reason(self):
+        """The `reasons.NewConnection` of the next one, if closed in use."""
+        if self._is_cut:
+            return reasons.NewConnection.ANSWER_CUT
+        if self._status >= _FIRST_ERROR_STATUS:
+            return reasons.NewConnection.ANSWER_REFUSED
+        return reasons.NewConnection.STOPPED
 
 
 def _keep_alive_s(reply, default_s):
@@ -260,17 +281,59 @@
         self._use_keepalive = use_keepalive
         self._default_keep_alive_s = default_keep_alive_s
         self._idle_by_key = collections.defaultdict(collections.deque)
+        self._records = connection_records.ConnectionRecords()
+
+    async def acquire(
+        self, key, address, timeout_s=CONNECT_TIMEOUT_S, use=None
+    ):
+        """Return an idle connection of the peer `key`, or open a new one.
 
-    async def acquire(self, key, address, timeout_s=CONNECT_TIMEOUT_S):
-        """Return an idle connection of the peer `key`, or open a new one."""
+        Parameters
+        ----------
+        key : str
+            Identifies the peer's process.
+        address : options.Address
+            The peer's address.
+        timeout_s : float, optional
+            Time limit for opening a connection, in seconds.
+        use : connection_records.Use, optional
+            What the connection is for, if the peer is a replica. New
+            connections are then counted by reason.
+        """
+        connection = await self._take_idle(key)
+        if connection is None:
+            connection = await Connection.open(
+                address, timeout_s, self._use_keepalive
+            )
+            if use:
+                self._records.opened(key, use)
+        if use:
+            connection.on_close = lambda closed: self._records.lost(
+                key, closed.close_reason
+            )
+        return connection
+
+    async def _take_idle(self, key):
+        """Return a usable idle connection of a peer, or None."""
         idle = self._idle_by_key[key]
         while idle:
             connection = idle.pop()
             is_fresh = connection.usable_until > self._clock()
             if await connection.stop_watching() and is_fresh:
                 return connection
-            connection.close()
-        return await Connection.open(address, timeout_s, self._use_keepalive)
+            self._lose_idle(key, connection)
+        return None
+
+    def _lose_idle(self, key, connection):
+        """Close an idle connection that can't be used any more."""
+        is_fresh = connection.usable_until > self._clock()
+        self._records.lost(
+            key,
+            reasons.NewConnection.CLOSED_BY_REPLICA
+            if is_fresh
+            else reasons.NewConnection.IDLE_EXPIRED,
+        )
+        connection.close()
 
     async def call(self, key, address, request, timeout_s, max_bytes):
         """Send a request; return the response's head and its whole body.
@@ -331,10 +394,12 @@
         `MAX_IDLE_PER_PEER` are idle already.
         """
         idle = self._idle_by_key[key]
+        connection.on_close = None
         may_follow = connection.end_cycle(
             reply, self._clock(), self._default_keep_alive_s
         )
         if not may_follow or len(idle) >= MAX_IDLE_PER_PEER:
+            self._records.lost(key, reasons.NewConnection.NOT_KEPT)
             connection.close()
             return
         idle.append(connection)
@@ -343,13 +408,16 @@
         )
 
     def _discard(self, key, connection):
-        with contextlib.suppress(ValueError):
-            self._idle_by_key[key].remove(connection)
+        idle = self._idle_by_key.get(key, ())
+        if connection in idle:
+            idle.remove(connection)
+            self._lose_idle(key, connection)
         connection.close()
 
     def forget(self, key):
         """Close the idle connections of the peer `key`."""
         for connection in self._idle_by_key.pop(key, ()):
+            self._records.lost(key, reasons.NewConnection.WAS_UNUSABLE)
             connection.close()
 
     def close(self):
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -129,7 +129,9 @@
         is_whole = False
         reply = None
         try:
-            connection = await self._forwarder.connect(replica)
+            connection = await self._forwarder.connect(
+                replica, self._use(replica)
+            )
             reply = await self._read_head(connection, replica)
             if reply.status >= 300:
                 body = await connection.read_body(MAX_FAILURE_BYTES)
--- a/packages/gateway/tests/test_operations_page.py
+++ b/packages/gateway/tests/test_operations_page.py
@@ -54,7 +54,11 @@
 
 @pytest.mark.parametrize(
     ("title", "enumeration"),
-    [("Reasons of refusals", "Refusal"), ("Reasons of retries", "Retry")],
+    [
+        ("Reasons of refusals", "Refusal"),
+        ("Reasons of retries", "Retry"),
+        ("Reasons of new connections", "NewConnection"),
+    ],
 )
 def test_the_tables_of_reasons_are_complete(title, enumeration):
     assert _rows(title) == _used_members(enumeration)
@@ -67,6 +71,11 @@
     gauges = [f"anvilwell_{name}" for name in measures.GAUGES_BY_NAME]
     counters = [
         f"anvilwell_{name}_total"
-        for name in ("refusals", "retries", "unreadable_entries")
+        for name in (
+            "new_connections",
+            "refusals",
+            "retries",
+            "unreadable_entries",
+        )
     ]
     assert _rows("Metrics") == sorted([*named, *gauges, *counters])
--- a/packages/kernel/anvilwell_kernel/reasons.py
+++ b/packages/kernel/anvilwell_kernel/reasons.py
@@ -1,4 +1,4 @@
-"""The reasons by which refusals and retries are counted."""
+"""The reasons by which refusals, retries and new connections are counted."""
 
 import enum
 
@@ -56,3 +56,31 @@
     STALE_VERSION = "stale-version"
     SCORER_FAILED = "scorer-failed"
     KEY_VALUE = "key-value"
+
+
+class NewConnection(enum.StrEnum):
+    """Why a new connection to a replica was opened.
+
+    If an earlier connection to the replica is missing from the pool, the
+    reason is how that connection was lost.
+    """
+
+    FIRST_USE = "first-use"
+    NEW_INCARNATION = "new-incarnation"
+    SECOND_ATTEMPT = "second-attempt"
+    CONCURRENT = "concurrent"
+    IDLE_EXPIRED = "idle-expired"
+    CLOSED_BY_REPLICA = "closed-by-replica"
+    ANSWER_CUT = "answer-cut"
+    ANSWER_REFUSED = "answer-refused"
+    NOT_KEPT = "not-kept"
+    STOPPED = "stopped"
+    WAS_UNUSABLE = "was-unusable"
+
+
+class Work(enum.StrEnum):
+    """The kinds of work for which replicas are called."""
+
+    LIVE_CALL = "live-call"
+    ITEM = "item"
+    SCORING_CALL = "scoring-call"
--- a/packages/kernel/anvilwell_kernel/telemetry/counters.py
+++ b/packages/kernel/anvilwell_kernel/telemetry/counters.py
@@ -12,6 +12,11 @@
 RETRIES = _METER.create_counter(
     "anvilwell_retries", unit="1", description="Retries by reason"
 )
+NEW_CONNECTIONS = _METER.create_counter(
+    "anvilwell_new_connections",
+    unit="1",
+    description="New connections to replicas, by kind of work and reason",
+)
 UNREADABLE = _METER.create_counter(
     "anvilwell_unreadable_entries",
     unit="1",
@@ -40,6 +45,19 @@
     RETRIES.add(1, {"reason": str(reason), "service": service})
 
 
+def count_new_connection(work, reason):
+    """Count one new connection to a replica.
+
+    Parameters
+    ----------
+    work : reasons.Work
+        The kind of work that needed the connection.
+    reason : reasons.NewConnection
+        Why no pooled connection was used.
+    """
+    NEW_CONNECTIONS.add(1, {"kind": str(work), "reason": str(reason)})
+
+
 def count_unreadable(kind):
     """Count one entry of `kind` that can't be decoded."""
     UNREADABLE.add(1, {"kind": kind})
