Prefer near replicas and open connections for rare live calls

With 23 entries and 6 lookups per second, an entry sends a lookup to one of six replicas at random every four seconds, and almost every lookup opens a connection, half of them to the other region.

Where the deployment spans several regions, live calls now go to a replica of the own region with an idle connection among those whose expected times are alike; without one, to the two replicas that are dealt to the entry. Expected times include the network. With frequent calls, the shortest expected time alone decides, and a busy replica counts as one in another region.

--- /dev/null
+++ b/packages/decisions/anvilwell_decisions/requests/near_replicas.py
@@ -0,0 +1,126 @@
+"""Routes live calls to near replicas over connections that are open."""
+
+import collections
+
+from anvilwell_decisions.requests import expected_latency
+from anvilwell_decisions.traffic import regions
+
+# Typical time of a message and its reply, in seconds.
+ROUND_TRIP_S_BY_DISTANCE = {
+    regions.Distance.SAME_DOMAIN: 0.0002,
+    regions.Distance.SAME_REGION: 0.003,
+    regions.Distance.OTHER_REGION: 0.016,
+}
+# Expected times within this ratio of the shortest one count as alike. Calls
+# beside others take longer by up to this share, so a replica counts as busy
+# once its slots are nearly full.
+ALIKE_RATIO = 1.25
+# Share of its slots from which a replica is busy. The near replicas would
+# otherwise fill up while others have free slots, and calls would wait there.
+BUSY_SHARE = 0.5
+# How long replicas keep idle connections at least, less the margin, in
+# seconds.
+KEPT_IDLE_S = 3.0
+# Number of calls from which an entry's rate of calls is known.
+RATE_CALLS = 8
+
+
+class NearReplicas(expected_latency.LeastExpectedLatency):
+    """Prefers replicas with an idle connection, then those dealt to the entry.
+
+    The preference applies among replicas whose expected times are alike, and
+    only while calls are rare: with more calls, all connections stay in use
+    and the shortest expected time alone decides. Replicas in another region
+    are used only if none in the own region is as fast.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the draws.
+    regions : regions.Regions
+        Says how far away the replicas are.
+    idle_count : callable
+        Returns the number of usable idle connections to a replica id.
+    dealt : callable
+        Returns the ids of the replicas dealt to this entry, the preferred one
+        first.
+    """
+
+    def __init__(self, rng, regions, idle_count, dealt):
+        super().__init__(rng)
+        self._regions = regions
+        self._idle_count = idle_count
+        self._dealt = dealt
+        self._called_at = collections.deque(maxlen=RATE_CALLS)
+
+    def choose(self, request, now):
+        """Return the replica for `request`, or None."""
+        if not request.excluded:
+            self._called_at.append(now)
+        times_by_id = {
+            replica_id: self.expected_s(replica_id, now)
+            for replica_id in self._candidates(request)
+        }
+        ratio = ALIKE_RATIO if self.has_rare_calls(now) else 1.0
+        longest_s = ratio * min(times_by_id.values(), default=0.0)
+        dealt = self._dealt()
+        ranks_by_id = {replica_id: n for n, replica_id in enumerate(dealt)}
+        return min(
+            (
+                replica_id
+                for replica_id, expected_s in times_by_id.items()
+                if expected_s <= longest_s
+            ),
+            key=lambda replica_id: (
+                self._distance(replica_id) is regions.Distance.OTHER_REGION,
+                not self._idle_count(replica_id),
+                ranks_by_id.get(replica_id, len(ranks_by_id)),
+                times_by_id[replica_id],
+                self._rng.random(),
+            ),
+            default=None,
+        )
+
+    def has_rare_calls(self, now):
+        """Return whether connections to all replicas would expire unused."""
+        if len(self._called_at) < RATE_CALLS:
+            return True
+        calls_per_s = RATE_CALLS / max(1e-9, now - self._called_at[0])
+        return calls_per_s * KEPT_IDLE_S < len(self)
+
+    def expected_s(self, replica_id, now):
+        """Return the expected latency, with the time of the network.
+
+        A busy replica counts as one in another region.
+        """
+        round_trip_s = self._round_trip_s(replica_id)
+        if self._is_busy(replica_id):
+            round_trip_s = max(ROUND_TRIP_S_BY_DISTANCE.values())
+        round_trips = 1 if self._idle_count(replica_id) else 2
+        return super().expected_s(replica_id, now) + round_trips * round_trip_s
+
+    def _is_busy(self, replica_id):
+        slots = self._server_loads.slots(replica_id) or 1
+        return self._loads.estimate(replica_id) >= BUSY_SHARE * slots
+
+    def ended(self, attempt_end, now):
+        """Learn the replica's own time, without that of the network."""
+        round_trip_s = self._round_trip_s(attempt_end.replica_id)
+        latency_s = max(0.0, attempt_end.latency_s - round_trip_s)
+        super().ended(attempt_end._replace(latency_s=latency_s), now)
+
+    def _candidates(self, request):
+        """Return the replicas to compare, including the dealt ones."""
+        dealt = {
+            replica_id
+            for replica_id in self._dealt()
+            if self._pool.is_eligible(replica_id, request)
+        }
+        return dealt.union(super()._candidates(request))
+
+    def _distance(self, replica_id):
+        facts = self._pool.facts_by_id.get(replica_id)
+        return self._regions.distance(facts.failure_domain if facts else "")
+
+    def _round_trip_s(self, replica_id):
+        return ROUND_TRIP_S_BY_DISTANCE[self._distance(replica_id)]
--- a/packages/decisions/anvilwell_decisions/traffic/regions.py
+++ b/packages/decisions/anvilwell_decisions/traffic/regions.py
@@ -43,8 +43,12 @@
 
     def distance(self, failure_domain):
         """Return the `Distance` from this VM to a failure domain."""
-        if failure_domain == self._failure_domain:
+        return self.distance_between(self._failure_domain, failure_domain)
+
+    def distance_between(self, first_domain, second_domain):
+        """Return the `Distance` between two failure domains."""
+        if first_domain == second_domain:
             return Distance.SAME_DOMAIN
-        if self.region(failure_domain) == self.own:
+        if self.region(first_domain) == self.region(second_domain):
             return Distance.SAME_REGION
         return Distance.OTHER_REGION
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -51,6 +51,8 @@
     count_start : callable
         Called with the organisation and the time of each request that a
         replica started, to count its usage.
+    near_routing : near_routing.NearRouting, optional
+        Builds the policies of a deployment that spans several regions.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         crash_tracker,
         count_start,
         rng=None,
+        near_routing=None,
     ):
         self.count_start = count_start
         self.crash_tracker = crash_tracker
@@ -70,6 +73,7 @@
         self._directory = directory
         self._pool = pool
         self._rng = rng or random.Random()
+        self._near_routing = near_routing
         self._policies_by_service = {}
         self._retry_schedules_by_service = collections.defaultdict(
             retry_after.RetrySchedule
@@ -183,7 +187,11 @@
         """Return the load-balancing policy of `service`."""
         known = self._policies_by_service.get(service)
         if known is None:
-            inner = expected_latency.LeastExpectedLatency(self._rng)
+            inner = (
+                self._near_routing.policy(service, self._rng)
+                if self._near_routing
+                else expected_latency.LeastExpectedLatency(self._rng)
+            )
             known = ejection.OutlierEjection(self._rng, inner)
             self._policies_by_service[service] = known
             self._add_replicas(service, known)
@@ -199,9 +207,7 @@
                 usable = self._directory.find_usable(replica_id)
                 is_up = usable is not None and usable.service == service
                 if is_up and replica_id not in known:
-                    policy.replica_up(
-                        request_facts.ReplicaFacts(replica_id), now
-                    )
+                    policy.replica_up(_replica_facts(usable), now)
                 elif not is_up and replica_id in known:
                     policy.replica_down(replica_id, now)
                     self._pool.forget(replica_id)
@@ -210,8 +216,7 @@
         """Add the usable replicas of a service to its new policy."""
         now = asyncio.get_running_loop().time()
         for replica in self._directory.usable(service):
-            up = request_facts.ReplicaFacts(replica.replica_id)
-            policy.replica_up(up, now)
+            policy.replica_up(_replica_facts(replica), now)
 
     def replica(self, replica_id):
         """Return the registered `facts.Replica` with this id, or None."""
@@ -332,3 +337,10 @@
             )
             now = asyncio.get_running_loop().time()
             self.policy(replica.service).report(report, now)
+
+
+def _replica_facts(replica):
+    """Return the `request_facts.ReplicaFacts` of a `facts.Replica`."""
+    return request_facts.ReplicaFacts(
+        replica.replica_id, replica.failure_domain
+    )
--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -313,6 +313,14 @@
             )
         return connection
 
+    def idle_count(self, key):
+        """Return how many idle connections of a peer are still usable."""
+        now = self._clock()
+        return sum(
+            connection.usable_until > now
+            for connection in self._idle_by_key.get(key, ())
+        )
+
     async def _take_idle(self, key):
         """Return a usable idle connection of a peer, or None."""
         idle = self._idle_by_key[key]
--- a/packages/gateway/anvilwell_gateway/live_calls.py
+++ b/packages/gateway/anvilwell_gateway/live_calls.py
@@ -8,6 +8,7 @@
 from anvilwell_gateway import crash_tracker
 from anvilwell_gateway.duties import usage_accounting
 from anvilwell_gateway import forwarding
+from anvilwell_gateway import near_routing
 
 
 class LiveCalls:
@@ -52,6 +53,7 @@
             fleet.configuration,
             self.crash_tracker,
             self.usage.count_request,
+            near_routing=near_routing.NearRouting.from_config(fleet, pool),
         )
 
     @classmethod
