Prefer engines with an idle connection, and use the oldest one first

The pool handed out the connection that was used last, so that the others aged until they expired.

Where the deployment spans several regions, an item goes to an engine with an idle connection among those with equal expected time and load, counting the items assigned in the same round, and the pool hands out the connection that was idle for longest.

--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -4,6 +4,7 @@
 import heapq
 import typing
 
+from anvilwell_decisions.batches import idle_connections
 from anvilwell_decisions.batches import lengths
 from anvilwell_decisions.batches import memory
 from anvilwell_decisions.batches import move_selection
@@ -79,9 +80,17 @@
 
 
 class Dispatcher:
-    """Assigns the items of the batches that one entry owns to replicas."""
+    """Assigns the items of the batches that one entry owns to replicas.
 
-    def __init__(self):
+    Parameters
+    ----------
+    idle_count : callable, optional
+        Returns the number of usable idle connections to a replica id. Among
+        replicas that are equal otherwise, those with one are preferred.
+    """
+
+    def __init__(self, idle_count=None):
+        self._idle_connections = idle_connections.IdleConnections(idle_count)
         self._workers_by_id = {}
         self._shortlists = shortlists.Shortlists()
         # Workers with runs; a worker is listed once for each of its runs.
@@ -157,6 +166,7 @@
             Monotonic time in seconds.
         """
         self._shortlists.clear()
+        self._idle_connections.start_round()
         is_same = tokens_by_service == self._tokens_by_service
         self._tokens_by_service = tokens_by_service
         known = self._busy_workers if is_same else self._workers_by_id.values()
@@ -185,6 +195,7 @@
         """Record that a `WaitingItem` was assigned to a replica."""
         worker = self._workers_by_id[replica_id]
         worker.running += 1
+        self._idle_connections.take(replica_id)
         left = self.lengths.remaining_events(
             item.kind, item.expected_tokens, item.events_made
         )
@@ -224,6 +235,7 @@
                 (
                     _pace_step(one, shortest_s),
                     worker.load,
+                    not self._idle_connections.has_any(worker.name),
                     worker.name,
                     one,
                     worker,
@@ -278,12 +290,13 @@
 
 def _sort_key(candidate, demand):
     """Return the sort key of a candidate replica; the lowest is chosen."""
-    step, load, name, _, worker = candidate
+    step, load, needs_connection, name, _, worker = candidate
     peak_share = worker.memory.peak_share(demand)
     return (
         peak_share > memory.MAX_PEAK_SHARE,
         step,
         max(load, worker.round_down_to_slots(peak_share)),
         not worker.memory.has_shared_prompt(demand.shared_id),
+        needs_connection,
         name,
     )
--- a/packages/decisions/tests/batches/test_dispatch.py
+++ b/packages/decisions/tests/batches/test_dispatch.py
@@ -58,6 +58,23 @@
     assert dispatch.choose_replica(_item(), NOW) == "r2"
 
 
+def test_idle_connections_decide_between_equal_replicas_only():
+    """Guard against needless connections, and against uneven engines."""
+    idle_by_id = {"r1": 2, "r2": 1}
+    dispatch = dispatches.Dispatcher(lambda name: idle_by_id.get(name, 0))
+    replicas = [facts.Replica(f"r{n}", "lm", None, "a", 3) for n in range(3)]
+    dispatch.set_replicas(replicas)
+    dispatch.set_runs([], {}, NOW)
+
+    chosen = []
+    for _ in range(6):
+        replica_id = dispatch.choose_replica(_item(), NOW)
+        dispatch.record_assignment(_item(), replica_id)
+        chosen.append(replica_id)
+
+    assert chosen == ["r1", "r2", "r0", "r1", "r0", "r2"]
+
+
 def test_the_fast_replicas_fill_first():
     dispatch = _dispatch()
     _pace(dispatch, "r0", SLOW_S)
--- a/packages/gateway/anvilwell_gateway/batches/manager.py
+++ b/packages/gateway/anvilwell_gateway/batches/manager.py
@@ -40,6 +40,9 @@
         Tracks the items that crash replicas.
     slot_sharing : slot_sharing.SlotSharing
         Determines which slots this entry may use.
+    idle_count : callable, optional
+        Returns the number of usable idle connections to a replica id, if
+        replicas with one are preferred.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         dialect,
         crash_tracker,
         slot_sharing,
+        idle_count=None,
     ):
         self._store = batch_store
         self._configuration = configuration
@@ -70,6 +74,7 @@
             self._scoring_scheduler.schedule,
             crash_tracker,
             slot_sharing,
+            idle_count,
         )
 
     def gauge_values(self):
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -64,6 +64,9 @@
         Tracks the items that crash replicas.
     slot_sharing : slot_sharings.SlotSharing
         Determines which slots this entry may use.
+    idle_count : callable, optional
+        Returns the number of usable idle connections to a replica id, if
+        replicas with one are preferred.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         on_text_complete,
         crash_tracker,
         slot_sharing,
+        idle_count=None,
     ):
         self._crash_tracker = crash_tracker
         self._directory = directory
@@ -82,7 +86,7 @@
         self._runner = runner
         self._batches_by_id = batches_by_id
         self._on_text_complete = on_text_complete
-        self._dispatcher = dispatches.Dispatcher()
+        self._dispatcher = dispatches.Dispatcher(idle_count)
         self._move_history = moves.MoveHistory()
         self._slot_sharing = slot_sharing
         slot_sharing.usage_of = self._slot_usage
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -58,6 +58,7 @@
             platform.dialect,
             live_calls.crash_tracker,
             self.slot_sharing,
+            pool.idle_count if fleet.regions.has_several else None,
         )
         fleet.store.listen_regained(self.manager.retry_failed_saves)
         self.notices = notices.NoticeHandler(
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -42,7 +42,6 @@
 
     def __init__(self, settings, platform, early_listeners=None):
         self._early_listeners = early_listeners or listening.EarlyListeners({})
-        self._pool = client.Pool(asyncio.get_running_loop().time)
         self._budget = byte_budget.ByteBudget.from_memory(
             settings.daemon.memory_mb
         )
@@ -52,6 +51,10 @@
         self.fleet = fleets.Fleet.from_config(
             settings, platform, self.peer_server
         )
+        self._pool = client.Pool(
+            asyncio.get_running_loop().time,
+            uses_oldest=self.fleet.regions.has_several,
+        )
         self.live_calls = live.LiveCalls.from_config(
             settings, platform, self.fleet, self._pool, self.peer_server
         )
--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -269,6 +269,9 @@
     default_keep_alive_s : float
         How long peers that send no Keep-Alive header keep an idle
         connection, in seconds.
+    uses_oldest : bool
+        Whether the connection that was idle for longest is used first, so
+        that more connections stay usable; otherwise the others expire.
     """
 
     def __init__(
@@ -276,10 +279,12 @@
         clock,
         use_keepalive=False,
         default_keep_alive_s=DEFAULT_KEEP_ALIVE_S,
+        uses_oldest=False,
     ):
         self._clock = clock
         self._use_keepalive = use_keepalive
         self._default_keep_alive_s = default_keep_alive_s
+        self._uses_oldest = uses_oldest
         self._idle_by_key = collections.defaultdict(collections.deque)
         self._records = connection_records.ConnectionRecords()
 
@@ -325,7 +330,7 @@
         """Return a usable idle connection of a peer, or None."""
         idle = self._idle_by_key[key]
         while idle:
-            connection = idle.pop()
+            connection = idle.popleft() if self._uses_oldest else idle.pop()
             is_fresh = connection.usable_until > self._clock()
             if await connection.stop_watching() and is_fresh:
                 return connection
--- a/packages/gateway/tests/http/test_connection_records.py
+++ b/packages/gateway/tests/http/test_connection_records.py
@@ -46,6 +46,33 @@
     ]
 
 
+@pytest.mark.parametrize("uses_oldest", [False, True])
+def test_the_oldest_idle_connection_is_used_first(uses_oldest):
+    """Guard against connections that expire while others are used."""
+    now_s = 0.0
+
+    async def handle(request, responder):
+        await responder.send(200)
+
+    async def scenario():
+        nonlocal now_s
+        pool = client.Pool(lambda: now_s, uses_oldest=uses_oldest)
+        server = servers.Server(options.Address("127.0.0.1", 0), handle)
+        await server.start()
+        address = options.Address("127.0.0.1", server.port)
+        calls = [pool.call("k", address, REQUEST, 5.0, 100) for _ in range(2)]
+        await asyncio.gather(*calls)
+        for _ in range(3):
+            now_s += 1.4
+            await pool.call("k", address, REQUEST, 5.0, 100)
+        usable = pool.idle_count("k")
+        pool.close()
+        await server.stop()
+        return usable
+
+    assert asyncio.run(scenario()) == (2 if uses_oldest else 1)
+
+
 def test_the_pool_reports_how_connections_were_lost(counted):
     """Guard against wrong reasons, and against counting our own VMs."""
     now_s = 0.0
