Deal two replicas in different failure domains also where one is small

The second replica of an entry could be in the same failure domain as the first if the shares of all other failure domains were used up. Replicas of other failure domains now come first. The new test fails before.

--- a/packages/decisions/anvilwell_decisions/requests/dealing.py
+++ b/packages/decisions/anvilwell_decisions/requests/dealing.py
@@ -120,14 +120,18 @@
         return [replica_id]
 
     def take_any(self, dealt):
-        """Return a replica that is not in `dealt`, whatever is left of it."""
+        """Return a replica that is not in `dealt`, whatever is left of it.
+
+        Replicas in other failure domains than those in `dealt` come first.
+        """
+        used = {self.domains_by_id[replica_id] for replica_id in dealt}
         others = [
-            (negative_left, replica_id, domain)
+            (domain in used, negative_left, replica_id, domain)
             for domain, heap in self._heaps_by_domain.items()
             for negative_left, replica_id in heap
             if replica_id not in dealt
         ]
-        negative_left, replica_id, domain = min(others)
+        _, negative_left, replica_id, domain = min(others)
         heap = self._heaps_by_domain[domain]
         heap.remove((negative_left, replica_id))
         heapq.heapify(heap)
--- a/packages/decisions/tests/requests/test_dealing.py
+++ b/packages/decisions/tests/requests/test_dealing.py
@@ -42,6 +42,17 @@
     assert len(counts) == len(REPLICAS)
 
 
+def test_a_small_second_domain_still_completes_each_pair():
+    """Guard against two replicas that are lost together."""
+    replicas = [
+        dealing.DealtReplica("r1", "a1", 6),
+        dealing.DealtReplica("r2", "a1", 6),
+        dealing.DealtReplica("r3", "a2", 1),
+    ]
+    dealt = dealing.deal(_entries(13, ("a1",)), replicas, REGIONS)
+    assert all("r3" in pair for pair in dealt.values())
+
+
 def test_the_loss_of_a_domain_moves_only_its_entries():
     """Guard against reopening connections everywhere after one failure."""
     entries = _entries(24)
