Ignore old reports of load where calls are rare

An entry with a call every four seconds would leave its near replica for long if the last answer reported a busy one. With several regions, reports older than two seconds are ignored; elsewhere nothing changes.

--- a/packages/decisions/anvilwell_decisions/requests/expected_latency.py
+++ b/packages/decisions/anvilwell_decisions/requests/expected_latency.py
@@ -128,7 +128,7 @@
         `CONCURRENCY_PENALTY`. A call that finds no free slot also waits for
         the calls before it, counted in rounds of as many calls as slots.
         """
-        in_flight = self._loads.estimate(replica_id)
+        in_flight = self._in_flight(replica_id, now)
         slots = self._server_loads.slots(replica_id) or 1
         extra_rounds = max(0, in_flight + 1 - slots) / slots
         return (
@@ -136,3 +136,7 @@
             + CONCURRENCY_PENALTY * min(1.0, in_flight / slots)
             + extra_rounds
         )
+
+    def _in_flight(self, replica_id, now):
+        """Return the estimated number of requests at a replica."""
+        return self._loads.estimate(replica_id)
--- a/packages/decisions/anvilwell_decisions/requests/near_replicas.py
+++ b/packages/decisions/anvilwell_decisions/requests/near_replicas.py
@@ -94,14 +94,24 @@
         A busy replica counts as one in another region.
         """
         round_trip_s = self._round_trip_s(replica_id)
-        if self._is_busy(replica_id):
+        if self._is_busy(replica_id, now):
             round_trip_s = max(ROUND_TRIP_S_BY_DISTANCE.values())
         round_trips = 1 if self._idle_count(replica_id) else 2
         return super().expected_s(replica_id, now) + round_trips * round_trip_s
 
-    def _is_busy(self, replica_id):
+    def _is_busy(self, replica_id, now):
         slots = self._server_loads.slots(replica_id) or 1
-        return self._loads.estimate(replica_id) >= BUSY_SHARE * slots
+        return self._in_flight(replica_id, now) >= BUSY_SHARE * slots
+
+    def _in_flight(self, replica_id, now):
+        """Return the requests at a replica; old reports are ignored.
+
+        An entry with rare calls would otherwise avoid a replica for long
+        because of calls that have ended.
+        """
+        if self._server_loads.counts(replica_id, now) is None:
+            return self._loads.own(replica_id)
+        return self._loads.estimate(replica_id)
 
     def ended(self, attempt_end, now):
         """Learn the replica's own time, without that of the network."""
--- a/packages/decisions/tests/requests/test_near_replicas.py
+++ b/packages/decisions/tests/requests/test_near_replicas.py
@@ -71,7 +71,9 @@
     entry = _measured_entry()
     entry.idle_by_id["r-a1"] = 1
     entry.answer("r-a1", in_flight=SLOTS + 2)
-    assert entry.choose() == "r-a2"
+    assert entry.choose(1.0) == "r-a2"
+    # The report is too old to say that the replica is still busy.
+    assert entry.choose(4.0) == "r-a1"
 
 
 def test_a_slow_replica_is_left_for_the_next_one():
