--- a/packages/decisions/anvilwell_decisions/batches/dispatch.py
+++ b/packages/decisions/anvilwell_decisions/batches/dispatch.py
@@ -4,6 +4,7 @@
 import heapq
 import typing
 
+from anvilwell_decisions.batches import idle_connections
 from anvilwell_decisions.batches import lengths
 from anvilwell_decisions.batches import memory
 from anvilwell_decisions.batches import move_selection
@@ -90,12 +91,16 @@
     sends_of : callable, optional
         Returns the `send_windows.ReplicaSends` of a replica that may be cold,
         None for other replicas.
+    idle_count : callable, optional
+        Returns the number of usable idle connections to a replica id. Among
+        replicas that are equal otherwise, those with one are preferred.
     """
 
-    def __init__(self, sends_of=None):
+    def __init__(self, sends_of=None, idle_count=None):
         self._sends_of = sends_of
         # Services with replicas that may be cold.
         self._limited_services = set()
+        self._idle_connections = idle_connections.IdleConnections(idle_count)
         self._workers_by_id = {}
         self._shortlists = shortlists.Shortlists()
         # Workers with runs; a worker is listed once for each of its runs.
@@ -174,6 +179,7 @@
             Monotonic time in seconds.
         """
         self._shortlists.clear()
+        self._idle_connections.start_round()
         is_same = tokens_by_service == self._tokens_by_service
         self._tokens_by_service = tokens_by_service
         known = self._busy_workers if is_same else self._workers_by_id.values()
@@ -208,6 +214,7 @@
         """
         worker = self._workers_by_id[replica_id]
         worker.running += 1
+        self._idle_connections.take(replica_id)
         left = self.lengths.remaining_events(
             item.kind, item.expected_tokens, item.events_made
         )
@@ -255,6 +262,7 @@
                     _pace_step(one, shortest_s),
                     worker.is_cold,
                     worker.load,
+                    not self._idle_connections.has_any(worker.name),
                     worker.name,
                     one,
                     worker,
@@ -351,7 +359,7 @@
 
 def _sort_key(candidate, demand):
     """Return the sort key of a candidate replica; the lowest is chosen."""
-    step, is_cold, load, name, _, worker = candidate
+    step, is_cold, load, needs_connection, name, _, worker = candidate
     peak_share = worker.memory.peak_share(demand)
     return (
         peak_share > memory.MAX_PEAK_SHARE,
@@ -359,5 +367,6 @@
         is_cold,
         max(load, worker.round_down_to_slots(peak_share)),
         not worker.memory.has_shared_prompt(demand.shared_id),
+        needs_connection,
         name,
     )
--- a/packages/gateway/anvilwell_gateway/batches/manager.py
+++ b/packages/gateway/anvilwell_gateway/batches/manager.py
@@ -46,6 +46,9 @@
         The allowed regions in force; without it all regions are allowed.
     cold_replicas : cold_replicas.ColdReplicas, optional
         Limits the items sent to replicas that may be cold.
+    idle_count : callable, optional
+        Returns the number of usable idle connections to a replica id, if
+        replicas with one are preferred.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         slot_sharing,
         residency=None,
         cold_replicas=None,
+        idle_count=None,
     ):
         self._residency = residency
         self._store = batch_store
@@ -89,6 +93,7 @@
             slot_sharing,
             residency,
             cold_replicas,
+            idle_count,
         )
 
     def gauge_values(self):
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -77,6 +77,9 @@
         The allowed regions in force; without it all regions are allowed.
     cold_replicas : cold_replicas.ColdReplicas, optional
         Limits the items sent to replicas that may be cold.
+    idle_count : callable, optional
+        Returns the number of usable idle connections to a replica id, if
+        replicas with one are preferred.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         slot_sharing,
         residency=None,
         cold_replicas=None,
+        idle_count=None,
     ):
         self._residency = residency
         self._crash_tracker = crash_tracker
@@ -99,7 +103,7 @@
         self._batches_by_id = batches_by_id
         self._on_text_complete = on_text_complete
         self._dispatcher = dispatches.Dispatcher(
-            cold_replicas and cold_replicas.sends
+            cold_replicas and cold_replicas.sends, idle_count
         )
         self._move_history = moves.MoveHistory()
         self._slot_sharing = slot_sharing
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -66,6 +66,7 @@
             self.slot_sharing,
             fleet.residency,
             live_calls.cold_replicas,
+            pool.idle_count if fleet.regions.has_several else None,
         )
         live_calls.cold_replicas.homes_of = homes.all
         live_calls.cold_replicas.domains_by_home_of = homes.domains_by_home
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -59,6 +59,8 @@
         replica started, to count its usage.
     residency : residency.ResidencyRules, optional
         The allowed regions in force; without it all regions are allowed.
+    near_routing : near_routing.NearRouting, optional
+        Builds the policies of a deployment that spans several regions.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         count_start,
         rng=None,
         residency=None,
+        near_routing=None,
     ):
         self._residency = residency
         self.count_start = count_start
@@ -82,6 +85,7 @@
         self._directory = directory
         self._pool = pool
         self._rng = rng or random.Random()
+        self._near_routing = near_routing
         self._policies_by_service = {}
         self._retry_schedules_by_service = collections.defaultdict(
             retry_after.RetrySchedule
@@ -91,9 +95,9 @@
         )
         directory.listen(self._replicas_changed)
 
-    def attempts(self, route, call, request):
+    def attempts(self, route, call, request, work=reasons.Work.LIVE_CALL):
         """Return `attempts.Attempts` for a request that is not streamed."""
-        return attempts.Attempts(self, route, call, request)
+        return attempts.Attempts(self, route, call, request, work)
 
     async def forward(self, route, call, request, responder):
         """Send `request` to replicas and one whole response to the caller."""
@@ -195,7 +199,11 @@
         """Return the load-balancing policy of `service`."""
         known = self._policies_by_service.get(service)
         if known is None:
-            inner = expected_latency.LeastExpectedLatency(self._rng)
+            inner = (
+                self._near_routing.policy(service, self._rng)
+                if self._near_routing
+                else expected_latency.LeastExpectedLatency(self._rng)
+            )
             known = ejection.OutlierEjection(self._rng, inner)
             self._policies_by_service[service] = known
             self._add_replicas(service, known)
@@ -211,9 +219,7 @@
                 usable = self._directory.find_usable(replica_id)
                 is_up = usable is not None and usable.service == service
                 if is_up and replica_id not in known:
-                    policy.replica_up(
-                        request_facts.ReplicaFacts(replica_id), now
-                    )
+                    policy.replica_up(_replica_facts(usable), now)
                 elif not is_up and replica_id in known:
                     policy.replica_down(replica_id, now)
                     self._pool.forget(replica_id)
@@ -222,8 +228,7 @@
         """Add the usable replicas of a service to its new policy."""
         now = asyncio.get_running_loop().time()
         for replica in self._directory.usable(service):
-            up = request_facts.ReplicaFacts(replica.replica_id)
-            policy.replica_up(up, now)
+            policy.replica_up(_replica_facts(replica), now)
 
     def replica(self, replica_id):
         """Return the registered `facts.Replica` with this id, or None."""
@@ -257,10 +262,12 @@
         ]
 
     async def fetch_response(
-        self, replica, route, call, request, timeout_s, permit=None
+        self, replica, use, call, request, timeout_s, permit=None
     ):
         """Return the whole response of one replica.
 
+        `use` is the `connection_records.Use` of a connection to it.
+
         Returns
         -------
         attempts.BufferedResponse
@@ -270,7 +277,7 @@
         exceptions.BackendFailed
             Its verdict says whether the replica may have run the request.
         """
-        connection = await self.connect(replica)
+        connection = await self.connect(replica, use)
         try:
             reply = await self.send_request(
                 connection, replica, call, request, timeout_s, permit=permit
@@ -282,10 +289,18 @@
         self.release(replica, connection, reply)
         return attempts.BufferedResponse(reply.status, reply.headers, body)
 
-    async def connect(self, replica):
-        """Return a connection to `replica`, unless it is evacuated."""
+    async def connect(self, replica, use):
+        """Return a connection to `replica` for a `connection_records.Use`.
+
+        Raises
+        ------
+        exceptions.BackendFailed
+            If the replica is evacuated or can't be reached.
+        """
         self._check_may_receive(replica)
-        return await self._pool.acquire(replica.replica_id, replica.address)
+        return await self._pool.acquire(
+            replica.replica_id, replica.address, use=use
+        )
 
     def release(self, replica, connection, reply):
         """Return a connection to the pool once its response is read whole."""
@@ -382,3 +397,10 @@
             )
             now = asyncio.get_running_loop().time()
             self.policy(replica.service).report(report, now)
+
+
+def _replica_facts(replica):
+    """Return the `request_facts.ReplicaFacts` of a `facts.Replica`."""
+    return request_facts.ReplicaFacts(
+        replica.replica_id, replica.failure_domain
+    )
--- a/packages/gateway/anvilwell_gateway/live_calls.py
+++ b/packages/gateway/anvilwell_gateway/live_calls.py
@@ -9,6 +9,7 @@
 from anvilwell_gateway import crash_tracker
 from anvilwell_gateway.duties import usage_accounting
 from anvilwell_gateway import forwarding
+from anvilwell_gateway import near_routing
 
 
 class LiveCalls:
@@ -63,6 +64,7 @@
             self.cold_replicas,
             self.usage.count_request,
             residency=fleet.residency,
+            near_routing=near_routing.NearRouting.from_config(fleet, pool),
         )
 
     @classmethod
