Have restarted agents wait as long as an engine may activate

Cause: an agent that restarted, or lost an engine's response, reported the engine as idle after 10 s, but a call to activate has 20 s. The leader then counted the replica as in service and swapped another one. RolloutMachine failed so once (3 <= 2); its sequence, complete as printed, fails in a plain replay at 12.0 s: vm0's agent restarted at 1.2 s and its order was still under way. No read of an engine shows that an order waits in it, so only the time bounds it.

Change: CONFIRM_TIMEOUT_S is ACTIVATE_TIMEOUT_S (20 s), which moves to the decisions. The cost: a replica counts as out of service for 20 s instead of 10 s after its agent starts or an answer is lost.

The test's model let orders without response wait without any bound while work() advances the time, which no finite wait can meet and leases.md excludes. They now take effect at the latest 20 s after the response was lost. The invariant is unchanged, and the new rule delay_engines lets time pass without ending them, which pass_time always did.

Result: the replay fails with the wait of 10 s and passes with 20 s.

--- a/packages/daemon/anvilwell_daemon/rollout/engine_orders.py
+++ b/packages/daemon/anvilwell_daemon/rollout/engine_orders.py
@@ -16,12 +16,11 @@
 READ_PERIOD_S = 0.5
 READ_TIMEOUT_S = 1.0
 LOAD_TIMEOUT_S = 120.0
-ACTIVATE_TIMEOUT_S = 20.0
 _MS_PER_S = 1000
 
 _TIMEOUTS_S_BY_KIND = {
     messages.Kind.LOAD: LOAD_TIMEOUT_S,
-    messages.Kind.ACTIVATE: ACTIVATE_TIMEOUT_S,
+    messages.Kind.ACTIVATE: swaps.ACTIVATE_TIMEOUT_S,
 }
 
 _LOG = logs.get_logger(__name__)
--- a/packages/decisions/anvilwell_decisions/rollout/swap.py
+++ b/packages/decisions/anvilwell_decisions/rollout/swap.py
@@ -14,9 +14,11 @@
 LAST_BACKOFF_S = 8.0
 # Abandoned versions that are kept and reported; the oldest are dropped.
 MAX_FAILED = 16
+# An engine is given this long to complete an activation.
+ACTIVATE_TIMEOUT_S = 20.0
 # An engine may still complete an activation this long after its response was
-# lost or its agent restarted.
-CONFIRM_TIMEOUT_S = 10.0
+# lost or its agent restarted, as the order may have been sent just before.
+CONFIRM_TIMEOUT_S = ACTIVATE_TIMEOUT_S
 _ACTIVATE = messages.Kind.ACTIVATE
 
 _ACTIVITIES_BY_KIND = {
--- a/packages/decisions/tests/rollout/test_rollout.py
+++ b/packages/decisions/tests/rollout/test_rollout.py
@@ -33,7 +33,8 @@
     """An agent's `swap.Swap` with a simulated engine.
 
     ``running`` is the order that the engine executes. ``late`` is an order
-    whose response was lost and that may still take effect.
+    whose response was lost and that may still take effect, until
+    ``late_until`` at the latest.
     """
 
     def __init__(self, vm_id):
@@ -41,6 +42,7 @@
         self.engine_version = "1"
         self.running = None
         self.late = None
+        self.late_until = 0.0
         self.starts = 0
         self.start(-swap.CONFIRM_TIMEOUT_S, 0)
 
@@ -51,7 +53,7 @@
         self.swap.gate.raise_to(highest)
         self.swap.read(self.engine_version, now)
         if self.running:
-            self.late = self.running
+            self.lose_response(self.running, now)
             self.running = None
 
     def take(self, order, now):
@@ -63,10 +65,14 @@
         if outcome is DONE and order.kind is ACTIVATE:
             self.engine_version = order.version
         if outcome is UNKNOWN and order.kind is ACTIVATE:
-            self.late = order
+            self.lose_response(order, now)
         self.swap.read(self.engine_version, now)
         self.swap.executed(outcome, now)
 
+    def lose_response(self, order, now):
+        self.late = order
+        self.late_until = now + swap.ACTIVATE_TIMEOUT_S
+
     def finish_late(self, has_effect, now):
         order, self.late = self.late, None
         if has_effect and order.kind is ACTIVATE:
@@ -128,7 +134,19 @@
         for agent in self.agents_by_id.values():
             if agent.late:
                 agent.finish_late(seconds > 0.5, self.now)
+        self.advance(seconds)
+
+    @stateful.rule(seconds=st.sampled_from([1.0, 4.0, 9.0]))
+    def delay_engines(self, seconds):
+        """Let time pass during which engines finish only overdue orders."""
+        self.advance(seconds)
+
+    def advance(self, seconds):
+        """Advance the time and finish the late orders that are overdue."""
         self.now += seconds
+        for agent in self.agents_by_id.values():
+            if agent.late and self.now >= agent.late_until:
+                agent.finish_late(True, self.now)
 
     @stateful.rule(is_old=RARELY, deliveries=DELIVERIES)
     def tick(self, is_old, deliveries):
@@ -147,10 +165,10 @@
     def work(self, deliveries, first):
         """Run two ticks and have all agents report in between."""
         self.reorder(first)
-        self.now += 0.6
+        self.advance(0.6)
         self.tick(False, ["now"] * REPLICAS)
         self.report_all()
-        self.now += 0.6
+        self.advance(0.6)
         self.tick(False, deliveries)
 
     @stateful.rule(first=st.integers(0, REPLICAS - 1))
@@ -246,6 +264,21 @@
 TestRollout.pytestmark = [pytest.mark.fuzz, pytest.mark.timeout(3600)]
 
 
+def test_restarted_agent_is_not_in_service_while_its_engine_may_swap():
+    """Guard against a swap that outlasts the wait of a restarted agent."""
+    machine = RolloutMachine()
+    deliveries = ["now"] * REPLICAS
+    machine.replace_leader(first=0)
+    machine.restart_agent(who=0)
+    machine.work(deliveries, first=0)
+    for _ in range(5):
+        machine.replace_leader(first=0)
+    for _ in range(3):
+        machine.work(deliveries, first=0)
+        machine.floor_is_kept()
+    assert machine.agents_by_id["vm0"].late
+
+
 def make_leader(count, floor, **options):
     agents = {f"vm{n}": Agent(f"vm{n}") for n in range(count)}
     leader = reconciler.Reconciler("lm", 1, **options)
