Keep an activation pending when a load order follows it

Cause: the leader recorded one order per replica. After 3 s without a report of it, a load order replaced a delayed activation, and the replica counted as in service although the activation could still arrive. rollout.md has an order count as under way until a later report proves otherwise.

Change: a replica keeps its last activation until a report shows that the agent accepted it or a later order, or that the engine runs its version.

--- a/packages/decisions/anvilwell_decisions/rollout/replicas.py
+++ b/packages/decisions/anvilwell_decisions/rollout/replicas.py
@@ -13,7 +13,8 @@
     An order counts as pending until its agent reports that it accepted this
     order or a later one, until the engine reports the order's version, or
     until a later order replaces it. It never expires by time, since a
-    delayed order may still arrive.
+    delayed order may still arrive. For the same reason a load does not
+    replace a pending activation in deciding whether the replica serves.
     """
 
     def __init__(self, vm_id, failure_domain):
@@ -21,6 +22,7 @@
         self.failure_domain = failure_domain
         self.report = None
         self.order = None
+        self._activation = None
         self._ordered_at = None
         self._sequence = 0
 
@@ -38,6 +40,8 @@
         self.report = report
         if self.order and self._is_over(self.order):
             self.order = None
+        if self._activation and self._is_over(self._activation):
+            self._activation = None
         return True
 
     def mark_unreachable(self):
@@ -47,6 +51,8 @@
     def record_order(self, order, now):
         """Record that `order` was sent at `now`."""
         self.order = order
+        if order.kind is messages.Kind.ACTIVATE:
+            self._activation = order
         self._ordered_at = now
 
     def is_free(self, now):
@@ -68,7 +74,7 @@
         """Whether the replica certainly serves a version that is known."""
         if self.report is None or not self.report.version:
             return False
-        if self.order and self.order.kind is messages.Kind.ACTIVATE:
+        if self._activation:
             return False
         return self.report.activity is not messages.Activity.ACTIVATING
 
--- a/packages/decisions/tests/rollout/test_rollout.py
+++ b/packages/decisions/tests/rollout/test_rollout.py
@@ -279,6 +279,26 @@
     assert machine.agents_by_id["vm0"].late
 
 
+def test_load_order_does_not_hide_a_delayed_activation():
+    """Guard against a swap by an order that a lost load order replaced."""
+    leader, agents = make_leader(5, FLOOR)
+    for vm_id, agent in agents.items():
+        for version in ("2", "1") if vm_id == "vm0" else ("3", "2", "1"):
+            agent.swap.read(version, 0.0)
+    run_rollout(leader, agents, 0.1)
+    delayed = leader.tick(1.0)["vm0"]
+    leader.desire(reconciler.Desired("3", 2, FLOOR))
+    for now in (5.0, 5.5, 6.0):
+        for vm_id, order in leader.tick(now).items():
+            if vm_id != "vm0":
+                agents[vm_id].take(order, now)
+        for agent in agents.values():
+            leader.report(agent.report(now))
+    agents["vm0"].take(delayed, 6.0)
+    assert agents["vm0"].is_swapping
+    assert sum(a.is_swapping for a in agents.values()) <= MAX_SWAPPING
+
+
 def make_leader(count, floor, **options):
     agents = {f"vm{n}": Agent(f"vm{n}") for n in range(count)}
     leader = reconciler.Reconciler("lm", 1, **options)
