--- a/packages/gateway/tests/batches/test_runner.py
+++ b/packages/gateway/tests/batches/test_runner.py
@@ -25,7 +25,7 @@
     def __init__(self):
         self.connection = _Connection()
 
-    async def acquire(self, key, address):
+    async def acquire(self, key, address, use=None):
         return self.connection
 
 
--- a/packages/gateway/tests/test_evacuations.py
+++ b/packages/gateway/tests/test_evacuations.py
@@ -87,7 +87,7 @@
         self._directory = directory
         self.sent = []
 
-    async def acquire(self, key, address):
+    async def acquire(self, key, address, use=None):
         self._directory.evacuated = True
         return types.SimpleNamespace(
             send=lambda *args: self.sent.append(args), close=lambda: None
