Keep the send windows of replicas that are known

When a replica left, the empty windows of all others were removed from the index while their `ReplicaSends` went on recording in them. Such a replica that left and returned under the same id or name within a second got a new window, and so a second full allowance from its owner: 18 requests in one window instead of 9. Windows of known replicas are now kept; the test saw 9 further requests before and sees none now.

--- a/packages/gateway/anvilwell_gateway/cold_replicas.py
+++ b/packages/gateway/anvilwell_gateway/cold_replicas.py
@@ -364,9 +364,15 @@
             service.other_shares_by_id.pop(replica_id, None)
 
     def _remove_unused_windows(self):
+        """Remove empty windows, except those of replicas that are known.
+
+        A replica that is gone and returns has to find the window that its
+        requests were recorded in.
+        """
         now = self._clock()
+        kept = {id(sends.window) for sends in self._sends_by_id.values()}
         for name, window in tuple(self._windows_by_name.items()):
-            if not window.used(now):
+            if id(window) not in kept and not window.used(now):
                 del self._windows_by_name[name]
 
 
--- a/packages/gateway/tests/test_cold_replicas.py
+++ b/packages/gateway/tests/test_cold_replicas.py
@@ -111,6 +111,25 @@
     run_virtual(scenario())
 
 
+def test_a_replica_that_returns_keeps_the_requests_sent_to_it(run_virtual):
+    """Guard against a second allowance after another replica has left."""
+
+    async def scenario():
+        world = _World()
+        other = REPLICA._replace(replica_id="s#1", name="s")
+        for replica in (REPLICA, other):
+            world.directory.register(replica)
+            world.cold_replicas.sends(replica)
+        await _after_window()
+        world.directory.remove(other)
+        assert world.send() == OWNER_ALLOWANCE
+        world.directory.remove(REPLICA)
+        world.directory.register(REPLICA)
+        assert world.send() == 0
+
+    run_virtual(scenario())
+
+
 def test_entries_that_are_no_owner_send_little_and_nothing_if_cold(
     run_virtual,
 ):
