Grant no requests for slots that the lender has not confirmed

A borrower that could not reach the lender went on counting the slots that it used as lent, and renewed this with each failed request. For a replica that may be cold, these slots carried requests, while the owner had its whole allowance back one loan and one window later. By calculation, owner and two borrowers of six slots each could send 9 + 6 + 6 requests per window. Only the slots in the lender's last answer grant requests now, for as long as that loan lasts. Which slots may be used is unchanged.

--- a/packages/decisions/anvilwell_decisions/batches/slots.py
+++ b/packages/decisions/anvilwell_decisions/batches/slots.py
@@ -126,6 +126,8 @@
         self._owners_by_replica = {}
         self._lent_by_borrower = {}
         self._borrowed_by_lender = {}
+        # The last loan that each lender has confirmed.
+        self._confirmed_by_lender = {}
 
     @property
     def lenders(self):
@@ -157,6 +159,7 @@
         self._owners_by_replica = {}
         self._lent_by_borrower = {}
         self._borrowed_by_lender = {}
+        self._confirmed_by_lender = {}
 
     def owner(self, replica_id, failure_domain=""):
         """Return the home that a replica is assigned to."""
@@ -186,9 +189,20 @@
         """Return how many of a replica's slots its owner lends this home."""
         owner = self.owner(replica_id, failure_domain)
         loan = self._borrowed_by_lender.get(owner)
-        if loan is None or loan.until <= now:
-            return 0
-        return loan.counts_by_replica.get(replica_id, 0)
+        return _lent_by(loan, replica_id, now)
+
+    def confirmed(self, replica_id, now, failure_domain=""):
+        """Return how many borrowed slots the owner knows to be lent.
+
+        `borrowed` also counts slots that are in use without an answer of the
+        owner, which may have ended the loan.
+        """
+        owner = self.owner(replica_id, failure_domain)
+        loan = self._confirmed_by_lender.get(owner)
+        return min(
+            self.borrowed(replica_id, now, failure_domain),
+            _lent_by(loan, replica_id, now),
+        )
 
     def _lent_slots(self, replica_id, now):
         return sum(
@@ -259,9 +273,16 @@
 
     def record_loan(self, lender, counts_by_replica, requested_at):
         """Record the slots lent on a request sent at `requested_at`."""
-        self._borrowed_by_lender[lender] = _Loan(
-            counts_by_replica, requested_at + LOAN_S
-        )
+        loan = _Loan(counts_by_replica, requested_at + LOAN_S)
+        self._borrowed_by_lender[lender] = loan
+        self._confirmed_by_lender[lender] = loan
+
+
+def _lent_by(loan, replica_id, now):
+    """Return a replica's slots in a `_Loan`, 0 if it has ended or is None."""
+    if loan is None or loan.until <= now:
+        return 0
+    return loan.counts_by_replica.get(replica_id, 0)
 
 
 def _slot_count(loans, now):
--- a/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
+++ b/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
@@ -94,11 +94,14 @@
         )
 
     def borrowed(self, replica, now):
-        """Return how many of a replica's slots its owner lends this home."""
+        """Return how many of a replica's slots its owner lends this home.
+
+        Only slots in the owner's last answer count.
+        """
         service_slots = self._slots_by_service.get(replica.service)
         if service_slots is None:
             return 0
-        return service_slots.borrowed(
+        return service_slots.confirmed(
             replica.replica_id, now, replica.failure_domain
         )
 
--- a/packages/gateway/tests/batches/test_slot_sharing.py
+++ b/packages/gateway/tests/batches/test_slot_sharing.py
@@ -179,3 +179,30 @@
 
     _run(scenario, ("a",), sends_of)
     _run(scenario, ("a", "b"), sends_of)
+
+
+def test_a_loan_ends_if_the_lender_does_not_answer(run_virtual):
+    """Guard against requests of a borrower beside all of the lender's."""
+
+    async def scenario():
+        peers_by_vm = {}
+        a, _ = (
+            _Home(vm_id, peers_by_vm, ("a", "b"), None) for vm_id in ("a", "b")
+        )
+
+        def borrowed_count():
+            now = asyncio.get_running_loop().time()
+            return sum(a.slot_sharing.borrowed(one, now) for one in REPLICAS)
+
+        a.fill()
+        a.waiting = 10
+        await _ask(a)
+        assert a.fill() == borrowed_count() == 10
+        a.pool.is_failing = True
+        for _ in range(3):
+            await asyncio.sleep(2 * slot_sharing.REQUEST_INTERVAL_S)
+            await _ask(a)
+        assert a.pool.call_count == 4
+        assert borrowed_count() == 0
+
+    run_virtual(scenario())
