Count the replica that a held-back stream has left as reached

A stream that was released for a slow caller and then met the limit for replicas that may be cold was counted as not sent to that replica, although the replica had sent events. It then went to one replica more than the route allows, as evacuated ones did before their mend.

--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -99,7 +99,7 @@
             except exceptions.BackendFailed as error:
                 if (
                     not was_released
-                    or error.reason is not reasons.Refusal.EVACUATED
+                    or error.reason not in attempts.HELD_BACK_REASONS
                 ):
                     raise
                 # The replica counts as reached, as it has sent events.
