Prefer healthy cold replicas to ejected warm ones

A call is offered the warm replicas first, and outlier ejection falls back to an ejected replica if no other one remains. So while all healthy replicas of a service were cold or at their limit, live calls, second attempts and scoring calls went to a failing warm replica, though a healthy cold one could be sent them. Ejected replicas are now considered last. Without a limit for cold replicas, the choice is unchanged.

--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -279,11 +279,15 @@
     def _choose_id(self):
         """Return the id of a replica that may be sent the request, or None.
 
-        Warm replicas are preferred to cold ones.
+        Warm replicas are preferred to cold ones, and these to ejected ones.
         """
         policy = self._forwarder.policy(self._service)
-        for excluded in self._forwarder.cold_replicas.exclusions(
+        *preferred, last = self._forwarder.cold_replicas.exclusions(
             self._service, self._excluded_ids()
+        )
+        for excluded in (
+            *(one.union(policy.ejected) for one in preferred),
+            last,
         ):
             wanted = request_facts.RequestFacts(
                 self._call.request_id, excluded=excluded
