Send rare calls away from a near replica that failed

With one call in four seconds, the preferred replica got every call of an entry also while it failed all of them: ejection starts with the third failure in a row, lasts 2 s, and was over before the next call. Replicas that failed within the last 10 s are now left out of the choice for rare calls unless all have failed. The new test chose the failing replica again before, and the next one now.

--- a/packages/decisions/anvilwell_decisions/requests/near_replicas.py
+++ b/packages/decisions/anvilwell_decisions/requests/near_replicas.py
@@ -23,6 +23,10 @@
 KEPT_IDLE_S = 3.0
 # Number of calls from which an entry's rate of calls is known.
 RATE_CALLS = 8
+# How long a replica that failed a call gets no further rare calls while there
+# are others, in seconds. Outlier ejection is too short for rare calls: it
+# starts with the third failure, and ends before the next call.
+FAILURE_PAUSE_S = 10.0
 
 
 class NearReplicas(expected_latency.LeastExpectedLatency):
@@ -52,6 +56,7 @@
         self._idle_count = idle_count
         self._dealt = dealt
         self._called_at = collections.deque(maxlen=RATE_CALLS)
+        self._failed_at_by_id = {}
 
     def choose(self, request, now):
         """Return the replica for `request`, or None."""
@@ -61,7 +66,10 @@
             replica_id: self.expected_s(replica_id, now)
             for replica_id in self._candidates(request)
         }
-        ratio = ALIKE_RATIO if self.has_rare_calls(now) else 1.0
+        ratio = 1.0
+        if self.has_rare_calls(now):
+            ratio = ALIKE_RATIO
+            times_by_id = self._without_failing(times_by_id, now)
         longest_s = ratio * min(times_by_id.values(), default=0.0)
         dealt = self._dealt()
         ranks_by_id = {replica_id: n for n, replica_id in enumerate(dealt)}
@@ -81,6 +89,19 @@
             default=None,
         )
 
+    def _without_failing(self, times_by_id, now):
+        """Leave out replicas that have just failed, unless all have."""
+        kept = {
+            replica_id: expected_s
+            for replica_id, expected_s in times_by_id.items()
+            if not self._has_failed(replica_id, now)
+        }
+        return kept or times_by_id
+
+    def _has_failed(self, replica_id, now):
+        failed_at = self._failed_at_by_id.get(replica_id, float("-inf"))
+        return now - failed_at < FAILURE_PAUSE_S
+
     def has_rare_calls(self, now):
         """Return whether connections to all replicas would expire unused."""
         if len(self._called_at) < RATE_CALLS:
@@ -118,6 +139,14 @@
         round_trip_s = self._round_trip_s(attempt_end.replica_id)
         latency_s = max(0.0, attempt_end.latency_s - round_trip_s)
         super().ended(attempt_end._replace(latency_s=latency_s), now)
+        if attempt_end.failed:
+            self._failed_at_by_id = {
+                replica_id: failed_at
+                for replica_id, failed_at in self._failed_at_by_id.items()
+                if self._has_failed(replica_id, now)
+            } | {attempt_end.replica_id: now}
+        elif attempt_end.is_answer:
+            self._failed_at_by_id.pop(attempt_end.replica_id, None)
 
     def _candidates(self, request):
         """Return the replicas to compare, including the dealt ones."""
--- a/packages/decisions/tests/requests/test_near_replicas.py
+++ b/packages/decisions/tests/requests/test_near_replicas.py
@@ -45,6 +45,13 @@
         end = facts.AttemptEnd(replica_id, False, work_s, True)
         self.policy.ended(end, self.now)
 
+    def fail(self, replica_id, took_s=WORK_S):
+        """Send a call to a replica that fails it after `took_s`."""
+        self.policy.started(replica_id, self.now)
+        self.now += took_s
+        end = facts.AttemptEnd(replica_id, True, took_s, False)
+        self.policy.ended(end, self.now)
+
 
 def _measured_entry():
     """Return an entry that knows the times and slots of all replicas."""
@@ -85,6 +92,20 @@
     assert entry.choose(1.0) == "r-a2"
 
 
+def test_a_failing_replica_is_left_for_the_next_one():
+    """Guard against sending all rare calls to a near replica that fails.
+
+    Ejection needs three failures and ends before the next rare call.
+    """
+    entry = _measured_entry()
+    entry.idle_by_id["r-a1"] = 1
+    entry.fail("r-a1")
+    assert entry.choose() == "r-a2"
+    # It is tried again later, and at once if there is no other.
+    assert entry.choose(excluded=entry.policy.replica_ids - {"r-a1"}) == "r-a1"
+    assert entry.choose(near_replicas.FAILURE_PAUSE_S) == "r-a1"
+
+
 def test_frequent_calls_spread_over_replicas_as_these_fill():
     """Guard against filling one near replica while others are idle."""
     entry = _measured_entry()
