Count calls with excluded replicas in the rate of calls

A call counted only if no replica was excluded from its choice, to leave second attempts out. Calls with allowed regions exclude the replicas of other regions from the first attempt on, so they never counted: their service always had rare calls, and its calls kept to near replicas at any rate. Calls are now counted once by request id. The new test found rare calls at 100 per second before, and frequent ones now.

--- a/packages/decisions/anvilwell_decisions/requests/near_replicas.py
+++ b/packages/decisions/anvilwell_decisions/requests/near_replicas.py
@@ -55,13 +55,13 @@
         self._regions = regions
         self._idle_count = idle_count
         self._dealt = dealt
-        self._called_at = collections.deque(maxlen=RATE_CALLS)
+        # The newest calls, as request id and time.
+        self._calls = collections.deque(maxlen=RATE_CALLS)
         self._failed_at_by_id = {}
 
     def choose(self, request, now):
         """Return the replica for `request`, or None."""
-        if not request.excluded:
-            self._called_at.append(now)
+        self._count_call(request, now)
         times_by_id = {
             replica_id: self.expected_s(replica_id, now)
             for replica_id in self._candidates(request)
@@ -89,6 +89,17 @@
             default=None,
         )
 
+    def _count_call(self, request, now):
+        """Count a call once, though it may be tried at several replicas.
+
+        Replicas may also be excluded from its first attempt.
+        """
+        request_id = request.request_id
+        if not request.excluded or all(
+            request_id != counted_id for counted_id, _ in self._calls
+        ):
+            self._calls.append((request_id, now))
+
     def _without_failing(self, times_by_id, now):
         """Leave out replicas that have just failed, unless all have."""
         kept = {
@@ -104,9 +115,10 @@
 
     def has_rare_calls(self, now):
         """Return whether connections to all replicas would expire unused."""
-        if len(self._called_at) < RATE_CALLS:
+        if len(self._calls) < RATE_CALLS:
             return True
-        calls_per_s = RATE_CALLS / max(1e-9, now - self._called_at[0])
+        _, oldest_at = self._calls[0]
+        calls_per_s = RATE_CALLS / max(1e-9, now - oldest_at)
         return calls_per_s * KEPT_IDLE_S < len(self)
 
     def expected_s(self, replica_id, now):
--- a/packages/decisions/tests/requests/test_near_replicas.py
+++ b/packages/decisions/tests/requests/test_near_replicas.py
@@ -30,10 +30,10 @@
                 facts.ReplicaFacts(f"r-{domain}", domain), self.now
             )
 
-    def choose(self, gap_s=4.0, excluded=()):
+    def choose(self, gap_s=4.0, excluded=(), request_id="c"):
         """Return the replica of a call `gap_s` after the one before."""
         self.now += gap_s
-        request = facts.RequestFacts("c", excluded=frozenset(excluded))
+        request = facts.RequestFacts(request_id, excluded=frozenset(excluded))
         return self.policy.choose(request, self.now)
 
     def answer(self, replica_id, work_s=WORK_S, in_flight=1):
@@ -106,6 +106,14 @@
     assert entry.choose(near_replicas.FAILURE_PAUSE_S) == "r-a1"
 
 
+def test_calls_with_excluded_replicas_count_as_calls():
+    """Guard against taking calls that have allowed regions for rare ones."""
+    entry = _measured_entry()
+    for number in range(near_replicas.RATE_CALLS):
+        entry.choose(0.01, excluded={"r-b1"}, request_id=f"c{number}")
+    assert not entry.policy.has_rare_calls(entry.now)
+
+
 def test_frequent_calls_spread_over_replicas_as_these_fill():
     """Guard against filling one near replica while others are idle."""
     entry = _measured_entry()
