Pass over an entry that is lost while a submission is forwarded

A submission is sent to up to three entries, one after another, that were chosen before the first call. If one of the others lost its live key during that call, its address was missing: the submission failed with a KeyError instead of a refusal that says whether the batch may have been accepted. Such an entry now counts as one that didn't accept it. The new test ended with the KeyError before, and with the outcome of the first call now.

--- a/packages/gateway/anvilwell_gateway/batches/submission_forwarding.py
+++ b/packages/gateway/anvilwell_gateway/batches/submission_forwarding.py
@@ -124,7 +124,10 @@
 
     async def _send(self, home, request):
         """Forward `request` to one entry; return the `ForwardOutcome`."""
-        address = self._cluster_state.addresses_by_vm[home]
+        address = self._cluster_state.addresses_by_vm.get(home)
+        if address is None:
+            # It was lost while another entry was tried.
+            return ForwardOutcome.NOT
         submission = ForwardedSubmission(
             request.target,
             request.headers,
