Repeat the release of a batch that may not be opened here

If the lists change between the claim of a batch and its opening, the process that claimed it releases it, so that an entry in an allowed region takes it over. The release was tried once. If it failed, for example during an outage of the store, the batch stayed with a live owner that didn't run it, and no other entry took it over. It is now repeated until it succeeds or the batch may be opened. The new test counted one try per check of the owners before (two, both failed); now the third one succeeds.

--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -94,6 +94,8 @@
         self._accepting_counts = collections.Counter()
         self._tasks = set()
         self._taking_over = set()
+        # Ids of batches that this process owns and may not open.
+        self._releasing = set()
         self._opening_times = {}
         self._may_take_over = False
         self.is_draining = False
@@ -333,7 +335,23 @@
         )
 
     async def _release(self, batch_id):
-        """Release a batch, so that an entry that may own it takes it over."""
+        """Release a batch, so that an entry that may own it takes it over.
+
+        It is repeated, as no other process takes over a batch of a live owner.
+        """
+        if batch_id in self._releasing:
+            return
+        self._releasing.add(batch_id)
+        try:
+            while self._is_stranded(batch_id):
+                if await self._try_release(batch_id):
+                    return
+                await asyncio.sleep(RANK_DELAY_S)
+        finally:
+            self._releasing.discard(batch_id)
+
+    async def _try_release(self, batch_id):
+        """Release a batch; return whether it succeeded."""
         claim = self._owners.claims_by_id[batch_id]
         try:
             await self._store.release(batch_id, claim)
@@ -341,6 +359,8 @@
             _LOG.log(
                 "batch-not-released", batch_id=batch_id, cause=error.message
             )
+            return False
+        return True
 
     def _start(self, coroutine):
         task = asyncio.create_task(coroutine)
