Close a connection that is taken from the pool by a cancelled request

A request that was cancelled in the moment in which it took an idle connection, for example a second attempt whose first one is answered, left the connection open and outside the pool, and its loss wasn't recorded. The next new connection was then counted as one for concurrent requests. The new test found the connection open before, and closed now.

--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -332,7 +332,13 @@
         while idle:
             connection = idle.popleft() if self._uses_oldest else idle.pop()
             is_fresh = connection.usable_until > self._clock()
-            if await connection.stop_watching() and is_fresh:
+            try:
+                was_silent = await connection.stop_watching()
+            except asyncio.CancelledError:
+                self._records.lost(key, reasons.NewConnection.STOPPED)
+                connection.close()
+                raise
+            if was_silent and is_fresh:
                 return connection
             self._lose_idle(key, connection)
         return None
--- a/packages/gateway/tests/http/test_client.py
+++ b/packages/gateway/tests/http/test_client.py
@@ -84,3 +84,21 @@
         return caught.value.verdict
 
     assert asyncio.run(scenario()) is verdicts.Verdict.NOT_RUN
+
+
+def test_a_connection_whose_use_is_cancelled_at_once_is_closed():
+    """Guard against connections that are neither pooled nor closed."""
+
+    async def scenario():
+        pool = client.Pool(asyncio.get_running_loop().time)
+        async with _served(_answer_at_once) as address:
+            await pool.call("k", address, REQUEST, 5.0, 100)
+            (connection,) = pool._idle_by_key["k"]
+            taking = asyncio.create_task(pool.acquire("k", address))
+            await asyncio.sleep(0)
+            taking.cancel()
+            await asyncio.gather(taking, return_exceptions=True)
+            assert taking.cancelled()
+            return connection._writer.is_closing()
+
+    assert asyncio.run(scenario())
