Use reported loads without contention for the choice of near replicas

Replicas may report their load without the contention of their machine. The choice of near replicas ignored such reports and counted only the calls of its own entry, so that a near replica that others had filled still got all calls. Such a report now counts as one with the usual contention. The new test chose the full replica before, and the next one now.

--- a/packages/decisions/anvilwell_decisions/requests/near_replicas.py
+++ b/packages/decisions/anvilwell_decisions/requests/near_replicas.py
@@ -3,6 +3,7 @@
 import collections
 
 from anvilwell_decisions.requests import expected_latency
+from anvilwell_decisions.requests import server_loads
 from anvilwell_decisions.traffic import regions
 
 # Typical time of a message and its reply, in seconds.
@@ -146,6 +147,12 @@
             return self._loads.own(replica_id)
         return self._loads.estimate(replica_id)
 
+    def report(self, report, now):
+        """Record a reported load, also if it is without contention."""
+        if report.contention is None and report.limit:
+            report = report._replace(contention=server_loads.NO_CONTENTION)
+        super().report(report, now)
+
     def ended(self, attempt_end, now):
         """Learn the replica's own time, without that of the network."""
         round_trip_s = self._round_trip_s(attempt_end.replica_id)
--- a/packages/decisions/tests/requests/test_near_replicas.py
+++ b/packages/decisions/tests/requests/test_near_replicas.py
@@ -36,11 +36,11 @@
         request = facts.RequestFacts(request_id, excluded=frozenset(excluded))
         return self.policy.choose(request, self.now)
 
-    def answer(self, replica_id, work_s=WORK_S, in_flight=1):
+    def answer(self, replica_id, work_s=WORK_S, in_flight=1, contention=1.0):
         """Send a call to a replica and get its answer after `work_s`."""
         self.policy.started(replica_id, self.now)
         self.now += work_s
-        report = facts.LoadReport(replica_id, in_flight, 1, SLOTS, 1.0)
+        report = facts.LoadReport(replica_id, in_flight, 1, SLOTS, contention)
         self.policy.report(report, self.now)
         end = facts.AttemptEnd(replica_id, False, work_s, True)
         self.policy.ended(end, self.now)
@@ -83,6 +83,16 @@
     assert entry.choose(4.0) == "r-a1"
 
 
+def test_a_busy_replica_that_reports_no_contention_is_left():
+    """Guard against ignoring the load of replicas without contention."""
+    entry = SingleEntry()
+    for domain in DOMAINS * 10:
+        entry.answer(f"r-{domain}", contention=None)
+    entry.idle_by_id["r-a1"] = 1
+    entry.answer("r-a1", in_flight=SLOTS + 2, contention=None)
+    assert entry.choose(1.0) == "r-a2"
+
+
 def test_a_slow_replica_is_left_for_the_next_one():
     """Guard against staying at a near replica that became slow."""
     entry = _measured_entry()
