Call listeners of the store outside the context of the answered call

The limit of the peers that relay a batch's store calls is kept in the context. When the store answered again, the listeners ran in the context of the answered call, often a write of results. They restart the watches of all followers, so that these kept the limit of that batch for good: on a VM without a direct path and with allowed regions, they used no peer in another region and received no news if its own had none. Listeners now run in the context in which they were registered. The new test saw the limit before, and none now.

--- a/packages/gateway/anvilwell_gateway/store.py
+++ b/packages/gateway/anvilwell_gateway/store.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextvars
 import typing
 
 from anvilwell_kernel import exceptions
@@ -53,9 +54,12 @@
         """Call `callback` when a call succeeds after one has failed.
 
         A watch that was waiting during the outage may hang on a dead
-        connection, so the callback should restart it.
+        connection, so the callback should restart it. It runs in a copy of
+        the current context and not in that of the answered call, whose limit
+        of relays would apply to the new watch too.
         """
-        self._regained_listeners.append(callback)
+        context = contextvars.copy_context()
+        self._regained_listeners.append((callback, context))
 
     def note_failure(self):
         """Record that a call received no answer."""
@@ -70,8 +74,8 @@
         self.answered_at = loop.time()
         if self._is_unanswered:
             self._is_unanswered = False
-            for callback in self._regained_listeners:
-                loop.call_soon(callback)
+            for callback, context in self._regained_listeners:
+                loop.call_soon(callback, context=context)
             self._cancel_hung_calls(loop.time())
 
     def _cancel_hung_calls(self, now):
--- a/packages/gateway/tests/test_outages.py
+++ b/packages/gateway/tests/test_outages.py
@@ -4,6 +4,7 @@
 
 from anvilwell_gateway import presence as presences
 from anvilwell_gateway import store as stores
+from anvilwell_gateway import store_paths
 from anvilwell_outside.ports import keyvalue
 import pytest
 
@@ -124,3 +125,19 @@
     assert (never, before, after) == (0.0, 0.0, 0.0)
     assert silent == presences.REREGISTRATION_S
     assert back == pytest.approx(presences.REREGISTRATION_S, abs=0.02)
+
+
+def test_listeners_run_without_the_limits_of_the_call_that_was_answered():
+    """Guard against watches that keep one batch's limit on relays."""
+    store = _Store()
+    limits = []
+    store.listen_regained(lambda: limits.append(store_paths._MAY_RELAY.get()))
+
+    async def scenario():
+        with store_paths.limited_relays(lambda vm_id: False):
+            store.note_failure()
+            store.note_success()
+        await asyncio.sleep(0)
+
+    asyncio.run(scenario())
+    assert limits == [None]
