--- a/packages/decisions/tests/requests/test_near_replicas.py
+++ b/packages/decisions/tests/requests/test_near_replicas.py
@@ -30,21 +30,28 @@
                 facts.ReplicaFacts(f"r-{domain}", domain), self.now
             )
 
-    def choose(self, gap_s=4.0, excluded=()):
+    def choose(self, gap_s=4.0, excluded=(), request_id="c"):
         """Return the replica of a call `gap_s` after the one before."""
         self.now += gap_s
-        request = facts.RequestFacts("c", excluded=frozenset(excluded))
+        request = facts.RequestFacts(request_id, excluded=frozenset(excluded))
         return self.policy.choose(request, self.now)
 
-    def answer(self, replica_id, work_s=WORK_S, in_flight=1):
+    def answer(self, replica_id, work_s=WORK_S, in_flight=1, contention=1.0):
         """Send a call to a replica and get its answer after `work_s`."""
         self.policy.started(replica_id, self.now)
         self.now += work_s
-        report = facts.LoadReport(replica_id, in_flight, 1, SLOTS, 1.0)
+        report = facts.LoadReport(replica_id, in_flight, 1, SLOTS, contention)
         self.policy.report(report, self.now)
         end = facts.AttemptEnd(replica_id, False, work_s, True)
         self.policy.ended(end, self.now)
 
+    def fail(self, replica_id, took_s=WORK_S):
+        """Send a call to a replica that fails it after `took_s`."""
+        self.policy.started(replica_id, self.now)
+        self.now += took_s
+        end = facts.AttemptEnd(replica_id, True, took_s, False)
+        self.policy.ended(end, self.now)
+
 
 def _measured_entry():
     """Return an entry that knows the times and slots of all replicas."""
@@ -76,6 +83,16 @@
     assert entry.choose(4.0) == "r-a1"
 
 
+def test_a_busy_replica_that_reports_no_contention_is_left():
+    """Guard against ignoring the load of replicas without contention."""
+    entry = SingleEntry()
+    for domain in DOMAINS * 10:
+        entry.answer(f"r-{domain}", contention=None)
+    entry.idle_by_id["r-a1"] = 1
+    entry.answer("r-a1", in_flight=SLOTS + 2, contention=None)
+    assert entry.choose(1.0) == "r-a2"
+
+
 def test_a_slow_replica_is_left_for_the_next_one():
     """Guard against staying at a near replica that became slow."""
     entry = _measured_entry()
@@ -85,6 +102,28 @@
     assert entry.choose(1.0) == "r-a2"
 
 
+def test_a_failing_replica_is_left_for_the_next_one():
+    """Guard against sending all rare calls to a near replica that fails.
+
+    Ejection needs three failures and ends before the next rare call.
+    """
+    entry = _measured_entry()
+    entry.idle_by_id["r-a1"] = 1
+    entry.fail("r-a1")
+    assert entry.choose() == "r-a2"
+    # It is tried again later, and at once if there is no other.
+    assert entry.choose(excluded=entry.policy.replica_ids - {"r-a1"}) == "r-a1"
+    assert entry.choose(near_replicas.FAILURE_PAUSE_S) == "r-a1"
+
+
+def test_calls_with_excluded_replicas_count_as_calls():
+    """Guard against taking calls that have allowed regions for rare ones."""
+    entry = _measured_entry()
+    for number in range(near_replicas.RATE_CALLS):
+        entry.choose(0.01, excluded={"r-b1"}, request_id=f"c{number}")
+    assert not entry.policy.has_rare_calls(entry.now)
+
+
 def test_frequent_calls_spread_over_replicas_as_these_fill():
     """Guard against filling one near replica while others are idle."""
     entry = _measured_entry()
