Name the assignment of replicas to entries by the usual term

The module was named after dealing cards. It assigns replicas to entries now; no behaviour changes. Tests of the requests' decisions and of the near routing pass with the same assertions.

--- a/packages/decisions/anvilwell_decisions/requests/near_replicas.py
+++ b/packages/decisions/anvilwell_decisions/requests/near_replicas.py
@@ -31,7 +31,7 @@
 
 
 class NearReplicas(expected_latency.LeastExpectedLatency):
-    """Prefers replicas with an idle connection, then those dealt to the entry.
+    """Prefers replicas with an idle connection, then the assigned ones.
 
     The preference applies among replicas whose expected times are alike, and
     only while calls are rare: with more calls, all connections stay in use
@@ -46,16 +46,16 @@
         Says how far away the replicas are.
     idle_count : callable
         Returns the number of usable idle connections to a replica id.
-    dealt : callable
-        Returns the ids of the replicas dealt to this entry, the preferred one
-        first.
+    assigned : callable
+        Returns the ids of the replicas assigned to this entry, the preferred
+        one first.
     """
 
-    def __init__(self, rng, regions, idle_count, dealt):
+    def __init__(self, rng, regions, idle_count, assigned):
         super().__init__(rng)
         self._regions = regions
         self._idle_count = idle_count
-        self._dealt = dealt
+        self._assigned = assigned
         # The newest calls, as request id and time.
         self._calls = collections.deque(maxlen=RATE_CALLS)
         self._failed_at_by_id = {}
@@ -72,8 +72,8 @@
             ratio = ALIKE_RATIO
             times_by_id = self._without_failing(times_by_id, now)
         longest_s = ratio * min(times_by_id.values(), default=0.0)
-        dealt = self._dealt()
-        ranks_by_id = {replica_id: n for n, replica_id in enumerate(dealt)}
+        assigned = self._assigned()
+        ranks_by_id = {replica_id: n for n, replica_id in enumerate(assigned)}
         return min(
             (
                 replica_id
@@ -168,13 +168,13 @@
             self._failed_at_by_id.pop(attempt_end.replica_id, None)
 
     def _candidates(self, request):
-        """Return the replicas to compare, including the dealt ones."""
-        dealt = {
+        """Return the replicas to compare, including the assigned ones."""
+        assigned = {
             replica_id
-            for replica_id in self._dealt()
+            for replica_id in self._assigned()
             if self._pool.is_eligible(replica_id, request)
         }
-        return dealt.union(super()._candidates(request))
+        return assigned.union(super()._candidates(request))
 
     def _distance(self, replica_id):
         facts = self._pool.facts_by_id.get(replica_id)
--- a/packages/decisions/anvilwell_decisions/requests/dealing.py
+++ b/packages/decisions/anvilwell_decisions/requests/replica_assignment.py
@@ -1,8 +1,8 @@
-"""Deals the replicas of a service evenly to the entries.
+"""Assigns the replicas of a service evenly to the entries.
 
-All entries with the same lists of entries and replicas deal alike, so that no
-messages are needed. Lists that differ for a while only make the shares less
-even.
+All entries with the same lists of entries and replicas compute the same
+assignment, so that no messages are needed. Lists that differ for a while only
+make the shares less even.
 """
 
 import collections
@@ -13,31 +13,31 @@
 
 from anvilwell_decisions.traffic import regions as all_regions
 
-# Number of replicas that are dealt to each entry: one to use, and one in
+# Number of replicas that are assigned to each entry: one to use, and one in
 # another failure domain in case that the first is busy, failing or gone.
-DEALT_REPLICAS = 2
+REPLICAS_PER_ENTRY = 2
 
 
-class DealtReplica(typing.NamedTuple):
-    """A replica to deal; its share of the entries grows with its slots."""
+class AssignableReplica(typing.NamedTuple):
+    """A replica to assign; its share of the entries grows with its slots."""
 
     replica_id: str
     failure_domain: str
     slots: int
 
 
-def deal(domains_by_entry, replicas, regions):
+def assign(domains_by_entry, replicas, regions):
     """Return the replicas that each entry should use, the preferred one first.
 
-    Each replica is dealt first to entries of its own failure domain, then to
-    those of its region, then to any, up to its share of all entries. The
+    Each replica is assigned first to entries of its own failure domain, then
+    to those of its region, then to any, up to its share of all entries. The
     replicas of one entry are in different failure domains where possible.
 
     Parameters
     ----------
     domains_by_entry : dict of str to str
         Failure domain of each entry.
-    replicas : iterable of DealtReplica
+    replicas : iterable of AssignableReplica
         The replicas of the service.
     regions : regions.Regions
         Says how far failure domains are apart.
@@ -46,33 +46,33 @@
     -------
     dict of str to list of str
     """
-    hand = _Hand(replicas, len(domains_by_entry))
+    shares = _RemainingShares(replicas, len(domains_by_entry))
     entries = sorted(domains_by_entry, key=_order)
-    dealt_by_entry = {entry: [] for entry in entries}
-    rounds = min(DEALT_REPLICAS, len(hand.domains_by_id))
+    assigned_by_entry = {entry: [] for entry in entries}
+    rounds = min(REPLICAS_PER_ENTRY, len(shares.domains_by_id))
     for wanted in range(1, rounds + 1):
-        hand.start_round()
+        shares.start_round()
         for distance in all_regions.Distance:
             for entry in entries:
-                dealt = dealt_by_entry[entry]
-                if len(dealt) < wanted:
+                assigned = assigned_by_entry[entry]
+                if len(assigned) < wanted:
                     near = [
                         domain
-                        for domain in hand.domains
+                        for domain in shares.domains
                         if regions.distance_between(
                             domains_by_entry[entry], domain
                         )
                         <= distance
                     ]
-                    dealt += hand.take(near, dealt)
-        for dealt in dealt_by_entry.values():
-            if len(dealt) < wanted:
-                dealt += hand.take_any(dealt)
-    return dealt_by_entry
+                    assigned += shares.take(near, assigned)
+        for assigned in assigned_by_entry.values():
+            if len(assigned) < wanted:
+                assigned += shares.take_any(assigned)
+    return assigned_by_entry
 
 
-class _Hand:
-    """The replicas to deal, with what is left of the share of each."""
+class _RemainingShares:
+    """The replicas to assign, with what is left of the share of each."""
 
     def __init__(self, replicas, entry_count):
         replicas = list(replicas)
@@ -100,12 +100,12 @@
             ]
             heapq.heapify(heap)
 
-    def take(self, domains, dealt):
+    def take(self, domains, assigned):
         """Return a replica with some share left, as a list of at most one.
 
-        It is in one of `domains`, and in none of the replicas in `dealt`.
+        It is in one of `domains`, and in none of the replicas in `assigned`.
         """
-        used = {self.domains_by_id[replica_id] for replica_id in dealt}
+        used = {self.domains_by_id[replica_id] for replica_id in assigned}
         tops = [
             (*self._heaps_by_domain[domain][0], domain)
             for domain in domains
@@ -119,17 +119,17 @@
         )
         return [replica_id]
 
-    def take_any(self, dealt):
-        """Return a replica that is not in `dealt`, whatever is left of it.
+    def take_any(self, assigned):
+        """Return a replica that is not in `assigned`, whatever is left of it.
 
-        Replicas in other failure domains than those in `dealt` come first.
+        Replicas in other failure domains than those in `assigned` come first.
         """
-        used = {self.domains_by_id[replica_id] for replica_id in dealt}
+        used = {self.domains_by_id[replica_id] for replica_id in assigned}
         others = [
             (domain in used, negative_left, replica_id, domain)
             for domain, heap in self._heaps_by_domain.items()
             for negative_left, replica_id in heap
-            if replica_id not in dealt
+            if replica_id not in assigned
         ]
         _, negative_left, replica_id, domain = min(others)
         heap = self._heaps_by_domain[domain]
--- a/packages/decisions/tests/requests/test_near_replicas.py
+++ b/packages/decisions/tests/requests/test_near_replicas.py
@@ -14,7 +14,7 @@
 
 
 class SingleEntry:
-    """An entry in failure domain a1 with the replicas r-a1 and r-a2 dealt."""
+    """An entry in failure domain a1, assigned the replicas r-a1 and r-a2."""
 
     def __init__(self):
         self.idle_by_id = collections.Counter()
--- a/packages/gateway/anvilwell_gateway/near_routing.py
+++ b/packages/gateway/anvilwell_gateway/near_routing.py
@@ -2,12 +2,12 @@
 
 import functools
 
-from anvilwell_decisions.requests import dealing
 from anvilwell_decisions.requests import near_replicas
+from anvilwell_decisions.requests import replica_assignment
 
 
 class NearRouting:
-    """Deals the usable replicas of each service to the live entries.
+    """Assigns the usable replicas of each service to the live entries.
 
     Parameters
     ----------
@@ -20,8 +20,8 @@
     def __init__(self, fleet, idle_count):
         self._fleet = fleet
         self._idle_count = idle_count
-        self._dealt_by_service = {}
-        fleet.cluster_state.listen_entries(self._dealt_by_service.clear)
+        self._assigned_by_service = {}
+        fleet.cluster_state.listen_entries(self._assigned_by_service.clear)
         fleet.directory.listen(self._replicas_changed)
 
     @classmethod
@@ -37,32 +37,32 @@
             rng,
             self._fleet.regions,
             self._idle_count,
-            functools.partial(self._dealt, service),
+            functools.partial(self._assigned, service),
         )
 
     def _replicas_changed(self, changed):
         if changed.is_membership:
-            self._dealt_by_service.clear()
+            self._assigned_by_service.clear()
 
-    def _dealt(self, service):
-        """Return the ids of the replicas of a service dealt to this entry."""
-        known = self._dealt_by_service.get(service)
+    def _assigned(self, service):
+        """Return the ids of a service's replicas assigned to this entry."""
+        known = self._assigned_by_service.get(service)
         if known is None:
-            known = self._dealt_by_service[service] = self._deal(service)
+            known = self._assigned_by_service[service] = self._assign(service)
         return known
 
-    def _deal(self, service):
+    def _assign(self, service):
         fleet = self._fleet
         domains_by_entry = fleet.cluster_state.domains_by_vm
         # A VM that has lost its live key still uses the replicas.
         domains_by_entry[fleet.vm_id] = fleet.failure_domain
         replicas = [
-            dealing.DealtReplica(
+            replica_assignment.AssignableReplica(
                 replica.replica_id, replica.failure_domain, replica.slots
             )
             for replica in fleet.directory.usable(service)
         ]
-        dealt_by_entry = dealing.deal(
+        assigned_by_entry = replica_assignment.assign(
             domains_by_entry, replicas, fleet.regions
         )
-        return dealt_by_entry[fleet.vm_id]
+        return assigned_by_entry[fleet.vm_id]
--- a/packages/gateway/tests/test_near_routing.py
+++ b/packages/gateway/tests/test_near_routing.py
@@ -47,7 +47,7 @@
     for listener in fleet.listeners[1:]:
         listener(directories.DirectoryChange(frozenset(["r-a1"]), True))
     policy.replica_down("r-a1", 1.0)
-    assert policy._dealt()[0] == "r-a2"
+    assert policy._assigned()[0] == "r-a2"
     assert policy.choose(request_facts.RequestFacts("c"), 2.0) == "r-a2"
 
 
