Identify a response by its request id before all else

Cause: a refused item's connection goes back to the pool. A faulty replica sends that refusal once more, where the response to the next request is due. The forwarder read "not run" and "another replica" from the head before it compared the id, so the call was sent to a second replica, or refused.

Retries after hedges (excluded for such routes) and refusals that were not read to their end would have left no such heads.

Change: `responses.read_head` finds the response to the request that was sent last, for live calls, streams, scoring calls and items alike. It skips responses with another id, up to a limit, and reads on, as the response to the call itself comes next; nothing else is concluded from them (no replica set aside, no load, no refusal). A response without an id counts only for the first request on a connection. A connection that carried another response is not kept, and a request is not sent again on the connection of its own last attempt, as a second refusal would bear the right id. The log line `other-response` and a counter tell of all of these.

--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -373,7 +373,10 @@
     def _use(self, replica):
         """Return the `connection_records.Use` of an attempt at a replica."""
         return connection_records.Use.of_replica(
-            replica, self._work, len(self.tried_replica_ids) > 1
+            replica,
+            self._work,
+            self._call.request_id,
+            len(self.tried_replica_ids) > 1,
         )
 
     def _record_start(self, replica):
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -9,6 +9,7 @@
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import connection_records
 from anvilwell_gateway.http import messages
+from anvilwell_gateway import responses
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 
@@ -110,7 +111,7 @@
                 replica.replica_id,
                 replica.address,
                 use=connection_records.Use.of_replica(
-                    replica, reasons.Work.ITEM
+                    replica, reasons.Work.ITEM, run_request.item.item_id
                 ),
             )
         except exceptions.AnvilwellError as error:
@@ -152,8 +153,9 @@
             "POST", run_request.item.target, headers, run_request.item.body
         )
         async with asyncio.timeout(events.STALL_TIMEOUT_S):
-            reply = await connection.read_head()
-        outcome = self._dialect.read_response_head(reply)
+            reply, outcome = await responses.read_head(
+                connection, self._dialect, run_request.item.item_id
+            )
         if outcome.load:
             pace.record_load(outcome.load, asyncio.get_running_loop().time())
         result = _classify_response_head(reply, outcome, run_request)
@@ -217,10 +219,6 @@
 
 def _classify_response_head(reply, outcome, run_request):
     """Return the result if the head ends the run, else None."""
-    if outcome.request_id not in ("", run_request.item.item_id):
-        return RunResult(
-            RunEnd.BROKEN, cause="the response belongs to another request"
-        )
     if outcome.is_other:
         return RunResult(RunEnd.OTHER_REPLICA, outcome.version)
     if outcome.not_run:
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -13,6 +13,7 @@
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
 from anvilwell_gateway import measures
+from anvilwell_gateway import responses
 from anvilwell_gateway import streams
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -353,21 +354,22 @@
             ),
             request.body,
         )
-        reply = await connection.read_head()
-        outcome = self._dialect.read_response_head(reply)
+        reply, outcome = await responses.read_head(
+            connection, self._dialect, call.request_id
+        )
         if outcome.is_other:
             self._directory.exclude(replica.replica_id)
         elif outcome.not_run:
             self._fair_sharing.record_refusal(replica)
-        self._check(call, reply, outcome)
+        self._check(reply, outcome)
         self._report(replica, outcome)
         return reply
 
     @staticmethod
-    def _check(call, reply, outcome):
-        """Raise unless the response belongs to this request and replica.
+    def _check(reply, outcome):
+        """Raise unless the replica that was called ran the request.
 
-        Also raises if the replica refused the request without running it.
+        Also raises if a success has no seal.
         """
         if outcome.is_other:
             raise client.call_error(
@@ -381,8 +383,6 @@
                 reasons.Refusal.OVERLOADED,
                 verdicts.Verdict.NOT_RUN,
             )
-        if outcome.request_id and outcome.request_id != call.request_id:
-            raise client.call_error("the response is for another request")
         if reply.status < 300 and not outcome.is_sealed:
             raise client.call_error("the response has no seal")
 
--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -67,12 +67,15 @@
     def __init__(self, reader, writer):
         self._reader = reader
         self._writer = writer
-        self._conn = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._conn = _new_h11_connection()
         self._idle_watch = None
         self._status = 0
         self._is_cut = False
+        self._sent_events = ()
+        self._sent_count = 0
+        self._has_extra_response = False
+        # The id of the latest request, "" for a peer that is no replica.
+        self.request_id = ""
         self.usable_until = 0.0
         # Called with the connection once it is closed while it is in use.
         self.on_close = None
@@ -128,11 +131,16 @@
             target=target.encode("latin-1"),
             headers=messages.encode_headers(headers),
         )
-        events = [head, h11.Data(data=body)] if body else [head]
-        parts = [self._conn.send(one) for one in events]
-        self._writer.write(
-            b"".join([*parts, self._conn.send(h11.EndOfMessage())])
-        )
+        content = (h11.Data(data=body),) if body else ()
+        self._sent_events = (head, *content, h11.EndOfMessage())
+        self._sent_count += 1
+        parts = [self._conn.send(event) for event in self._sent_events]
+        self._writer.write(b"".join(parts))
+
+    @property
+    def is_reused(self):
+        """Whether the latest request was not the first on the connection."""
+        return self._sent_count > 1
 
     async def read_head(self):
         """Return the response's head as a `messages.Reply`."""
@@ -165,6 +173,35 @@
                 raise call_error(f"the response is over {max_bytes} bytes")
         return b"".join(parts)
 
+    async def skip_response(self, max_bytes):
+        """Discard the response whose head was read, so that another may come.
+
+        For a response to an earlier request, which the peer sent before the
+        response to the latest one. The connection is not kept afterwards.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Limit of the discarded body.
+
+        Raises
+        ------
+        exceptions.BackendFailed
+            If the response is not whole, or if the connection ends with it.
+        """
+        self._has_extra_response = True
+        await self.read_body(max_bytes)
+        if self._conn.their_state is not h11.DONE:
+            raise call_error("the connection ends before the response")
+        following, is_closed = self._conn.trailing_data
+        self._conn = _new_h11_connection()
+        for event in self._sent_events:
+            self._conn.send(event)
+        if following:
+            self._conn.receive_data(following)
+        if is_closed:
+            self._conn.receive_data(b"")
+
     async def _next_event(self):
         while True:
             try:
@@ -195,9 +232,10 @@
         """
         conn = self._conn
         is_done = conn.our_state is h11.DONE and conn.their_state is h11.DONE
-        if not is_done or conn.trailing_data[0]:
+        if not is_done or conn.trailing_data[0] or self._has_extra_response:
             return False
         conn.start_next_cycle()
+        self._sent_events = ()
         self._status = 0
         keep_alive_s = (
             _keep_alive_s(reply, default_keep_alive_s) - KEEP_ALIVE_MARGIN_S
@@ -243,6 +281,10 @@
         return reasons.NewConnection.STOPPED
 
 
+def _new_h11_connection():
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
 def _keep_alive_s(reply, default_s):
     """Return how long the peer keeps an idle connection, in seconds."""
     stated = messages.find(reply.headers, "keep-alive")
@@ -305,13 +347,15 @@
             What the connection is for, if the peer is a replica. New
             connections are then counted by reason.
         """
-        connection = await self._take_idle(key)
+        request_id = use.request_id if use else ""
+        connection = await self._take_idle(key, request_id)
         if connection is None:
             connection = await Connection.open(
                 address, timeout_s, self._use_keepalive
             )
             if use:
                 self._records.opened(key, use)
+        connection.request_id = request_id
         if use:
             connection.on_close = lambda closed: self._records.lost(
                 key, closed.close_reason
@@ -326,11 +370,15 @@
             for connection in self._idle_by_key.get(key, ())
         )
 
-    async def _take_idle(self, key):
-        """Return a usable idle connection of a peer, or None."""
+    async def _take_idle(self, key, request_id):
+        """Return a usable idle connection of a peer, or None.
+
+        One whose latest request had the same id is not used: a second
+        response to that request could not be told from the next one.
+        """
         idle = self._idle_by_key[key]
-        while idle:
-            connection = idle.popleft() if self._uses_oldest else idle.pop()
+        while connection := self._choose_idle(idle, request_id):
+            idle.remove(connection)
             is_fresh = connection.usable_until > self._clock()
             try:
                 was_silent = await connection.stop_watching()
@@ -343,6 +391,18 @@
             self._lose_idle(key, connection)
         return None
 
+    def _choose_idle(self, idle, request_id):
+        """Return the idle connection to use next for a request, or None."""
+        ordered = idle if self._uses_oldest else reversed(idle)
+        return next(
+            (
+                connection
+                for connection in ordered
+                if not request_id or connection.request_id != request_id
+            ),
+            None,
+        )
+
     def _lose_idle(self, key, connection):
         """Close an idle connection that can't be used any more."""
         is_fresh = connection.usable_until > self._clock()
--- a/packages/gateway/anvilwell_gateway/http/connection_records.py
+++ b/packages/gateway/anvilwell_gateway/http/connection_records.py
@@ -17,17 +17,19 @@
     """What a connection is used for: a request of some work to a replica.
 
     ``replica`` is the replica's name, which its incarnations share.
+    ``request_id`` is the id that the replica echoes in its response.
     """
 
     replica: str
     work: reasons.Work
+    request_id: str
     is_second_attempt: bool = False
 
     @classmethod
-    def of_replica(cls, replica, work, is_second_attempt=False):
-        """Return the use of a `facts.Replica` for some work."""
+    def of_replica(cls, replica, work, request_id, is_second_attempt=False):
+        """Return the use of a `facts.Replica` for a request of some work."""
         name = replica.name or replica.replica_id
-        return cls(name, work, is_second_attempt)
+        return cls(name, work, request_id, is_second_attempt)
 
 
 class ConnectionRecords:
--- a/packages/gateway/tests/http/test_connection_records.py
+++ b/packages/gateway/tests/http/test_connection_records.py
@@ -1,6 +1,7 @@
 """Tests the reasons by which new connections to replicas are counted."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -13,7 +14,7 @@
 from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import counters
 
-USE = connection_records.Use("r", reasons.Work.LIVE_CALL)
+USE = connection_records.Use("r", reasons.Work.LIVE_CALL, "a1")
 REQUEST = messages.Request("GET", "/", (("Host", "x"),), b"")
 
 
@@ -76,12 +77,13 @@
 def test_the_pool_reports_how_connections_were_lost(counted):
     """Guard against wrong reasons, and against counting our own VMs."""
     now_s = 0.0
+    uses = (USE._replace(request_id=str(n)) for n in itertools.count())
 
     async def handle(request, responder):
         await responder.send(503 if request.target == "/no" else 200)
 
     async def ask(pool, address, target="/"):
-        connection = await pool.acquire("k", address, use=USE)
+        connection = await pool.acquire("k", address, use=next(uses))
         connection.send("GET", target, REQUEST.headers)
         reply = await connection.read_head()
         if reply.status != 200:
--- a/packages/gateway/tests/test_evacuations.py
+++ b/packages/gateway/tests/test_evacuations.py
@@ -107,12 +107,14 @@
 def test_nothing_is_sent_on_a_connection_that_opens_after_the_evacuation():
     """Guard against requests that were assigned before and sent after it."""
     replica = facts.Replica("r", "lm", None, "b", 4)
+    item = facts.Item("i", "/", (), b"", "g")
+    request = runners.RunRequest(item, "h", None, 0, False, 1.0)
 
     async def send_item():
         directory = _SmallDirectory()
         pool = _SlowPool(directory)
         runner = runners.Runner(None, pool, directory.may_receive)
-        result = await runner.run(None, replica, None)
+        result = await runner.run(request, replica, None)
         assert result.end is runners.RunEnd.EVACUATED
         return pool.sent
 
--- a/packages/gateway/tests/test_operations_page.py
+++ b/packages/gateway/tests/test_operations_page.py
@@ -73,6 +73,7 @@
         f"anvilwell_{name}_total"
         for name in (
             "new_connections",
+            "other_responses",
             "refusals",
             "retries",
             "unreadable_entries",
--- a/packages/kernel/anvilwell_kernel/telemetry/counters.py
+++ b/packages/kernel/anvilwell_kernel/telemetry/counters.py
@@ -17,6 +17,11 @@
     unit="1",
     description="New connections to replicas, by kind of work and reason",
 )
+OTHER_RESPONSES = _METER.create_counter(
+    "anvilwell_other_responses",
+    unit="1",
+    description="Responses of replicas that are not to the request sent last",
+)
 UNREADABLE = _METER.create_counter(
     "anvilwell_unreadable_entries",
     unit="1",
@@ -58,6 +63,11 @@
     NEW_CONNECTIONS.add(1, {"kind": str(work), "reason": str(reason)})
 
 
+def count_other_response():
+    """Count one response of a replica that is not to the latest request."""
+    OTHER_RESPONSES.add(1)
+
+
 def count_unreadable(kind):
     """Count one entry of `kind` that can't be decoded."""
     UNREADABLE.add(1, {"kind": kind})
