Run items and scoring calls again however many replicas crashed

Cause: any crash counts against all requests that the replica runs. A scoring call was held back after two, as a live call is.

Eliminated: pauses of a replica after a broken run and slot limits, as other items started there.

Change: items and scoring calls are accepted work. Crashes are no longer recorded for them, so they can't be held back, and neither counts against a live call with the same content, nor against another item with it.

Tests: four crashes under one item, and under one scoring call, end with the result listed, and a live call with the item's content is served; all three failed before. They replace `test_an_item_that_crashes_engines_is_held_back...` and the one of scoring calls, which asked for the opposite of what the users say: items are never requests that crash servers by themselves. `test_min_crashes_skips_the_short_pause` goes with the parameter that only items used.

--- a/packages/decisions/anvilwell_decisions/requests/quarantine.py
+++ b/packages/decisions/anvilwell_decisions/requests/quarantine.py
@@ -139,19 +139,11 @@
         is_suspect = self.crash_count(fingerprint) >= SUSPECT_CRASHES
         return is_suspect and not self.wait_s(fingerprint, now)
 
-    def wait_s(self, fingerprint, now, min_crashes=SUSPECT_CRASHES):
-        """Return how long a request is still held back, in seconds; 0 if not.
-
-        Parameters
-        ----------
-        min_crashes : int
-            Crashes from which on a request is held back. `PROVEN_CRASHES` is
-            for work to which a short pause costs more than the loss of one of
-            many replicas.
-        """
+    def wait_s(self, fingerprint, now):
+        """Return how long a request is still held back, in seconds."""
         record = self._records_by_fingerprint.get(fingerprint)
         crash_count = len(record.replica_ids) if record else 0
-        if crash_count < min_crashes:
+        if crash_count < SUSPECT_CRASHES:
             return 0.0
         pause_s = (
             LONG_PAUSE_S if crash_count >= PROVEN_CRASHES else SHORT_PAUSE_S
--- a/packages/gateway/anvilwell_gateway/attempts.py
+++ b/packages/gateway/anvilwell_gateway/attempts.py
@@ -204,17 +204,33 @@
             return None
         return HEDGE_SHARE * self._route.target_latency_s
 
+    @property
+    def _may_crash_replicas(self):
+        """Whether crashes of replicas count against this request.
+
+        Scoring calls are part of accepted batches and are never held back.
+        """
+        return self._work is reasons.Work.LIVE_CALL
+
+    @property
+    def _crash_tracker(self):
+        """The tracker if it may have crashes of this request, else None."""
+        tracker = self._forwarder.crash_tracker
+        if tracker.is_empty or not self._may_crash_replicas:
+            return None
+        return tracker
+
     @property
     def _is_suspect(self):
         """Whether a replica has crashed under this request."""
-        tracker = self._forwarder.crash_tracker
-        return not tracker.is_empty and tracker.is_suspect(self.fingerprint)
+        tracker = self._crash_tracker
+        return tracker is not None and tracker.is_suspect(self.fingerprint)
 
     @property
     def _held_back_s(self):
         """How long the request is held back from replicas, in seconds."""
-        tracker = self._forwarder.crash_tracker
-        if tracker.is_empty:
+        tracker = self._crash_tracker
+        if tracker is None:
             return self._trial_wait_s
         return max(self._trial_wait_s, tracker.wait_s(self.fingerprint))
 
@@ -225,8 +241,8 @@
         One entry has this trial at a time. Sets how long the request must
         wait if another entry has it.
         """
-        tracker = self._forwarder.crash_tracker
-        if tracker.is_empty:
+        tracker = self._crash_tracker
+        if tracker is None:
             yield
             return
         async with tracker.trial(self.fingerprint) as self._trial_wait_s:
@@ -313,17 +329,19 @@
         The next replica is chosen only after this check, as a request that
         crashes replicas must not go on to another one.
         """
-        tracker = self._forwarder.crash_tracker
         try:
             with self._forwarder.cold_replicas.permit(replica) as permit:
                 self._permits_by_id[replica.replica_id] = permit
                 answer = await self._ask(replica)
         except exceptions.BackendFailed as error:
-            if error.reason is reasons.Refusal.ANSWER_CUT:
-                await tracker.note_cut(self.fingerprint, replica)
+            is_cut = error.reason is reasons.Refusal.ANSWER_CUT
+            if is_cut and self._may_crash_replicas:
+                await self._forwarder.crash_tracker.note_cut(
+                    self.fingerprint, replica
+                )
             raise
-        if not tracker.is_empty:
-            tracker.answered(self.fingerprint)
+        if self._crash_tracker is not None:
+            self._crash_tracker.answered(self.fingerprint)
         return answer
 
     def _count_start(self, at):
--- a/packages/gateway/anvilwell_gateway/batches/manager.py
+++ b/packages/gateway/anvilwell_gateway/batches/manager.py
@@ -38,8 +38,6 @@
         Makes scoring calls.
     dialect : dialect.Dialect
         Encodes scoring calls.
-    crash_tracker : crash_tracker.CrashTracker
-        Tracks the items that crash replicas.
     slot_sharing : slot_sharing.SlotSharing
         Determines which slots this entry may use.
     residency : residency.ResidencyRules, optional
@@ -59,7 +57,6 @@
         runner,
         forwarder,
         dialect,
-        crash_tracker,
         slot_sharing,
         residency=None,
         cold_replicas=None,
@@ -89,7 +86,6 @@
             runner,
             self.batches_by_id,
             self._scoring_scheduler.schedule,
-            crash_tracker,
             slot_sharing,
             residency,
             cold_replicas,
--- a/packages/gateway/anvilwell_gateway/batches/owned_batch.py
+++ b/packages/gateway/anvilwell_gateway/batches/owned_batch.py
@@ -41,7 +41,6 @@
         self.tasks_by_item = {}
         self.runs_by_item = {}
         self.scorings_by_item = {}
-        self.fingerprints_by_item = {}
         self.committer = None
         self.saver = None
         self.has_new_results = asyncio.Event()
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -8,7 +8,6 @@
 from anvilwell_gateway import events
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import connection_records
-from anvilwell_gateway.http import messages
 from anvilwell_gateway import responses
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -42,14 +41,12 @@
     """The result of a run.
 
     ``version`` is the model version that the replica reported, 0 if it
-    reported none. ``is_cut`` is set if the connection was closed before the
-    response was complete.
+    reported none.
     """
 
     end: RunEnd
     version: int = 0
     cause: str = ""
-    is_cut: bool = False
 
 
 class RunRequest(typing.NamedTuple):
@@ -86,17 +83,6 @@
         self._dialect = dialect
         self._pool = pool
 
-    def fingerprint(self, item, submission):
-        """Return a fingerprint that is equal for all attempts at an item."""
-        request = messages.Request(
-            "POST",
-            item.target,
-            self._dialect.item_headers(item, submission.host),
-            item.body,
-            organisation=submission.organisation,
-        )
-        return messages.fingerprint(request)
-
     async def run(self, run_request, replica, pace):
         """Run an item at `replica` and return the `RunResult`.
 
@@ -123,10 +109,7 @@
                 connection, run_request, replica, pace
             )
         except exceptions.AnvilwellError as error:
-            is_cut = error.reason is reasons.Refusal.ANSWER_CUT
-            result = RunResult(
-                RunEnd.BROKEN, cause=error.message, is_cut=is_cut
-            )
+            result = RunResult(RunEnd.BROKEN, cause=error.message)
         except TimeoutError:
             result = RunResult(RunEnd.STALLED)
         finally:
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -69,8 +69,6 @@
         `manager.BatchManager`.
     on_text_complete : callable
         Called when a text is complete.
-    crash_tracker : crash_tracker.CrashTracker
-        Tracks the items that crash replicas.
     slot_sharing : slot_sharings.SlotSharing
         Determines which slots this entry may use.
     residency : residency.ResidencyRules, optional
@@ -89,14 +87,12 @@
         runner,
         batches_by_id,
         on_text_complete,
-        crash_tracker,
         slot_sharing,
         residency=None,
         cold_replicas=None,
         idle_count=None,
     ):
         self._residency = residency
-        self._crash_tracker = crash_tracker
         self._directory = directory
         self._configuration = configuration
         self._runner = runner
@@ -295,11 +291,7 @@
     def _waiting_items(self, batch):
         """Return a `WaitingItem` for each item of `batch` that should run."""
         state = batch.state
-        items = [
-            state.items_by_id[item_id]
-            for item_id in state.waiting_ids()
-            if not self._is_held_back(batch, item_id)
-        ]
+        items = [state.items_by_id[item_id] for item_id in state.waiting_ids()]
         if not items:
             return []
         service = self._service(batch)
@@ -335,21 +327,6 @@
         rules = self._residency
         return rules and rules.of_submission(batch.submission)
 
-    def _is_held_back(self, batch, item_id):
-        """Return whether an item is quarantined as it crashes replicas."""
-        if self._crash_tracker.is_empty:
-            return False
-        fingerprint = self._fingerprint(batch, item_id)
-        return self._crash_tracker.is_item_held_back(fingerprint)
-
-    def _fingerprint(self, batch, item_id):
-        known = batch.fingerprints_by_item
-        if item_id not in known:
-            known[item_id] = self._runner.fingerprint(
-                batch.state.items_by_id[item_id], batch.submission
-            )
-        return known[item_id]
-
     @staticmethod
     def _has_text(batch, item):
         return bool(batch.state.progress_by_id[item.item_id].events)
@@ -464,16 +441,6 @@
                 last=progress.last_number,
                 took_s=round(took_s, 3),
             )
-        if result.is_cut:
-            fingerprint = self._fingerprint(batch, waiting_item.item_id)
-            await self._crash_tracker.note_cut(fingerprint, worker.replica)
-        elif (
-            result.end is runners.RunEnd.WHOLE
-            and not self._crash_tracker.is_empty
-        ):
-            self._crash_tracker.answered(
-                self._fingerprint(batch, waiting_item.item_id)
-            )
         self._handle_result(batch, waiting_item, worker, result)
 
     def _handle_result(self, batch, waiting_item, worker, result):
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -62,7 +62,6 @@
             ),
             live_calls.forwarder,
             platform.dialect,
-            live_calls.crash_tracker,
             self.slot_sharing,
             fleet.residency,
             live_calls.cold_replicas,
--- a/packages/gateway/anvilwell_gateway/crash_tracker.py
+++ b/packages/gateway/anvilwell_gateway/crash_tracker.py
@@ -1,4 +1,8 @@
-"""Tracks which requests crash replicas, and shares this between entries.
+"""Tracks which live requests crash replicas, and tells other entries.
+
+Only requests of live callers are tracked. The items of batches and their
+scoring calls are accepted work that must be done: replicas that crash while
+they run one don't hold it back.
 
 A request may arrive at any entry, so each crash that one entry observes is
 shared with all: every entry then refuses the request after its second crash.
@@ -127,18 +131,6 @@
         else:
             yield self.wait_s(fingerprint)
 
-    def is_item_held_back(self, fingerprint):
-        """Return whether an item of a batch is held back for its crashes.
-
-        An item is held back after `PROVEN_CRASHES`, a live call after fewer
-        crashes. The short pause of five seconds would cost an item its
-        training step, which is worth more than one of many engines.
-        """
-        wait_s = self._quarantine.wait_s(
-            fingerprint, self._loop.time(), quarantines.PROVEN_CRASHES
-        )
-        return wait_s > 0
-
     def is_suspect(self, fingerprint):
         """Return whether a replica has crashed under a request."""
         return self._quarantine.crash_count(fingerprint) > 0
