--- a/packages/gateway/tests/batches/test_manager.py
+++ b/packages/gateway/tests/batches/test_manager.py
@@ -76,7 +76,6 @@
             runner,
             None,
             None,
-            types.SimpleNamespace(is_empty=True),
             slot_sharing.SlotSharing(
                 "vm",
                 None,
