Leave replicas that send bytes without end

Callers could see: an item that never left a faulty replica, and a loop that did nothing else for up to two seconds.

Cause: the time limit of a run began anew with each chunk, not with each event, and blocks that are no event were skipped without an end; a live stream passed them on to its caller. Interim heads had no limit. A read does not wait while received bytes are buffered, so a replica that sends many small chunks held the event loop.

Change: `events.EventReader` reads the streams of items and of live callers, in place of two loops that were alike. Live callers get events only. An error response to a resumable stream has the time limit of the stream's head. At most eight interim heads are read. Other tasks run every 32 events that are read from received bytes.

--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -154,21 +154,10 @@
     async def _read(self, connection, run_request, reply, version, pace):
         """Add events to the progress until the stream ends."""
         loop = asyncio.get_running_loop()
-        buffered = b""
+        reader = events.EventReader(connection, self._dialect.read_event)
         last_at = None
-        while True:
-            async with asyncio.timeout(events.STALL_TIMEOUT_S):
-                part = await connection.read_chunk()
-            if not part:
-                break
-            buffered += part.replace(b"\r\n", b"\n")
-            *blocks, buffered = buffered.split(events.BLOCK_END)
-            if len(buffered) > events.MAX_BLOCK_BYTES:
-                raise client.call_error("an event is too large")
-            for block in blocks:
-                event = self._dialect.read_event(block)
-                if event is None:
-                    continue
+        while received := await reader.read(events.STALL_TIMEOUT_S):
+            for event, _ in received:
                 version = event.version or version
                 if not _is_version_allowed(version, run_request):
                     return reply, RunResult(RunEnd.TOO_OLD, version)
@@ -177,10 +166,6 @@
                 if last_at is not None:
                     pace.record_gap(now - last_at, now)
                 last_at = now
-        if buffered.strip():
-            raise client.call_error(
-                "the stream ends within an event", reasons.Refusal.ANSWER_CUT
-            )
         return reply, RunResult(RunEnd.WHOLE, version)
 
 
--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -18,6 +18,10 @@
 READ_BYTES = 64 << 10
 # Limit of a response head, in bytes.
 MAX_HEAD_BYTES = 64 << 10
+# Limit on the interim responses (1xx) before a response.
+MAX_INTERIM_RESPONSES = 8
+# Number of events that are read from received bytes before other tasks run.
+EVENTS_PER_TURN = 32
 # Time limit for opening a connection, in seconds. A healthy peer accepts
 # within a few round trips. TCP resends a lost SYN only after a second, so
 # waiting longer seldom helps.
@@ -74,6 +78,7 @@
         self._sent_events = ()
         self._sent_count = 0
         self._has_extra_response = False
+        self._events_in_turn = 0
         # The id of the latest request, "" for a peer that is no replica.
         self.request_id = ""
         self.usable_until = 0.0
@@ -144,7 +149,7 @@
 
     async def read_head(self):
         """Return the response's head as a `messages.Reply`."""
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = messages.decode_headers(event.headers)
@@ -152,6 +157,7 @@
                 return messages.Reply(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise call_error("the response has no head")
+        raise call_error("the response has too many interim heads")
 
     async def read_chunk(self):
         """Return the next bytes of the response body, b"" at its end."""
@@ -203,6 +209,15 @@
             self._conn.receive_data(b"")
 
     async def _next_event(self):
+        """Return the next event; let other tasks run every few events.
+
+        A read from the socket does not wait while received bytes are
+        buffered, so a peer that sends without end would hold the loop.
+        """
+        self._events_in_turn += 1
+        if self._events_in_turn >= EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
         while True:
             try:
                 event = self._conn.next_event()
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -148,7 +148,8 @@
             )
             reply = await self._read_head(connection, replica)
             if reply.status >= 300:
-                body = await connection.read_body(MAX_FAILURE_BYTES)
+                async with asyncio.timeout(self._stall_s()):
+                    body = await connection.read_body(MAX_FAILURE_BYTES)
                 is_whole = True
                 failed = reply.status >= attempts.FIRST_FAILURE_STATUS
                 return attempts.BufferedResponse(
@@ -201,23 +202,9 @@
 
     async def _relay_events(self, connection, reply):
         """Relay whole events until the replica ends its stream."""
-        buffered = b""
-        while True:
-            async with asyncio.timeout(self._stall_s()):
-                part = await connection.read_chunk()
-            if not part:
-                break
-            whole, end, buffered = (buffered + part).rpartition(
-                events.BLOCK_END
-            )
-            if len(buffered) > events.MAX_BLOCK_BYTES:
-                raise client.call_error("an event exceeds the size limit")
-            if end:
-                await self._send_events(connection, reply, whole + end)
-        if buffered.strip():
-            raise client.call_error(
-                "the stream ended inside an event", reasons.Refusal.ANSWER_CUT
-            )
+        reader = events.EventReader(connection, self._forwarder.read_event)
+        while received := await reader.read(self._stall_s()):
+            await self._send_events(connection, reply, received)
         await self._begin(reply)
         await self._responder.finish()
 
@@ -227,8 +214,8 @@
             kept = messages.without(headers, {"content-length"})
             await self._responder.start(reply.status, kept)
 
-    async def _send_events(self, connection, reply, data):
-        """Send whole events to the caller after a check of their numbers.
+    async def _send_events(self, connection, reply, received):
+        """Send `events.ReceivedEvent`s to the caller if they are consecutive.
 
         Raises
         ------
@@ -238,15 +225,13 @@
             If the caller reads too slowly; the events were sent.
         """
         number = self._last_number
-        for block in data.split(events.BLOCK_END):
-            event = self._forwarder.read_event(block) if block else None
-            if event is None:
-                continue
+        for event, _ in received:
             if event.number != number + 1:
                 raise client.call_error(
                     f"event {event.number} came after event {number}"
                 )
             number = event.number
+        data = b"".join(block + events.BLOCK_END for _, block in received)
         self._count_start(self._loop.time())
         await self._begin(reply)
         writing = asyncio.create_task(self._responder.write(data))
