--- a/packages/gateway/tests/test_endless_bytes.py
+++ b/packages/gateway/tests/test_endless_bytes.py
@@ -14,9 +14,9 @@
 from anvilwell_kernel import exceptions
 import pytest
 
+from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway import dialect as dialects
 from anvilwell_gateway import events
-from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
 
