Share with all entries that a request was cleared of crashes

Cause: a response in full cleared the crashes in one entry's memory. The records in the store and at other entries stayed; an entry that starts, or reads all keys again, counted them as new. A request that is refused is sent to no replica, so it could never be cleared.

Evidence: the new test of a fleet: 503 at the entry that starts, before the change. Eliminated: crashes that happened late (no replica was down), and trials (no entry had one).

Change: an entry that clears a request reports that as it reports crashes, to the other entries and in its own key in the store, under a new lease so that it outlives what others have written. The quarantine remembers what was cleared: a crash that is reported anew, by whom and in whatever order, does not count. A crash that comes after does.

--- a/packages/decisions/anvilwell_decisions/requests/quarantine.py
+++ b/packages/decisions/anvilwell_decisions/requests/quarantine.py
@@ -23,6 +23,9 @@
 # How long a request is held back after `PROVEN_CRASHES` or more crashes, and
 # how long crashes are remembered, in seconds.
 LONG_PAUSE_S = 600.0
+# How long cleared crashes are remembered, in seconds. Another entry or the
+# store may report a crash anew for as long as it is remembered there.
+CLEARED_TTL_S = 2 * LONG_PAUSE_S
 SUSPECT_CRASHES = 2
 PROVEN_CRASHES = 3
 
@@ -63,6 +66,7 @@
         self._cuts_by_replica = collections.defaultdict(list)
         self._crashed_at_by_replica = {}
         self._records_by_fingerprint = {}
+        self._cleared_by_fingerprint = {}
 
     @property
     def is_empty(self):
@@ -104,12 +108,16 @@
         return found
 
     def add_crashes(self, fingerprint, replica_ids, now):
-        """Add replicas that crashed under a request."""
+        """Add replicas that crashed under a request.
+
+        Crashes that were cleared are left out, whoever reports them again.
+        """
+        counted = frozenset(replica_ids) - self._cleared_ids(fingerprint)
         known = self._records_by_fingerprint.get(fingerprint)
         before = known.replica_ids if known else frozenset()
-        if not before.issuperset(replica_ids):
+        if not before.issuperset(counted):
             self._records_by_fingerprint[fingerprint] = _CrashRecord(
-                before.union(replica_ids), max(now, known.at) if known else now
+                before.union(counted), max(now, known.at) if known else now
             )
 
     def known_crashes(self, now):
@@ -121,9 +129,24 @@
         ]
         return sorted(crashes, key=lambda one: -len(one.replica_ids))
 
-    def clear(self, fingerprint):
-        """Drop the recorded crashes of a request that got a full response."""
-        self._records_by_fingerprint.pop(fingerprint, None)
+    def clear(self, fingerprint, replica_ids, now):
+        """Drop crashes of a request that got a full response after them."""
+        cleared = self._cleared_ids(fingerprint).union(replica_ids)
+        self._cleared_by_fingerprint[fingerprint] = _CrashRecord(cleared, now)
+        record = self._records_by_fingerprint.pop(fingerprint, None)
+        remaining = record.replica_ids - cleared if record else None
+        if remaining:
+            self._records_by_fingerprint[fingerprint] = record._replace(
+                replica_ids=remaining
+            )
+
+    def is_cleared(self, fingerprint, replica_id):
+        """Return whether a replica's crash no longer counts for a request."""
+        return replica_id in self._cleared_ids(fingerprint)
+
+    def _cleared_ids(self, fingerprint):
+        record = self._cleared_by_fingerprint.get(fingerprint)
+        return record.replica_ids if record else frozenset()
 
     def replica_ids(self, fingerprint):
         """Return the ids of the replicas that crashed under a request."""
@@ -164,6 +187,11 @@
             for fingerprint, record in self._records_by_fingerprint.items()
             if now - record.at < LONG_PAUSE_S
         }
+        self._cleared_by_fingerprint = {
+            fingerprint: record
+            for fingerprint, record in self._cleared_by_fingerprint.items()
+            if now - record.at < CLEARED_TTL_S
+        }
         self._crashed_at_by_replica = {
             replica_id: at
             for replica_id, at in self._crashed_at_by_replica.items()
--- a/packages/decisions/tests/requests/test_quarantine.py
+++ b/packages/decisions/tests/requests/test_quarantine.py
@@ -90,12 +90,25 @@
     quarantine = quarantines.Quarantine()
     for replica_id in ("r1", "r2"):
         _crash_replica(quarantine, replica_id, 0.0, (BAD, SOUND))
-    quarantine.clear(SOUND)
+    quarantine.clear(SOUND, ["r1", "r2"], 0.0)
 
     assert quarantine.crash_count(SOUND) == 0
     assert quarantine.crash_count(BAD) == 2
 
 
+def test_cleared_crashes_do_not_count_when_reported_again():
+    """Guard against a request that is refused for crashes long cleared."""
+    quarantine = quarantines.Quarantine()
+    quarantine.clear(SOUND, ["r0"], 0.0)
+    quarantine.add_crashes(SOUND, ["r0", "r1", "r2"], 1.0)
+    quarantine.clear(SOUND, ["r1"], 2.0)
+    assert quarantine.replica_ids(SOUND) == {"r2"}
+
+    quarantine.add_crashes(SOUND, ["r0", "r1", "r2", "r3"], 3.0)
+
+    assert quarantine.replica_ids(SOUND) == {"r2", "r3"}
+
+
 def test_records_expire():
     quarantine = quarantines.Quarantine()
     for number in range(1000):
@@ -183,5 +196,5 @@
 
     assert not quarantine.needs_trial(BAD, quarantines.SHORT_PAUSE_S - 0.1)
     assert quarantine.needs_trial(BAD, quarantines.SHORT_PAUSE_S)
-    quarantine.clear(BAD)
+    quarantine.clear(BAD, ["r1", "r2"], quarantines.SHORT_PAUSE_S)
     assert not quarantine.needs_trial(BAD, quarantines.SHORT_PAUSE_S)
--- a/packages/gateway/anvilwell_gateway/crash_notifier.py
+++ b/packages/gateway/anvilwell_gateway/crash_notifier.py
@@ -1,4 +1,4 @@
-"""Notifies other entries directly of requests that crashed a replica.
+"""Notifies other entries directly of crashes under requests.
 
 Crashes are also written to the store, from which entries that start later
 read them. But while the store takes no writes, each entry would let the same
@@ -26,17 +26,22 @@
 # Delays between retries, in seconds. The last one repeats without a limit,
 # as an entry that is unreachable from here may still serve callers.
 RETRY_DELAYS_S = (0.25, 0.5, 1.0, 2.0, 4.0)
-# Limit on the number of crashes that are kept for entries which have not
+# Limit on the number of reports that are kept for entries which have not
 # acknowledged them; the oldest are dropped first. It covers all replicas of
-# several racks.
-MAX_PENDING_CRASHES = 256
+# several racks, and the requests that are cleared after each crash.
+MAX_PENDING_CRASHES = 1024
 
 
 class Crash(typing.NamedTuple):
-    """A replica that crashed, and the requests that it was answering."""
+    """A replica that crashed, and the requests that it was answering.
+
+    The crash no longer counts against the requests in ``cleared``, as replicas
+    have answered them in full since.
+    """
 
     replica_id: str
     fingerprints: tuple[str, ...]
+    cleared: tuple[str, ...] = ()
 
 
 _CRASHES = pydantic.TypeAdapter(tuple[Crash, ...])
--- a/packages/gateway/anvilwell_gateway/crash_tracker.py
+++ b/packages/gateway/anvilwell_gateway/crash_tracker.py
@@ -9,11 +9,16 @@
 When a replica crashes while it works, each entry writes to the store which of
 its requests the replica cut, in one write for each replica. It also notifies
 the other entries directly, as the store may be unreachable at that time.
+
+A request that a replica answers in full is cleared of the crashes before.
+This is shared in both ways too; otherwise an entry that starts would count
+the crashes in the store and refuse the request.
 """
 
 import asyncio
 import contextlib
 import hashlib
+import typing
 
 import cbor2
 import pydantic
@@ -58,6 +63,43 @@
 _LOG = logs.get_logger(__name__)
 
 
+class _Findings(typing.NamedTuple):
+    """What this VM observed of one replica's crash.
+
+    Fingerprints of the requests that the crash cut, and of those that it no
+    longer counts against.
+    """
+
+    fingerprints: frozenset = frozenset()
+    cleared: frozenset = frozenset()
+
+    @classmethod
+    def of_crash(cls, crash):
+        """Return the findings in a `crash_notifier.Crash`."""
+        return cls(frozenset(crash.fingerprints), frozenset(crash.cleared))
+
+    def union(self, other):
+        """Return these findings and those of `other`."""
+        return _Findings(
+            self.fingerprints | other.fingerprints,
+            self.cleared | other.cleared,
+        )
+
+
+_NO_FINDINGS = _Findings()
+
+
+class _Written(typing.NamedTuple):
+    """The findings in a key of this VM, its revision, and when it was written.
+
+    The revision is 0 if the key does not exist.
+    """
+
+    findings: _Findings
+    revision: int
+    at: float
+
+
 class CrashTracker:
     """Records which requests crash replicas, here and at other entries.
 
@@ -86,7 +128,6 @@
         self._trials = trials.Trials(vm_id, peers, self._quarantine)
         self._unwritten_by_replica = {}
         self._written_by_replica = {}
-        self._revisions_by_key = {}
         self._writer_task = None
         self._checks = set()
         self._lease = 0
@@ -137,7 +178,17 @@
 
     def answered(self, fingerprint):
         """Clear the crashes of a request that a replica answered in full."""
-        self._quarantine.clear(fingerprint)
+        cleared_ids = self._quarantine.replica_ids(fingerprint)
+        if not cleared_ids:
+            return
+        self._quarantine.clear(fingerprint, cleared_ids, self._loop.time())
+        _LOG.log(
+            "request-cleared",
+            fingerprint=fingerprint,
+            replicas=sorted(cleared_ids),
+        )
+        for replica_id in sorted(cleared_ids):
+            self._report(crash_notifier.Crash(replica_id, (), (fingerprint,)))
 
     async def note_cut(self, fingerprint, replica):
         """Record that `replica` cut a response; check whether it crashed.
@@ -212,6 +263,8 @@
 
     def _learn(self, crash):
         now = self._loop.time()
+        for fingerprint in crash.cleared:
+            self._quarantine.clear(fingerprint, [crash.replica_id], now)
         for fingerprint in crash.fingerprints:
             self._quarantine.add_crashes(fingerprint, [crash.replica_id], now)
 
@@ -228,7 +281,7 @@
         self._report_crash(replica_id, found)
 
     def _report_crash(self, replica_id, fingerprints):
-        """Log a crash under requests, notify other entries, and write it."""
+        """Log a crash under requests, and report it to the other entries."""
         if not fingerprints:
             return
         counts = {
@@ -242,11 +295,18 @@
                 one: count for one, count in counts.items() if count > 1
             },
         )
-        self._notifier.notify(
+        self._report(
             crash_notifier.Crash(replica_id, tuple(sorted(fingerprints)))
         )
-        self._unwritten_by_replica.setdefault(replica_id, set()).update(
-            fingerprints
+
+    def _report(self, crash):
+        """Notify other entries of a `crash_notifier.Crash`, and write it."""
+        self._notifier.notify(crash)
+        unwritten = self._unwritten_by_replica.get(
+            crash.replica_id, _NO_FINDINGS
+        )
+        self._unwritten_by_replica[crash.replica_id] = unwritten.union(
+            _Findings.of_crash(crash)
         )
         if self._writer_task is None or self._writer_task.done():
             self._writer_task = asyncio.create_task(self._write_all())
@@ -273,48 +333,91 @@
         exceptions.NotFound
             If the lease has ended. The next write takes another.
         """
-        written_by_replica = {
-            replica_id: self._written_by_replica.get(replica_id, frozenset())
-            | self._unwritten_by_replica[replica_id]
+        now = self._loop.time()
+        lease = await self._ensure_lease(replica_ids)
+        findings_by_replica = {
+            replica_id: self._written(replica_id).findings.union(
+                self._unwritten_by_replica[replica_id]
+            )
             for replica_id in replica_ids
         }
-        lease = await self._ensure_lease()
-        swaps = []
-        for replica_id, fingerprints in written_by_replica.items():
-            key = own_key(replica_id, self._vm_id)
-            value = cbor2.dumps((replica_id, tuple(sorted(fingerprints))))
-            revision = self._revisions_by_key.get(key, 0)
-            swaps.append(keyvalue.Swap(key, revision, value, lease))
+        swaps = [
+            self._swap(replica_id, findings, lease)
+            for replica_id, findings in findings_by_replica.items()
+        ]
         try:
             result = await self._store.swap(swaps)
         except exceptions.NotFound:
             self._lease_until = float("-inf")
             raise
-        self._revisions_by_key |= {
-            swap.key: _revision(result, swap.key) for swap in swaps
-        }
+        for swap, replica_id in zip(swaps, replica_ids, strict=True):
+            written = self._written(replica_id)._replace(
+                revision=_revision(result, swap.key), at=now
+            )
+            self._written_by_replica[replica_id] = written
         if not result.landed:
             raise exceptions.Conflict("a crash was written before")
-        self._record_written(written_by_replica)
+        self._record_written(findings_by_replica)
+
+    def _written(self, replica_id):
+        """Return the `_Written` of a replica's key."""
+        absent = _Written(_NO_FINDINGS, 0, 0.0)
+        return self._written_by_replica.get(replica_id, absent)
+
+    def _swap(self, replica_id, findings, lease):
+        """Return the write of a replica's findings under the key of this VM.
 
-    def _record_written(self, written_by_replica):
-        self._written_by_replica |= written_by_replica
-        for replica_id, written in written_by_replica.items():
-            if written.issuperset(self._unwritten_by_replica[replica_id]):
+        Requests that any entry has cleared are not written as crashing.
+        """
+        counted = (
+            fingerprint
+            for fingerprint in findings.fingerprints
+            if not self._quarantine.is_cleared(fingerprint, replica_id)
+        )
+        crash = crash_notifier.Crash(
+            replica_id,
+            tuple(sorted(counted)),
+            tuple(sorted(findings.cleared)),
+        )
+        return keyvalue.Swap(
+            own_key(replica_id, self._vm_id),
+            self._written(replica_id).revision,
+            cbor2.dumps(crash),
+            lease,
+        )
+
+    def _record_written(self, findings_by_replica):
+        """Record the findings that the store has; drop those of old keys."""
+        for replica_id, findings in findings_by_replica.items():
+            written = self._written_by_replica[replica_id]
+            self._written_by_replica[replica_id] = written._replace(
+                findings=findings
+            )
+            if findings.union(self._unwritten_by_replica[replica_id]) == (
+                findings
+            ):
                 del self._unwritten_by_replica[replica_id]
+        oldest_at = self._loop.time() - quarantines.LONG_PAUSE_S
+        self._written_by_replica = {
+            replica_id: written
+            for replica_id, written in self._written_by_replica.items()
+            if written.at > oldest_at
+        }
 
-    async def _ensure_lease(self):
-        """Return a lease with at least half its time left.
+    async def _ensure_lease(self, replica_ids):
+        """Return a lease for a write of the findings of some replicas.
 
-        Leases are not renewed; each one holds the keys of several crashes.
+        Leases are not renewed; each one holds the keys of several crashes and
+        has at least half its time left. Findings with cleared requests get a
+        new one, so that they outlive the crashes that other VMs have written.
         """
         now = self._loop.time()
-        if now > self._lease_until:
+        has_cleared = any(
+            self._unwritten_by_replica[replica_id].cleared
+            for replica_id in replica_ids
+        )
+        if has_cleared or now > self._lease_until:
             self._lease = await self._store.grant(quarantines.LONG_PAUSE_S)
-            # The revisions of keys under the previous lease are unknown
-            # now; the first write of such a key conflicts and returns it.
-            self._written_by_replica = {}
-            self._revisions_by_key = {}
             self._lease_until = now + quarantines.LONG_PAUSE_S / 2
         return self._lease
 
--- a/packages/gateway/tests/test_crash_tracker.py
+++ b/packages/gateway/tests/test_crash_tracker.py
@@ -18,6 +18,9 @@
 KEY = crash_tracker.own_key("r1@5", "entry-1")
 
 
+_ALONE = types.SimpleNamespace(addresses_by_vm={})
+
+
 class _Directory:
     def __init__(self):
         self.ids = {"r1@5"}
@@ -110,9 +113,8 @@
 
         async def body():
             store, directory = _Store(), _Directory()
-            alone = types.SimpleNamespace(addresses_by_vm={})
             tracker = crash_tracker.CrashTracker(
-                store, directory, "entry-1", alone
+                store, directory, "entry-1", _ALONE
             )
             try:
                 await scenario(tracker, store, directory)
@@ -226,6 +228,77 @@
     run_scenario(scenario)
 
 
+def test_a_cleared_request_is_not_refused_by_an_entry_that_starts(
+    run_scenario,
+):
+    """Guard against lookups that were refused for ten minutes at a restart.
+
+    Three crashes, each with an answer after it, had been written.
+    """
+
+    async def scenario(tracker, store, directory):
+        for number in range(quarantines.PROVEN_CRASHES):
+            replica = types.SimpleNamespace(
+                replica_id=f"r{number}", address=None
+            )
+            directory.ids.add(replica.replica_id)
+            await tracker.note_cut("f1", replica)
+            await tracker.note_cut("f2", replica)
+            await asyncio.sleep(1.0)
+            tracker.answered("f1")
+            assert not tracker.is_suspect("f1")
+        await asyncio.sleep(1.0)
+        started = crash_tracker.CrashTracker(
+            _Store(), _Directory(), "entry-2", _ALONE
+        )
+        # An older state of a key comes after the newest one.
+        started.load(store.entries_by_key)
+        value = cbor2.dumps(["r0", ["f1"]])
+        started.change(keyvalue.Change(KEY, value, 9))
+        assert not started.is_suspect("f1")
+        assert started.wait_s("f2") == quarantines.LONG_PAUSE_S
+        await started.stop()
+
+    run_scenario(scenario)
+
+
+def test_cleared_requests_outlive_crashes_that_other_entries_wrote(
+    run_scenario,
+):
+    """Guard against a clearance whose lease ends before that of a crash."""
+
+    async def scenario(tracker, store, directory):
+        await tracker.note_cut("f1", REPLICA)
+        await asyncio.sleep(quarantines.LONG_PAUSE_S / 3)
+        value = cbor2.dumps(["r7", ["f2"]])
+        tracker.change(keyvalue.Change("other", value, 9))
+        tracker.answered("f2")
+        await asyncio.sleep(1.0)
+        own = store.entries_by_key[crash_tracker.own_key("r7", "entry-1")]
+        assert cbor2.loads(own.value) == ["r7", [], ["f2"]]
+        assert own.lease == len(store.leases) == 2
+
+    run_scenario(scenario)
+
+
+def test_a_request_that_another_entry_cleared_is_served(run_scenario):
+    """Guard against an entry that counts crashes which others cleared."""
+
+    async def scenario(tracker, store, directory):
+        for crash in [
+            crash_notifier.Crash("r0", ("f1",)),
+            crash_notifier.Crash("r1", (), ("f1",)),
+            crash_notifier.Crash("r1", ("f1",)),
+        ]:
+            request = types.SimpleNamespace(
+                path=crash_notifier.TARGET, body=cbor2.dumps([crash])
+            )
+            await tracker.answer(request, _Responder())
+        assert tracker.wait_s("f1") == 0
+
+    run_scenario(scenario)
+
+
 def test_a_pause_does_not_restart_at_an_entry_that_starts(run_scenario):
     async def scenario(tracker, store, directory):
         tracker._learn_known(quarantines.KnownCrashes("f1", ("r1", "r2"), 3.0))
