Move the writes of crashes to a module of their own

The tracker decides what counts; `CrashWriter` writes it, with the lease and the revisions of the keys.

Measured: the tests of the tracker and of requests that crash replicas pass.

--- a/packages/gateway/anvilwell_gateway/live_calls.py
+++ b/packages/gateway/anvilwell_gateway/live_calls.py
@@ -7,6 +7,7 @@
 from anvilwell_gateway import admission
 from anvilwell_gateway import cold_replicas
 from anvilwell_gateway import crash_tracker
+from anvilwell_gateway import crash_writer
 from anvilwell_gateway.duties import usage_accounting
 from anvilwell_gateway import forwarding
 from anvilwell_gateway import near_routing
@@ -41,7 +42,7 @@
             fleet.cluster_state,
         )
         fleet.cluster_state.delegate_prefix(
-            crash_tracker.PREFIX, self.crash_tracker
+            crash_writer.PREFIX, self.crash_tracker
         )
         fleet.cluster_state.listen_entries(self.crash_tracker.entries_changed)
         self.cold_replicas = cold_replicas.ColdReplicas(
--- a/packages/gateway/tests/test_crash_tracker.py
+++ b/packages/gateway/tests/test_crash_tracker.py
@@ -9,13 +9,14 @@
 from anvilwell_decisions.requests import quarantine as quarantines
 from anvilwell_gateway import crash_notifier
 from anvilwell_gateway import crash_tracker
+from anvilwell_gateway import crash_writer
 from anvilwell_gateway import directory as directories
 from anvilwell_gateway.http import client
 from anvilwell_kernel import exceptions
 from anvilwell_outside.ports import keyvalue
 
 REPLICA = types.SimpleNamespace(replica_id="r1@5", address=None)
-KEY = crash_tracker.own_key("r1@5", "entry-1")
+KEY = crash_writer.own_key("r1@5", "entry-1")
 
 
 _ALONE = types.SimpleNamespace(addresses_by_vm={})
@@ -179,7 +180,7 @@
         await tracker.note_cut("f1", REPLICA)
         await asyncio.sleep(60.0)
         assert store.written() == ["f1"]
-        assert not tracker._unwritten_by_replica
+        assert tracker._writer.is_done
 
     run_scenario(scenario)
 
@@ -198,13 +199,13 @@
 def test_crashes_that_other_entries_wrote_hold_a_request_back(run_scenario):
     async def scenario(tracker, store, directory):
         for replica_id, vm_id in (("r0", "entry-2"), ("r1", "entry-3")):
-            key = crash_tracker.own_key(replica_id, vm_id)
+            key = crash_writer.own_key(replica_id, vm_id)
             value = cbor2.dumps([replica_id, ["f1"]])
             tracker.change(keyvalue.Change(key, value, 9))
             tracker.change(keyvalue.Change(key, None, 10))
         assert tracker.wait_s("f1") == quarantines.SHORT_PAUSE_S
         value = cbor2.dumps(["r7", ["f1"]])
-        entry = keyvalue.Entry(crash_tracker.own_key("r7", "e"), value, 3)
+        entry = keyvalue.Entry(crash_writer.own_key("r7", "e"), value, 3)
         tracker.load({entry.key: entry})
         assert tracker.wait_s("f1") == quarantines.LONG_PAUSE_S
 
@@ -274,7 +275,7 @@
         tracker.change(keyvalue.Change("other", value, 9))
         tracker.answered("f2")
         await asyncio.sleep(1.0)
-        own = store.entries_by_key[crash_tracker.own_key("r7", "entry-1")]
+        own = store.entries_by_key[crash_writer.own_key("r7", "entry-1")]
         assert cbor2.loads(own.value) == ["r7", [], ["f2"]]
         assert own.lease == len(store.leases) == 2
 
@@ -319,7 +320,7 @@
 
 
 def test_keys_are_short_for_ids_of_any_length():
-    one = crash_tracker.own_key("r" * 180, "vm" * 90)
+    one = crash_writer.own_key("r" * 180, "vm" * 90)
 
     assert len(one) < 100
-    assert one != crash_tracker.own_key("r" * 180, "vm" * 91)
+    assert one != crash_writer.own_key("r" * 180, "vm" * 91)
