Move the connection pool to a module of its own

`http/client.py` held a connection and the pool of them, 500 lines. The pool is `http/connection_pool.py` now, and its tests are named after it. Nothing else changes.

--- a/packages/gateway/anvilwell_gateway/batches/owner_client.py
+++ b/packages/gateway/anvilwell_gateway/batches/owner_client.py
@@ -17,7 +17,7 @@
 import pydantic
 
 from anvilwell_decisions.traffic import facts
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway import peer_calls
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
@@ -106,7 +106,9 @@
         self._vm_id = vm_id
         self._failure_domain = failure_domain
         self._cluster_state = cluster_state
-        self._pool = client.Pool(asyncio.get_running_loop().time, True)
+        self._pool = connection_pool.Pool(
+            asyncio.get_running_loop().time, True
+        )
 
     async def read(self, results_request):
         """Return the owner's `ResultsPage`, or None if it sends none."""
--- a/packages/gateway/anvilwell_gateway/batches/runner.py
+++ b/packages/gateway/anvilwell_gateway/batches/runner.py
@@ -72,7 +72,7 @@
     ----------
     dialect : dialect.Dialect
         Encodes requests to replicas and decodes their responses.
-    pool : client.Pool
+    pool : connection_pool.Pool
         Connections to the replicas.
     may_receive : callable
         Returns whether a replica may be sent an item now.
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -33,7 +33,7 @@
         The local copies of the store's data.
     live_calls : live_calls.LiveCalls
         Forwards scoring calls and tracks the items that crash replicas.
-    pool : client.Pool
+    pool : connection_pool.Pool
         Connections to replicas.
     budget : byte_budget.ByteBudget
         Limits the bytes buffered for callers.
--- a/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
+++ b/packages/gateway/anvilwell_gateway/batches/slot_sharing.py
@@ -7,7 +7,7 @@
 import pydantic
 
 from anvilwell_decisions.batches import slots as home_slots
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway import measures
 from anvilwell_gateway import peer_calls
 from anvilwell_kernel import exceptions
@@ -59,7 +59,9 @@
         self._slots_by_service = {}
         self._requested_at_by_key = {}
         self._tasks = set()
-        self._pool = client.Pool(asyncio.get_running_loop().time, True)
+        self._pool = connection_pool.Pool(
+            asyncio.get_running_loop().time, True
+        )
         # Callbacks set by the scheduler: the first returns the `SlotUsage` of
         # a service, the second is called when limits have changed.
         self.usage_of = None
--- a/packages/gateway/anvilwell_gateway/batches/submission_forwarding.py
+++ b/packages/gateway/anvilwell_gateway/batches/submission_forwarding.py
@@ -7,7 +7,7 @@
 import pydantic
 
 from anvilwell_gateway.batches import homes as all_homes
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway.http import messages
 from anvilwell_gateway import peer_calls
 from anvilwell_kernel import exceptions
@@ -90,7 +90,9 @@
         self._vm_id = vm_id
         self._cluster_state = cluster_state
         self._homes = homes
-        self._pool = client.Pool(asyncio.get_running_loop().time, True)
+        self._pool = connection_pool.Pool(
+            asyncio.get_running_loop().time, True
+        )
 
     async def forward(self, route, model, request):
         """Forward `request` if the home of the batch is another entry.
--- a/packages/gateway/anvilwell_gateway/crash_notifier.py
+++ b/packages/gateway/anvilwell_gateway/crash_notifier.py
@@ -13,7 +13,7 @@
 import pydantic
 
 from anvilwell_decisions.requests import quarantine as quarantines
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway import peer_calls
 from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
@@ -95,7 +95,7 @@
         self._vm_id = vm_id
         self._cluster_state = cluster_state
         self._clock = asyncio.get_running_loop().time
-        self._pool = client.Pool(self._clock, True)
+        self._pool = connection_pool.Pool(self._clock, True)
         self._observed_at_by_crash = {}
         self._delivered_by_vm = {}
         self._tasks_by_vm = {}
--- a/packages/gateway/anvilwell_gateway/crash_sync.py
+++ b/packages/gateway/anvilwell_gateway/crash_sync.py
@@ -13,7 +13,7 @@
 
 from anvilwell_decisions.requests import quarantine as quarantines
 from anvilwell_gateway import crash_notifier
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway import peer_calls
 from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
@@ -52,7 +52,7 @@
         self._vm_id = vm_id
         self._cluster_state = cluster_state
         self._apply = apply
-        self._pool = client.Pool(asyncio.get_running_loop().time)
+        self._pool = connection_pool.Pool(asyncio.get_running_loop().time)
         self._answered = set()
         self._task = None
 
--- a/packages/gateway/anvilwell_gateway/duties/usage_notifier.py
+++ b/packages/gateway/anvilwell_gateway/duties/usage_notifier.py
@@ -14,7 +14,7 @@
 import pydantic
 
 from anvilwell_decisions.duties import usage
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway import peer_calls
 from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
@@ -87,7 +87,7 @@
         self._retention_s = settings.window_s + settings.late_s
         self._clock = asyncio.get_running_loop().time
         self._started_at = self._clock()
-        self._pool = client.Pool(self._clock, True)
+        self._pool = connection_pool.Pool(self._clock, True)
         self._request_counter = usage.RequestCounter()
         self._offset_s = wall_time() - self._started_at
         self._notified_at = float("-inf")
--- a/packages/gateway/anvilwell_gateway/entry.py
+++ b/packages/gateway/anvilwell_gateway/entry.py
@@ -7,7 +7,7 @@
 from anvilwell_gateway import engine_claims
 from anvilwell_gateway import fleet as fleets
 from anvilwell_gateway import frontend as frontends
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway.http import listening
 from anvilwell_gateway import live_calls as live
 from anvilwell_gateway import measures
@@ -51,7 +51,7 @@
         self.fleet = fleets.Fleet.from_config(
             settings, platform, self.peer_server
         )
-        self._pool = client.Pool(
+        self._pool = connection_pool.Pool(
             asyncio.get_running_loop().time,
             uses_oldest=self.fleet.regions.has_several,
         )
--- a/packages/gateway/anvilwell_gateway/forwarding.py
+++ b/packages/gateway/anvilwell_gateway/forwarding.py
@@ -47,7 +47,7 @@
         Reads and writes the headers exchanged with replicas and callers.
     directory : directory.Directory
         The replicas that are registered.
-    pool : client.Pool
+    pool : connection_pool.Pool
         Connections to replicas.
     configuration : configuration.ConfigurationFollower
         The configuration in force, whose version is logged.
--- a/packages/gateway/anvilwell_gateway/live_calls.py
+++ b/packages/gateway/anvilwell_gateway/live_calls.py
@@ -24,7 +24,7 @@
         The adapter to the platform.
     fleet : fleet.Fleet
         Local copies of the configuration, the replicas and other entries.
-    pool : client.Pool
+    pool : connection_pool.Pool
         Connections to replicas.
     """
 
--- a/packages/gateway/anvilwell_gateway/neighbours.py
+++ b/packages/gateway/anvilwell_gateway/neighbours.py
@@ -5,7 +5,7 @@
 
 from anvilwell_decisions.duties import rendezvous
 from anvilwell_gateway import feeds
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway import peer_calls
 from anvilwell_gateway import store as stores
 from anvilwell_kernel import exceptions
@@ -72,7 +72,7 @@
         The entry's VM.
     address : options.Address
         Where it serves its peers.
-    pool : client.Pool
+    pool : connection_pool.Pool
         Connections to peers.
     engine : str
         Address of the engine beside this process, if there is one.
@@ -193,7 +193,7 @@
         self._has_answered_recently = has_answered_recently
         self._engine = engine
         self._clock = asyncio.get_running_loop().time
-        self._pool = client.Pool(self._clock, use_keepalive=True)
+        self._pool = connection_pool.Pool(self._clock, use_keepalive=True)
         self._entries_by_vm = {}
         self._neighbours_by_vm = {}
         self._skipped_until_by_vm = {}
--- a/packages/gateway/anvilwell_gateway/notices.py
+++ b/packages/gateway/anvilwell_gateway/notices.py
@@ -16,7 +16,7 @@
 
 from anvilwell_decisions.duties import notice_recipients
 from anvilwell_decisions.traffic import facts
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway.http import messages
 from anvilwell_gateway.http import server
 from anvilwell_gateway import peer_calls
@@ -145,7 +145,7 @@
     def __init__(self):
         # Keep connections open between notices: the next one follows some
         # seconds later, with the next version.
-        self._pool = client.Pool(
+        self._pool = connection_pool.Pool(
             asyncio.get_running_loop().time,
             use_keepalive=True,
             default_keep_alive_s=server.FIRST_LIMITS.idle_timeout_s,
--- a/packages/gateway/anvilwell_gateway/store_paths.py
+++ b/packages/gateway/anvilwell_gateway/store_paths.py
@@ -16,7 +16,7 @@
 import cbor2
 
 from anvilwell_decisions.outages import paths as choices
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway.http import messages
 from anvilwell_gateway import measures
 from anvilwell_gateway import peer_calls
@@ -115,7 +115,7 @@
     def __init__(self, address):
         self._address = address
         clock = asyncio.get_running_loop().time
-        self._pool = client.Pool(clock, use_keepalive=True)
+        self._pool = connection_pool.Pool(clock, use_keepalive=True)
 
     def move(self, address):
         """Use a new address of the service from now on."""
@@ -145,7 +145,7 @@
         The peer's VM.
     address : options.Address
         Where the peer serves other entries and agents.
-    pool : client.Pool
+    pool : connection_pool.Pool
         Connections to peers.
     """
 
@@ -208,7 +208,7 @@
         self._probe_call = probe
         self._selector = choices.PathSelector(rng or random.Random())
         clock = asyncio.get_running_loop().time
-        self._pool = client.Pool(clock, use_keepalive=True)
+        self._pool = connection_pool.Pool(clock, use_keepalive=True)
         self._paths_by_name = {choices.DIRECT: direct}
         self._listeners = []
         self._probe_task = None
--- a/packages/gateway/anvilwell_gateway/trials.py
+++ b/packages/gateway/anvilwell_gateway/trials.py
@@ -18,7 +18,7 @@
 
 from anvilwell_decisions.duties import rendezvous
 from anvilwell_decisions.requests import trials
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway import peer_calls
 from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
@@ -80,7 +80,7 @@
         self._cluster_state = cluster_state
         self._quarantine = quarantine
         self._loop = asyncio.get_running_loop()
-        self._pool = client.Pool(self._loop.time, True)
+        self._pool = connection_pool.Pool(self._loop.time, True)
         self._trials = trials.Trials()
         self._numbers = itertools.count(1)
         self._tasks = set()
--- a/packages/gateway/tests/http/test_client.py
+++ b/packages/gateway/tests/http/test_connection_pool.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway.http import messages
 from anvilwell_gateway.http import server as servers
 from anvilwell_kernel.config import options
@@ -33,7 +33,9 @@
 @pytest.mark.parametrize("use_keepalive", [False, True])
 def test_only_connections_with_keepalive_are_probed(use_keepalive):
     async def scenario():
-        pool = client.Pool(asyncio.get_running_loop().time, use_keepalive)
+        pool = connection_pool.Pool(
+            asyncio.get_running_loop().time, use_keepalive
+        )
         async with _served(_answer_at_once) as address:
             connection = await pool.acquire("k", address)
             peer = connection._writer.get_extra_info("socket")
@@ -58,7 +60,7 @@
 
     async def scenario():
         nonlocal is_hanging
-        pool = client.Pool(asyncio.get_running_loop().time)
+        pool = connection_pool.Pool(asyncio.get_running_loop().time)
         async with _served(handle) as address:
             first = pool.call("k", address, REQUEST, 5.0, 100)
             second = pool.call("k", address, REQUEST, 5.0, 100)
@@ -76,7 +78,7 @@
 
 def test_a_refused_connection_means_that_the_request_did_not_run():
     async def scenario():
-        pool = client.Pool(asyncio.get_running_loop().time)
+        pool = connection_pool.Pool(asyncio.get_running_loop().time)
         async with _served(_answer_at_once) as address:
             pass
         with pytest.raises(exceptions.BackendFailed) as caught:
@@ -90,7 +92,7 @@
     """Guard against connections that are neither pooled nor closed."""
 
     async def scenario():
-        pool = client.Pool(asyncio.get_running_loop().time)
+        pool = connection_pool.Pool(asyncio.get_running_loop().time)
         async with _served(_answer_at_once) as address:
             await pool.call("k", address, REQUEST, 5.0, 100)
             (connection,) = pool._idle_by_key["k"]
--- a/packages/gateway/tests/http/test_connection_records.py
+++ b/packages/gateway/tests/http/test_connection_records.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway.http import connection_records
 from anvilwell_gateway.http import messages
 from anvilwell_gateway.http import server as servers
@@ -57,7 +57,7 @@
 
     async def scenario():
         nonlocal now_s
-        pool = client.Pool(lambda: now_s, uses_oldest=uses_oldest)
+        pool = connection_pool.Pool(lambda: now_s, uses_oldest=uses_oldest)
         server = servers.Server(options.Address("127.0.0.1", 0), handle)
         await server.start()
         address = options.Address("127.0.0.1", server.port)
@@ -94,7 +94,7 @@
 
     async def scenario():
         nonlocal now_s
-        pool = client.Pool(lambda: now_s)
+        pool = connection_pool.Pool(lambda: now_s)
         server = servers.Server(options.Address("127.0.0.1", 0), handle)
         await server.start()
         address = options.Address("127.0.0.1", server.port)
--- a/packages/gateway/tests/test_crash_notifier.py
+++ b/packages/gateway/tests/test_crash_notifier.py
@@ -39,7 +39,9 @@
     def run(scenario):
         async def body():
             pool = _Pool()
-            monkeypatch.setattr(crash_notifier.client, "Pool", lambda *_: pool)
+            monkeypatch.setattr(
+                crash_notifier.connection_pool, "Pool", lambda *_: pool
+            )
             cluster_state = types.SimpleNamespace(
                 addresses_by_vm={"entry-1": "a:1", "entry-2": "a:2"},
                 incarnations_by_vm={"entry-1": "one", "entry-2": "two"},
--- a/packages/gateway/tests/test_crash_sync.py
+++ b/packages/gateway/tests/test_crash_sync.py
@@ -41,7 +41,7 @@
     already quarantined.
     """
     pool = _Pool()
-    monkeypatch.setattr(crash_sync.client, "Pool", lambda *_: pool)
+    monkeypatch.setattr(crash_sync.connection_pool, "Pool", lambda *_: pool)
     entries = {f"entry-{number}": f"a:{number}" for number in range(9)}
     cluster_state = types.SimpleNamespace(addresses_by_vm={"entry-0": "a:0"})
     applied = []
--- a/packages/gateway/tests/test_endless_bytes.py
+++ b/packages/gateway/tests/test_endless_bytes.py
@@ -18,6 +18,7 @@
 from anvilwell_gateway import dialect as dialects
 from anvilwell_gateway import events
 from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway.http import messages
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -73,7 +74,7 @@
 
 
 async def _run_item(address):
-    pool = client.Pool(asyncio.get_running_loop().time)
+    pool = connection_pool.Pool(asyncio.get_running_loop().time)
     runner = runners.Runner(_Dialect(), pool, lambda replica: True)
     request = runners.RunRequest(
         facts.Item("i", "/", (), b"", "g"),
@@ -155,7 +156,7 @@
     limit_s = 2 * SLOW_PAUSE_S
 
     async def scenario():
-        pool = client.Pool(asyncio.get_running_loop().time)
+        pool = connection_pool.Pool(asyncio.get_running_loop().time)
         request = messages.Request("GET", "/", (("Host", "x"),), b"")
         async with (
             _endless(first, repeated, pause_s) as address,
--- a/packages/gateway/tests/test_responses.py
+++ b/packages/gateway/tests/test_responses.py
@@ -10,7 +10,7 @@
 import pytest
 
 from anvilwell_gateway import dialect as dialects
-from anvilwell_gateway.http import client
+from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway.http import connection_records
 from anvilwell_gateway.http import messages
 from anvilwell_gateway import responses
@@ -70,7 +70,7 @@
     """Send requests one after another; return the last one's result."""
 
     async def scenario():
-        pool = client.Pool(asyncio.get_running_loop().time)
+        pool = connection_pool.Pool(asyncio.get_running_loop().time)
         async with _replica(*responses_by_turn) as address:
             try:
                 for request_id in request_ids:
@@ -139,7 +139,7 @@
     """Guard against a second refusal that bears the id of the repetition."""
 
     async def scenario():
-        pool = client.Pool(asyncio.get_running_loop().time)
+        pool = connection_pool.Pool(asyncio.get_running_loop().time)
         refusal, other = _response(REFUSED, "item"), _response(DONE, "other")
         async with _replica(refusal, other) as address:
             await _request(pool, address, "item")
--- a/packages/gateway/tests/test_trials.py
+++ b/packages/gateway/tests/test_trials.py
@@ -54,7 +54,9 @@
         async def body():
             trials_by_vm = {}
             pool = _Pool(trials_by_vm)
-            monkeypatch.setattr(trials.client, "Pool", lambda *_: pool)
+            monkeypatch.setattr(
+                trials.connection_pool, "Pool", lambda *_: pool
+            )
             quarantine_by_vm = {
                 vm_id: quarantines.Quarantine() for vm_id in ADDRESSES_BY_VM
             }
