Let refused items use their idle connection again

Cause: a request was never sent again on the connection of its last attempt.

Change: items prefer another idle connection and use their own one if there is no other. A second refusal with the right id only delays them; they may run again, and a refusal is no failure. Calls and scoring calls keep the strict rule: a second 500 would count as one more failure of a scoring call.

--- a/packages/gateway/anvilwell_gateway/http/connection_pool.py
+++ b/packages/gateway/anvilwell_gateway/http/connection_pool.py
@@ -65,16 +65,15 @@
             What the connection is for, if the peer is a replica. New
             connections are then counted by reason.
         """
-        request_id = use.request_id if use else ""
-        connection = await self._take_idle(key, request_id)
+        connection = await self._take_idle(key, use)
         if connection is None:
             connection = await client.Connection.open(
                 address, timeout_s, self._use_keepalive
             )
             if use:
                 self._records.opened(key, use)
-        connection.request_id = request_id
         if use:
+            connection.request_id = use.request_id
             connection.on_close = lambda closed: self._records.lost(
                 key, closed.close_reason
             )
@@ -88,14 +87,10 @@
             for connection in self._idle_by_key.get(key, ())
         )
 
-    async def _take_idle(self, key, request_id):
-        """Return a usable idle connection of a peer, or None.
-
-        One whose latest request had the same id is not used: a second
-        response to that request could not be told from the next one.
-        """
+    async def _take_idle(self, key, use):
+        """Return a usable idle connection of a peer, or None."""
         idle = self._idle_by_key[key]
-        while connection := self._choose_idle(idle, request_id):
+        while connection := self._choose_idle(idle, use):
             idle.remove(connection)
             is_fresh = connection.usable_until > self._clock()
             try:
@@ -109,17 +104,22 @@
             self._lose_idle(key, connection)
         return None
 
-    def _choose_idle(self, idle, request_id):
-        """Return the idle connection to use next for a request, or None."""
-        ordered = idle if self._uses_oldest else reversed(idle)
-        return next(
-            (
-                connection
-                for connection in ordered
-                if not request_id or connection.request_id != request_id
-            ),
-            None,
+    def _choose_idle(self, idle, use):
+        """Return the idle connection to use next, or None.
+
+        One whose latest request had the same id comes last, as a second
+        response to that request could not be told from the next one. Only
+        items use it: they are refused often, always may run again, and are
+        not counted as failed for a refusal.
+        """
+        ordered = list(idle if self._uses_oldest else reversed(idle))
+        others = (
+            connection
+            for connection in ordered
+            if use is None or connection.request_id != use.request_id
         )
+        may_repeat = use is not None and use.work is reasons.Work.ITEM
+        return next(others, ordered[0] if ordered and may_repeat else None)
 
     def _lose_idle(self, key, connection):
         """Close an idle connection that can't be used any more."""
