Bound the memory that submissions take at an entry

Cause, by tracemalloc and the high-water mark of single steps: a submission was in memory about ten times (parts and joined body, text and bytes of all items, parsed twice if forwarded, CBOR of the forwarded call and of the record, and the whole record in base64 and JSON in one transaction), and the byte budget counted it once. Ruled out: the heap alone; returning large blocks at once (memory.py) lowers the peak by 2 to 4 MiB only.

Change: the budget counts memory, twice a body, from the head of the request on, and the items of open batches; what doesn't fit is refused by its head, 503 or 413. The entry that forwards reads only the model and passes the bytes on. Large submissions are written part by part before the owner's key, which alone makes the batch exist; a key marks the upload, and retention deletes those that no batch got. Request bodies are written as the peer reads them.

--- a/packages/decisions/anvilwell_decisions/batches/batch_state.py
+++ b/packages/decisions/anvilwell_decisions/batches/batch_state.py
@@ -44,7 +44,8 @@
 
     def __init__(self, submission, max_failures, one_version=False):
         self._one_version = one_version
-        self.submission = submission
+        # Without its items, so that a listed one keeps no body here.
+        self.submission = submission._replace(items=())
         self.listed = []
         self.is_ended = False
         self._max_failures = max_failures
@@ -59,6 +60,8 @@
             self._members_by_group[item.group].append(item.item_id)
         self._listed_ids = set()
         self._unlisted_groups = set(self._members_by_group)
+        # Size of the bodies that are still needed, in bytes.
+        self.body_bytes = sum(map(_body_bytes, submission.items))
 
     @property
     def total(self):
@@ -208,6 +211,8 @@
     def mark_ended(self):
         """Record that the trainer ended the batch."""
         self.is_ended = True
+        for item_id in self.items_by_id:
+            self._drop_body(item_id)
 
     def listable_results(self):
         """Return the results of finished groups that are not yet listed."""
@@ -248,10 +253,17 @@
         self.progress_by_id[result.item_id] = progresses.Progress(
             result.item_id
         )
+        self._drop_body(result.item_id)
         group = self.items_by_id[result.item_id].group
         if self._listed_ids.issuperset(self._members_by_group[group]):
             self._unlisted_groups.discard(group)
 
+    def _drop_body(self, item_id):
+        """Drop the bodies of an item that is not run or scored again."""
+        item = self.items_by_id[item_id]
+        self.body_bytes -= _body_bytes(item)
+        self.items_by_id[item_id] = item._replace(body=None, scoring_call=None)
+
     def _is_finished(self, group):
         return all(
             self._states_by_id[item_id] in _ENDED
@@ -262,3 +274,9 @@
         if self._states_by_id[item_id] is ItemState.DONE:
             return self.progress_by_id[item_id].result()
         return facts.Result(item_id, False)
+
+
+def _body_bytes(item):
+    """Return the size of an item's bodies, in bytes."""
+    call = item.scoring_call
+    return len(item.body or b"") + (len(call.body) if call else 0)
--- a/packages/decisions/anvilwell_decisions/requests/byte_budget.py
+++ b/packages/decisions/anvilwell_decisions/requests/byte_budget.py
@@ -1,17 +1,23 @@
-"""Limits the bytes of request and response bodies that a VM buffers."""
+"""Limits the memory that bodies of requests and responses take on a VM."""
 
-# Share of a VM's memory that buffers may use. The processes and their own
-# data need the rest.
-MEMORY_SHARE = 0.2
+# Share of a VM's memory that bodies may take. The process and its own data
+# need the rest.
+MEMORY_SHARE = 0.5
+# Largest share of the budget that submissions and open batches may take
+# together, so that live calls still find room.
+BATCH_SHARE = 0.9
+# Memory that a request takes, as a multiple of its body: the body as it is
+# received, and once more when it is joined, decoded or written.
+COPIES = 2
 # One page of a batch's results may use at most this share of the free bytes,
 # so that pages remain available to other callers that read slowly.
 PAGE_SHARE = 0.125
 # Budget of a VM whose memory size is unknown.
-DEFAULT_BYTES = 32 << 20
+DEFAULT_BYTES = 80 << 20
 
 
 class ByteBudget:
-    """Counts buffered bytes: request bodies and unread responses.
+    """Counts the bytes that requests, responses and open batches take.
 
     When the budget is used up, bodies of requests that have not run are
     refused. Responses that have already been produced are still buffered.
@@ -38,9 +44,21 @@
         """How many more bytes may be buffered."""
         return max(0, self.total_bytes - self.held_bytes)
 
-    def try_hold(self, byte_count):
-        """Reserve `byte_count` bytes if they fit; return whether they do."""
-        if byte_count > self.free_bytes:
+    def fits(self, byte_count, share=1.0):
+        """Return whether `byte_count` fits while nothing else is held."""
+        return byte_count <= share * self.total_bytes
+
+    def try_hold(self, byte_count, share=1.0):
+        """Reserve `byte_count` bytes if they fit; return whether they do.
+
+        Parameters
+        ----------
+        byte_count : int
+            How many bytes to reserve.
+        share : float, optional
+            Share of the budget that may be used up afterwards.
+        """
+        if not self.fits(self.held_bytes + byte_count, share):
             return False
         self.held_bytes += byte_count
         return True
@@ -56,3 +74,26 @@
     def page_bytes(self, max_bytes):
         """Return the size limit of a page of results, up to `max_bytes`."""
         return min(max_bytes, int(PAGE_SHARE * self.free_bytes))
+
+
+class Hold:
+    """Bytes of a budget that one owner holds and gives back in parts.
+
+    Parameters
+    ----------
+    budget : ByteBudget
+        The budget, which is charged even if they don't fit.
+    byte_count : int
+        How many bytes are held.
+    """
+
+    def __init__(self, budget, byte_count):
+        self._budget = budget
+        self._byte_count = byte_count
+        budget.hold(byte_count)
+
+    def shrink_to(self, byte_count):
+        """Give back all but `byte_count` bytes, if more are held."""
+        released = max(0, self._byte_count - byte_count)
+        self._byte_count -= released
+        self._budget.release(released)
--- a/packages/decisions/anvilwell_decisions/traffic/facts.py
+++ b/packages/decisions/anvilwell_decisions/traffic/facts.py
@@ -163,13 +163,14 @@
 class Item(typing.NamedTuple):
     """One item of a batch; ``expected_tokens`` is the caller's estimate.
 
-    Without a ``scoring_call`` its text alone is the result.
+    Without a ``scoring_call`` its text alone is the result. ``body`` is None
+    once the item needs no more runs, so that it takes no memory.
     """
 
     item_id: str
     target: str
     headers: tuple
-    body: bytes
+    body: bytes | None
     group: str
     expected_tokens: int = 0
     scoring_call: ScoringCall | None = None
--- a/packages/gateway/anvilwell_gateway/batches/committing.py
+++ b/packages/gateway/anvilwell_gateway/batches/committing.py
@@ -5,6 +5,7 @@
 
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import sizes
+from anvilwell_gateway.batches import uploads
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
@@ -48,7 +49,7 @@
             # Results that arrived during a long write have already waited.
             await self._wait_for_more_groups(GROUPING_DELAY_S - write_s)
             results = sizes.fit_results(
-                batch.state.listable_results(), records.MAX_VALUE_BYTES
+                batch.state.listable_results(), uploads.MAX_VALUE_BYTES
             )
             if not results:
                 continue
--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -6,12 +6,14 @@
 
 import xxhash
 
+from anvilwell_decisions.requests import byte_budget
 from anvilwell_decisions.traffic import facts
 from anvilwell_decisions.traffic import organisations
 from anvilwell_gateway.batches import homes as all_homes
 from anvilwell_gateway.batches import owned_batch as owned_batches
 from anvilwell_gateway.batches import records
 from anvilwell_gateway.batches import submission_forwarding
+from anvilwell_gateway.batches import uploads
 from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
@@ -66,6 +68,8 @@
         The homes of each service.
     residency : residency.ResidencyRules
         The allowed regions in force.
+    budget : byte_budget.ByteBudget
+        Limits the memory of the batches that are taken over.
     """
 
     def __init__(
@@ -79,8 +83,10 @@
         submission_forwarder,
         homes,
         residency,
+        budget,
     ):
         self._residency = residency
+        self._budget = budget
         self._store = batch_store
         self._owners = owners
         self._manager = manager
@@ -117,11 +123,12 @@
             If it could not be stored; ``NOT_RUN`` guarantees that it was
             not accepted.
         """
-        submission = self._submission(request)
+        head = self._dialect.read_submission_head(request)
+        batch_id = organisations.owned_id(request.organisation, head.batch_id)
         outcome = submission_forwarding.ForwardOutcome.NOT
-        if submission.batch_id not in self._manager.batches_by_id:
+        if batch_id not in self._manager.batches_by_id:
             outcome = await self._submission_forwarder.forward(
-                route, submission.model, request
+                route, head.model, request
             )
         if outcome is submission_forwarding.ForwardOutcome.ACCEPTED:
             return
@@ -162,7 +169,7 @@
         owner = self._new_owner(
             submission, digest, time.time(), all_homes.gathering_key(route)
         )
-        stored_submission = records.StoredSubmission(
+        stored_submission = uploads.StoredSubmission(
             request.target,
             request.headers,
             request.body,
@@ -173,7 +180,11 @@
         )
         self._pending_writes.add(accepting)
         accepting.add_done_callback(self._on_write_finished)
-        done, _ = await asyncio.wait((accepting,), timeout=ACCEPT_TIMEOUT_S)
+        timeout_s = ACCEPT_TIMEOUT_S + uploads.extra_s(len(request.body))
+        try:
+            done, _ = await asyncio.wait((accepting,), timeout=timeout_s)
+        finally:
+            self._charge_until_done(accepting, request)
         if not done:
             raise exceptions.KeyValueUnavailable(
                 "the store has not answered; the batch may have been accepted",
@@ -182,6 +193,15 @@
         claim = accepting.result()
         _check_same(claim.owner, digest, submission)
 
+    def _charge_until_done(self, accepting, request):
+        """Hold memory for a submission that is stored after its request."""
+        if accepting.done():
+            return
+        memory = byte_budget.Hold(
+            self._budget, byte_budget.COPIES * len(request.body)
+        )
+        accepting.add_done_callback(lambda _: memory.shrink_to(0))
+
     def _check_region(self, route, request):
         """Refuse a batch that this VM may not own."""
         bounds = self._residency.of_request(route, request.organisation)
@@ -474,6 +494,17 @@
             return False
         if not self._may_own(batch_id, claim.owner):
             return False
+        with uploads.reserved(self._budget, claim.owner.parts):
+            return await self._claim_and_restore(batch_id, claim)
+
+    async def _claim_and_restore(self, batch_id, claim):
+        """Become the owner of an orphaned batch and open it.
+
+        Returns
+        -------
+        bool
+            As `_try_take_over` does.
+        """
         owner = claim.owner
         new_owner = owner._replace(
             vm_id=self._presence.vm_id, incarnation=self._presence.incarnation
--- a/packages/gateway/anvilwell_gateway/batches/manager.py
+++ b/packages/gateway/anvilwell_gateway/batches/manager.py
@@ -40,6 +40,8 @@
         Encodes scoring calls.
     slot_sharing : slot_sharing.SlotSharing
         Determines which slots this entry may use.
+    budget : byte_budget.ByteBudget
+        Counts the bodies of the items of open batches.
     residency : residency.ResidencyRules, optional
         The allowed regions in force; without it all regions are allowed.
     cold_replicas : cold_replicas.ColdReplicas, optional
@@ -58,11 +60,13 @@
         forwarder,
         dialect,
         slot_sharing,
+        budget,
         residency=None,
         cold_replicas=None,
         idle_count=None,
     ):
         self._residency = residency
+        self._budget = budget
         self._store = batch_store
         self._configuration = configuration
         self._sequence = 0
@@ -138,6 +142,7 @@
         self._sequence += 1
         batch.sequence = (batch.claim.owner.submitted_at, self._sequence)
         self.batches_by_id[batch.batch_id] = batch
+        batch.charge(self._budget)
         committer = committing.Committer(
             self._store, batch, self._on_ownership_lost
         )
@@ -176,7 +181,7 @@
         batch = self.batches_by_id.get(batch_id)
         if batch is None or batch.state.is_ended:
             return
-        batch.state.mark_ended()
+        batch.mark_ended()
         batch.cancel_runs("the batch ended")
         self._start_task(self._carry(batch))
         _LOG.log(
--- a/packages/gateway/anvilwell_gateway/batches/owned_batch.py
+++ b/packages/gateway/anvilwell_gateway/batches/owned_batch.py
@@ -5,6 +5,7 @@
 
 from anvilwell_decisions.batches import batch_state as batch_states
 from anvilwell_decisions.batches import item_order
+from anvilwell_decisions.requests import byte_budget
 from anvilwell_gateway import tasks
 
 
@@ -26,7 +27,6 @@
     def __init__(self, claim, route, submission, abandon_at):
         self.claim = claim
         self.route = route
-        self.submission = submission
         self.abandon_at = abandon_at
         submitted_at = abandon_at - route.max_queue_s
         self.late_at = item_order.too_late_at(submitted_at, route.due_s)
@@ -34,6 +34,8 @@
         self.state = batch_states.BatchState(
             submission, route.max_replicas, route.one_version
         )
+        self.submission = self.state.submission
+        self._memory = None
         self.chunks = 0
         # Sort key of batches: the one that was submitted first runs first.
         self.sequence = (0.0, 0)
@@ -57,6 +59,14 @@
         """The id of the batch."""
         return self.submission.batch_id
 
+    def charge(self, budget):
+        """Hold memory for the bodies of the items as long as it is needed."""
+        self._memory = byte_budget.Hold(budget, self.state.body_bytes)
+
+    def _release_memory(self, needed_bytes):
+        if self._memory:
+            self._memory.shrink_to(needed_bytes)
+
     @property
     def has_pending_write(self):
         """Whether the store may have results that ``state`` does not list."""
@@ -69,9 +79,15 @@
     def mark_listed(self, results):
         """List results that are committed, and wake the waiting readers."""
         self.state.mark_listed(results)
+        self._release_memory(self.state.body_bytes)
         self._no_write_pending.set()
         self._wake()
 
+    def mark_ended(self):
+        """Record that the trainer ended the batch."""
+        self.state.mark_ended()
+        self._release_memory(self.state.body_bytes)
+
     def _wake(self):
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -131,3 +147,4 @@
         await tasks.stop(
             *self._tasks(), self.committer, self.saver, cause=cause
         )
+        self._release_memory(0)
--- a/packages/gateway/anvilwell_gateway/batches/reader.py
+++ b/packages/gateway/anvilwell_gateway/batches/reader.py
@@ -4,6 +4,8 @@
 import contextlib
 import typing
 
+from anvilwell_gateway.batches import uploads
+
 # Number of batches that are cached; the least recently read one is evicted
 # first.
 MAX_CACHED = 4
@@ -36,9 +38,12 @@
         The local copy of the owners of batches.
     residency : residency.ResidencyRules
         The allowed regions in force.
+    budget : byte_budget.ByteBudget
+        Limits the memory of the submissions that are read.
     """
 
-    def __init__(self, batch_store, dialect, owners, residency):
+    def __init__(self, batch_store, dialect, owners, residency, budget):
+        self._budget = budget
         self._residency = residency
         residency.listen(self._clear)
         self._store = batch_store
@@ -88,26 +93,38 @@
         return len(cached.results) if cached else 0
 
     async def body(self, batch_id, item_id):
-        """Return the body of an item, or None if there is none."""
+        """Return the body of an item, or None if there is none.
+
+        Raises
+        ------
+        exceptions.Refused
+            If there is no memory to read the submission.
+        """
         items = self._items_by_batch.get(batch_id)
         if items is None:
             claim = await self._find_claim(batch_id)
             if claim is None:
                 return None
             owner = claim.owner
-            with self._limited_relays(batch_id, owner):
-                stored_submission = await self._store.submission(
-                    batch_id, owner.parts
-                )
-            submission = self._dialect.read_submission(
-                self._dialect.stored_request(stored_submission)
-            )
-            items = {item.item_id: item.body for item in submission.items}
-            if not self._may_cache(batch_id, owner):
+            with uploads.reserved(self._budget, owner.parts):
+                items = await self._read_items(batch_id, owner)
+            # A large submission would take too much memory for too long.
+            if owner.parts > 1 or not self._may_cache(batch_id, owner):
                 return items.get(item_id)
         self._cache(self._items_by_batch, batch_id, items)
         return items.get(item_id)
 
+    async def _read_items(self, batch_id, owner):
+        """Return the body of each item of a batch, by item id."""
+        with self._limited_relays(batch_id, owner):
+            stored_submission = await self._store.submission(
+                batch_id, owner.parts
+            )
+        submission = self._dialect.read_submission(
+            self._dialect.stored_request(stored_submission)
+        )
+        return {item.item_id: item.body for item in submission.items}
+
     async def exists(self, batch_id):
         """Return whether the batch was ever accepted."""
         if batch_id in self._cached_by_id:
--- a/packages/gateway/anvilwell_gateway/batches/records.py
+++ b/packages/gateway/anvilwell_gateway/batches/records.py
@@ -10,23 +10,17 @@
 from anvilwell_decisions.batches import progress
 from anvilwell_decisions.traffic import facts
 from anvilwell_decisions.traffic import organisations
+from anvilwell_gateway.batches import uploads
 from anvilwell_gateway import cluster_state
 from anvilwell_gateway import store as stores
 from anvilwell_kernel import exceptions
+from anvilwell_kernel import verdict as verdicts
 from anvilwell_outside.ports import keyvalue
 
 OWNER_PREFIX = "anvilwell/owner/"
-RECORD_PREFIX = "anvilwell/record/"
 RESULTS_PREFIX = "anvilwell/results/"
 SAVED_PREFIX = "anvilwell/saved/"
 CARRIED_PREFIX = "anvilwell/carried/"
-# Largest part of a batch's data that is written as one value, in bytes. The
-# store accepts values of up to 1 MB; the difference leaves space for the
-# encoding.
-MAX_VALUE_BYTES = 700 << 10
-# Largest number of parts of a submission. They are written together with the
-# owner's key in one conditional write.
-MAX_PARTS = 30
 # How long a write whose response was lost is repeated, in seconds.
 COMMIT_TIMEOUT_S = 20.0
 
@@ -58,20 +52,8 @@
     location: str = ""
 
 
-class StoredSubmission(typing.NamedTuple):
-    """A submission as received, so that any VM decodes it the same way.
-
-    Its headers contain no API key, so reading the store discloses none.
-    """
-
-    target: str
-    headers: tuple
-    body: bytes
-    organisation: str = ""
-
-
 _OWNER = pydantic.TypeAdapter(Owner)
-_SUBMISSION = pydantic.TypeAdapter(StoredSubmission)
+_SUBMISSION = pydantic.TypeAdapter(uploads.StoredSubmission)
 _RESULTS = pydantic.TypeAdapter(tuple[facts.Result, ...])
 _SAVED = pydantic.TypeAdapter(tuple[progress.SavedProgress, ...])
 
@@ -134,10 +116,12 @@
     async def accept(
         self, batch_id, owner, stored_submission, timeout_s, refusal_timeout_s
     ):
-        """Write a new batch in one transaction; return its stored `Claim`.
+        """Write a new batch; return its stored `Claim`.
 
         If the id was accepted before, that is the claim of the earlier
-        submission. The timeouts are those of `stores.swap_until_known`.
+        submission. The timeouts are those of `stores.swap_until_known`. A
+        submission of several parts is uploaded first, for which it has the
+        second timeout and more, depending on its size.
 
         Raises
         ------
@@ -145,26 +129,33 @@
             If the outcome is unknown; with ``NOT_RUN`` only if the write
             can no longer take effect.
         """
-        value = _dump(stored_submission)
-        parts = [
-            value[start : start + MAX_VALUE_BYTES]
-            for start in range(0, len(value), MAX_VALUE_BYTES)
-        ]
-        if len(parts) > MAX_PARTS:
-            raise exceptions.BadRequest("the batch is too large to store")
-        owner = owner._replace(parts=len(parts))
+        encoded = uploads.EncodedSubmission(stored_submission)
+        owner = owner._replace(parts=encoded.part_count)
         key = f"{OWNER_PREFIX}{batch_id}"
         swaps = [keyvalue.Swap(key, 0, _dump_owner(owner))]
-        swaps += [
-            keyvalue.Swap(_part_key(batch_id, number), 0, part)
-            for number, part in enumerate(parts)
-        ]
+        if encoded.part_count == 1:
+            part_key = uploads.part_key(batch_id, 0)
+            swaps.append(keyvalue.Swap(part_key, 0, encoded.part(0)))
+        else:
+            upload = await uploads.write(
+                self._store,
+                batch_id,
+                encoded,
+                refusal_timeout_s + uploads.extra_s(encoded.byte_count),
+            )
+            swaps += uploads.adoption(upload)
         result = await stores.swap_until_known(
             self._store, swaps, timeout_s, refusal_timeout_s
         )
         if result.landed:
             return Claim(owner, result.revision)
-        return _claim_in(result.entries_by_key[key])
+        entry = result.entries_by_key.get(key)
+        if entry is None:
+            raise exceptions.KeyValueUnavailable(
+                f"the upload of batch {batch_id} was abandoned",
+                verdict=verdicts.Verdict.NOT_RUN,
+            )
+        return _claim_in(entry)
 
     async def take_over(self, batch_id, claim, owner):
         """Replace a batch's dead owner by `owner`; return the new `Claim`.
@@ -198,16 +189,25 @@
         await self.take_over(batch_id, claim, released)
 
     async def submission(self, batch_id, parts):
-        """Return the `StoredSubmission` of a batch."""
-        found = [
-            await self._store.get(_part_key(batch_id, number))
-            for number in range(parts)
-        ]
-        if not all(found):
-            raise exceptions.NotFound(
-                f"batch {batch_id} has no stored submission"
-            )
-        return _load(_SUBMISSION, b"".join(entry.value for entry in found))
+        """Return the ``uploads.StoredSubmission`` of a batch."""
+        encoded = bytearray()
+        for key in await self._part_keys(batch_id, parts):
+            entry = await self._store.get(key)
+            if entry is None:
+                raise exceptions.NotFound(
+                    f"batch {batch_id} has no stored submission"
+                )
+            encoded += entry.value
+        return _load(_SUBMISSION, encoded)
+
+    async def _part_keys(self, batch_id, parts):
+        """Return the keys of the parts of a batch's submission."""
+        entry = None
+        if parts > 1:
+            entry = await self._store.get(uploads.adopted_key(batch_id))
+        # Earlier releases wrote all parts together with the owner.
+        upload_id = entry.value.decode() if entry else ""
+        return uploads.part_keys(batch_id, parts, upload_id)
 
     async def results(self, batch_id, chunk=0):
         """Return the results from chunk number `chunk` on.
@@ -290,13 +290,20 @@
         keys = [
             f"{OWNER_PREFIX}{batch_id}",
             f"{SAVED_PREFIX}{batch_id}",
-            *(_part_key(batch_id, number) for number in range(parts)),
+            *await self._part_keys(batch_id, parts),
+            *([uploads.adopted_key(batch_id)] if parts > 1 else ()),
             *(_chunk_key(batch_id, number) for number in range(chunks)),
             f"{cluster_state.ENDED_PREFIX}{batch_id}",
         ]
-        for start in range(0, len(keys), MAX_PARTS):
-            some = keys[start : start + MAX_PARTS]
-            await self._store.remove(some)
+        await uploads.remove_keys(self._store, keys)
+
+    async def marked_uploads(self):
+        """Return each `uploads.Upload` that is marked in the store."""
+        return await uploads.marked(self._store)
+
+    async def abandon_upload(self, upload):
+        """Delete an `uploads.Upload`, or only its mark if a batch has it."""
+        await uploads.abandon(self._store, upload, COMMIT_TIMEOUT_S)
 
 
 def read_claim(value, revision):
@@ -327,7 +334,7 @@
 def _fit_saved(saved):
     """Return the longest texts that fit into one stored value."""
     found = []
-    free_bytes = MAX_VALUE_BYTES
+    free_bytes = uploads.MAX_VALUE_BYTES
     for one in sorted(saved, key=lambda one: -len(one.events)):
         free_bytes -= sum(map(len, one.events)) + len(one.events) * 8 + 200
         if free_bytes < 0:
@@ -336,9 +343,5 @@
     return tuple(found)
 
 
-def _part_key(batch_id, number):
-    return f"{RECORD_PREFIX}{batch_id}/{number:04}"
-
-
 def _chunk_key(batch_id, number):
     return f"{RESULTS_PREFIX}{batch_id}/{number:06}"
--- a/packages/gateway/anvilwell_gateway/batches/request_handler.py
+++ b/packages/gateway/anvilwell_gateway/batches/request_handler.py
@@ -79,7 +79,9 @@
         self._budget = budget
         self._can_confirm_ownership = can_confirm_ownership
         self._owners = owners
-        self._reader = readers.Reader(batch_store, dialect, owners, residency)
+        self._reader = readers.Reader(
+            batch_store, dialect, owners, residency, budget
+        )
 
     async def submit(self, route, call, request, responder):
         """Accept a batch; respond once it is durable."""
@@ -256,10 +258,10 @@
 
     async def _body(self, call, responder):
         batch = self._manager.batches_by_id.get(call.batch_id)
-        if batch is not None:
-            item = batch.state.items_by_id.get(call.item_id)
-            body = item.body if item else None
-        else:
+        item = batch and batch.state.items_by_id.get(call.item_id)
+        body = item.body if item else None
+        # An item that is listed has its body in the store alone.
+        if body is None and (item or not batch):
             body = await self._reader.body(call.batch_id, call.item_id)
         if body is None:
             await self._not_found(call, responder)
--- a/packages/gateway/anvilwell_gateway/batches/retention.py
+++ b/packages/gateway/anvilwell_gateway/batches/retention.py
@@ -16,6 +16,11 @@
 # good.
 OPEN_RETENTION_S = 3600.0
 CHECK_INTERVAL_S = 20.0
+# How long an upload may take before it counts as abandoned, in seconds: more
+# than any submission is waited for.
+UPLOAD_TIMEOUT_S = 60.0
+# The entry with this duty deletes abandoned uploads.
+_UPLOADS_DUTY = "delete abandoned uploads"
 
 _LOG = logs.get_logger(__name__)
 
@@ -54,6 +59,7 @@
         # Event-loop time at which each orphaned batch was first seen: the wall
         # clocks of VMs differ.
         self._orphaned_at_by_batch = {}
+        self._upload_seen_at_by_key = {}
         self._task = None
 
     def start(self):
@@ -67,7 +73,9 @@
     async def _run(self):
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            await self.remove_old(asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            await self.remove_old(now)
+            await self.remove_abandoned_uploads(now)
 
     async def remove_old(self, now):
         """Delete finished and orphaned batches that are old enough."""
@@ -101,6 +109,28 @@
             if not await self._remove(batch_id, owner):
                 return
 
+    async def remove_abandoned_uploads(self, now):
+        """Delete uploads that were marked `UPLOAD_TIMEOUT_S` ago or earlier.
+
+        Those that belong to a batch by now only lose their mark.
+        """
+        vm_ids = self._cluster_state.incarnations_by_vm
+        if rendezvous.choose_vm(_UPLOADS_DUTY, vm_ids) != self._vm_id:
+            return
+        try:
+            uploads = await self._store.marked_uploads()
+            self._upload_seen_at_by_key = {
+                upload.key: self._upload_seen_at_by_key.get(upload.key, now)
+                for upload in uploads
+            }
+            for upload in uploads:
+                seen_at = self._upload_seen_at_by_key[upload.key]
+                if now - seen_at > UPLOAD_TIMEOUT_S:
+                    await self._store.abandon_upload(upload)
+                    _LOG.routine("upload-deleted", batch_id=upload.batch_id)
+        except exceptions.AnvilwellError as error:
+            _LOG.log("uploads-not-deleted", cause=error.message)
+
     def _is_deleted_here(self, batch_id):
         """Return whether this entry is the one that deletes an orphan."""
         duty = f"delete {batch_id}"
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from anvilwell_decisions.requests import byte_budget
 from anvilwell_gateway.batches import homes as all_homes
 from anvilwell_gateway.batches import intake as intakes
 from anvilwell_gateway.batches import manager as managers
@@ -15,9 +16,15 @@
 from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway.batches import slot_sharing
 from anvilwell_gateway.batches import submission_forwarding
+from anvilwell_gateway.http import server as servers
 from anvilwell_gateway import notices
 from anvilwell_kernel import exceptions
 
+# How the memory for the bodies of submissions is reserved. Trainers have few
+# retries, and room comes back as open batches finish their items.
+BODY_POLICY = servers.BodyPolicy(
+    share=byte_budget.BATCH_SHARE, retry_after_s=1.0
+)
 # Interval at which start-up polls whether takeovers may begin, in seconds.
 POLL_INTERVAL_S = 0.02
 
@@ -39,6 +46,8 @@
         Limits the bytes buffered for callers.
     """
 
+    body_policy = BODY_POLICY
+
     def __init__(self, platform, fleet, live_calls, pool, budget):
         self._fleet = fleet
         batch_store = records.BatchStore(fleet.store)
@@ -63,6 +72,7 @@
             live_calls.forwarder,
             platform.dialect,
             self.slot_sharing,
+            budget,
             fleet.residency,
             live_calls.cold_replicas,
             pool.idle_count if fleet.regions.has_several else None,
@@ -91,6 +101,7 @@
             self._submission_forwarder,
             homes,
             fleet.residency,
+            budget,
         )
         self.owner_client = owner_client.OwnerClient(
             self._owners,
@@ -130,7 +141,9 @@
         """Build an entry's batches and register their peer requests."""
         batches = cls(platform, fleet, live_calls, pool, budget)
         peer_server.handle(
-            submission_forwarding.TARGET, batches.accept_forwarded
+            submission_forwarding.TARGET,
+            batches.accept_forwarded,
+            BODY_POLICY,
         )
         peer_server.handle(
             owner_client.TARGET, batches.request_handler.read_for_peer
@@ -184,7 +197,7 @@
 
     async def accept_forwarded(self, request, responder):
         """Accept a batch that another entry has forwarded."""
-        submission_request = submission_forwarding.read_request(request.body)
+        submission_request = submission_forwarding.read_request(request)
         route = self._fleet.configuration.routes.find(
             submission_request.host, submission_request.path
         )
--- a/packages/gateway/anvilwell_gateway/batches/submission_forwarding.py
+++ b/packages/gateway/anvilwell_gateway/batches/submission_forwarding.py
@@ -1,9 +1,12 @@
 """Forwards submissions to the home entry of their service and model."""
 
 import asyncio
+import base64
+import binascii
 import enum
 import typing
 
+import cbor2
 import pydantic
 
 from anvilwell_gateway.batches import homes as all_homes
@@ -19,10 +22,14 @@
 # usually takes. After the timeout, this entry can still accept the batch
 # within the trainer's target of half a second.
 TIMEOUT_S = 0.4
+# Each so many bytes of a submission may take the home one second more.
+BYTES_PER_S = 8e6
 MAX_RESPONSE_BYTES = 64 << 10
 # Largest number of entries that a batch is forwarded to, one after another, if
 # this entry may not accept it. Two may be lost at once.
 MAX_TARGETS = 3
+# The header with everything of a submission but its body.
+_HEAD_HEADER = "Submission-Head"
 _ACCEPTED = 202
 _REFUSED = 503
 
@@ -39,37 +46,61 @@
 
 
 class ForwardedSubmission(typing.NamedTuple):
-    """A submission as received, without the caller's API key."""
+    """The head of a submission as received, without the caller's API key.
+
+    Its body is that of the request in which it is forwarded, so that neither
+    side holds a second copy of it.
+    """
 
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
     organisation: str = ""
 
 
 _FORWARDED_SUBMISSION = pydantic.TypeAdapter(ForwardedSubmission)
 
 
-def read_request(body):
-    """Decode the forwarded `messages.Request`.
+def read_request(peer_request):
+    """Decode the `messages.Request` that another entry has forwarded.
 
     Raises
     ------
     exceptions.BadRequest
         If it cannot be decoded.
     """
-    submission = peer_calls.decode(_FORWARDED_SUBMISSION, body, "submission")
+    encoded = messages.find(peer_request.headers, _HEAD_HEADER)
+    try:
+        head = base64.b64decode(encoded, validate=True)
+    except binascii.Error as error:
+        raise exceptions.BadRequest("the head is not base64") from error
+    submission = peer_calls.decode(
+        _FORWARDED_SUBMISSION, head, "head of a submission"
+    )
     now = asyncio.get_running_loop().time()
     return messages.Request(
         "POST",
         submission.target,
         submission.headers,
-        submission.body,
+        peer_request.body,
         now,
         organisation=submission.organisation,
     )
 
 
+def _peer_request(request, address):
+    """Return the `messages.Request` that forwards `request` to a peer."""
+    submission = ForwardedSubmission(
+        request.target, request.headers, request.organisation
+    )
+    encoded = base64.b64encode(cbor2.dumps(submission)).decode()
+    return messages.Request(
+        "POST",
+        TARGET,
+        (("Host", str(address)), (_HEAD_HEADER, encoded)),
+        request.body,
+    )
+
+
 class SubmissionForwarder:
     """Forwards submissions to their homes.
 
@@ -130,16 +161,14 @@
         if address is None:
             # It was lost while another entry was tried.
             return ForwardOutcome.NOT
-        submission = ForwardedSubmission(
-            request.target,
-            request.headers,
-            request.body,
-            request.organisation,
-        )
-        peer_request = peer_calls.build_request(TARGET, address, submission)
+        timeout_s = TIMEOUT_S + len(request.body) / BYTES_PER_S
         try:
             reply, _ = await self._pool.call(
-                home, address, peer_request, TIMEOUT_S, MAX_RESPONSE_BYTES
+                home,
+                address,
+                _peer_request(request, address),
+                timeout_s,
+                MAX_RESPONSE_BYTES,
             )
         except exceptions.BackendFailed as error:
             not_run = error.verdict is verdicts.Verdict.NOT_RUN
--- a/packages/gateway/anvilwell_gateway/dialect.py
+++ b/packages/gateway/anvilwell_gateway/dialect.py
@@ -45,6 +45,16 @@
         return bool(self.seal)
 
 
+class SubmissionHead(typing.NamedTuple):
+    """What decides which entry accepts a batch.
+
+    ``batch_id`` is the trainer's own id of the batch.
+    """
+
+    batch_id: str
+    model: str
+
+
 class BatchVerb(enum.Enum):
     """The operation that a call on a batch requests."""
 
@@ -139,9 +149,21 @@
             If the request holds no valid submission.
         """
 
+    @abc.abstractmethod
+    def read_submission_head(self, request):
+        """Return the `SubmissionHead` in a caller's request.
+
+        It takes no memory beside the body of the request.
+
+        Raises
+        ------
+        exceptions.BadRequest
+            If the request holds no submission. Its items are not checked.
+        """
+
     @abc.abstractmethod
     def stored_request(self, raw):
-        """Return the request of a stored ``records.StoredSubmission``."""
+        """Return the request of a stored ``uploads.StoredSubmission``."""
 
     @abc.abstractmethod
     def encode_results_page(self, total, results, next_position):
--- a/packages/gateway/anvilwell_gateway/frontend.py
+++ b/packages/gateway/anvilwell_gateway/frontend.py
@@ -59,6 +59,7 @@
             self._answer,
             early.take(settings.listen),
             budget,
+            self._body_policy,
         )
         self._health = servers.Server(
             settings.ready, self._answer_health, early.take(settings.ready)
@@ -73,6 +74,11 @@
         """The number of caller requests in progress."""
         return self._server.in_flight
 
+    @property
+    def budget(self):
+        """The `byte_budget.ByteBudget` of this process."""
+        return self._server.budget
+
     @property
     def port(self):
         """The port that callers connect to."""
@@ -113,6 +119,14 @@
     def _apply_limits(self):
         self._server.limits = self._fleet.configuration.current.limits
 
+    def _body_policy(self, request):
+        """Return the `servers.BodyPolicy` for a request without its body."""
+        configuration = self._fleet.configuration
+        route = configuration.routes.find(request.host, request.path)
+        if route is not None and route.is_batch:
+            return self._batches.body_policy
+        return servers.BodyPolicy()
+
     def _is_ready(self):
         return (
             not self._is_draining
--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -13,6 +13,10 @@
 
 # Limit of one read from the socket, in bytes.
 READ_BYTES = 64 << 10
+# The first part of a request body that is written with the head, in bytes. The
+# rest follows in chunks of this size as the peer reads them, so that data
+# which it has not read yet is in memory only once.
+WRITE_BYTES = 256 << 10
 # Limit of a response head, in bytes.
 MAX_HEAD_BYTES = 64 << 10
 # Limit on the interim responses (1xx) before a response.
@@ -72,6 +76,7 @@
         self._is_cut = False
         self._sent_events = ()
         self._sent_count = 0
+        self._body_writer = None
         self._has_extra_response = False
         self._events_in_turn = 0
         # The id of the latest request, "" for a peer that is no replica.
@@ -134,8 +139,23 @@
         content = (h11.Data(data=body),) if body else ()
         self._sent_events = (head, *content, h11.EndOfMessage())
         self._sent_count += 1
-        parts = [self._conn.send(event) for event in self._sent_events]
-        self._writer.write(b"".join(parts))
+        # With a Content-Length the body is sent as it is.
+        sent_head, *_ = [self._conn.send(event) for event in self._sent_events]
+        unsent = memoryview(body)
+        self._writer.write(b"".join((sent_head, unsent[:WRITE_BYTES])))
+        if len(unsent) > WRITE_BYTES:
+            self._body_writer = asyncio.create_task(
+                self._write_body(unsent[WRITE_BYTES:])
+            )
+
+    async def _write_body(self, unsent):
+        """Write the rest of a body as fast as the peer reads it."""
+        # A connection that breaks is noticed by the read of the response.
+        with contextlib.suppress(OSError):
+            for start in range(0, len(unsent), WRITE_BYTES):
+                await self._writer.drain()
+                self._writer.write(unsent[start : start + WRITE_BYTES])
+            await self._writer.drain()
 
     @property
     def is_reused(self):
@@ -242,10 +262,12 @@
         """
         conn = self._conn
         is_done = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+        is_done &= self._body_writer is None or self._body_writer.done()
         if not is_done or conn.trailing_data[0] or self._has_extra_response:
             return False
         conn.start_next_cycle()
         self._sent_events = ()
+        self._body_writer = None
         self._status = 0
         keep_alive_s = (
             _keep_alive_s(reply, default_keep_alive_s) - KEEP_ALIVE_MARGIN_S
@@ -276,6 +298,8 @@
         """Reset the connection, so that the peer stops its work."""
         if self._idle_watch:
             self._idle_watch.cancel()
+        if self._body_writer:
+            self._body_writer.cancel()
         self._writer.transport.abort()
         on_close, self.on_close = self.on_close, None
         if on_close:
--- a/packages/gateway/anvilwell_gateway/http/server.py
+++ b/packages/gateway/anvilwell_gateway/http/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import typing
 
 from anvilwell_decisions.requests import byte_budget
 from anvilwell_decisions.traffic import facts
@@ -11,6 +12,7 @@
 from anvilwell_gateway.http import messages
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
+from anvilwell_kernel.telemetry import counters
 from anvilwell_kernel.telemetry import logs
 
 # Limit of one read from the socket, in bytes.
@@ -22,6 +24,10 @@
 WRITE_BYTES = 64 << 10
 # Retry-After of a 503 response that this module sends, in seconds.
 BUSY_RETRY_AFTER_S = 0.3
+# How long a caller whose body is refused may go on sending it, in seconds.
+# Closing the connection at once would reset it, and the response could be
+# lost.
+LINGER_S = 2.0
 
 _LOG = logs.get_logger(__name__)
 
@@ -35,6 +41,19 @@
 )
 
 
+class BodyPolicy(typing.NamedTuple):
+    """How the memory for the body of a request is reserved.
+
+    ``copies`` is the memory that it takes as a multiple of its size,
+    ``share`` the share of the budget that may be used up with it, and
+    ``retry_after_s`` when to retry if it doesn't fit, in seconds.
+    """
+
+    copies: int = byte_budget.COPIES
+    share: float = 1.0
+    retry_after_s: float = BUSY_RETRY_AFTER_S
+
+
 class CallerGone(exceptions.AnvilwellError):
     """The caller's connection was closed before the response was complete."""
 
@@ -115,10 +134,16 @@
     budget : byte_budget.ByteBudget, optional
         Limits the bytes that are buffered for callers; may be shared with
         other servers.
+    body_policy : callable, optional
+        Returns the `BodyPolicy` for a `messages.Request` whose body has not
+        been read; by default all have the same one.
     """
 
-    def __init__(self, address, handle, listener=None, budget=None):
+    def __init__(
+        self, address, handle, listener=None, budget=None, body_policy=None
+    ):
         self._address = address
+        self.body_policy = body_policy or _default_body_policy
         self._handle = handle
         self._socket = listener
         self._listener = None
@@ -246,18 +271,18 @@
         received_at = asyncio.get_running_loop().time()
         self.is_serving = True
         try:
-            body = await self._read_body()
-            if body is None:
-                return False
             request = messages.Request(
                 head.method.decode("ascii"),
                 head.target.decode("latin-1"),
                 messages.decode_headers(head.headers),
-                body,
+                b"",
                 received_at,
                 self._caller(),
             )
-            await self._run(request)
+            body = await self._read_body(request)
+            if body is None:
+                return False
+            await self._run(request._replace(body=body))
         finally:
             self.is_serving = False
             self._server.budget.release(self._held_bytes)
@@ -298,29 +323,32 @@
         else:
             await self._refuse(408, "timeout while reading the request head")
 
-    async def _read_body(self):
-        """Return the whole request body, or None if it was refused."""
-        parts = []
-        size = 0
+    async def _read_body(self, request):
+        """Return the body of `request`, or None if it was refused.
+
+        If the head states the length of the body, it is refused before any
+        of it is read.
+        """
+        policy = self._server.body_policy(request)
+        length = messages.find(request.headers, "content-length")
+        stated_bytes = int(length) if length.isdecimal() else 0
+        if not await self._reserve(stated_bytes, stated_bytes, policy):
+            return None
         if self._conn.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._conn.send(go_on))
+        content = bytearray()
         while True:
             event = self._conn.next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(content)
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._server.limits.max_body_bytes:
-                    return await self._refuse(
-                        413, "the request body is too large"
-                    )
-                if not self._server.budget.try_hold(len(event.data)):
-                    return await self._refuse(
-                        503, "the budget for buffered bytes is used up"
-                    )
-                self._held_bytes += len(event.data)
-                parts.append(bytes(event.data))
+                added_bytes = 0 if stated_bytes else len(event.data)
+                if not await self._reserve(
+                    added_bytes, len(content) + added_bytes, policy
+                ):
+                    return None
+                content += event.data
             elif event is h11.NEED_DATA:
                 if not await self._receive(self._server.limits.idle_timeout_s):
                     return await self._refuse(
@@ -329,6 +357,48 @@
             else:
                 return None
 
+    async def _reserve(self, byte_count, body_bytes, policy):
+        """Reserve memory for a part of a body, or refuse the request.
+
+        Parameters
+        ----------
+        byte_count : int
+            Size of the part, in bytes.
+        body_bytes : int
+            Size of the body, as far as it is known, in bytes.
+        policy : BodyPolicy
+            How its memory is reserved.
+
+        Returns
+        -------
+        bool
+            Whether the request goes on.
+        """
+        budget = self._server.budget
+        if body_bytes > self._server.limits.max_body_bytes or not budget.fits(
+            policy.copies * body_bytes, policy.share
+        ):
+            await self._refuse(413, "the request body is too large")
+        elif not budget.try_hold(policy.copies * byte_count, policy.share):
+            counters.count_refusal(reasons.Refusal.NO_MEMORY)
+            await self._refuse(
+                503,
+                "the budget for buffered bytes is used up",
+                policy.retry_after_s,
+            )
+        else:
+            self._held_bytes += policy.copies * byte_count
+            return True
+        await self._discard_input()
+        return False
+
+    async def _discard_input(self):
+        """Read what the caller still sends after a refusal, and drop it."""
+        with contextlib.suppress(TimeoutError, OSError):
+            async with asyncio.timeout(LINGER_S):
+                while await self._reader.read(READ_BYTES):
+                    pass
+
     async def _receive(self, timeout_s):
         """Feed received bytes to the parser; return False on a timeout."""
         try:
@@ -417,7 +487,7 @@
         await asyncio.sleep(0)
         return not self._conn.trailing_data[0]
 
-    async def _refuse(self, status, cause):
+    async def _refuse(self, status, cause, retry_after_s=BUSY_RETRY_AFTER_S):
         _LOG.log("request-refused", status=status, cause=cause)
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return None
@@ -427,7 +497,7 @@
         )
         headers = ()
         if status == 503:
-            headers = (("Retry-After", str(BUSY_RETRY_AFTER_S)),)
+            headers = (("Retry-After", str(retry_after_s)),)
         await responder.send(status, headers)
         return None
 
@@ -441,3 +511,7 @@
 
 async def _always_close():
     return True
+
+
+def _default_body_policy(request):
+    return BodyPolicy()
--- a/packages/gateway/anvilwell_gateway/peer_server.py
+++ b/packages/gateway/anvilwell_gateway/peer_server.py
@@ -7,6 +7,9 @@
 from anvilwell_kernel import exceptions
 from anvilwell_kernel.telemetry import logs
 
+# Limit of a request head in bytes: callers' heads are forwarded in one header.
+MAX_HEADER_BYTES = 64 << 10
+
 _LOG = logs.get_logger(__name__)
 
 
@@ -24,9 +27,13 @@
     def __init__(self, listen, budget):
         self._listen = listen
         self._handlers_by_target = {}
-        self._server = servers.Server(listen, self._answer, None, budget)
+        self._body_policies_by_target = {}
+        self._server = servers.Server(
+            listen, self._answer, None, budget, self._body_policy
+        )
         self._server.limits = servers.FIRST_LIMITS._replace(
-            max_body_bytes=store_paths.MAX_ANSWER_BYTES
+            max_header_bytes=MAX_HEADER_BYTES,
+            max_body_bytes=store_paths.MAX_ANSWER_BYTES,
         )
         self._aborter = aborting.RequestAborter(self._server)
 
@@ -35,9 +42,22 @@
         """The address at which other VMs reach this server."""
         return options.Address(self._listen.host, self._server.port)
 
-    def handle(self, target, handler):
-        """Answer requests for `target` by ``handler(request, responder)``."""
+    def handle(self, target, handler, body_policy=None):
+        """Answer requests for `target` by ``handler(request, responder)``.
+
+        Parameters
+        ----------
+        body_policy : servers.BodyPolicy, optional
+            How the memory for the bodies of these requests is reserved.
+        """
         self._handlers_by_target[target] = handler
+        if body_policy:
+            self._body_policies_by_target[target] = body_policy
+
+    def _body_policy(self, request):
+        return self._body_policies_by_target.get(
+            request.path, servers.BodyPolicy()
+        )
 
     async def start(self):
         """Start listening."""
--- a/packages/gateway/anvilwell_gateway/residency.py
+++ b/packages/gateway/anvilwell_gateway/residency.py
@@ -181,7 +181,10 @@
         Returns a context manager. The limit follows the lists in force at
         each call, also in tasks that are started within the context.
         """
-        find_bounds = functools.partial(self.of_submission, submission)
+        # Tasks that outlive the batch, such as those of pooled connections,
+        # keep the context; the items would stay in memory with them.
+        located = submission._replace(items=())
+        find_bounds = functools.partial(self.of_submission, located)
         return self._limited_relays(find_bounds)
 
     def relays_of_batch(self, batch_id, owner, is_callers_entry=False):
--- a/packages/gateway/tests/batches/test_intake.py
+++ b/packages/gateway/tests/batches/test_intake.py
@@ -33,6 +33,7 @@
             None,
             None,
             rules,
+            None,
         )
         intake.start_takeovers()
         # A second check doesn't start a second release.
--- a/packages/gateway/tests/batches/test_manager.py
+++ b/packages/gateway/tests/batches/test_manager.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+from anvilwell_decisions.requests import byte_budget
 from anvilwell_decisions.traffic import facts
 from anvilwell_decisions.traffic import table
 from anvilwell_gateway.batches import manager as managers
@@ -84,6 +85,7 @@
                     domains_by_home=lambda service: {},
                 ),
             ),
+            byte_budget.ByteBudget(),
         )
         try:
             return await scenario(manager, directory, runner)
--- a/packages/gateway/tests/batches/test_reader.py
+++ b/packages/gateway/tests/batches/test_reader.py
@@ -20,7 +20,7 @@
     rules = mock.Mock(is_active=True, may_own=lambda bounds: may_own)
     rules.relays_of_batch.return_value = contextlib.nullcontext()
     store = mock.Mock(results=mock.AsyncMock(return_value=(["result"], 1)))
-    reader = readers.Reader(store, None, owners, rules)
+    reader = readers.Reader(store, None, owners, rules, None)
 
     for _ in range(2):
         assert asyncio.run(reader.read("b1", 0)) == (1, ["result"])
--- a/packages/gateway/tests/http/test_server.py
+++ b/packages/gateway/tests/http/test_server.py
@@ -5,6 +5,7 @@
 from anvilwell_decisions.requests import byte_budget
 from anvilwell_gateway.http import server as servers
 from anvilwell_kernel.config import options
+import pytest
 
 # Larger than the buffers of the sockets and transports together.
 RESPONSE_BODY = bytes(16 << 20)
@@ -78,3 +79,45 @@
             await asyncio.sleep(0.01)
 
     _run(scenario)
+
+
+def _post_head(size):
+    return f"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("size", "status"),
+    [
+        # Fits only once other bodies are gone.
+        (len(RESPONSE_BODY) // (2 * byte_budget.COPIES), b" 503 "),
+        # Never fits, as it takes its size several times.
+        (len(RESPONSE_BODY) // byte_budget.COPIES + 1, b" 413 "),
+    ],
+)
+def test_a_body_without_memory_for_it_is_refused_by_its_head(size, status):
+    """Guards against reading a body that can't be held."""
+
+    async def scenario(server, budget):
+        server.limits = server.limits._replace(
+            max_body_bytes=len(RESPONSE_BODY)
+        )
+        held_bytes = budget.total_bytes * 3 // 4
+        budget.hold(held_bytes)
+        reader, writer = await _send(server, _post_head(size).encode())
+        assert status in await reader.readline()
+        # The response is not lost if the caller goes on sending.
+        for _ in range(size >> 16):
+            writer.write(bytes(1 << 16))
+            await writer.drain()
+        writer.close()
+        budget.release(held_bytes)
+
+    _run(scenario)
+
+
+def test_batches_leave_memory_to_other_requests():
+    """Guards against live calls that are refused while batches are open."""
+    budget = byte_budget.ByteBudget(100)
+    assert budget.try_hold(90, byte_budget.BATCH_SHARE)
+    assert not budget.try_hold(1, byte_budget.BATCH_SHARE)
+    assert budget.try_hold(10)
--- a/packages/kernel/anvilwell_kernel/reasons.py
+++ b/packages/kernel/anvilwell_kernel/reasons.py
@@ -43,6 +43,7 @@
     QUARANTINED = "quarantined"
     REGION_NOT_ALLOWED = "region-not-allowed"
     COLD_LIMIT = "cold-limit"
+    NO_MEMORY = "no-memory"
 
 
 class Retry(enum.StrEnum):
