Give the feed every change that a watch returns

Cause: an entry that takes a batch over reads the configuration beside its watch and records the revision as known. Its next watch left the change out as known, so its feed never got it, though the feed's revision rose, and the neighbour was told that there is nothing new. It needs the takeover to read within the 0.25 s in which the follower does not watch.

Change: the feed gets all that the watch returns and decides by its own revision what is new to it; what the process knows has no part in it. One method reads a key beside the watch, and is the only other writer of known revisions.

Kin: that method has one caller, the configuration; owners, live entries and crashes that are read beside a watch are not recorded as known; a follower that leaves a neighbour for its own watch reads everything first; a restart in the middle reads everything too and resets the feed.

--- a/packages/gateway/anvilwell_gateway/configuration.py
+++ b/packages/gateway/anvilwell_gateway/configuration.py
@@ -53,10 +53,8 @@
         exceptions.KeyValueUnavailable
             If the store can't be reached.
         """
-        entry = await self._store.get(self._prefix)
-        known = self._revisions_by_key.get(self._prefix, 0)
-        if entry and entry.revision >= known:
-            self._revisions_by_key[self._prefix] = entry.revision
+        entry = await self.read_newest(self._prefix)
+        if entry:
             self._read(entry.value)
         if self._reading_task:
             await asyncio.wait((self._reading_task,))
--- a/packages/gateway/anvilwell_gateway/feeds.py
+++ b/packages/gateway/anvilwell_gateway/feeds.py
@@ -103,8 +103,11 @@
         self._on_change()
 
     def add(self, changes, revision):
-        """Apply `changes`, which lead to `revision`."""
-        for change in changes:
+        """Apply the `changes` after the last revision, up to `revision`."""
+        fresh = [
+            change for change in changes if change.revision > self._revision
+        ]
+        for change in fresh:
             self._changes.append(change)
             if change.value is None:
                 self._entries_by_key.pop(change.key, None)
@@ -115,7 +118,7 @@
         while len(self._changes) > MAX_CHANGES:
             self._first = self._changes.popleft().revision
         self._revision = revision
-        if changes:
+        if fresh:
             self._on_change()
 
     def suspend(self):
--- a/packages/gateway/anvilwell_gateway/prefix_follower.py
+++ b/packages/gateway/anvilwell_gateway/prefix_follower.py
@@ -186,18 +186,41 @@
                 self._prefix, revision, WATCH_WAIT_S
             )
         self._is_source_disconnected = False
-        fresh = [
-            change
-            for change in seen.changes
-            if change.revision > self._revisions_by_key.get(change.key, 0)
-        ]
-        for change in fresh:
-            self._revisions_by_key[change.key] = change.revision
-            self.change(change)
+        self._apply_changes(seen.changes)
         if not neighbour:
-            self._feed.add(fresh, max(revision, seen.revision))
+            # Neighbours need every change, also those known here already.
+            self._feed.add(seen.changes, max(revision, seen.revision))
         return max(revision, seen.revision)
 
+    def _apply_changes(self, changes):
+        """Apply the changes that are newer than the local copy."""
+        for change in changes:
+            if change.revision > self._revisions_by_key.get(change.key, 0):
+                self._revisions_by_key[change.key] = change.revision
+                self.change(change)
+
+    async def read_newest(self, key):
+        """Return the store's `keyvalue.Entry` of a key, beside the watch.
+
+        The caller applies it to the local copy, as the watch doesn't do so
+        again. Neighbours receive it once the watch returns it.
+
+        Returns
+        -------
+        keyvalue.Entry or None
+            None if there is none, or one older than the local copy.
+
+        Raises
+        ------
+        exceptions.KeyValueUnavailable
+            If the store can't be reached.
+        """
+        entry = await self._store.get(key)
+        if entry and entry.revision >= self._revisions_by_key.get(key, 0):
+            self._revisions_by_key[key] = entry.revision
+            return entry
+        return None
+
     def _log_lost(self, error):
         if not self._is_lost:
             self._is_lost = True
--- a/packages/gateway/anvilwell_gateway_standins/follower_world.py
+++ b/packages/gateway/anvilwell_gateway_standins/follower_world.py
@@ -99,6 +99,10 @@
         """Answer new calls again; those already waiting stay unanswered."""
         self._cut = asyncio.Event()
 
+    async def get(self, key):
+        """Return one entry, or None."""
+        return (await self.get_prefix(PREFIX)).entries_by_key.get(key)
+
     async def get_prefix(self, prefix):
         """Return all entries."""
         return await self._call("read", self._read(prefix), 0.8)
--- a/packages/gateway/tests/test_neighbours.py
+++ b/packages/gateway/tests/test_neighbours.py
@@ -67,6 +67,44 @@
     assert run_scenario(scenario) == {2}
 
 
+def test_a_key_that_was_read_beside_the_watch_reaches_neighbours(run_scenario):
+    """Guards against neighbours that keep an old configuration for good.
+
+    An entry that took a batch over read the configuration while it did not
+    watch. Its next watch returned a change that it knew, which its feed never
+    got.
+    """
+
+    async def scenario(world):
+        (watcher,) = world.watchers()
+        world.store.write(2)
+        # The watch has returned, and the next one begins a little later.
+        await asyncio.sleep(0.1)
+        world.store.write(3)
+        follower = world.processes_by_name[watcher].follower
+        follower.load({worlds.KEY: await follower.read_newest(worlds.KEY)})
+        await asyncio.sleep(BOUND_S)
+        return _newest(world)
+
+    assert run_scenario(scenario) == {3}
+
+
+def test_a_feed_has_each_change_up_to_its_revision():
+    """Guards against a feed that moves past a change that it lacks."""
+    feed = feeds.Feed()
+    first = keyvalue.Entry("a", b"1", 5)
+    feed.reset(keyvalue.Snapshot({"a": first}, 5))
+    changes = [
+        keyvalue.Change("a", b"1", 5),
+        keyvalue.Change("b", b"2", 6),
+        keyvalue.Change("a", None, 7),
+    ]
+    feed.add(changes, 7)
+    feed.add(changes[:2], 7)
+    assert feed.read_since(5).changes == tuple(changes[1:])
+    assert [entry.key for entry in feed.read_since(None).entries] == ["b"]
+
+
 async def _write_and_wait(world):
     world.store.write(2)
     await asyncio.sleep(BOUND_S)
