--- a/packages/gateway/anvilwell_gateway/prefix_follower.py
+++ b/packages/gateway/anvilwell_gateway/prefix_follower.py
@@ -124,6 +124,12 @@
             except exceptions.AnvilwellError as error:
                 self._log_lost(error)
                 await asyncio.sleep(self._retry_s())
+            except Exception as error:
+                # A fault in what reacts to changes must not end the watch.
+                _LOG.log(
+                    "follower-failed", prefix=self._prefix, cause=repr(error)
+                )
+                await asyncio.sleep(self._retry_s())
 
     def _retry_s(self):
         """Return the wait before the next attempt, in seconds, with jitter."""
--- a/packages/gateway/tests/test_prefix_follower.py
+++ b/packages/gateway/tests/test_prefix_follower.py
@@ -130,6 +130,26 @@
     assert calls[3] == ("watch", 7)
 
 
+def test_a_change_that_can_not_be_applied_does_not_end_the_follower(
+    monkeypatch,
+):
+    """Guards against a process that watches no more and says nothing."""
+
+    def change(follower, change):
+        raise ValueError("unexpected")
+
+    monkeypatch.setattr(_Follower, "change", change)
+    seen, calls = _follow(
+        monkeypatch,
+        4,
+        get_prefix=[_snapshot(5, "a"), _snapshot(6, "b")],
+        watch=[_changes(6, ("b", 6))],
+    )
+
+    assert seen == [["a"], ["b"]]
+    assert calls[3] == ("watch", 6)
+
+
 def test_a_watch_that_may_hang_is_restarted(monkeypatch):
     async def run():
         reads = [_snapshot(5, "a"), _snapshot(6, "a", "b")]
