Count failures of items over all owners of their batch

Cause: failures of runs and scoring calls, and that an item was given up, were in the owner's memory alone. While a long item of the group ran, no result was stored, and each new owner began anew.

Change: SavedProgress has them. That an item was given up is saved at once, counts with the next save and with a release. They come before texts if not all fits. A save is conditional on the claim, so that a former owner doesn't overwrite what its successor counted.

What crashes replicas is already shared by all entries. Pauses of scoring calls are not kept: they limit the pace alone.

--- a/packages/decisions/anvilwell_decisions/batches/batch_state.py
+++ b/packages/decisions/anvilwell_decisions/batches/batch_state.py
@@ -86,14 +86,21 @@
             self._restore_progress(progresses.Progress.from_saved(one))
 
     def _restore_progress(self, progress):
-        """Use the saved text of a waiting item if its versions are allowed."""
+        """Restore a waiting item's failures, and its text if it is usable.
+
+        A text is usable if its versions are allowed.
+        """
         state = self._states_by_id.get(progress.item_id)
-        if state is not ItemState.WAITING or not progress.is_usable(
+        if state is not ItemState.WAITING:
+            return
+        if not progress.is_usable(
             self.submission.min_version, self._one_version
         ):
-            return
+            progress.restart()
         self.progress_by_id[progress.item_id] = progress
-        if progress.is_complete:
+        if progress.is_abandoned:
+            self.abandon(progress.item_id)
+        elif progress.is_complete:
             self._states_by_id[progress.item_id] = self._state_of_complete(
                 progress
             )
@@ -175,10 +182,10 @@
             return
         progress = self.progress_by_id[item_id]
         progress.scoring_failures += failures
-        has_failed = failures and progress.scoring_failures >= max_failures
-        self._states_by_id[item_id] = (
-            ItemState.ABANDONED if has_failed else ItemState.UNSCORED
-        )
+        if failures and progress.scoring_failures >= max_failures:
+            self.abandon(item_id)
+        else:
+            self._states_by_id[item_id] = ItemState.UNSCORED
 
     def mark_scored(self, item_id, seal):
         """Record the seal (proof) of the scorer's response; mark it done."""
@@ -194,13 +201,14 @@
         progress = self.progress_by_id[item_id]
         progress.failures += 1
         if progress.failures >= self._max_failures:
-            self._states_by_id[item_id] = ItemState.ABANDONED
+            self.abandon(item_id)
         else:
             self.mark_stopped(item_id)
 
     def abandon(self, item_id):
         """Record that an item can't be completed."""
         self._states_by_id[item_id] = ItemState.ABANDONED
+        self.progress_by_id[item_id].abandon()
 
     def abandon_rest(self):
         """Abandon all items that are neither done nor abandoned."""
@@ -247,6 +255,18 @@
             if item_id not in self._listed_ids and progress.events
         ]
 
+    def unlisted_failures(self):
+        """Return the `SavedProgress` of unlisted items that have failed.
+
+        It has no text.
+        """
+        saved = [
+            progress.save().without_text()
+            for item_id, progress in self.progress_by_id.items()
+            if item_id not in self._listed_ids
+        ]
+        return [one for one in saved if one.has_failed]
+
     def _record_listed(self, result):
         self.listed.append(result)
         self._listed_ids.add(result.item_id)
--- a/packages/decisions/anvilwell_decisions/batches/progress.py
+++ b/packages/decisions/anvilwell_decisions/batches/progress.py
@@ -19,13 +19,39 @@
 
 
 class SavedProgress(typing.NamedTuple):
-    """A `Progress` as it is stored."""
+    """A `Progress` as it is stored.
+
+    Limits on the failures of an item hold for all owners of its batch
+    together, so each owner stores what it has counted.
+    """
 
     item_id: str
     events: tuple
     versions: tuple
     is_complete: bool
     score: Score | None = None
+    failures: int = 0
+    scoring_failures: int = 0
+    is_abandoned: bool = False
+
+    @property
+    def has_failed(self):
+        """Whether a run or a scoring call of the item has failed."""
+        return bool(self.failures or self.scoring_failures) or (
+            self.is_abandoned
+        )
+
+    def without_failures(self):
+        """Return the text alone, for another batch with the same item."""
+        return self._replace(
+            failures=0, scoring_failures=0, is_abandoned=False
+        )
+
+    def without_text(self):
+        """Return the failures alone, for an item whose text is not kept."""
+        return self._replace(
+            events=(), versions=(), is_complete=False, score=None
+        )
 
 
 class Progress:
@@ -44,6 +70,7 @@
         self.score = None
         self.failures = 0
         self.scoring_failures = 0
+        self.is_abandoned = False
         self.scoring_rounds = 0
         self.scoring_not_before = 0.0
 
@@ -55,6 +82,9 @@
         progress.versions = list(saved.versions)
         progress.is_complete = saved.is_complete
         progress.score = saved.score
+        progress.failures = saved.failures
+        progress.scoring_failures = saved.scoring_failures
+        progress.is_abandoned = saved.is_abandoned
         return progress
 
     @property
@@ -95,6 +125,11 @@
         self.is_complete = False
         self.score = None
 
+    def abandon(self):
+        """Record that the item has no result; its text is not needed."""
+        self.restart()
+        self.is_abandoned = True
+
     def save(self):
         """Return the progress in the form that is stored."""
         return SavedProgress(
@@ -103,6 +138,9 @@
             tuple(self.versions),
             self.is_complete,
             self.score,
+            self.failures,
+            self.scoring_failures,
+            self.is_abandoned,
         )
 
     def result(self):
--- a/packages/decisions/tests/batches/test_batch_state.py
+++ b/packages/decisions/tests/batches/test_batch_state.py
@@ -301,3 +301,54 @@
 
 TestBatchState = BatchStateMachine.TestCase
 TestBatchState.settings = hypothesis.settings(max_examples=60, deadline=None)
+
+
+def _handed_over(batch_state):
+    """Return the state of the next owner, restored from what was saved."""
+    restored = _batch_state()
+    restored.restore([], batch_state.unlisted_failures())
+    return restored
+
+
+def test_failures_of_an_item_count_over_all_owners():
+    """Guards against an item that fails at each run and never ends."""
+    first = _batch_state()
+    first.count_failure("00")
+    second = _handed_over(first)
+    assert second.state("00") is batch_states.ItemState.WAITING
+    second.count_failure("00")
+    assert second.state("00") is batch_states.ItemState.ABANDONED
+
+
+def test_an_abandoned_item_is_not_run_by_the_next_owner():
+    """Guards against running an item again that can never be done."""
+    batch_state = _batch_state()
+    batch_state.abandon("00")
+    second = _handed_over(batch_state)
+    assert "00" not in second.waiting_ids()
+    _finish(second, "01")
+    assert [one.is_complete for one in second.listable_results()] == [
+        False,
+        True,
+    ]
+
+
+def test_failures_remain_if_the_text_may_not_be_used():
+    """Guards against counting anew after a change of the versions."""
+    saved = progresses.SavedProgress("00", ("a",), (1,), False, failures=1)
+    batch_state = batch_states.BatchState(_submission(min_version=2), 2)
+    batch_state.restore([], [saved])
+    assert batch_state.progress_by_id["00"].events == []
+    batch_state.count_failure("00")
+    assert batch_state.state("00") is batch_states.ItemState.ABANDONED
+
+
+def test_failed_scoring_calls_count_over_all_owners():
+    """Guards against scoring an item again that was given up for it."""
+    batch_state = batch_states.BatchState(_submission(is_scored=True), 2)
+    _finish(batch_state, "00")
+    batch_state.mark_scoring("00")
+    batch_state.mark_not_scored("00", failures=2, max_failures=2)
+    second = batch_states.BatchState(_submission(is_scored=True), 2)
+    second.restore([], batch_state.unlisted_failures())
+    assert second.state("00") is batch_states.ItemState.ABANDONED
--- a/packages/gateway/anvilwell_gateway/batches/manager.py
+++ b/packages/gateway/anvilwell_gateway/batches/manager.py
@@ -203,7 +203,9 @@
         Trainers submit incomplete groups again; their items then continue
         from the saved texts.
         """
-        saved = [one.save() for one in batch.reusable_texts()]
+        saved = [
+            one.save().without_failures() for one in batch.reusable_texts()
+        ]
         if not saved:
             return
         try:
@@ -284,12 +286,12 @@
 
     async def _save(self, batch):
         await batch.stop(_STOPPING_CAUSE)
-        saved = [one.save() for one in batch.reusable_texts()]
+        saved = batch.progress_to_save()
         if batch.state.needs_no_runs or not saved:
             return
         try:
             with self._limited_relays(batch):
-                await self._store.save(batch.batch_id, saved)
+                await self._store.save(batch.batch_id, batch.claim, saved)
         except exceptions.AnvilwellError as error:
             _LOG.log(
                 "texts-not-saved", batch_id=batch.batch_id, cause=error.message
--- a/packages/gateway/anvilwell_gateway/batches/owned_batch.py
+++ b/packages/gateway/anvilwell_gateway/batches/owned_batch.py
@@ -132,6 +132,27 @@
             or (may_resume and len(progress.events) >= min_events)
         ]
 
+    def progress_to_save(self, min_events=1):
+        """Return the `SavedProgress` that the next owner needs.
+
+        These are the reusable texts, and the failures of all items that are
+        not listed.
+        """
+        saved_by_id = {
+            failed.item_id: failed for failed in self.state.unlisted_failures()
+        }
+        for progress in self.reusable_texts(min_events):
+            saved_by_id[progress.item_id] = progress.save()
+        return list(saved_by_id.values())
+
+    def save_if_abandoned(self, item_id):
+        """Save at once that an item was abandoned, if it was.
+
+        The next owner would run it again otherwise.
+        """
+        if self.state.state(item_id) is batch_states.ItemState.ABANDONED:
+            self.save_requested.set()
+
     def cancel_runs(self, cause):
         """Cancel all runs and scoring calls; `cause` is logged."""
         for task in self._tasks():
--- a/packages/gateway/anvilwell_gateway/batches/records.py
+++ b/packages/gateway/anvilwell_gateway/batches/records.py
@@ -58,6 +58,10 @@
 _SAVED = pydantic.TypeAdapter(tuple[progress.SavedProgress, ...])
 
 
+# The last fields of a `progress.SavedProgress`.
+_FAILURE_FIELDS = ("failures", "scoring_failures", "is_abandoned")
+
+
 def _dump(value):
     return cbor2.dumps(value)
 
@@ -253,13 +257,18 @@
                 f"batch {batch_id} is owned by another process"
             )
 
-    async def save(self, batch_id, saved):
-        """Save the texts of unlisted items for the next owner."""
-        value = _dump(_fit_saved(saved))
-        await self._store.put(f"{SAVED_PREFIX}{batch_id}", value)
+    async def save(self, batch_id, claim, saved):
+        """Save texts and failures of unlisted items for the next owner.
+
+        Nothing is written if the claim no longer holds: the next owner may
+        have counted more failures by then.
+        """
+        guard = keyvalue.Guard(f"{OWNER_PREFIX}{batch_id}", claim.revision)
+        value = _dump_saved(saved)
+        await self._store.put(f"{SAVED_PREFIX}{batch_id}", value, guard)
 
     async def saved(self, batch_id):
-        """Return the texts that an earlier owner saved."""
+        """Return what an earlier owner saved, as `progress.SavedProgress`."""
         entry = await self._store.get(f"{SAVED_PREFIX}{batch_id}")
         return _load(_SAVED, entry.value) if entry else ()
 
@@ -271,7 +280,7 @@
         may have the same ids.
         """
         key = _carried_key(route, organisation)
-        await self._store.put(key, _dump(_fit_saved(saved)))
+        await self._store.put(key, _dump_saved(saved))
 
     async def carried(self, route, organisation):
         """Return the unfinished texts of an organisation's last batch."""
@@ -331,11 +340,23 @@
     return f"{CARRIED_PREFIX}{name}"
 
 
+def _dump_saved(saved):
+    # Without failures, earlier releases read it too.
+    return _dump(
+        tuple(
+            one if one.has_failed else one[: -len(_FAILURE_FIELDS)]
+            for one in _fit_saved(saved)
+        )
+    )
+
+
 def _fit_saved(saved):
-    """Return the longest texts that fit into one stored value."""
+    """Return the failures and the longest texts that fit into one value."""
     found = []
     free_bytes = uploads.MAX_VALUE_BYTES
-    for one in sorted(saved, key=lambda one: -len(one.events)):
+    for one in sorted(
+        saved, key=lambda one: (not one.has_failed, -len(one.events))
+    ):
         free_bytes -= sum(map(len, one.events)) + len(one.events) * 8 + 200
         if free_bytes < 0:
             break
--- a/packages/gateway/anvilwell_gateway/batches/saving.py
+++ b/packages/gateway/anvilwell_gateway/batches/saving.py
@@ -1,4 +1,4 @@
-"""Saves unfinished texts so that the next owner need not repeat them."""
+"""Saves unfinished texts and failures of items for the next owner."""
 
 import asyncio
 import contextlib
@@ -18,7 +18,7 @@
 
 
 class Saver:
-    """Periodically saves the texts of one batch that are not yet results.
+    """Periodically saves texts of one batch, and failures of its items.
 
     These are the texts of items whose results are not yet listed in the store.
     Incomplete texts are saved if they have at least `MIN_SAVED_EVENTS` events
@@ -35,7 +35,7 @@
     def __init__(self, batch_store, batch):
         self._store = batch_store
         self._batch = batch
-        self._saved_size = (0, 0)
+        self._saved_size = (0, 0, 0, 0)
 
     async def run(self):
         """Save until no item of the batch has to run any more."""
@@ -52,18 +52,19 @@
         return self._batch.state.needs_no_runs
 
     async def _save(self):
-        texts = self._batch.reusable_texts(MIN_SAVED_EVENTS)
+        progress = self._batch.progress_to_save(MIN_SAVED_EVENTS)
         size = (
-            sum(len(progress.events) for progress in texts),
-            sum(progress.score is not None for progress in texts),
+            sum(len(one.events) for one in progress),
+            sum(one.score is not None for one in progress),
+            sum(one.failures + one.scoring_failures for one in progress),
+            sum(one.is_abandoned for one in progress),
         )
         if self._needs_no_runs or size == self._saved_size:
             return
         self._batch.has_unsaved_texts = True
         try:
             await self._store.save(
-                self._batch.batch_id,
-                [progress.save() for progress in texts],
+                self._batch.batch_id, self._batch.claim, progress
             )
         except exceptions.AnvilwellError as error:
             _LOG.log(
--- a/packages/gateway/anvilwell_gateway/batches/scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scheduler.py
@@ -469,6 +469,7 @@
             self._reset_text(batch, waiting_item.item_id)
         elif result.end in _PAUSES_S_BY_END:
             worker.not_before = now + _PAUSES_S_BY_END[result.end]
+        batch.save_if_abandoned(waiting_item.item_id)
         batch.has_new_results.set()
 
     def _record_completion(self, batch, waiting_item, now):
--- a/packages/gateway/anvilwell_gateway/batches/scoring_scheduler.py
+++ b/packages/gateway/anvilwell_gateway/batches/scoring_scheduler.py
@@ -190,6 +190,7 @@
             batch.state.mark_not_scored(
                 item_id, attempt.failures, max_failures
             )
+            batch.save_if_abandoned(item_id)
             self._delay_next_call(batch, item_id)
         end = "scored" if seal else "failed"
         measures.record(measures.SCORINGS, took_s, end=end)
--- a/packages/gateway/anvilwell_gateway/store.py
+++ b/packages/gateway/anvilwell_gateway/store.py
@@ -155,8 +155,11 @@
         """
 
     @abc.abstractmethod
-    async def put(self, key, value):
-        """Write `value` to `key` whatever its revision."""
+    async def put(self, key, value, guard=None):
+        """Write `value` to `key` whatever its revision.
+
+        If the condition of a `Guard` does not hold, nothing is written.
+        """
 
     @abc.abstractmethod
     async def remove(self, keys):
--- a/packages/gateway/tests/batches/test_saving.py
+++ b/packages/gateway/tests/batches/test_saving.py
@@ -14,7 +14,7 @@
         self.is_down = True
         self.saved_at = []
 
-    async def save(self, batch_id, saved):
+    async def save(self, batch_id, claim, saved):
         if self.is_down:
             raise exceptions.KeyValueUnavailable("down")
         self.saved_at.append(asyncio.get_running_loop().time())
@@ -25,8 +25,9 @@
     text.events = ["a"] * saving.MIN_SAVED_EVENTS
     return types.SimpleNamespace(
         batch_id="b1",
+        claim=None,
         state=types.SimpleNamespace(needs_no_runs=False),
-        reusable_texts=lambda min_events: [text],
+        progress_to_save=lambda min_events: [text.save()],
         save_requested=asyncio.Event(),
         has_unsaved_texts=False,
     )
