Say that nothing is new only while a copy is known to be complete

Cause, one for both: the feed said "nothing new" on the strength of lease renewals, which say nothing of the watch of that prefix. It slept while changes were collected (1.2 s), or waited 1, 2, 4 and 8 s after a refusal. The delays until the neighbour reads the store itself come on top.

Change: Freshness tells up to when a copy is complete; a feed answers "outdated" once that is 1.3 s ago, for the prefix concerned. A watch that begins when the copy is old is confirmed by a renewal at once. A process whose neighbour is outdated checks its own contact at once. Changes of replicas are collected for 1.0 s, not 1.2 s. A watch that is refused while other calls are answered is tried again after 0.5 s at most. A test adds up the delays.

Kin: a restarted follower, whose copy is suspended, said "nothing new" until it had read all keys, and is bounded the same way; full reads from a feed too. The owner's word about its batches depends on its lease, not on a watch. Left open, by reading: a watch whose connection alone falls silent, and an entry's own callers while its watches are turned away for long.

Ruled out: counting 429 as an outage also holds, but reads all keys of all prefixes after each refused call; 0.6 s alone leaves the cause.

Seen to fail before (with the limit taken away): the watcher cut off 0.4 to 0.9 s after the change, the refused watch with both delays, and the sum.

--- a/packages/gateway/anvilwell_gateway/directory.py
+++ b/packages/gateway/anvilwell_gateway/directory.py
@@ -18,8 +18,9 @@
 LAPSE_GRACE_S = 1.7
 # Changes that arrive within this time are fetched with one call, in seconds. A
 # replica that leaves may thus receive work for two more seconds; agents report
-# new versions directly.
-COALESCE_S = 1.2
+# new versions directly. It is shorter than `freshness.MAX_AGE_S`, so that the
+# next watch can be confirmed before the copy expires.
+COALESCE_S = 1.0
 # How long an engine is treated as loading if its agent sends no further
 # notice, in seconds: three times the duration of a load.
 MAX_LOAD_S = 3.0
--- a/packages/gateway/anvilwell_gateway/feeds.py
+++ b/packages/gateway/anvilwell_gateway/feeds.py
@@ -16,6 +16,7 @@
 import cbor2
 import pydantic
 
+from anvilwell_gateway import freshness as freshnesses
 from anvilwell_gateway import peer_calls
 from anvilwell_kernel import exceptions
 from anvilwell_outside.ports import keyvalue
@@ -44,6 +45,8 @@
     # There are no new changes, or the prefix is being read again.
     NOTHING = "nothing"
     FORGOTTEN = "forgotten"
+    # Changes may be missing: the store has not confirmed the data for a while.
+    OUTDATED = "outdated"
     NOT_WATCHED = "not-watched"
 
 
@@ -76,13 +79,25 @@
 
 
 class FeedDisconnected(FeedUnavailable):
-    """The requested entry has had no recent answer from the store."""
+    """The requested entry has had no recent answer from the store.
+
+    That is to any call, or to its watch of the prefix.
+    """
 
 
 class Feed:
-    """A cache of one prefix as this entry reads it from the store."""
+    """A cache of one prefix as this entry reads it from the store.
+
+    Parameters
+    ----------
+    on_change : callable, optional
+        Called after each change.
+    freshness : freshness.Freshness, optional
+        Up to when the cache is complete, if it is served.
+    """
 
-    def __init__(self, on_change=None):
+    def __init__(self, on_change=None, freshness=None):
+        self.freshness = freshness
         self._entries_by_key = {}
         self._changes = collections.deque()
         self._first = 0
@@ -100,8 +115,28 @@
         self._changes.clear()
         self._first = self._revision = snapshot.revision
         self.is_complete = self.is_watched = True
+        self._received()
         self._on_change()
 
+    def _received(self):
+        if self.freshness:
+            self.freshness.received()
+
+    def begin_watch(self):
+        """Record that a watch of the store was sent."""
+        if self.freshness:
+            self.freshness.watch_began()
+
+    def end_watch(self):
+        """Record that the watch of the store failed."""
+        if self.freshness:
+            self.freshness.watch_failed()
+
+    @property
+    def is_outdated(self):
+        """Whether changes may be missing for too long already."""
+        return self.freshness is not None and self.freshness.has_expired
+
     def add(self, changes, revision):
         """Apply the `changes` after the last revision, up to `revision`."""
         fresh = [
@@ -118,6 +153,7 @@
         while len(self._changes) > MAX_CHANGES:
             self._first = self._changes.popleft().revision
         self._revision = revision
+        self._received()
         if fresh:
             self._on_change()
 
@@ -137,15 +173,24 @@
         if not self.is_watched:
             return FeedUpdate(FeedStatus.NOT_WATCHED)
         if not self.is_complete:
-            return FeedUpdate(FeedStatus.NOTHING)
+            return self._nothing_new()
+        if revision is None and self.is_outdated:
+            return FeedUpdate(FeedStatus.OUTDATED)
         if revision is None:
             entries = tuple(self._entries_by_key.values())
             return FeedUpdate(FeedStatus.DATA, entries, (), self._revision)
         if revision < self._first:
             return FeedUpdate(FeedStatus.FORGOTTEN)
         changes = tuple(c for c in self._changes if c.revision > revision)
-        outcome = FeedStatus.DATA if changes else FeedStatus.NOTHING
-        return FeedUpdate(outcome, (), changes, self._revision)
+        if not changes:
+            return self._nothing_new()
+        return FeedUpdate(FeedStatus.DATA, (), changes, self._revision)
+
+    def _nothing_new(self):
+        """Return the `FeedUpdate` without changes, if that is certain."""
+        if self.is_outdated:
+            return FeedUpdate(FeedStatus.OUTDATED)
+        return FeedUpdate(FeedStatus.NOTHING, (), (), self._revision)
 
 
 class Feeds:
@@ -155,10 +200,13 @@
     ----------
     is_current : callable
         Returns whether the store answered this entry recently.
+    contact : freshness.StoreContact
+        How this entry learns whether the store answers.
     """
 
-    def __init__(self, is_current):
+    def __init__(self, is_current, contact):
         self._is_current = is_current
+        self._contact = contact
         self._changed = asyncio.Event()
         self._feeds_by_prefix = {}
         self._last_contact_at_by_engine = {}
@@ -170,7 +218,9 @@
     def feed(self, prefix):
         """Return the `Feed` of a prefix."""
         if prefix not in self._feeds_by_prefix:
-            self._feeds_by_prefix[prefix] = Feed(self._wake)
+            self._feeds_by_prefix[prefix] = Feed(
+                self._wake, freshnesses.Freshness(self._contact)
+            )
         return self._feeds_by_prefix[prefix]
 
     def _wake(self):
@@ -209,11 +259,20 @@
             left_s = until - loop.time()
             if outcomes != {FeedStatus.NOTHING} or left_s <= 0:
                 return updates_by_prefix
+            next_check_at = min(
+                until,
+                loop.time() + CONTACT_CHECK_S,
+                *self._expiry_times(revisions_by_prefix),
+            )
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(min(left_s, CONTACT_CHECK_S)):
+                async with asyncio.timeout_at(next_check_at):
                     await changed.wait()
         return None
 
+    def _expiry_times(self, prefixes):
+        """Return when the feeds of some prefixes may become outdated."""
+        return [self.feed(prefix).freshness.expires_at for prefix in prefixes]
+
 
 def read_request(body):
     """Return the `ChangesRequest` in a request's body.
--- a/packages/gateway/anvilwell_gateway/fleet.py
+++ b/packages/gateway/anvilwell_gateway/fleet.py
@@ -56,8 +56,11 @@
             daemon.vm_id,
             daemon.failure_domain,
             self.presence.has_answered_recently,
+            check_store=self.presence.renew_now,
+        )
+        self.feeds = feeds.Feeds(
+            self.presence.can_confirm_ownership, self.presence.contact()
         )
-        self.feeds = feeds.Feeds(self.presence.can_confirm_ownership)
         self.cluster_state = cluster_state.ClusterState(
             self.store, self.presence, self.store_path, self.neighbours
         )
--- a/packages/gateway/anvilwell_gateway/neighbours.py
+++ b/packages/gateway/anvilwell_gateway/neighbours.py
@@ -89,6 +89,7 @@
     async def get_prefix(self, prefix):
         """Return the neighbour's `keyvalue.Snapshot` of `prefix`."""
         update = await self._ask(prefix, None)
+        self._check_current(update, prefix)
         if update.outcome is not feeds.FeedStatus.DATA:
             raise feeds.FeedUnavailable(
                 f"{self.vm_id} can't provide all entries: {update.outcome}"
@@ -99,6 +100,7 @@
     async def watch(self, prefix, revision):
         """Return the `stores.Changes` after `revision`, possibly none."""
         update = await self._ask(prefix, revision)
+        self._check_current(update, prefix)
         if update.outcome is feeds.FeedStatus.FORGOTTEN:
             raise stores.HistoryGone(
                 f"{self.vm_id} no longer keeps these changes"
@@ -109,6 +111,12 @@
             )
         return stores.Changes(update.changes, update.revision)
 
+    def _check_current(self, update, prefix):
+        if update.outcome is feeds.FeedStatus.OUTDATED:
+            raise feeds.FeedDisconnected(
+                f"{self.vm_id} may lack changes of {prefix}"
+            )
+
     async def _ask(self, prefix, revision):
         """Return the `feeds.FeedUpdate` of one prefix."""
         result = asyncio.get_running_loop().create_future()
@@ -183,11 +191,20 @@
     engine : str, optional
         Address of the engine beside this process. An entry that receives it
         concludes that the engine's agent is running.
+    check_store : callable, optional
+        Called if an entry has lost contact, and it is not known whether the
+        store answers this process.
     """
 
     def __init__(
-        self, vm_id, failure_domain, has_answered_recently, engine=""
+        self,
+        vm_id,
+        failure_domain,
+        has_answered_recently,
+        engine="",
+        check_store=None,
     ):
+        self._check_store = check_store or _ignore
         self._vm_id = vm_id
         self._failure_domain = failure_domain
         self._has_answered_recently = has_answered_recently
@@ -297,6 +314,7 @@
         """Return whether to keep asking an entry that lost the store."""
         if not self._has_answered_recently():
             self._disconnected_since = float("-inf")
+            self._check_store()
             return True
         if now - self._disconnected_since > NEW_OUTAGE_S:
             self._disconnected_since = now
@@ -305,3 +323,7 @@
     def close(self):
         """Close the connections."""
         self._pool.close()
+
+
+def _ignore():
+    """Do nothing; the default of ``check_store``."""
--- a/packages/gateway/anvilwell_gateway/prefix_follower.py
+++ b/packages/gateway/anvilwell_gateway/prefix_follower.py
@@ -28,7 +28,11 @@
 JITTER_SHARE = 0.3
 # Wait before asking a neighbour that does not reach the store again, in
 # seconds: a little more than the interval of its own retries.
-NEIGHBOUR_RETRY_S = 0.15
+NEIGHBOUR_RETRY_S = 0.1
+# Longest wait between attempts while the store refuses a call but has answered
+# others within the same time, in seconds. That is no outage, and changes are
+# missed until an attempt succeeds.
+REFUSED_RETRY_S = 0.5
 
 _LOG = logs.get_logger(__name__)
 
@@ -135,6 +139,9 @@
         """Return the wait before the next attempt, in seconds, with jitter."""
         wait_s = min(self.max_retry_s, self._next_retry_s)
         self._next_retry_s = 2 * wait_s
+        now = asyncio.get_running_loop().time()
+        if now - self._store.answered_at < REFUSED_RETRY_S:
+            wait_s = min(wait_s, REFUSED_RETRY_S)
         return wait_s * (1 - JITTER_SHARE * random.random())
 
     @property
@@ -188,9 +195,7 @@
             self._feed.stop_serving()
             seen = await neighbour.watch(self._prefix, revision)
         else:
-            seen = await self._store.watch(
-                self._prefix, revision, WATCH_WAIT_S
-            )
+            seen = await self._watch_store(revision)
         self._is_source_disconnected = False
         self._apply_changes(seen.changes)
         if not neighbour:
@@ -198,6 +203,17 @@
             self._feed.add(seen.changes, max(revision, seen.revision))
         return max(revision, seen.revision)
 
+    async def _watch_store(self, revision):
+        """Return the `stores.Changes` after `revision`, possibly none."""
+        self._feed.begin_watch()
+        try:
+            return await self._store.watch(
+                self._prefix, revision, WATCH_WAIT_S
+            )
+        except BaseException:
+            self._feed.end_watch()
+            raise
+
     def _apply_changes(self, changes):
         """Apply the changes that are newer than the local copy."""
         for change in changes:
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -6,6 +6,7 @@
 from anvilwell_decisions.leases import session as sessions
 import cbor2
 
+from anvilwell_gateway import freshness
 from anvilwell_gateway import live_keys
 from anvilwell_gateway import measures
 from anvilwell_gateway import tasks
@@ -181,6 +182,16 @@
         if self.answer_age_s() > RENEW_S:
             self._rewrite.set()
 
+    def renew_now(self):
+        """Renew the lease at once, to see whether the store answers."""
+        self._rewrite.set()
+
+    def contact(self):
+        """Return the `freshness.StoreContact` of this process."""
+        return freshness.StoreContact(
+            lambda: self._store.answered_at, self.renew_now, RENEW_S
+        )
+
     def takeover_grace_s(self):
         """Return how long to wait for others to register again, in seconds.
 
--- a/packages/gateway/anvilwell_gateway_standins/follower_world.py
+++ b/packages/gateway/anvilwell_gateway_standins/follower_world.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import contextlib
 
 from anvilwell_gateway import feeds
+from anvilwell_gateway import freshness
 from anvilwell_gateway.http import messages
 from anvilwell_gateway import neighbours
 from anvilwell_gateway import prefix_follower
@@ -31,6 +33,8 @@
         self.history = []
         self.compacted = 0
         self.calls = []
+        # The names of the processes that have renewed their leases.
+        self.renewals = []
         self.is_paused = False
         self._changed = asyncio.Event()
 
@@ -80,7 +84,10 @@
         self._listeners = []
         self._cut = asyncio.Event()
         self._is_unanswered = False
-        self.answered_at = float("-inf")
+        self._renewal_requested = asyncio.Event()
+        # Whether watches and reads are refused, while renewals are answered.
+        self.is_refusing = False
+        self.answered_at = self.renewed_at = float("-inf")
 
     def listen_regained(self, callback):
         """Call `callback` when a call succeeds after one has failed."""
@@ -119,6 +126,9 @@
 
     async def _call(self, kind, answer, timeout_s):
         self._store.calls.append((self._name, kind))
+        if self.is_refusing:
+            answer.close()
+            raise exceptions.KeyValueUnavailable("refused")
         answering = asyncio.create_task(answer)
         cut = asyncio.create_task(self._cut.wait())
         try:
@@ -128,7 +138,9 @@
                 )
                 if self.is_cut:
                     await asyncio.get_running_loop().create_future()
-                return await answering
+                found = await answering
+                self.answered_at = asyncio.get_running_loop().time()
+                return found
         except TimeoutError:
             self._is_unanswered = True
             raise exceptions.KeyValueUnavailable("no answer") from None
@@ -140,15 +152,27 @@
         """Check regularly whether the store answers, as lease renewals do."""
         loop = asyncio.get_running_loop()
         while True:
+            self._renewal_requested.clear()
             if self.is_cut:
                 self._is_unanswered = True
             else:
+                await asyncio.sleep(ANSWER_S)
+                self._store.renewals.append(self._name)
+                self.renewed_at = loop.time()
                 self.answered_at = loop.time()
                 if self._is_unanswered:
                     self._is_unanswered = False
                     for callback in self._listeners:
                         loop.call_soon(callback)
-            await asyncio.sleep(RETRY_S if self.is_cut else RENEW_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(
+                    RETRY_S if self.is_cut else RENEW_S
+                ):
+                    await self._renewal_requested.wait()
+
+    def renew_now(self):
+        """Renew at once."""
+        self._renewal_requested.set()
 
 
 class NumberFollower(prefix_follower.PrefixFollower):
@@ -227,12 +251,21 @@
         loop = asyncio.get_running_loop()
         self.is_alive = True
         self.connection = StoreConnection(world.store, name)
-        self.feeds = feeds.Feeds(lambda: self._age_s(loop) < 1.2)
+        contact = freshness.StoreContact(
+            lambda: self.connection.answered_at,
+            self.connection.renew_now,
+            RENEW_S,
+        )
+        self.feeds = feeds.Feeds(lambda: self._age_s(loop) < 1.2, contact)
         self.neighbours_finder = neighbours.Neighbours(
-            name, domain, lambda: self._age_s(loop) < 1.2 - RENEW_S
+            name,
+            domain,
+            lambda: self._age_s(loop) < 1.2 - RENEW_S,
+            check_store=self.connection.renew_now,
         )
         self.neighbours_finder._pool = _Wire(world, name)
         self.follower = NumberFollower(self.connection)
+        self.follower.coalesce_s = world.coalesce_s
         # A second follower, to test that both react to the failures that one
         # of them meets.
         self.second_follower = NumberFollower(self.connection, "q/")
@@ -241,7 +274,7 @@
         self.second_follower.start(self.neighbours_finder, self.feeds)
 
     def _age_s(self, loop):
-        return loop.time() - self.connection.answered_at
+        return loop.time() - self.connection.renewed_at
 
     async def stop(self):
         """Stop the process."""
@@ -258,9 +291,12 @@
     ----------
     domains_by_name : dict
         The failure domain of each entry.
+    coalesce_s : float, optional
+        How long a follower collects changes, in seconds.
     """
 
-    def __init__(self, domains_by_name):
+    def __init__(self, domains_by_name, coalesce_s=0.25):
+        self.coalesce_s = coalesce_s
         self.store = Store()
         self.silent = set()
         self._domains_by_name = domains_by_name
--- a/packages/gateway/tests/test_configuration.py
+++ b/packages/gateway/tests/test_configuration.py
@@ -27,6 +27,8 @@
 
 
 class _Store:
+    answered_at = float("-inf")
+
     def listen_regained(self, callback):
         """Ignore the callback."""
 
--- a/packages/gateway/tests/test_evacuations.py
+++ b/packages/gateway/tests/test_evacuations.py
@@ -30,6 +30,8 @@
 
 
 class _Store:
+    answered_at = float("-inf")
+
     def listen_regained(self, callback):
         pass
 
--- a/packages/gateway/tests/test_neighbours.py
+++ b/packages/gateway/tests/test_neighbours.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+from anvilwell_gateway import directory
 from anvilwell_gateway import feeds
+from anvilwell_gateway import freshness
+from anvilwell_gateway import neighbours
+from anvilwell_gateway import prefix_follower
 from anvilwell_gateway_standins import follower_world as worlds
 from anvilwell_outside.ports import keyvalue
 import hypothesis
@@ -19,9 +23,9 @@
 def run_scenario(run_virtual):
     """Return a function that runs a scenario in a settled world."""
 
-    def run(scenario, domains_by_name=ONE_DOMAIN):
+    def run(scenario, domains_by_name=ONE_DOMAIN, **kwargs):
         async def settled():
-            world = worlds.World(domains_by_name)
+            world = worlds.World(domains_by_name, **kwargs)
             world.store.write(1)
             # Long enough for two watches of the store to return without
             # changes.
@@ -145,6 +149,113 @@
     assert run_scenario(scenario) == {2}
 
 
+async def _write_as_the_watch_sleeps(world, disturb, wait_s=0.0):
+    """Write twice, and disturb the watcher `wait_s` after the second write.
+
+    The watch has returned the first number, and the next one begins once the
+    follower has collected changes. Returns what the others have in time.
+    """
+    (watcher,) = world.watchers()
+    disturbed = world.processes_by_name[watcher]
+    world.store.write(2)
+    await asyncio.sleep(0.02)
+    world.store.write(3)
+    await asyncio.sleep(wait_s)
+    disturb(disturbed.connection)
+    await asyncio.sleep(BOUND_S - wait_s)
+    return {p.follower.newest for p in world.alive if p is not disturbed}
+
+
+@pytest.mark.parametrize("tenths", range(13))
+@pytest.mark.parametrize(
+    "coalesce_s", [prefix_follower.COALESCE_S, directory.COALESCE_S]
+)
+def test_a_change_arrives_in_time_if_the_watcher_is_cut_off_meanwhile(
+    run_scenario, coalesce_s, tenths
+):
+    """Guards against requests that reach a draining replica too late.
+
+    The watcher had renewed its lease and collected changes as it was cut off,
+    and confirmed for longer than that that there was nothing new.
+    """
+
+    async def scenario(world):
+        return await _write_as_the_watch_sleeps(
+            world, lambda connection: connection.cut(), tenths / 10
+        )
+
+    assert run_scenario(scenario, coalesce_s=coalesce_s) == {3}
+
+
+@pytest.mark.parametrize(
+    "coalesce_s", [prefix_follower.COALESCE_S, directory.COALESCE_S]
+)
+def test_a_change_arrives_in_time_if_the_watch_is_refused(
+    run_scenario, coalesce_s
+):
+    """Guards against an old configuration while renewals are answered."""
+
+    def refuse(connection):
+        connection.is_refusing = True
+
+    async def scenario(world):
+        return await _write_as_the_watch_sleeps(world, refuse)
+
+    assert run_scenario(scenario, coalesce_s=coalesce_s) == {3}
+
+
+def test_the_watcher_learns_of_a_change_soon_after_it_was_refused(
+    run_scenario,
+):
+    """Guards against waits that double while the store answers other calls."""
+
+    async def scenario(world):
+        (watcher,) = world.watchers()
+        connection = world.processes_by_name[watcher].connection
+        connection.is_refusing = True
+        world.store.forget()
+        await asyncio.sleep(8.0)
+        connection.is_refusing = False
+        world.store.write(2)
+        await asyncio.sleep(2 * prefix_follower.REFUSED_RETRY_S)
+        return world.processes_by_name[watcher].follower.newest
+
+    assert run_scenario(scenario) == 2
+
+
+def test_changes_of_replicas_cost_one_renewal_more_each(run_scenario):
+    """Guards against a check of the store for each call to it."""
+
+    async def scenario(world):
+        (watcher,) = world.watchers()
+        await asyncio.sleep(1.0)
+        world.store.renewals.clear()
+        for value in range(2, 22):
+            world.store.write(value)
+            await asyncio.sleep(3.0)
+        return world.store.renewals.count(watcher)
+
+    regular = 60.0 / worlds.RENEW_S
+    count = run_scenario(scenario, coalesce_s=directory.COALESCE_S)
+    assert count <= regular + 20
+
+
+def test_what_delays_a_change_adds_up_to_less_than_its_limit():
+    """Guards against raising one of the delays alone."""
+    store_call_s = 0.1
+    # The watcher answers that its copy has expired. The one that asks checks
+    # whether the store answers it, gives the watcher the time to reconnect,
+    # and reads the store itself.
+    reconnect_s = (
+        neighbours.RECONNECT_GRACE_S + prefix_follower.NEIGHBOUR_RETRY_S
+    )
+    wait_s = prefix_follower.NEIGHBOUR_RETRY_S + reconnect_s
+    assert freshness.MAX_AGE_S + wait_s + 2 * store_call_s < BOUND_S
+    # The next watch can be confirmed before the copy expires.
+    assert directory.COALESCE_S + 2 * store_call_s < freshness.MAX_AGE_S
+    assert prefix_follower.COALESCE_S < directory.COALESCE_S
+
+
 def test_an_outage_of_the_store_causes_few_calls(run_scenario):
     async def scenario(world):
         world.store.calls.clear()
--- a/packages/gateway/tests/test_prefix_follower.py
+++ b/packages/gateway/tests/test_prefix_follower.py
@@ -13,6 +13,8 @@
 class _ScriptedStore:
     """Returns scripted answers in turn, then never answers again."""
 
+    answered_at = float("-inf")
+
     def __init__(self, **answers):
         self.answers = answers
         self.calls = []
