Split takeovers and the opening of batches from the intake

Intake accepts submissions, Takeovers takes over what its owner left, and BatchOpener opens a batch for both. A context manager replaces the counter by which one told the other that a batch is being accepted. The request handler asks the cluster state itself whether a batch has ended.

--- a/packages/gateway/anvilwell_gateway/batches/request_handler.py
+++ b/packages/gateway/anvilwell_gateway/batches/request_handler.py
@@ -48,6 +48,8 @@
         Decodes requests and encodes pages of results.
     owners : owners.Owners
         The owners of all batches.
+    cluster_state : cluster_state.ClusterState
+        The ended batches.
     owner_client : owner_client.OwnerClient
         Sends requests to other owners of batches.
     budget : byte_budget.ByteBudget
@@ -66,6 +68,7 @@
         intake,
         dialect,
         owners,
+        cluster_state,
         owner_client,
         budget,
         can_confirm_ownership,
@@ -75,6 +78,7 @@
         self._manager = manager
         self._intake = intake
         self._dialect = dialect
+        self._cluster_state = cluster_state
         self._owner_client = owner_client
         self._budget = budget
         self._can_confirm_ownership = can_confirm_ownership
@@ -270,7 +274,7 @@
         await responder.send(200, (kind,), body)
 
     async def _end(self, call, responder):
-        if not self._intake.is_ended(call.batch_id):
+        if call.batch_id not in self._cluster_state.ended:
             batch = self._manager.batches_by_id.get(call.batch_id)
             if batch is not None:
                 self._manager.end(call.batch_id)
--- a/packages/gateway/anvilwell_gateway/batches/service.py
+++ b/packages/gateway/anvilwell_gateway/batches/service.py
@@ -7,6 +7,7 @@
 from anvilwell_gateway.batches import intake as intakes
 from anvilwell_gateway.batches import manager as managers
 from anvilwell_gateway.batches import notice_subscribers
+from anvilwell_gateway.batches import opening
 from anvilwell_gateway.batches import owner_client
 from anvilwell_gateway.batches import owners
 from anvilwell_gateway.batches import records
@@ -16,6 +17,7 @@
 from anvilwell_gateway.batches import runner as runners
 from anvilwell_gateway.batches import slot_sharing
 from anvilwell_gateway.batches import submission_forwarding
+from anvilwell_gateway.batches import takeovers
 from anvilwell_gateway.http import server as servers
 from anvilwell_gateway import notices
 from anvilwell_kernel import exceptions
@@ -91,18 +93,32 @@
         self._submission_forwarder = submission_forwarding.SubmissionForwarder(
             fleet.vm_id, fleet.cluster_state, homes, fleet.residency
         )
-        self._intake = intakes.Intake(
+        opener = opening.BatchOpener(
+            self.manager, self._owners, fleet.cluster_state
+        )
+        self._takeovers = takeovers.Takeovers(
             batch_store,
+            opener,
             self.manager,
             fleet.presence,
             fleet.cluster_state,
             self._owners,
             platform.dialect,
-            self._submission_forwarder,
             homes,
             fleet.residency,
             budget,
         )
+        self._intake = intakes.Intake(
+            batch_store,
+            opener,
+            self._takeovers,
+            self.manager,
+            fleet.presence,
+            platform.dialect,
+            self._submission_forwarder,
+            fleet.residency,
+            budget,
+        )
         self.owner_client = owner_client.OwnerClient(
             self._owners,
             fleet.cluster_state,
@@ -123,6 +139,7 @@
             self._intake,
             platform.dialect,
             self._owners,
+            fleet.cluster_state,
             self.owner_client,
             budget,
             self._can_confirm_ownership,
@@ -173,15 +190,17 @@
             and self._fleet.configuration.current
         ):
             await asyncio.sleep(POLL_INTERVAL_S)
-        self._intake.start_takeovers()
+        self._takeovers.start()
 
     def refuse_new(self):
         """Refuse new batches because this VM is stopping."""
         self._intake.is_draining = True
+        self._takeovers.is_draining = True
 
     async def release(self):
         """Release all batches so that other entries take them over."""
         await self._intake.stop()
+        await self._takeovers.stop()
         await self.manager.release()
 
     async def stop(self):
@@ -190,6 +209,7 @@
             self._start_task.cancel()
         await self.retention.stop()
         await self._intake.stop()
+        await self._takeovers.stop()
         await self.manager.stop()
         self.owner_client.close()
         self._submission_forwarder.close()
