Wait at a stop until large submissions are answered

A trainer would get 500 for a batch that may have been accepted. The stop now waits until the time by which each submission has its answer.

--- a/packages/gateway/anvilwell_gateway/batches/intake.py
+++ b/packages/gateway/anvilwell_gateway/batches/intake.py
@@ -79,6 +79,8 @@
         self._residency = residency
         self._budget = budget
         self._pending_writes = set()
+        # Loop time by which all submissions so far have been answered.
+        self._answered_by = 0.0
         self.is_draining = False
 
     async def accept(self, route, request):
@@ -152,6 +154,8 @@
         self._pending_writes.add(accepting)
         accepting.add_done_callback(self._on_write_finished)
         timeout_s = ACCEPT_TIMEOUT_S + uploads.extra_s(len(request.body))
+        answered_by = asyncio.get_running_loop().time() + timeout_s
+        self._answered_by = max(self._answered_by, answered_by)
         try:
             done, _ = await asyncio.wait((accepting,), timeout=timeout_s)
         finally:
@@ -249,8 +253,9 @@
     async def stop(self):
         """Stop once the submissions in progress are answered."""
         self.is_draining = True
-        if self._pending_writes:
-            await asyncio.wait(self._pending_writes, timeout=ACCEPT_TIMEOUT_S)
+        wait_s = self._answered_by - asyncio.get_running_loop().time()
+        if self._pending_writes and wait_s > 0:
+            await asyncio.wait(self._pending_writes, timeout=wait_s)
         await tasks.stop(*self._pending_writes)
 
 
