--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -86,6 +86,7 @@
         self._pending_since = 0.0
         self._session = sessions.Session(TTL_S)
         self._answered_at = float("-inf")
+        self._attempted_at = float("-inf")
         # Whether the store has ever answered, and when it did so after an
         # outage.
         self._has_answered = False
@@ -183,8 +184,14 @@
             self._rewrite.set()
 
     def renew_now(self):
-        """Renew the lease at once, to see whether the store answers."""
-        self._rewrite.set()
+        """Renew the lease at once, to see whether the store answers.
+
+        It has no effect within `RETRY_S` of the last attempt: during an outage
+        many callers ask for it again and again.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - self._attempted_at >= RETRY_S:
+            self._rewrite.set()
 
     def contact(self):
         """Return the `freshness.StoreContact` of this process."""
@@ -227,6 +234,7 @@
         was_in_touch = None
         while True:
             self._rewrite.clear()
+            self._attempted_at = asyncio.get_running_loop().time()
             wait_s = RENEW_S
             try:
                 await self._renew()
--- a/packages/gateway/tests/test_presence.py
+++ b/packages/gateway/tests/test_presence.py
@@ -90,3 +90,27 @@
         return silence_s
 
     assert run_virtual(scenario()) == 3.0
+
+
+@pytest.mark.parametrize("is_silent", [True, False])
+def test_renewals_on_request_are_as_rare_as_after_a_failure(
+    is_silent, run_virtual
+):
+    """Guards against a call to the store for each neighbour that asks."""
+    store = _Store()
+
+    async def scenario():
+        presence = presences.Presence(store, "vm")
+        presence.start("a:1")
+        await asyncio.sleep(presences.RENEW_S / 2)
+        store.is_silent = is_silent
+        store.calls.clear()
+        for _ in range(1000):
+            presence.renew_now()
+            await asyncio.sleep(0.001)
+        calls = len(store.calls)
+        await presence.stop()
+        return calls
+
+    # A second has passed; one call more for each end of it.
+    assert run_virtual(scenario()) <= 1.0 / presences.RETRY_S + 2
