--- a/packages/gateway/anvilwell_gateway/batches/records.py
+++ b/packages/gateway/anvilwell_gateway/batches/records.py
@@ -145,8 +145,11 @@
                 self._store,
                 batch_id,
                 encoded,
+                keyvalue.Guard(key, 0),
                 refusal_timeout_s + uploads.extra_s(encoded.byte_count),
             )
+            if upload is None:
+                return await self.owner(batch_id)
             swaps += uploads.adoption(upload)
         result = await stores.swap_until_known(
             self._store, swaps, timeout_s, refusal_timeout_s
--- a/packages/gateway/anvilwell_gateway/batches/uploads.py
+++ b/packages/gateway/anvilwell_gateway/batches/uploads.py
@@ -137,9 +137,19 @@
         budget.release(byte_count)
 
 
-async def write(store, batch_id, encoded, timeout_s):
+async def write(store, batch_id, encoded, guard, timeout_s):
     """Write all parts of an `EncodedSubmission`; return their `Upload`.
 
+    Parameters
+    ----------
+    guard : keyvalue.Guard
+        The condition that the batch does not exist yet.
+
+    Returns
+    -------
+    Upload or None
+        None, and nothing is written, if the batch exists.
+
     Raises
     ------
     exceptions.KeyValueUnavailable
@@ -149,9 +159,12 @@
     upload = Upload(batch_id, uuid.uuid4().hex, encoded.part_count, 0)
     try:
         async with asyncio.timeout(timeout_s):
+            mark = cbor2.dumps(upload.part_count)
             marked = await _write_new(
-                store, upload.key, cbor2.dumps(upload.part_count), timeout_s
+                store, upload.key, mark, timeout_s, guard
             )
+            if marked is None:
+                return None
             for number in range(upload.part_count):
                 key = part_key(batch_id, number, upload.upload_id)
                 await _write_new(store, key, encoded.part(number), timeout_s)
@@ -163,14 +176,17 @@
     return upload._replace(revision=marked.revision)
 
 
-async def _write_new(store, key, value, timeout_s):
-    """Write a key that no other process writes; return its `Entry`."""
+async def _write_new(store, key, value, timeout_s, *guards):
+    """Write a key that no other process writes; return its `Entry`.
+
+    Returns None if the condition of a guard does not hold.
+    """
     result = await stores.swap_until_known(
-        store, [keyvalue.Swap(key, 0, value)], timeout_s
+        store, [keyvalue.Swap(key, 0, value), *guards], timeout_s
     )
     if result.landed:
         return keyvalue.Entry(key, value, result.revision)
-    return result.entries_by_key[key]
+    return result.entries_by_key.get(key)
 
 
 def adopted_key(batch_id):
