--- a/packages/decisions/anvilwell_decisions/requests/byte_budget.py
+++ b/packages/decisions/anvilwell_decisions/requests/byte_budget.py
@@ -51,6 +51,8 @@
     def try_hold(self, byte_count, share=1.0):
         """Reserve `byte_count` bytes if they fit; return whether they do.
 
+        No bytes always fit, also if more than the budget is held.
+
         Parameters
         ----------
         byte_count : int
@@ -58,7 +60,7 @@
         share : float, optional
             Share of the budget that may be used up afterwards.
         """
-        if not self.fits(self.held_bytes + byte_count, share):
+        if byte_count and not self.fits(self.held_bytes + byte_count, share):
             return False
         self.held_bytes += byte_count
         return True
--- a/packages/gateway/tests/http/test_server.py
+++ b/packages/gateway/tests/http/test_server.py
@@ -81,6 +81,22 @@
     _run(scenario)
 
 
+def test_a_request_without_a_body_is_served_over_the_budget():
+    """Guards against refusing reads while responses use up the memory."""
+
+    async def scenario(server, budget):
+        held_bytes = budget.total_bytes + 1
+        budget.hold(held_bytes)
+        reader, writer = await _send(
+            server, b"DELETE / HTTP/1.1\r\nHost: h\r\n\r\n"
+        )
+        assert b" 200 " in await reader.readline()
+        writer.close()
+        budget.release(held_bytes)
+
+    _run(scenario)
+
+
 def _post_head(size):
     return f"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n"
 
