--- a/packages/gateway/tests/http/test_connection_pool.py
+++ b/packages/gateway/tests/http/test_connection_pool.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from anvilwell_gateway.http import client
 from anvilwell_gateway.http import connection_pool
 from anvilwell_gateway.http import messages
 from anvilwell_gateway.http import server as servers
@@ -104,3 +105,37 @@
             return connection._writer.is_closing()
 
     assert asyncio.run(scenario())
+
+
+def test_a_large_body_is_written_as_the_peer_reads_it():
+    """Guards against a second copy of a body that the peer hasn't read."""
+    # Larger than the buffers of the sockets and transports together.
+    body = bytes(16 << 20)
+    may_read = asyncio.Event()
+    received = []
+
+    async def read(reader, writer):
+        await may_read.wait()
+        await reader.readuntil(b"\r\n\r\n")
+        received.append(await reader.readexactly(len(body)))
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(read, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            address = options.Address("127.0.0.1", port)
+            connection = await client.Connection.open(address)
+            connection.send("POST", "/", (("Host", "x"),), body)
+            # The socket accepts what it can, and the writer waits.
+            for _ in range(1000):
+                await asyncio.sleep(0)
+            buffered = connection._writer.transport.get_write_buffer_size()
+            may_read.set()
+            while not received:
+                await asyncio.sleep(0)
+            connection.close()
+        return buffered
+
+    assert asyncio.run(scenario()) <= 2 * client.WRITE_BYTES
+    assert received == [body]
