Say how old each follower's copy is, and how long it was lost

Cause: the four hypotheses of the incident leave the same traces; nothing told how old the copy is on which a 404 rests. Change: feeds send how old their data are, so that a follower knows the age of its copy whichever its source; configuration_copy_age_s shows it. read-retried has each wait, store-regained the time for which a prefix was lost. No decision depends on them yet.

--- a/packages/gateway/anvilwell_gateway/configuration.py
+++ b/packages/gateway/anvilwell_gateway/configuration.py
@@ -60,13 +60,14 @@
             await asyncio.wait((self._reading_task,))
 
     def gauge_values(self):
-        """Return the gauges of the version in force and its age, if any."""
+        """Return the gauges of the version in force, if any, and its age."""
         if self.current is None:
             return []
         age_s = asyncio.get_running_loop().time() - self._in_force_since
         return [
             measures.GaugeValue("configuration_version", self.current.version),
             measures.GaugeValue("configuration_age_s", age_s),
+            measures.GaugeValue("configuration_copy_age_s", self.copy_age_s),
         ]
 
     async def stop(self):
--- a/packages/gateway/anvilwell_gateway/feeds.py
+++ b/packages/gateway/anvilwell_gateway/feeds.py
@@ -51,12 +51,16 @@
 
 
 class FeedUpdate(typing.NamedTuple):
-    """The keys or changes of one prefix, up to the store's ``revision``."""
+    """The keys or changes of one prefix, up to the store's ``revision``.
+
+    ``age_s`` is the time since they were known to be complete, in seconds.
+    """
 
     outcome: FeedStatus
     entries: tuple[keyvalue.Entry, ...] = ()
     changes: tuple[keyvalue.Change, ...] = ()
     revision: int = 0
+    age_s: float = freshnesses.MAX_AGE_S
 
 
 class ChangesRequest(typing.NamedTuple):
@@ -106,6 +110,11 @@
         self.is_complete = False
         self.is_watched = False
 
+    @property
+    def age_s(self):
+        """The time since the copy was known to be complete, in seconds."""
+        return self.freshness.age_s if self.freshness else float("inf")
+
     def reset(self, snapshot):
         """Replace the cache by a full read.
 
@@ -165,6 +174,11 @@
         """Stop serving the prefix, as this entry now follows a neighbour."""
         self.is_complete = self.is_watched = False
 
+    def confirm(self, age_s):
+        """Record that a neighbour sent all that it knew `age_s` ago."""
+        if self.freshness:
+            self.freshness.received(age_s)
+
     def read_since(self, revision):
         """Return a `FeedUpdate` with the changes after `revision`.
 
@@ -178,19 +192,24 @@
             return FeedUpdate(FeedStatus.OUTDATED)
         if revision is None:
             entries = tuple(self._entries_by_key.values())
-            return FeedUpdate(FeedStatus.DATA, entries, (), self._revision)
+            return self._update(FeedStatus.DATA, entries)
         if revision < self._first:
             return FeedUpdate(FeedStatus.FORGOTTEN)
         changes = tuple(c for c in self._changes if c.revision > revision)
         if not changes:
             return self._nothing_new()
-        return FeedUpdate(FeedStatus.DATA, (), changes, self._revision)
+        return self._update(FeedStatus.DATA, changes=changes)
 
     def _nothing_new(self):
         """Return the `FeedUpdate` without changes, if that is certain."""
         if self.is_outdated:
             return FeedUpdate(FeedStatus.OUTDATED)
-        return FeedUpdate(FeedStatus.NOTHING, (), (), self._revision)
+        return self._update(FeedStatus.NOTHING)
+
+    def _update(self, outcome, entries=(), changes=()):
+        return FeedUpdate(
+            outcome, entries, changes, self._revision, max(0.0, self.age_s)
+        )
 
 
 class Feeds:
--- a/packages/gateway/anvilwell_gateway/freshness.py
+++ b/packages/gateway/anvilwell_gateway/freshness.py
@@ -60,6 +60,11 @@
             else self._complete_at
         )
 
+    @property
+    def age_s(self):
+        """The time since the copy was known to be complete, in seconds."""
+        return self._clock() - self.complete_at
+
     @property
     def expires_at(self):
         """The loop time from which the copy is too old to be served."""
@@ -70,10 +75,17 @@
         """Whether the copy is too old to be served."""
         return self._clock() >= self.expires_at
 
-    def received(self):
-        """Record that all keys, or all changes, were received just now."""
+    def received(self, age_s=0.0):
+        """Record that all keys, or all changes, were received just now.
+
+        Parameters
+        ----------
+        age_s : float
+            How long ago they were known to be complete, in seconds, if they
+            come from another copy.
+        """
         self._watched_since = None
-        self._complete_at = self._clock()
+        self._complete_at = max(self._complete_at, self._clock() - age_s)
 
     def watch_began(self):
         """Record that a watch was sent.
--- a/packages/gateway/anvilwell_gateway/measures.py
+++ b/packages/gateway/anvilwell_gateway/measures.py
@@ -51,6 +51,10 @@
     for name, description in (
         ("configuration_version", "Version of the configuration in force"),
         ("configuration_age_s", "Seconds since that version was adopted"),
+        (
+            "configuration_copy_age_s",
+            "Seconds since it was known that there is no newer version",
+        ),
         ("registered", "Whether this VM's live key is in the store"),
         ("store_in_touch", "Whether the store answered lately"),
         ("store_through_peer", "Whether a peer relays calls to the store"),
--- a/packages/gateway/anvilwell_gateway/neighbours.py
+++ b/packages/gateway/anvilwell_gateway/neighbours.py
@@ -95,7 +95,7 @@
                 f"{self.vm_id} can't provide all entries: {update.outcome}"
             )
         entries_by_key = {entry.key: entry for entry in update.entries}
-        return keyvalue.Snapshot(entries_by_key, update.revision)
+        return keyvalue.Snapshot(entries_by_key, update.revision, update.age_s)
 
     async def watch(self, prefix, revision):
         """Return the `stores.Changes` after `revision`, possibly none."""
@@ -109,7 +109,7 @@
             raise feeds.FeedUnavailable(
                 f"{self.vm_id} does not watch {prefix}"
             )
-        return stores.Changes(update.changes, update.revision)
+        return stores.Changes(update.changes, update.revision, update.age_s)
 
     def _check_current(self, update, prefix):
         if update.outcome is feeds.FeedStatus.OUTDATED:
--- a/packages/gateway/anvilwell_gateway/prefix_follower.py
+++ b/packages/gateway/anvilwell_gateway/prefix_follower.py
@@ -60,6 +60,7 @@
         self._task = None
         self._revision = None
         self._is_lost = False
+        self._lost_at = 0.0
         self._neighbours = None
         self._feed = None
         self._source = None
@@ -127,13 +128,20 @@
                     await asyncio.sleep(NEIGHBOUR_RETRY_S)
             except exceptions.AnvilwellError as error:
                 self._log_lost(error)
-                await asyncio.sleep(self._retry_s())
+                await self._wait_to_retry(error.message)
             except Exception as error:
                 # A fault in what reacts to changes must not end the watch.
                 _LOG.log(
                     "follower-failed", prefix=self._prefix, cause=repr(error)
                 )
-                await asyncio.sleep(self._retry_s())
+                await self._wait_to_retry(repr(error))
+
+    async def _wait_to_retry(self, cause):
+        wait_s = self._retry_s()
+        _LOG.routine(
+            "read-retried", prefix=self._prefix, wait_s=wait_s, cause=cause
+        )
+        await asyncio.sleep(wait_s)
 
     def _retry_s(self):
         """Return the wait before the next attempt, in seconds, with jitter."""
@@ -144,6 +152,15 @@
             wait_s = min(wait_s, REFUSED_RETRY_S)
         return wait_s * (1 - JITTER_SHARE * random.random())
 
+    @property
+    def copy_age_s(self):
+        """The time since the local copy was known to be complete, in seconds.
+
+        It is infinite before the first read, and for a process that serves
+        no neighbours.
+        """
+        return self._feed.age_s if self._feed else float("inf")
+
     @property
     def is_fed_by_neighbour(self):
         """Whether a neighbour that reaches the store serves the changes."""
@@ -179,7 +196,9 @@
         self._next_retry_s = RETRY_S
         if snapshot.revision < (self._revision or 0):
             raise _stale_read_error(neighbour)
-        if not neighbour:
+        if neighbour:
+            self._feed.confirm(snapshot.age_s)
+        else:
             self._feed.reset(snapshot)
         self._revision = snapshot.revision
         self._revisions_by_key = {
@@ -198,7 +217,9 @@
             seen = await self._watch_store(revision)
         self._is_source_disconnected = False
         self._apply_changes(seen.changes)
-        if not neighbour:
+        if neighbour:
+            self._feed.confirm(seen.age_s)
+        else:
             # Neighbours need every change, also those known here already.
             self._feed.add(seen.changes, max(revision, seen.revision))
         return max(revision, seen.revision)
@@ -246,12 +267,18 @@
     def _log_lost(self, error):
         if not self._is_lost:
             self._is_lost = True
+            self._lost_at = asyncio.get_running_loop().time()
             _LOG.log("store-lost", prefix=self._prefix, cause=error.message)
 
     def _regained(self):
         if self._is_lost:
             self._is_lost = False
-            _LOG.log("store-regained", prefix=self._prefix)
+            now = asyncio.get_running_loop().time()
+            _LOG.log(
+                "store-regained",
+                prefix=self._prefix,
+                lost_s=now - self._lost_at,
+            )
             self.regained()
 
     def regained(self):
--- a/packages/gateway/anvilwell_gateway/store.py
+++ b/packages/gateway/anvilwell_gateway/store.py
@@ -24,11 +24,14 @@
 class Changes(typing.NamedTuple):
     """The changes that a watch returned.
 
-    ``revision`` is the revision after which the next watch continues.
+    ``revision`` is the revision after which the next watch continues, and
+    ``age_s`` the time since the changes up to it were known to be complete, in
+    seconds; 0 for a watch of the store itself.
     """
 
     changes: tuple
     revision: int
+    age_s: float = 0.0
 
 
 class HistoryGone(exceptions.AnvilwellError):
--- a/packages/gateway/anvilwell_gateway_standins/follower_world.py
+++ b/packages/gateway/anvilwell_gateway_standins/follower_world.py
@@ -22,6 +22,7 @@
 RENEW_S = 0.7
 RETRY_S = 0.1
 ANSWER_S = 0.004
+ONE_DOMAIN = dict.fromkeys(["e1", "e2", "e3", "e4", "e5"], "a")
 
 
 class Store:
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from anvilwell_gateway_standins import follower_world as worlds
 import pytest
 
 
@@ -30,3 +31,24 @@
             return runner.run(coroutine)
 
     return run
+
+
+@pytest.fixture(scope="session")
+def run_scenario(run_virtual):
+    """Return a function that runs a scenario in a settled world."""
+
+    def run(scenario, domains_by_name=worlds.ONE_DOMAIN, **kwargs):
+        async def settled():
+            world = worlds.World(domains_by_name, **kwargs)
+            world.store.write(1)
+            # Long enough for two watches of the store to return without
+            # changes.
+            await asyncio.sleep(20.0)
+            try:
+                return await scenario(world)
+            finally:
+                await world.stop()
+
+        return run_virtual(settled())
+
+    return run
--- a/packages/gateway/tests/test_neighbours.py
+++ b/packages/gateway/tests/test_neighbours.py
@@ -14,32 +14,11 @@
 import pytest
 
 
-ONE_DOMAIN = dict.fromkeys(["e1", "e2", "e3", "e4", "e5"], "a")
+ONE_DOMAIN = worlds.ONE_DOMAIN
 # Time within which a change must arrive at all processes, in seconds.
 BOUND_S = 2.0
 
 
-@pytest.fixture(scope="session")
-def run_scenario(run_virtual):
-    """Return a function that runs a scenario in a settled world."""
-
-    def run(scenario, domains_by_name=ONE_DOMAIN, **kwargs):
-        async def settled():
-            world = worlds.World(domains_by_name, **kwargs)
-            world.store.write(1)
-            # Long enough for two watches of the store to return without
-            # changes.
-            await asyncio.sleep(20.0)
-            try:
-                return await scenario(world)
-            finally:
-                await world.stop()
-
-        return run_virtual(settled())
-
-    return run
-
-
 def _newest(world):
     return {p.follower.newest for p in world.alive}
 
--- a/packages/outside/anvilwell_outside/ports/keyvalue.py
+++ b/packages/outside/anvilwell_outside/ports/keyvalue.py
@@ -34,10 +34,15 @@
 
 
 class Snapshot(typing.NamedTuple):
-    """Entries that were all read at one revision of the store."""
+    """Entries that were all read at one revision of the store.
+
+    ``age_s`` is the time since they were known to be current, in seconds; 0
+    for a read from the store itself.
+    """
 
     entries_by_key: dict
     revision: int
+    age_s: float = 0.0
 
 
 class Swap(typing.NamedTuple):
