Test four ways in which an old configuration stays in force

Cause: each of the incident's hypotheses, as a test that fails: the wait after a refusal outlasts it; a draining entry can't tell which side is cut off; newer values cancel the reading of older ones; a follower is moved past a change that it lacks. The simulated store can refuse renewals too, and an answer to any call ends an outage there, as in the product. Result: none of the logic has changed.

--- a/packages/gateway/anvilwell_gateway_standins/follower_world.py
+++ b/packages/gateway/anvilwell_gateway_standins/follower_world.py
@@ -86,8 +86,10 @@
         self._cut = asyncio.Event()
         self._is_unanswered = False
         self._renewal_requested = asyncio.Event()
-        # Whether watches and reads are refused, while renewals are answered.
+        self._refused = asyncio.Event()
+        # Whether watches and reads are refused, and renewals as well.
         self.is_refusing = False
+        self.is_refusing_renewals = False
         self.answered_at = self.renewed_at = float("-inf")
 
     def listen_regained(self, callback):
@@ -107,6 +109,20 @@
         """Answer new calls again; those already waiting stay unanswered."""
         self._cut = asyncio.Event()
 
+    def refuse(self):
+        """Refuse all calls from now on, also the watches that wait."""
+        self.is_refusing = self.is_refusing_renewals = True
+        refused, self._refused = self._refused, asyncio.Event()
+        refused.set()
+
+    def accept(self):
+        """Answer all calls again."""
+        self.is_refusing = self.is_refusing_renewals = False
+
+    def lose_call(self):
+        """Leave one call without an answer, which is no watch."""
+        self._is_unanswered = True
+
     async def get(self, key):
         """Return one entry, or None."""
         return (await self.get_prefix(PREFIX)).entries_by_key.get(key)
@@ -132,15 +148,19 @@
             raise exceptions.KeyValueUnavailable("refused")
         answering = asyncio.create_task(answer)
         cut = asyncio.create_task(self._cut.wait())
+        refused = asyncio.create_task(self._refused.wait())
         try:
             async with asyncio.timeout(timeout_s):
                 await asyncio.wait(
-                    {answering, cut}, return_when=asyncio.FIRST_COMPLETED
+                    {answering, cut, refused},
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
                 if self.is_cut:
                     await asyncio.get_running_loop().create_future()
+                if refused.done():
+                    raise exceptions.KeyValueUnavailable("refused")
                 found = await answering
-                self.answered_at = asyncio.get_running_loop().time()
+                self._note_answer()
                 return found
         except TimeoutError:
             self._is_unanswered = True
@@ -148,27 +168,32 @@
         finally:
             answering.cancel()
             cut.cancel()
+            refused.cancel()
+
+    def _note_answer(self):
+        """Record an answer; it ends an outage if a call had none before."""
+        loop = asyncio.get_running_loop()
+        self.answered_at = loop.time()
+        if self._is_unanswered:
+            self._is_unanswered = False
+            for callback in self._listeners:
+                loop.call_soon(callback)
 
     async def renew(self):
         """Check regularly whether the store answers, as lease renewals do."""
         loop = asyncio.get_running_loop()
         while True:
             self._renewal_requested.clear()
+            has_failed = self.is_cut or self.is_refusing_renewals
             if self.is_cut:
                 self._is_unanswered = True
-            else:
+            elif not has_failed:
                 await asyncio.sleep(ANSWER_S)
                 self._store.renewals.append(self._name)
                 self.renewed_at = loop.time()
-                self.answered_at = loop.time()
-                if self._is_unanswered:
-                    self._is_unanswered = False
-                    for callback in self._listeners:
-                        loop.call_soon(callback)
+                self._note_answer()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(
-                    RETRY_S if self.is_cut else RENEW_S
-                ):
+                async with asyncio.timeout(RETRY_S if has_failed else RENEW_S):
                     await self._renewal_requested.wait()
 
     def renew_now(self):
--- a/packages/gateway/tests/test_configuration.py
+++ b/packages/gateway/tests/test_configuration.py
@@ -75,3 +75,22 @@
         return turns
 
     assert asyncio.run(run()) >= 8
+
+
+def test_a_series_of_values_does_not_keep_all_of_them_out_of_force():
+    """Guards against an old configuration until a series of them ends.
+
+    Each newer value cancelled the reading of the one before.
+    """
+
+    async def run():
+        follower = configuration.ConfigurationFollower(_Store(), _Codec())
+        _changed(follower, b"1 1", 1)
+        for version in range(2, 40):
+            _changed(follower, b"%d 8" % version, version)
+            for _ in range(4):
+                await asyncio.sleep(0)
+        return follower.current.version
+
+    # The reading of a value lasts as long as two values take to arrive.
+    assert asyncio.run(run()) >= 35
--- a/packages/gateway/tests/test_late_changes.py
+++ b/packages/gateway/tests/test_late_changes.py
@@ -1,9 +1,19 @@
 """Tests how old the copies of followers may become, under failures."""
 
 import asyncio
+import random
+
+from anvilwell_gateway import feeds
+from anvilwell_gateway import freshness
+from anvilwell_gateway.http import messages
+from anvilwell_outside.ports import keyvalue
+import cbor2
+import pytest
 
 # Time within which a change must arrive at all processes, in seconds.
 BOUND_S = 2.0
+# Time after a disturbance from which that bound holds, in seconds.
+UNDISTURBED_S = 3.0
 
 
 async def _largest_age_s(processes, during_s):
@@ -43,3 +53,117 @@
         return min(process.follower.copy_age_s for process in world.alive)
 
     assert run_scenario(scenario) > BOUND_S
+
+
+@pytest.mark.parametrize("refused_s", [1.0, 1.8, 2.4, 2.9, 3.4])
+def test_a_change_arrives_in_time_after_the_store_refused_an_entry(
+    run_scenario, refused_s
+):
+    """Guards against a 404 for a route that was added seconds ago.
+
+    An entry that the store had refused for less than its lease lasts waited
+    for up to four seconds more before it read the configuration.
+    """
+
+    async def scenario(world):
+        (watcher,) = world.watchers()
+        process = world.processes_by_name[watcher]
+        process.connection.refuse()
+        await asyncio.sleep(refused_s)
+        process.connection.accept()
+        await asyncio.sleep(UNDISTURBED_S - BOUND_S)
+        world.store.write(2)
+        await asyncio.sleep(BOUND_S)
+        return {process.follower.newest for process in world.alive}
+
+    assert run_scenario(scenario) == {2}
+
+
+def test_changes_arrive_in_time_while_a_rate_limit_refuses_reads(
+    run_scenario,
+):
+    """Guards against long waits while the store answers other calls."""
+
+    async def scenario(world):
+        rng = random.Random(65)
+        late = []
+        for number in range(2, 42):
+            name = rng.choice(sorted(world.processes_by_name))
+            process = world.processes_by_name[name]
+            process.connection.refuse()
+            process.connection.is_refusing_renewals = False
+            await asyncio.sleep(rng.uniform(1.0, 8.0))
+            process.connection.accept()
+            await asyncio.sleep(UNDISTURBED_S - BOUND_S)
+            world.store.write(number)
+            await asyncio.sleep(BOUND_S)
+            if process.follower.newest != number:
+                late.append(number)
+        return late
+
+    assert run_scenario(scenario) == []
+
+
+def test_refused_reads_are_repeated_at_a_bounded_rate(run_scenario):
+    """Guards against a call to the store for each answer to another one."""
+
+    async def scenario(world):
+        (watcher,) = world.watchers()
+        connection = world.processes_by_name[watcher].connection
+        connection.refuse()
+        connection.is_refusing_renewals = False
+        world.store.calls.clear()
+        for _ in range(1000):
+            connection.renew_now()
+            await asyncio.sleep(0.01)
+        return [name for name, _ in world.store.calls].count(watcher)
+
+    # Two followers, which each wait 0.35 s at least between attempts.
+    assert run_scenario(scenario) <= 2 * 10.0 / 0.35 + 2
+
+
+def test_a_follower_is_not_moved_past_changes_that_it_lacks(run_virtual):
+    """Guards against an old configuration until the next change.
+
+    The first answer after a lost call was that of a watch: the feed had the
+    change and was read again in the same moment. It said "nothing new", with
+    the revision of the change.
+    """
+
+    async def scenario():
+        contact = freshness.StoreContact(lambda: 0.0, lambda: None, 0.7)
+        local_feeds = feeds.Feeds(lambda: True, contact)
+        feed = local_feeds.feed("p/")
+        other = local_feeds.feed("q/")
+        for one in (feed, other):
+            one.reset(keyvalue.Snapshot({}, 5))
+        query = feeds.ChangesRequest({"p/": 5, "q/": 5})
+        responder = _Responder()
+        request = messages.Request("POST", "/", (), cbor2.dumps(query))
+        answering = asyncio.create_task(local_feeds.answer(request, responder))
+        await asyncio.sleep(0.1)
+        feed.add([keyvalue.Change("p/a", b"1", 7)], 7)
+        feed.suspend()
+        other.suspend()
+        other.reset(keyvalue.Snapshot({}, 7))
+        await answering
+        entry = keyvalue.Entry("p/a", b"1", 7)
+        feed.reset(keyvalue.Snapshot({"p/a": entry}, 7))
+        updates_by_prefix = feeds.read_response(200, responder.body)
+        reached = max(5, updates_by_prefix["p/"].revision)
+        return feed.read_since(reached)
+
+    update = run_virtual(scenario())
+    assert update.outcome in (
+        feeds.FeedStatus.DATA,
+        feeds.FeedStatus.FORGOTTEN,
+    )
+
+
+class _Responder:
+    """Keeps the body of the response."""
+
+    body = b""
+
+    async def send(self, status, headers=(), body=b""):
+        self.body = body
--- a/packages/gateway/tests/test_neighbours.py
+++ b/packages/gateway/tests/test_neighbours.py
@@ -352,7 +352,18 @@
 FAULTS = st.lists(
     st.tuples(
         st.sampled_from(
-            ["write", "cut", "heal", "silence", "speak", "forget", "kill"]
+            [
+                "write",
+                "cut",
+                "heal",
+                "refuse",
+                "accept",
+                "lose",
+                "silence",
+                "speak",
+                "forget",
+                "kill",
+            ]
         ),
         st.sampled_from(NAMES),
         st.floats(min_value=0.0, max_value=2.5),
@@ -376,6 +387,12 @@
             process.connection.cut()
         elif fault == "heal":
             process.connection.heal()
+        elif fault == "refuse":
+            process.connection.refuse()
+        elif fault == "accept":
+            process.connection.accept()
+        elif fault == "lose":
+            process.connection.lose_call()
         elif len(world.alive) > 2:
             await process.stop()
         await asyncio.sleep(wait_s)
@@ -388,12 +405,18 @@
         world.silent.clear()
         for process in world.alive:
             process.connection.heal()
+            process.connection.accept()
         # Longer than a skipped neighbour and a lost watch take together.
         await asyncio.sleep(25.0)
+        # A change that comes now would also bring what was missed before.
+        current = int(world.store.entries_by_key[worlds.KEY].value)
+        settled = _newest(world)
         world.store.write(999)
         await asyncio.sleep(BOUND_S)
-        return [p.follower.seen for p in world.alive]
+        return current, settled, [p.follower.seen for p in world.alive]
 
-    for numbers in run_scenario(scenario):
+    current, settled, seen = run_scenario(scenario)
+    assert settled == {current}
+    for numbers in seen:
         assert numbers == sorted(numbers)
         assert numbers[-1] == 999
--- a/packages/gateway/tests/test_presence.py
+++ b/packages/gateway/tests/test_presence.py
@@ -114,3 +114,26 @@
 
     # A second has passed; one call more for each end of it.
     assert run_virtual(scenario()) <= 1.0 / presences.RETRY_S + 2
+
+
+@pytest.mark.parametrize("asks_after_end", [True, False])
+def test_a_draining_process_can_still_see_whether_the_store_answers(
+    asks_after_end, run_virtual
+):
+    """Guards against a draining entry that keeps an old configuration.
+
+    Its neighbour had lost the store. It could not tell which of both was cut
+    off, as it renewed no lease any more, and asked the neighbour on and on.
+    """
+    store = _Store()
+
+    async def scenario():
+        presence = await _drained(store, asks_after_end)
+        await asyncio.sleep(2 * presences.RENEW_S)
+        presence.renew_now()
+        await asyncio.sleep(0.01)
+        has_answered = presence.has_answered_recently()
+        await presence.stop()
+        return has_answered
+
+    assert run_virtual(scenario())
