End the wait after a refusal with the store's next answer

Cause: what callers saw is a 404 for a route whose configuration the store had acknowledged seconds before. An entry that the store refused (429) waited 1, 2, 4 and 8 s between attempts to read its prefixes. A refusal is no failure of the path nor of the client, so no later answer ended an outage and woke the followers; the wait was shortened to 0.5 s only if the last answer was younger than 0.5 s, though renewals come each 0.7 s. Change: after a failure a follower waits 0.35 to 0.5 s, and then until the store answers any call of the process, at longest the doubled time. So a refusal for one VM ends with its first renewal (0.1 s between attempts), one of reads alone is tried again each 0.7 s at most. No constants are compared, and nothing is read while the store answers nothing. The simulated connection uses the product's tracker of outages. Kin: a 503 makes the path change, which restarts all followers; a 410 reads at once; a cut and silence count as failures, and the next answer restarts.

--- a/packages/gateway/anvilwell_gateway/prefix_follower.py
+++ b/packages/gateway/anvilwell_gateway/prefix_follower.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 import random
 
 from anvilwell_gateway import feeds
@@ -17,10 +18,10 @@
 # Changes that arrive within this time are fetched with one call, in seconds.
 # It is a quarter of the time that a change may take to arrive.
 COALESCE_S = 0.25
-# Wait between attempts while the store does not answer, in seconds; it doubles
-# after each attempt up to the maximum. Refused calls are charged too, and a
-# long wait does little harm, as the first answer to any call of this process,
-# usually a lease renewal or a ping, makes all followers read at once.
+# Wait between attempts while the store answers no call of this process, in
+# seconds; it doubles after each attempt up to the maximum. Refused calls are
+# charged too, and a long wait does little harm, as the first answer to any
+# call, usually a lease renewal or a ping, ends it.
 RETRY_S = 1.0
 MAX_RETRY_S = 8.0
 # Fraction of each wait that is random, so that the retries of many processes
@@ -29,9 +30,9 @@
 # Wait before asking a neighbour that does not reach the store again, in
 # seconds: a little more than the interval of its own retries.
 NEIGHBOUR_RETRY_S = 0.1
-# Longest wait between attempts while the store refuses a call but has answered
-# others within the same time, in seconds. That is no outage, and changes are
-# missed until an attempt succeeds.
+# Wait between attempts while the store refuses these calls but answers others,
+# in seconds. That is no outage, and changes are missed until an attempt
+# succeeds.
 REFUSED_RETRY_S = 0.5
 
 _LOG = logs.get_logger(__name__)
@@ -137,20 +138,30 @@
                 await self._wait_to_retry(repr(error))
 
     async def _wait_to_retry(self, cause):
+        """Wait before the next attempt; an answer to another call ends it.
+
+        A refusal for this process alone, or for these calls alone, looks like
+        an outage from here, and only an answer shows that it is over.
+        """
+        loop = asyncio.get_running_loop()
+        failed_at = loop.time()
         wait_s = self._retry_s()
         _LOG.routine(
-            "read-retried", prefix=self._prefix, wait_s=wait_s, cause=cause
+            "read-retried",
+            prefix=self._prefix,
+            longest_s=wait_s,
+            cause=cause,
         )
-        await asyncio.sleep(wait_s)
+        await asyncio.sleep(min(wait_s, _with_jitter(REFUSED_RETRY_S)))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(failed_at + wait_s):
+                await self._store.wait_for_answer(failed_at)
 
     def _retry_s(self):
-        """Return the wait before the next attempt, in seconds, with jitter."""
+        """Return the longest wait before the next attempt, in seconds."""
         wait_s = min(self.max_retry_s, self._next_retry_s)
         self._next_retry_s = 2 * wait_s
-        now = asyncio.get_running_loop().time()
-        if now - self._store.answered_at < REFUSED_RETRY_S:
-            wait_s = min(wait_s, REFUSED_RETRY_S)
-        return wait_s * (1 - JITTER_SHARE * random.random())
+        return _with_jitter(wait_s)
 
     @property
     def copy_age_s(self):
@@ -285,6 +296,10 @@
         """React to the store's first answer after an outage."""
 
 
+def _with_jitter(wait_s):
+    return wait_s * (1 - JITTER_SHARE * random.random())
+
+
 def _stale_read_error(neighbour):
     """Return the error for a read that is older than the local copy."""
     message = "the read is older than the local copy"
--- a/packages/gateway/anvilwell_gateway/store.py
+++ b/packages/gateway/anvilwell_gateway/store.py
@@ -48,6 +48,7 @@
     def __init__(self):
         self._regained_listeners = []
         self._is_unanswered = False
+        self._answered = asyncio.Event()
         # When the store last answered a call, on the event loop's clock.
         self.answered_at = float("-inf")
         self._started_at_by_call = {}
@@ -75,12 +76,19 @@
         """
         loop = asyncio.get_running_loop()
         self.answered_at = loop.time()
+        answered, self._answered = self._answered, asyncio.Event()
+        answered.set()
         if self._is_unanswered:
             self._is_unanswered = False
             for callback, context in self._regained_listeners:
                 loop.call_soon(callback, context=context)
             self._cancel_hung_calls(loop.time())
 
+    async def wait_for_answer(self, since):
+        """Wait until the store has answered a call after the time `since`."""
+        while self.answered_at <= since:
+            await self._answered.wait()
+
     def _cancel_hung_calls(self, now):
         for call, began_at in self._started_at_by_call.items():
             if now - began_at >= HANG_THRESHOLD_S and call.cancel():
--- a/packages/gateway/anvilwell_gateway_standins/follower_world.py
+++ b/packages/gateway/anvilwell_gateway_standins/follower_world.py
@@ -76,25 +76,20 @@
             return stores.Changes((), self.revision)
 
 
-class StoreConnection:
+class StoreConnection(stores.OutageTracker):
     """One process's connection to the store, which can be cut."""
 
     def __init__(self, store, name):
+        super().__init__()
         self._store = store
         self._name = name
-        self._listeners = []
         self._cut = asyncio.Event()
-        self._is_unanswered = False
         self._renewal_requested = asyncio.Event()
         self._refused = asyncio.Event()
         # Whether watches and reads are refused, and renewals as well.
         self.is_refusing = False
         self.is_refusing_renewals = False
-        self.answered_at = self.renewed_at = float("-inf")
-
-    def listen_regained(self, callback):
-        """Call `callback` when a call succeeds after one has failed."""
-        self._listeners.append(callback)
+        self.renewed_at = float("-inf")
 
     @property
     def is_cut(self):
@@ -119,10 +114,6 @@
         """Answer all calls again."""
         self.is_refusing = self.is_refusing_renewals = False
 
-    def lose_call(self):
-        """Leave one call without an answer, which is no watch."""
-        self._is_unanswered = True
-
     async def get(self, key):
         """Return one entry, or None."""
         return (await self.get_prefix(PREFIX)).entries_by_key.get(key)
@@ -160,25 +151,16 @@
                 if refused.done():
                     raise exceptions.KeyValueUnavailable("refused")
                 found = await answering
-                self._note_answer()
+                self.note_success()
                 return found
         except TimeoutError:
-            self._is_unanswered = True
+            self.note_failure()
             raise exceptions.KeyValueUnavailable("no answer") from None
         finally:
             answering.cancel()
             cut.cancel()
             refused.cancel()
 
-    def _note_answer(self):
-        """Record an answer; it ends an outage if a call had none before."""
-        loop = asyncio.get_running_loop()
-        self.answered_at = loop.time()
-        if self._is_unanswered:
-            self._is_unanswered = False
-            for callback in self._listeners:
-                loop.call_soon(callback)
-
     async def renew(self):
         """Check regularly whether the store answers, as lease renewals do."""
         loop = asyncio.get_running_loop()
@@ -186,12 +168,12 @@
             self._renewal_requested.clear()
             has_failed = self.is_cut or self.is_refusing_renewals
             if self.is_cut:
-                self._is_unanswered = True
+                self.note_failure()
             elif not has_failed:
                 await asyncio.sleep(ANSWER_S)
                 self._store.renewals.append(self._name)
                 self.renewed_at = loop.time()
-                self._note_answer()
+                self.note_success()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(RETRY_S if has_failed else RENEW_S):
                     await self._renewal_requested.wait()
--- a/packages/gateway/tests/test_neighbours.py
+++ b/packages/gateway/tests/test_neighbours.py
@@ -358,7 +358,7 @@
                 "heal",
                 "refuse",
                 "accept",
-                "lose",
+                "note_failure",
                 "silence",
                 "speak",
                 "forget",
@@ -383,16 +383,8 @@
             world.silent.add(name)
         elif fault == "speak":
             world.silent.discard(name)
-        elif fault == "cut":
-            process.connection.cut()
-        elif fault == "heal":
-            process.connection.heal()
-        elif fault == "refuse":
-            process.connection.refuse()
-        elif fault == "accept":
-            process.connection.accept()
-        elif fault == "lose":
-            process.connection.lose_call()
+        elif fault != "kill":
+            getattr(process.connection, fault)()
         elif len(world.alive) > 2:
             await process.stop()
         await asyncio.sleep(wait_s)
--- a/packages/gateway/tests/test_prefix_follower.py
+++ b/packages/gateway/tests/test_prefix_follower.py
@@ -10,12 +10,11 @@
 import pytest
 
 
-class _ScriptedStore:
+class _ScriptedStore(stores.OutageTracker):
     """Returns scripted answers in turn, then never answers again."""
 
-    answered_at = float("-inf")
-
     def __init__(self, **answers):
+        super().__init__()
         self.answers = answers
         self.calls = []
 
