Move no follower past changes that its neighbour's feed withholds

Cause: an entry that is fed by its neighbour can lack a configuration until the next one comes. While a feed is read again it said that nothing was new, with the revision that it had reached; a follower takes the revision of such an answer for its own, also where it lacks changes up to it. That happens if the first answer after a failed call is that of a watch: the feed has the change, is suspended in the same moment, and a neighbour that waits for several prefixes is answered as soon as another one was read. Unless the store's revision moves before the feed is read, nothing tells the follower that it missed something. Change: a feed that is being read again answers without a revision and without an age. It says that it is outdated as soon as it is, as before. Kin: a complete feed moves followers only over changes that it sends; one that follows a neighbour is not served; a follower that changes its source reads everything. Claims of batches and ledgers use the revisions of their own keys in conditional writes, which the store checks.

--- a/packages/gateway/anvilwell_gateway/feeds.py
+++ b/packages/gateway/anvilwell_gateway/feeds.py
@@ -186,10 +186,11 @@
         """
         if not self.is_watched:
             return FeedUpdate(FeedStatus.NOT_WATCHED)
-        if not self.is_complete:
-            return self._nothing_new()
-        if revision is None and self.is_outdated:
+        if self.is_outdated and (revision is None or not self.is_complete):
             return FeedUpdate(FeedStatus.OUTDATED)
+        if not self.is_complete:
+            # Without a revision: the follower may lack changes up to it.
+            return FeedUpdate(FeedStatus.NOTHING, age_s=float("inf"))
         if revision is None:
             entries = tuple(self._entries_by_key.values())
             return self._update(FeedStatus.DATA, entries)
