Keep asking whether the store answers until an entry has drained

Cause: a draining entry ends its lease and asked the store nothing more. If the neighbour that feeds it then said that its copy was old, it could not tell which of both was cut off, and asked that neighbour on and on: in virtual time it had not learned of a change 15 s later. It answers callers for up to the whole grace. Change: each draining entry makes the cheapest call at the interval of the renewals, and at once on request, as only those with strict revocation did. The flag for it is gone. The test that draining processes without strict revocation ask nothing was wrong, as it demanded this fault. Its successor holds for all: nothing but pings, five at most in five intervals, none after the end. Kin: an agent that drains ends its followers and answers no callers. Evidence: test_a_draining_process_can_still_see_whether_the_store_answers fails before.

--- a/packages/gateway/anvilwell_gateway/fleet.py
+++ b/packages/gateway/anvilwell_gateway/fleet.py
@@ -48,7 +48,6 @@
             daemon.failure_domain,
             daemon.cores * daemon.core_share,
             daemon.link_mbps,
-            settings.organisations.strict_revocation,
         )
         self.store.listen_regained(self.presence.renew_soon)
         self.store_path = platform.store_path
--- a/packages/gateway/anvilwell_gateway/presence.py
+++ b/packages/gateway/anvilwell_gateway/presence.py
@@ -1,6 +1,7 @@
 """The lease of this process and its live key in the store."""
 
 import asyncio
+import contextlib
 import uuid
 
 from anvilwell_decisions.leases import session as sessions
@@ -60,8 +61,6 @@
         Its processing capacity, in cores.
     link_mbps : float
         The bandwidth of its link, in Mbit/s; 0 if unknown.
-    asks_after_end : bool
-        Whether a process that drains still asks whether the store answers.
     """
 
     def __init__(
@@ -71,11 +70,9 @@
         failure_domain="",
         capacity=1.0,
         link_mbps=0.0,
-        asks_after_end=False,
     ):
         self._store = store
         self._link_mbps = link_mbps
-        self._asks_after_end = asks_after_end
         self._capacity = capacity
         self._failure_domain = failure_domain
         self._task = None
@@ -105,10 +102,13 @@
         self._task = asyncio.create_task(self._keep())
 
     async def drain(self):
-        """End the lease, but keep asking the store if that is configured."""
+        """End the lease, but keep asking whether the store answers.
+
+        Callers are answered until the process ends, and what it knows must
+        not grow old meanwhile.
+        """
         await self.stop()
-        if self._asks_after_end:
-            self._asking_task = asyncio.create_task(self._keep_asking())
+        self._asking_task = asyncio.create_task(self._keep_asking())
 
     async def stop(self):
         """End the lease, so that others take over at once."""
@@ -186,6 +186,8 @@
     def renew_now(self):
         """Renew the lease at once, to see whether the store answers.
 
+        A process that drains makes the cheapest call instead.
+
         It has no effect within `RETRY_S` of the last attempt: during an outage
         many callers ask for it again and again.
         """
@@ -247,17 +249,22 @@
             if self.is_in_touch() != was_in_touch:
                 was_in_touch = self.is_in_touch()
                 _LOG.log("store-in-touch", is_in_touch=was_in_touch)
-            try:
-                async with asyncio.timeout(wait_s):
-                    await self._rewrite.wait()
-            except TimeoutError:
-                pass
+            await self._wait_for_request(wait_s)
+
+    async def _wait_for_request(self, wait_s):
+        """Wait up to `wait_s` seconds until the next call is requested."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._rewrite.wait()
 
     async def _keep_asking(self):
         """Ask whether the store answers, without a lease, until cancelled."""
         wait_s = RENEW_S
+        self._rewrite.clear()
         while True:
-            await asyncio.sleep(wait_s)
+            await self._wait_for_request(wait_s)
+            self._rewrite.clear()
+            self._attempted_at = asyncio.get_running_loop().time()
             try:
                 await self._store.ping()
                 self._note_answer(asyncio.get_running_loop().time())
