Finish reading a configuration before a newer one is read in steps

Cause: each newer value cancelled the reading of the one before, and what had been decoded was lost. A large configuration is read in steps of 64 routes between which requests are served; in a series whose changes come faster than that, none came into force until it ended. A value that can't be read cancelled a readable one, which then never came into force. Change: the first step of a newer value runs at once; if more are needed, they wait for the reading that is under way, and the newest value that waits is read next. Nothing is cancelled. Kin: the other prefixes are decoded in one step at each change; a refresh beside the watch waits for all reading as before.

--- a/packages/gateway/anvilwell_gateway/configuration.py
+++ b/packages/gateway/anvilwell_gateway/configuration.py
@@ -17,6 +17,7 @@
 
     def __init__(self, store, codec):
         self._reading_task = None
+        self._waiting_steps = None
         super().__init__(store, codec.configuration_key)
         self._codec = codec
         self._newest = table.NewestConfiguration()
@@ -76,26 +77,37 @@
         await super().stop()
 
     def _stop_reading(self):
+        self._waiting_steps = None
         if self._reading_task:
             self._reading_task.cancel()
             self._reading_task = None
 
     def _read(self, value):
-        """Start to read a newer value and cancel the reading of older ones.
+        """Read a newer value.
 
-        The first step runs at once, as most changes need only one.
+        The first step runs at once, as most changes need only one. Further
+        ones wait until an older value has been read, as newer ones would keep
+        each other out of force in a series of changes.
         """
-        self._stop_reading()
         steps = self._codec.configuration_steps(value)
-        if not self._read_step(steps):
+        if self._read_step(steps):
+            return
+        if self._reading_task and not self._reading_task.done():
+            self._waiting_steps = steps
+        else:
             self._reading_task = asyncio.create_task(
                 self._finish_reading(steps)
             )
 
     async def _finish_reading(self, steps):
-        """Run the remaining steps; yield to the event loop between them."""
-        while not self._read_step(steps):
+        """Run the remaining steps, then those of the newest other value.
+
+        Other work is done between the steps.
+        """
+        while steps:
             await asyncio.sleep(0)
+            if self._read_step(steps):
+                steps, self._waiting_steps = self._waiting_steps, None
 
     def _read_step(self, steps):
         """Run one step of reading; return whether it was the last one."""
--- a/packages/gateway/tests/test_configuration.py
+++ b/packages/gateway/tests/test_configuration.py
@@ -42,8 +42,11 @@
     [
         ([b"7 1"], 7, 7),
         ([b"7 5"], None, 7),
-        # A newer value cancels the reading of the older one.
+        # A newer value need not wait if it is read in one step.
         ([b"7 5", b"8 1"], 8, 8),
+        # An unreadable value does not end the reading of an older one.
+        ([b"7 5", b"-1 1"], None, 7),
+        ([b"7 5", b"8 3", b"-1 1"], None, 8),
         ([b"7 1", b"8 5"], 7, 8),
         ([b"7 1", b"8 3", b"9 5"], 7, 9),
         # An unreadable value leaves the current version in force.
