Deny nothing by a configuration that may be out of date

Cause: 404 for a path without a route, 403 for a region and, apart from the renewals of the lease, 401 for a key rested on the local configuration, whatever its age. Callers don't repeat a request that was denied. An entry whose copy is old, for whatever reason, so denied what newer configurations allow. Change: if the configuration was not known to be the newest within the last two seconds, such a request is refused at once with 503 and configuration-uncertain, which says that it has not run and may be sent to another entry. The age counts for copies from the store and from a neighbour, and for a value that was received and is not read yet. Kin: 404 for a batch, its results or an item's body rests on a read of the store; nothing new in a batch on the owner's lease and on its last write; a forwarded batch without a route is refused with 503 already; usage windows and versions are never denied. Evidence: the six cases of test_nothing_is_denied_by_a_configuration_that_ may_be_old fail before. In virtual time no copy is that old while nothing fails (test_copies_are_known_to_be_young_while_nothing_fails).

--- a/packages/gateway/anvilwell_gateway/admission.py
+++ b/packages/gateway/anvilwell_gateway/admission.py
@@ -7,8 +7,15 @@
 
 # Longest time until an entry in contact with the store applies a changed
 # configuration, in seconds; see `presence.MAX_ANSWER_AGE_S`. A revoked key may
-# be accepted for this long after the store's last answer.
+# be accepted for this long after the store's last answer, and what an older
+# configuration lacks may exist by now.
 MAX_CONFIGURATION_DELAY_S = 2.0
+# Errors that state that the configuration does not allow a request.
+_DENIALS = (
+    exceptions.NotFound,
+    exceptions.UnknownKey,
+    exceptions.RegionNotAllowed,
+)
 
 
 class CallerAdmission:
@@ -46,15 +53,35 @@
         exceptions.RegionNotAllowed
             If no region is allowed by both its route and its organisation.
         exceptions.Refused
-            If the keys in force here may be out of date.
+            Instead of one of these, if the configuration in force here may be
+            out of date.
         """
+        try:
+            route, sender = self._find_route(request)
+        except _DENIALS:
+            self._check_current()
+            raise
+        route = organisations.with_priority(route, sender)
+        return route, self._anonymous(request, sender)
+
+    def _find_route(self, request):
+        """Return the route of `request`, and its `facts.Organisation`."""
         route = self._configuration.routes.find(request.host, request.path)
         if route is None:
             raise exceptions.NotFound("no route matches this path")
         sender = self._sender(request, route.is_open)
         residency.check(route, sender)
-        route = organisations.with_priority(route, sender)
-        return route, self._anonymous(request, sender)
+        return route, sender
+
+    def _check_current(self):
+        """Refuse the request if a newer configuration may allow it.
+
+        Callers don't repeat a request that was denied.
+        """
+        if self._configuration.age_s > MAX_CONFIGURATION_DELAY_S:
+            raise _uncertain(
+                "a newer configuration may not have reached this VM yet"
+            ) from None
 
     def admit_batch_call(self, batch_call, request):
         """Return a `dialect.BatchCall` with the full id of its batch.
@@ -70,7 +97,11 @@
             If the keys in force here may be out of date.
         """
         is_open = self._configuration.routes.has_open_batches(request.host)
-        sender = self._sender(request, is_open)
+        try:
+            sender = self._sender(request, is_open)
+        except exceptions.UnknownKey:
+            self._check_current()
+            raise
         name = sender.name if sender else ""
         batch_id = organisations.owned_id(name, batch_call.batch_id)
         return batch_call._replace(batch_id=batch_id)
--- a/packages/gateway/anvilwell_gateway/configuration.py
+++ b/packages/gateway/anvilwell_gateway/configuration.py
@@ -1,6 +1,7 @@
 """Follows the operators' configuration and puts new versions in force."""
 
 import asyncio
+import typing
 
 from anvilwell_decisions.traffic import organisations
 from anvilwell_decisions.traffic import table
@@ -12,12 +13,19 @@
 _LOG = logs.get_logger(__name__)
 
 
+class _UnreadValue(typing.NamedTuple):
+    """The remaining steps of reading a value, and when it was received."""
+
+    steps: typing.Iterator
+    received_at: float
+
+
 class ConfigurationFollower(prefix_follower.PrefixFollower):
     """Holds the newest configuration; its version never goes back."""
 
     def __init__(self, store, codec):
         self._reading_task = None
-        self._waiting_steps = None
+        self._reading = self._waiting = None
         super().__init__(store, codec.configuration_key)
         self._codec = codec
         self._newest = table.NewestConfiguration()
@@ -31,6 +39,17 @@
         """The configuration in force, None before the first one."""
         return self._newest.configuration
 
+    @property
+    def age_s(self):
+        """The time since the one in force was known to be the newest.
+
+        In seconds. A newer one may have been received, but not read yet.
+        """
+        if self._reading is None:
+            return self.copy_age_s
+        now = asyncio.get_running_loop().time()
+        return max(self.copy_age_s, now - self._reading.received_at)
+
     def listen(self, callback):
         """Call `callback` after each change of the configuration."""
         self._listeners.append(callback)
@@ -68,7 +87,7 @@
         return [
             measures.GaugeValue("configuration_version", self.current.version),
             measures.GaugeValue("configuration_age_s", age_s),
-            measures.GaugeValue("configuration_copy_age_s", self.copy_age_s),
+            measures.GaugeValue("configuration_copy_age_s", self.age_s),
         ]
 
     async def stop(self):
@@ -77,7 +96,7 @@
         await super().stop()
 
     def _stop_reading(self):
-        self._waiting_steps = None
+        self._reading = self._waiting = None
         if self._reading_task:
             self._reading_task.cancel()
             self._reading_task = None
@@ -92,22 +111,22 @@
         steps = self._codec.configuration_steps(value)
         if self._read_step(steps):
             return
-        if self._reading_task and not self._reading_task.done():
-            self._waiting_steps = steps
+        unread = _UnreadValue(steps, asyncio.get_running_loop().time())
+        if self._reading:
+            self._waiting = unread
         else:
-            self._reading_task = asyncio.create_task(
-                self._finish_reading(steps)
-            )
+            self._reading = unread
+            self._reading_task = asyncio.create_task(self._finish_reading())
 
-    async def _finish_reading(self, steps):
+    async def _finish_reading(self):
         """Run the remaining steps, then those of the newest other value.
 
         Other work is done between the steps.
         """
-        while steps:
+        while self._reading:
             await asyncio.sleep(0)
-            if self._read_step(steps):
-                steps, self._waiting_steps = self._waiting_steps, None
+            if self._read_step(self._reading.steps):
+                self._reading, self._waiting = self._waiting, None
 
     def _read_step(self, steps):
         """Run one step of reading; return whether it was the last one."""
