Give up a silent connection to the store or a peer after two seconds

Cause: a watch whose connection falls silent alone was noticed after three seconds, and the next renewal, up to 0.7 s later, made the followers read. A disturbance counts for three seconds only, so a change that was missed could be late by 0.8 s at an entry in touch. Change: one probe less, and two seconds as the limit for unacknowledged data, as one named constant. On Linux the latter decides where both are set. Evidence: test_what_delays_a_change_after_a_disturbance_adds_up_to_its_limit fails with three seconds (3.9 s); it adds up the other ways that news comes as well.

--- a/packages/gateway/anvilwell_gateway/http/client.py
+++ b/packages/gateway/anvilwell_gateway/http/client.py
@@ -34,17 +34,28 @@
 # in seconds.
 DEFAULT_KEEP_ALIVE_S = 4.0
 _FIRST_ERROR_STATUS = 400
-# Socket options by which a connection fails after three seconds without a
-# reply to TCP keepalive probes. Otherwise a watch on a broken path would
-# hang for its whole 17 s.
+# Interval of TCP keepalive probes on an idle connection, in seconds.
+_PROBE_INTERVAL_S = 1
+# Time after which a connection fails whose peer acknowledges neither data nor
+# probes, in seconds. Otherwise a watch on a broken path would hang for its
+# whole 17 s. After that time a process learns of the change that it missed
+# with the next renewal of its lease, so that it is current again within three
+# seconds.
+SILENCE_TIMEOUT_S = 2
 _KEEPALIVE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    # Limit in milliseconds for sent data that is not acknowledged: also three
-    # seconds.
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
+    (
+        socket.IPPROTO_TCP,
+        socket.TCP_KEEPCNT,
+        SILENCE_TIMEOUT_S // _PROBE_INTERVAL_S - 1,
+    ),
+    (
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        SILENCE_TIMEOUT_S * 1000,
+    ),
 )
 
 
--- a/packages/gateway/tests/http/test_connection_pool.py
+++ b/packages/gateway/tests/http/test_connection_pool.py
@@ -47,7 +47,8 @@
             connection.close()
             return bool(probes), silence_ms
 
-    expected = (True, 3000) if use_keepalive else (False, 0)
+    silence_ms = client.SILENCE_TIMEOUT_S * 1000
+    expected = (True, silence_ms) if use_keepalive else (False, 0)
     assert asyncio.run(scenario()) == expected
 
 
--- a/packages/gateway/tests/test_late_changes.py
+++ b/packages/gateway/tests/test_late_changes.py
@@ -5,7 +5,11 @@
 
 from anvilwell_gateway import feeds
 from anvilwell_gateway import freshness
+from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
+from anvilwell_gateway import neighbours
+from anvilwell_gateway import prefix_follower
+from anvilwell_gateway import presence
 from anvilwell_outside.ports import keyvalue
 import cbor2
 import pytest
@@ -160,6 +164,25 @@
     )
 
 
+def test_what_delays_a_change_after_a_disturbance_adds_up_to_its_limit():
+    """Guards against raising one of the delays alone."""
+    store_call_s = 0.1
+    # A watch hangs on a connection that fell silent alone. Once it has failed,
+    # the next renewal shows that the store answers, and all is read.
+    hung_s = client.SILENCE_TIMEOUT_S + presence.RENEW_S + 2 * store_call_s
+    assert hung_s < UNDISTURBED_S
+    # The store refused all calls; the first renewal that it answers ends the
+    # wait.
+    refused_s = presence.RETRY_S + prefix_follower.REFUSED_RETRY_S
+    assert refused_s + 2 * store_call_s < BOUND_S
+    # It refuses reads alone: an attempt fails just after a renewal.
+    longest_wait_s = max(prefix_follower.REFUSED_RETRY_S, presence.RENEW_S)
+    assert longest_wait_s + 2 * store_call_s < BOUND_S
+    # A neighbour does not respond.
+    answer_s = feeds.WAIT_S + neighbours.MARGIN_S
+    assert answer_s + 2 * store_call_s < BOUND_S
+
+
 class _Responder:
     """Keeps the body of the response."""
 
