Split the waits between attempts to read from the followers

Cause: PrefixFollower chose its source, applied changes, and reckoned how long to wait after a failure. Change: read_retries.ReadRetries has the waits, their constants and the reason why an answer to another call ends them. Behaviour stays as it is; read-retried has no longest wait any more, which depended on luck alone. Evidence: packages/gateway tests pass, with the new names of constants.

--- a/packages/gateway/anvilwell_gateway/prefix_follower.py
+++ b/packages/gateway/anvilwell_gateway/prefix_follower.py
@@ -2,10 +2,9 @@
 
 import abc
 import asyncio
-import contextlib
-import random
 
 from anvilwell_gateway import feeds
+from anvilwell_gateway import read_retries
 from anvilwell_gateway import store as stores
 from anvilwell_gateway import tasks
 from anvilwell_kernel import exceptions
@@ -18,22 +17,9 @@
 # Changes that arrive within this time are fetched with one call, in seconds.
 # It is a quarter of the time that a change may take to arrive.
 COALESCE_S = 0.25
-# Wait between attempts while the store answers no call of this process, in
-# seconds; it doubles after each attempt up to the maximum. Refused calls are
-# charged too, and a long wait does little harm, as the first answer to any
-# call, usually a lease renewal or a ping, ends it.
-RETRY_S = 1.0
-MAX_RETRY_S = 8.0
-# Fraction of each wait that is random, so that the retries of many processes
-# are spread over time.
-JITTER_SHARE = 0.3
 # Wait before asking a neighbour that does not reach the store again, in
 # seconds: a little more than the interval of its own retries.
 NEIGHBOUR_RETRY_S = 0.1
-# Wait between attempts while the store refuses these calls but answers others,
-# in seconds. That is no outage, and changes are missed until an attempt
-# succeeds.
-REFUSED_RETRY_S = 0.5
 
 _LOG = logs.get_logger(__name__)
 
@@ -52,7 +38,7 @@
     """
 
     coalesce_s = COALESCE_S
-    max_retry_s = MAX_RETRY_S
+    max_retry_s = read_retries.MAX_WAIT_S
 
     def __init__(self, store, prefix):
         self._store = store
@@ -67,7 +53,7 @@
         self._source = None
         self._has_settled = False
         self._is_source_disconnected = False
-        self._next_retry_s = RETRY_S
+        self._retries = None
         self.is_loaded = False
 
     @abc.abstractmethod
@@ -93,6 +79,7 @@
         self._feed = (
             local_feeds.feed(self._prefix) if local_feeds else feeds.Feed()
         )
+        self._retries = read_retries.ReadRetries(self._store, self.max_retry_s)
         self._task = asyncio.create_task(self._follow())
         self._store.listen_regained(self.restart)
 
@@ -138,30 +125,9 @@
                 await self._wait_to_retry(repr(error))
 
     async def _wait_to_retry(self, cause):
-        """Wait before the next attempt; an answer to another call ends it.
-
-        A refusal for this process alone, or for these calls alone, looks like
-        an outage from here, and only an answer shows that it is over.
-        """
-        loop = asyncio.get_running_loop()
-        failed_at = loop.time()
-        wait_s = self._retry_s()
-        _LOG.routine(
-            "read-retried",
-            prefix=self._prefix,
-            longest_s=wait_s,
-            cause=cause,
-        )
-        await asyncio.sleep(min(wait_s, _with_jitter(REFUSED_RETRY_S)))
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(failed_at + wait_s):
-                await self._store.wait_for_answer(failed_at)
-
-    def _retry_s(self):
-        """Return the longest wait before the next attempt, in seconds."""
-        wait_s = min(self.max_retry_s, self._next_retry_s)
-        self._next_retry_s = 2 * wait_s
-        return _with_jitter(wait_s)
+        """Wait until the next attempt to read the prefix."""
+        _LOG.routine("read-retried", prefix=self._prefix, cause=cause)
+        await self._retries.wait()
 
     @property
     def copy_age_s(self):
@@ -204,7 +170,7 @@
             snapshot = await self._store.get_prefix(self._prefix)
         self._regained()
         self._is_source_disconnected = False
-        self._next_retry_s = RETRY_S
+        self._retries.succeeded()
         if snapshot.revision < (self._revision or 0):
             raise _stale_read_error(neighbour)
         if neighbour:
@@ -296,10 +262,6 @@
         """React to the store's first answer after an outage."""
 
 
-def _with_jitter(wait_s):
-    return wait_s * (1 - JITTER_SHARE * random.random())
-
-
 def _stale_read_error(neighbour):
     """Return the error for a read that is older than the local copy."""
     message = "the read is older than the local copy"
--- a/packages/gateway/tests/test_late_changes.py
+++ b/packages/gateway/tests/test_late_changes.py
@@ -8,8 +8,8 @@
 from anvilwell_gateway.http import client
 from anvilwell_gateway.http import messages
 from anvilwell_gateway import neighbours
-from anvilwell_gateway import prefix_follower
 from anvilwell_gateway import presence
+from anvilwell_gateway import read_retries
 from anvilwell_outside.ports import keyvalue
 import cbor2
 import pytest
@@ -173,10 +173,10 @@
     assert hung_s < UNDISTURBED_S
     # The store refused all calls; the first renewal that it answers ends the
     # wait.
-    refused_s = presence.RETRY_S + prefix_follower.REFUSED_RETRY_S
+    refused_s = presence.RETRY_S + read_retries.REFUSED_WAIT_S
     assert refused_s + 2 * store_call_s < BOUND_S
     # It refuses reads alone: an attempt fails just after a renewal.
-    longest_wait_s = max(prefix_follower.REFUSED_RETRY_S, presence.RENEW_S)
+    longest_wait_s = max(read_retries.REFUSED_WAIT_S, presence.RENEW_S)
     assert longest_wait_s + 2 * store_call_s < BOUND_S
     # A neighbour does not respond.
     answer_s = feeds.WAIT_S + neighbours.MARGIN_S
--- a/packages/gateway/tests/test_neighbours.py
+++ b/packages/gateway/tests/test_neighbours.py
@@ -7,6 +7,7 @@
 from anvilwell_gateway import freshness
 from anvilwell_gateway import neighbours
 from anvilwell_gateway import prefix_follower
+from anvilwell_gateway import read_retries
 from anvilwell_gateway_standins import follower_world as worlds
 from anvilwell_outside.ports import keyvalue
 import hypothesis
@@ -196,7 +197,7 @@
         await asyncio.sleep(8.0)
         connection.is_refusing = False
         world.store.write(2)
-        await asyncio.sleep(2 * prefix_follower.REFUSED_RETRY_S)
+        await asyncio.sleep(2 * read_retries.REFUSED_WAIT_S)
         return world.processes_by_name[watcher].follower.newest
 
     assert run_scenario(scenario) == 2
--- a/packages/gateway/tests/test_prefix_follower.py
+++ b/packages/gateway/tests/test_prefix_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from anvilwell_gateway import prefix_follower
+from anvilwell_gateway import read_retries
 from anvilwell_gateway import store as stores
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import verdict as verdicts
@@ -71,7 +72,7 @@
 
 def _follow(monkeypatch, count, **answers):
     monkeypatch.setattr(prefix_follower, "COALESCE_S", 0.0)
-    monkeypatch.setattr(prefix_follower, "RETRY_S", 0.0)
+    monkeypatch.setattr(read_retries, "FIRST_WAIT_S", 0.0)
 
     async def run():
         store = _ScriptedStore(**answers)
@@ -202,7 +203,7 @@
         return follower.seen
 
     async def bounded():
-        async with asyncio.timeout(1200 * prefix_follower.MAX_RETRY_S):
+        async with asyncio.timeout(1200 * read_retries.MAX_WAIT_S):
             return await scenario()
 
     assert run_virtual(bounded()) == [["p/a"]]
@@ -223,7 +224,7 @@
         return calls, seen
 
     calls, seen = run_virtual(run())
-    least = 60.0 / prefix_follower.MAX_RETRY_S
+    least = 60.0 / read_retries.MAX_WAIT_S
     assert least < calls < 2 * least
     assert seen == [["p/a"]]
 
