--- a/packages/gateway/tests/http/test_truncated_heads.py
+++ b/packages/gateway/tests/http/test_truncated_heads.py
@@ -10,13 +10,13 @@
 from anvilwell_kernel import verdict as verdicts
 import pytest
 
-START = b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\n"
+START = b"HTTP/1.1 200 OK\r\nX-Proof: s\r\n"
 HEADS_BY_FRAMING = {
     "length": START + b"Content-Length: 12\r\n\r\n",
     "empty": START + b"Content-Length: 0\r\n\r\n",
     "chunks": START + b"Transfer-Encoding: chunked\r\n\r\n",
     "until-closed": START + b"Connection: close\r\n\r\n",
-    "no-content": b"HTTP/1.1 204 No Content\r\nServer-Seal: s\r\n\r\n",
+    "no-content": b"HTTP/1.1 204 No Content\r\nX-Proof: s\r\n\r\n",
     "after-interim": b"HTTP/1.1 103 Early Hints\r\n\r\n" + START + b"\r\n",
     "bare-line-feeds": b"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
 }
