Read later configurations after a fault in the steps of one

Cause: since readings are finished and not cancelled, an unexpected error in the steps of one value would have ended the task that reads them with that value still marked as being read, and no later one would have been read. Change: such an error is logged as configuration-failed, and the newest other value is read. Evidence: the new case of test_the_newest_that_can_be_read_is_in_force (version -2 raises a TypeError in its third step) fails before. Result: test_configuration and test_operations_page pass.

--- a/packages/gateway/anvilwell_gateway/configuration.py
+++ b/packages/gateway/anvilwell_gateway/configuration.py
@@ -125,7 +125,13 @@
         """
         while self._reading:
             await asyncio.sleep(0)
-            if self._read_step(self._reading.steps):
+            is_last = True
+            try:
+                is_last = self._read_step(self._reading.steps)
+            except Exception as error:
+                # A fault in one value must not keep later ones out of force.
+                _LOG.log("configuration-failed", cause=repr(error))
+            if is_last:
                 self._reading, self._waiting = self._waiting, None
 
     def _read_step(self, steps):
--- a/packages/gateway/tests/test_configuration.py
+++ b/packages/gateway/tests/test_configuration.py
@@ -9,6 +9,7 @@
 import pytest
 
 KEY = "configuration"
+FAULTY = -2
 LIMITS = facts.CallerLimits(1, 1, 1.0, 1.0)
 
 
@@ -21,6 +22,8 @@
         version, steps = map(int, value.split())
         for _ in range(steps - 1):
             yield None
+        if version == FAULTY:
+            raise TypeError("a fault of the codec")
         if version < 0:
             raise exceptions.ConfigurationError([])
         yield facts.Configuration(version, (), {}, LIMITS)
@@ -47,6 +50,8 @@
         # An unreadable value does not end the reading of an older one.
         ([b"7 5", b"-1 1"], None, 7),
         ([b"7 5", b"8 3", b"-1 1"], None, 8),
+        # Nor does a fault in reading one end the reading of others.
+        ([b"-2 3", b"8 3"], None, 8),
         ([b"7 1", b"8 5"], 7, 8),
         ([b"7 1", b"8 3", b"9 5"], 7, 9),
         # An unreadable value leaves the current version in force.
