Split the responder from the HTTP server

Change: http/responder.py sends the response to one request; the server reads requests and runs their handlers. Behaviour stays as it is. Evidence: packages/gateway/tests/http, platform/tests/test_streams and test_live_calls pass.

--- a/packages/gateway/anvilwell_gateway/http/server.py
+++ b/packages/gateway/anvilwell_gateway/http/server.py
@@ -10,6 +10,7 @@
 
 from anvilwell_gateway.http import listening
 from anvilwell_gateway.http import messages
+from anvilwell_gateway.http import responder as responders
 from anvilwell_kernel import exceptions
 from anvilwell_kernel import reasons
 from anvilwell_kernel.telemetry import counters
@@ -19,9 +20,6 @@
 READ_BYTES = 64 << 10
 # Limit of the bytes of later requests that are buffered while one is served.
 MAX_PIPELINED_BYTES = 256 << 10
-# A response body is written in chunks of this size, in bytes, so that data
-# which the caller has not read yet is in memory only once.
-WRITE_BYTES = 64 << 10
 # Retry-After of a 503 response that this module sends, in seconds.
 BUSY_RETRY_AFTER_S = 0.3
 # How long a caller whose body is refused may go on sending it, in seconds.
@@ -60,65 +58,6 @@
     reason = reasons.Refusal.CANCELLED
 
 
-class Responder:
-    """Sends the response to one request."""
-
-    def __init__(self, conn, writer, must_close, budget):
-        self._conn = conn
-        self._writer = writer
-        self._must_close = must_close
-        self._budget = budget
-        self.status = 0
-
-    @property
-    def has_started(self):
-        """Whether the response head has been sent."""
-        return self.status != 0
-
-    async def send(self, status, headers=(), body=b""):
-        """Send a whole response."""
-        length = ("Content-Length", str(len(body)))
-        kept = messages.without(headers, {"content-length"})
-        await self.start(status, (*kept, length))
-        if body:
-            await self.write(body)
-        await self.finish()
-
-    async def start(self, status, headers):
-        """Send the head; without Content-Length the body is sent chunked."""
-        if await self._must_close():
-            headers = (*headers, ("Connection", "close"))
-        self.status = status
-        head = h11.Response(
-            status_code=status, headers=messages.encode_headers(headers)
-        )
-        self._writer.write(self._conn.send(head))
-
-    async def write(self, data):
-        """Write a part of the body and wait until the transport accepts it.
-
-        Until then its bytes count against the budget.
-        """
-        self._budget.hold(len(data))
-        unwritten = len(data)
-        try:
-            for start in range(0, len(data), WRITE_BYTES):
-                part = data[start : start + WRITE_BYTES]
-                self._writer.write(self._conn.send(h11.Data(data=part)))
-                await self._writer.drain()
-                self._budget.release(len(part))
-                unwritten -= len(part)
-        finally:
-            self._budget.release(unwritten)
-
-    async def finish(self):
-        """Send the end of the response."""
-        end = self._conn.send(h11.EndOfMessage())
-        if end:
-            self._writer.write(end)
-        await self._writer.drain()
-
-
 class Server:
     """Listens on one address and handles the requests that arrive there.
 
@@ -127,7 +66,8 @@
     address : options.Address
         The address to listen on.
     handle : callable
-        Coroutine function of a `messages.Request` and a `Responder`. It is
+        Coroutine function of a `messages.Request` and a
+        `responders.Responder`. It is
         cancelled if the caller closes its connection.
     listener : socket.socket, optional
         A socket that listens on the address already.
@@ -429,7 +369,7 @@
         return data
 
     async def _run(self, request):
-        responder = Responder(
+        responder = responders.Responder(
             self._conn, self._writer, self._must_close, self._server.budget
         )
         handler = asyncio.create_task(self._handle(request, responder))
@@ -492,7 +432,7 @@
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return None
         self._writer.transport.resume_reading()
-        responder = Responder(
+        responder = responders.Responder(
             self._conn, self._writer, _always_close, self._server.budget
         )
         headers = ()
--- a/packages/gateway/anvilwell_gateway/streams.py
+++ b/packages/gateway/anvilwell_gateway/streams.py
@@ -38,7 +38,7 @@
     ----------
     forwarder, route, call, request
         As for `attempts.Attempts`.
-    responder : server.Responder
+    responder : responder.Responder
         Sends the events to the caller.
     """
 
